Lay the foundation: settings, operators' files, streams, events

Cause: every role needs the same checked documents, typed messages, authenticated streams and numbered events, so they come first. Ruled out: length-prefixed frames (msgpack delimits itself and bounds its buffer); maps as messages (arrays are smaller and control bytes count); hand-written type checks of TOML (cattrs reports all faults at once).

--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of single aggregates."""
--- /dev/null
+++ b/tests/unit/test_catalog.py
@@ -0,0 +1,62 @@
+"""Rules of operators' files."""
+
+from verbenanotch.catalog import Version, parse_mesh
+from verbenanotch.documents import Invalid, Valid
+
+GOOD = b"""
+name = "brittany"
+[services.billing]
+slots = 17
+[services.orders]
+calls = ["billing"]
+[routes.pay]
+prefix = "/pay"
+service = "billing"
+"""
+
+
+def test_accepts_a_whole_file():
+    result = parse_mesh(GOOD)
+    assert isinstance(result, Valid)
+    assert result.value.services_by_name["billing"].slots == 17
+
+
+def test_reports_all_problems_at_once_with_lines():
+    result = parse_mesh(
+        b'name = "x"\n[services.a]\nslots = 0\n'
+        b'[routes.r]\nprefix = "bad"\nservice = "none"\n'
+    )
+    assert isinstance(result, Invalid)
+    assert [(p.key, p.line) for p in result.problems] == [
+        ("services.a.slots", 3),
+        ("routes.r.prefix", 5),
+        ("routes.r.service", 6),
+    ]
+
+
+def test_refuses_a_cycle_of_calls():
+    result = parse_mesh(
+        b'name = "x"\n[services.a]\ncalls = ["b"]\n'
+        b'[services.b]\ncalls = ["a"]\n'
+    )
+    assert "a -> b -> a" in str(result.problems[0])
+
+
+def test_refuses_unknown_keys_wrong_types_and_missing_keys():
+    result = parse_mesh(
+        b'nme = "x"\n[services.a]\nslots = "many"\n[routes.r]\nprefix = "/"\n'
+    )
+    texts = "\n".join(str(problem) for problem in result.problems)
+    assert "unknown key nme" in texts
+    assert "expected int" in texts
+    assert "required key service" in texts
+
+
+def test_refuses_bytes_that_are_not_utf8():
+    result = parse_mesh(b'name = "\xff"')
+    assert "not UTF-8" in str(result.problems[0])
+
+
+def test_versions_are_totally_ordered():
+    assert Version(2, 1) > Version(1, 99)
+    assert Version.parse(str(Version(3, 41))) == Version(3, 41)
--- /dev/null
+++ b/tests/unit/test_wire.py
@@ -0,0 +1,92 @@
+"""Streams between processes."""
+
+import attrs
+import eventlet
+import msgpack
+import pytest
+
+from verbenanotch.wire import (
+    AuthenticationFailedError,
+    ConnectionClosedError,
+    Listener,
+    MalformedFrameError,
+    Purpose,
+    WireError,
+    decode,
+    dial,
+    encode,
+    message,
+)
+
+KEY = b"0123456789abcdef"
+
+
+@message(60001)
+@attrs.frozen(kw_only=True)
+class Echo:
+    """A message of this test."""
+
+    text: str
+    bodies: tuple[bytes, ...] = ()
+
+
+@pytest.fixture
+def listener():
+    def echo(connection):
+        while True:
+            connection.send(connection.receive())
+
+    server = Listener(
+        address="127.0.0.1",
+        port=0,
+        key=KEY,
+        name="server",
+        handlers_by_purpose={Purpose.REQUEST: echo},
+    )
+    server.start()
+    yield server
+    server.stop()
+
+
+def connect(listener, key=KEY):
+    return dial(
+        address="127.0.0.1",
+        port=listener.port,
+        key=key,
+        name="client",
+        purpose=Purpose.REQUEST,
+    )
+
+
+def test_messages_come_back_whole(listener):
+    connection = connect(listener)
+    item = Echo(text="é", bodies=(b"a", b"b" * 100_000))
+    connection.send(item)
+    assert connection.receive() == item
+    assert connection.peer_name == "server"
+    connection.close()
+
+
+def test_a_wrong_key_is_refused(listener):
+    with pytest.raises((AuthenticationFailedError, ConnectionClosedError)):
+        connect(listener, key=b"another key, not shared")
+
+
+def test_a_stranger_is_refused_and_the_listener_lives(listener):
+    stranger = eventlet.connect(("127.0.0.1", listener.port))
+    stranger.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    stranger.close()
+    test_messages_come_back_whole(listener)
+
+
+def test_a_field_of_another_type_is_malformed():
+    timestamp, number, _ = 1, 60001, None
+    with pytest.raises(MalformedFrameError):
+        decode([timestamp, number, [5, []]])
+    with pytest.raises(WireError):
+        decode([timestamp, 59999, []])
+
+
+def test_a_message_survives_its_codec():
+    item = Echo(text="x", bodies=(b"y",))
+    assert decode(msgpack.unpackb(encode(item))) == item
--- /dev/null
+++ b/verbenanotch/catalog/__init__.py
@@ -0,0 +1,27 @@
+"""Operators' files: services, routes, versions and their rules."""
+
+from verbenanotch.catalog._mesh import Mesh, Route, Service, parse_mesh
+from verbenanotch.catalog._submission import (
+    Accepted,
+    Conflict,
+    Rejected,
+    Submission,
+    Unavailable,
+    Unknown,
+)
+from verbenanotch.catalog._version import NO_VERSION, Version
+
+__all__ = [
+    "NO_VERSION",
+    "Accepted",
+    "Conflict",
+    "Mesh",
+    "Rejected",
+    "Route",
+    "Service",
+    "Submission",
+    "Unavailable",
+    "Unknown",
+    "Version",
+    "parse_mesh",
+]
--- /dev/null
+++ b/verbenanotch/catalog/_mesh.py
@@ -0,0 +1,215 @@
+"""The content of an operator's file and the rules that it obeys."""
+
+import re
+
+import attrs
+
+from verbenanotch.documents import Invalid, Valid, parse
+
+MAX_CALL_DEPTH = 9
+MAX_TIMEOUT_MS = 600_000
+NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+METHODS = frozenset(
+    ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
+)
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """How the targets of one service are treated.
+
+    `slots` is the number of requests that one target runs at a time,
+    `max_connections` the connections that it accepts. `calls` names the
+    services that its targets call through the mesh. `cold_start_ms` is the
+    time in which a new target is given growing load.
+    """
+
+    slots: int = 16
+    max_connections: int = 110
+    health_path: str = "/health"
+    load_path: str = "/load"
+    calls: tuple[str, ...] = ()
+    cold_start_ms: int = 2000
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Which requests go to which service.
+
+    A request matches the route with the longest `prefix` of its path, cut
+    at a slash. Methods in `idempotent_methods` may be retried, at most
+    `max_attempts` runs in all. `timeout_ms` is the default deadline.
+    """
+
+    prefix: str
+    service: str
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    timeout_ms: int = 2000
+    max_attempts: int = 3
+
+
+@attrs.frozen(kw_only=True)
+class Mesh:
+    """One whole configuration, as an operator submits it."""
+
+    name: str
+    services: dict[str, Service] = attrs.field(factory=dict)
+    routes: dict[str, Route] = attrs.field(factory=dict)
+
+    @property
+    def services_by_name(self):
+        """Services keyed by name."""
+        return self.services
+
+    @property
+    def routes_by_name(self):
+        """Routes keyed by name."""
+        return self.routes
+
+
+def parse_mesh(data):
+    """Return Valid with a Mesh, or Invalid with every problem found.
+
+    `data` is the bytes of a TOML file.
+    """
+    result = parse(data, Mesh)
+    match result:
+        case Valid(value=mesh, document=document):
+            problems = tuple(_problems(mesh, document))
+            return Invalid(problems=problems) if problems else result
+        case Invalid():
+            return result
+
+
+def _problems(mesh, document):
+    """Yield every broken rule of a well-formed file."""
+    for name, service in mesh.services.items():
+        yield from _service_problems(name, service, mesh, document)
+    for name, route in mesh.routes.items():
+        yield from _route_problems(name, route, mesh, document)
+    yield from _duplicate_prefix_problems(mesh, document)
+    yield from _call_problems(mesh, document)
+
+
+def _name_problems(key, name, document):
+    if not NAME_PATTERN.fullmatch(name):
+        yield document.problem(
+            key,
+            f"{name!r} is no valid name",
+            "Use up to 63 lower-case letters, digits and inner hyphens.",
+        )
+
+
+def _service_problems(name, service, mesh, document):
+    key = f"services.{name}"
+    yield from _name_problems(key, name, document)
+    for field in ("slots", "max_connections"):
+        if getattr(service, field) < 1:
+            yield document.problem(
+                f"{key}.{field}", "must be positive", "Use at least 1."
+            )
+    if service.cold_start_ms < 0:
+        yield document.problem(
+            f"{key}.cold_start_ms", "is negative", "Use at least 0."
+        )
+    for field in ("health_path", "load_path"):
+        if not getattr(service, field).startswith("/"):
+            yield document.problem(
+                f"{key}.{field}", "is no path", "Start it with a slash."
+            )
+    for callee in service.calls:
+        if callee not in mesh.services:
+            yield document.problem(
+                f"{key}.calls",
+                f"service {callee!r} does not exist",
+                f"Add [services.{callee}] or remove the call.",
+            )
+
+
+def _route_problems(name, route, mesh, document):
+    key = f"routes.{name}"
+    yield from _name_problems(key, name, document)
+    if not route.prefix.startswith("/"):
+        yield document.problem(
+            f"{key}.prefix", "is no path", "Start it with a slash."
+        )
+    if route.service not in mesh.services:
+        yield document.problem(
+            f"{key}.service",
+            f"service {route.service!r} does not exist",
+            f"Add [services.{route.service}] or remove the route.",
+        )
+    if not 0 < route.timeout_ms <= MAX_TIMEOUT_MS:
+        yield document.problem(
+            f"{key}.timeout_ms",
+            f"{route.timeout_ms} is out of range",
+            f"Use 1 to {MAX_TIMEOUT_MS}.",
+        )
+    if route.max_attempts < 1:
+        yield document.problem(
+            f"{key}.max_attempts", "must be positive", "Use at least 1."
+        )
+    for method in route.idempotent_methods:
+        if method not in METHODS:
+            yield document.problem(
+                f"{key}.idempotent_methods",
+                f"unknown method {method!r}",
+                f"Use some of {', '.join(sorted(METHODS))}.",
+            )
+
+
+def _duplicate_prefix_problems(mesh, document):
+    names_by_prefix = {}
+    for name, route in mesh.routes.items():
+        first = names_by_prefix.setdefault(route.prefix.rstrip("/"), name)
+        if first != name:
+            yield document.problem(
+                f"routes.{name}.prefix",
+                f"route {first!r} has the same prefix",
+                "Give each route its own prefix.",
+            )
+
+
+def _call_problems(mesh, document):
+    """Yield cycles of calls and chains over the greatest depth."""
+    depths_by_name = {}
+    for name in mesh.services:
+        cycle = _measure_depth(name, mesh, depths_by_name)
+        if cycle:
+            yield document.problem(
+                f"services.{name}.calls",
+                f"calls form a cycle: {' -> '.join(cycle)}",
+                "Remove one of the calls.",
+            )
+            return
+        if depths_by_name[name] > MAX_CALL_DEPTH:
+            yield document.problem(
+                f"services.{name}.calls",
+                f"calls are {depths_by_name[name]} deep",
+                f"Keep them within {MAX_CALL_DEPTH}.",
+            )
+
+
+def _measure_depth(start, mesh, depths_by_name):
+    """Fill in depths below `start`; return a cycle's names, if there is one.
+
+    Iterative, so that a long chain cannot exhaust the stack.
+    """
+    path = [start]
+    callees_left = [iter(mesh.services[start].calls)]
+    while path:
+        callee = next(callees_left[-1], None)
+        if callee is None:
+            name = path.pop()
+            callees_left.pop()
+            below = [
+                depths_by_name.get(called, 0)
+                for called in mesh.services[name].calls
+            ]
+            depths_by_name[name] = 1 + max(below, default=0)
+        elif callee in path:
+            return [*path[path.index(callee) :], callee]
+        elif callee in mesh.services and callee not in depths_by_name:
+            path.append(callee)
+            callees_left.append(iter(mesh.services[callee].calls))
+    return []
--- /dev/null
+++ b/verbenanotch/documents/_document.py
@@ -0,0 +1,177 @@
+"""Parse a TOML document into an attrs class and collect its problems."""
+
+import dataclasses
+import re
+import tomllib
+from typing import Any
+
+import attrs
+import cattrs
+from cattrs.errors import ForbiddenExtraKeysError
+from cattrs.gen import make_dict_structure_fn
+
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+
+
+@attrs.frozen(kw_only=True)
+class Problem:
+    """One fault of a document; `line` is 0 where it cannot be told."""
+
+    key: str
+    line: int
+    text: str
+    remedy: str
+
+    def __str__(self):
+        """Return the problem on one line."""
+        place = f"line {self.line}: " if self.line else ""
+        return f"{place}{self.key}: {self.text}. {self.remedy}"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Valid:
+    """The document fits; `value` is the attrs instance."""
+
+    value: Any
+    document: "Document"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Invalid:
+    """The document does not fit; `problems` holds every fault found."""
+
+    problems: tuple[Problem, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Document:
+    """Text of a TOML document, for finding the line of a key."""
+
+    text: str
+
+    def problem(self, key, text, remedy):
+        """Return a Problem at the line of the dotted `key`."""
+        return Problem(
+            key=key, line=self.line_of(key), text=text, remedy=remedy
+        )
+
+    def line_of(self, key):
+        """Return the line, from 1, that sets the dotted key; 0 if unknown.
+
+        Falls back to the nearest enclosing table that has a line.
+        """
+        parts = key.split(".")
+        for length in range(len(parts), 0, -1):
+            line = self._line_of_exact(parts[:length])
+            if line:
+                return line
+        return 0
+
+    def _line_of_exact(self, parts):
+        table = []
+        for number, line in enumerate(self.text.splitlines(), start=1):
+            header = re.match(r"\s*\[\[?([^\]]+)\]\]?", line)
+            if header:
+                table = _split_key(header.group(1))
+                if table == parts:
+                    return number
+                continue
+            setting = re.match(r"\s*([A-Za-z0-9_.\"'-]+)\s*=", line)
+            if setting and table + _split_key(setting.group(1)) == parts:
+                return number
+        return 0
+
+
+def _split_key(text):
+    return [part.strip().strip("\"'") for part in text.split(".")]
+
+
+def parse(data, cls):
+    """Return Valid with an instance of `cls`, or Invalid with all problems.
+
+    `data` is the document's bytes. Unknown keys are problems.
+    """
+    if len(data) > MAX_DOCUMENT_BYTES:
+        return _invalid(
+            f"the document has {len(data)} bytes",
+            f"Keep it within {MAX_DOCUMENT_BYTES} bytes.",
+        )
+    try:
+        document = Document(text=data.decode("utf-8"))
+    except UnicodeDecodeError as error:
+        return _invalid(
+            f"byte {error.start} is not UTF-8", "Save the file as UTF-8."
+        )
+    try:
+        values = tomllib.loads(document.text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        return _invalid(f"not TOML: {error}", "Correct the syntax.")
+    return _structure(values, cls, document)
+
+
+def _invalid(text, remedy):
+    problem = Problem(key="(document)", line=0, text=text, remedy=remedy)
+    return Invalid(problems=(problem,))
+
+
+def _structure(values, cls, document):
+    try:
+        value = _converter.structure(values, cls)
+    except cattrs.BaseValidationError as error:
+        lines = cattrs.transform_error(error, format_exception=_describe)
+        return Invalid(
+            problems=tuple(_problem(line, document) for line in lines)
+        )
+    return Valid(value=value, document=document)
+
+
+def _problem(line, document):
+    text, _, path = line.rpartition(" @ ")
+    key = path.removeprefix("$").removeprefix(".")
+    key = re.sub(r"\['([^']*)'\]", r".\1", key).lstrip(".")
+    return document.problem(
+        key or "(document)", text, "See the settings reference."
+    )
+
+
+def _describe(error, expected):
+    match error:
+        case ForbiddenExtraKeysError():
+            names = ", ".join(sorted(error.extra_fields))
+            return f"unknown key {names}"
+        case KeyError():
+            return f"required key {error.args[0]} is missing"
+        case _:
+            return str(error) or f"expected {expected}"
+
+
+def _make_converter():
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for kind in (str, int, bool):
+        converter.register_structure_hook(kind, _exact(kind))
+    converter.register_structure_hook(float, _number)
+    converter.register_structure_hook_factory(
+        attrs.has,
+        lambda cls: make_dict_structure_fn(
+            cls, converter, _cattrs_forbid_extra_keys=True
+        ),
+    )
+    return converter
+
+
+def _exact(kind):
+    def structure(value, _):
+        if type(value) is not kind:
+            raise ValueError(f"expected {kind.__name__}, got {value!r}")
+        return value
+
+    return structure
+
+
+def _number(value, _):
+    if type(value) not in (int, float):
+        raise ValueError(f"expected a number, got {value!r}")
+    return float(value)
+
+
+_converter = _make_converter()
--- /dev/null
+++ b/verbenanotch/telemetry/__init__.py
@@ -0,0 +1,24 @@
+"""Numbered events, metrics and the time line of one process."""
+
+from verbenanotch.telemetry._clock import HybridLogicalClock, clock
+from verbenanotch.telemetry._events import (
+    Event,
+    Level,
+    configure,
+    emit,
+    event,
+    events_by_number,
+)
+from verbenanotch.telemetry._metrics import metrics
+
+__all__ = [
+    "Event",
+    "HybridLogicalClock",
+    "Level",
+    "clock",
+    "configure",
+    "emit",
+    "event",
+    "events_by_number",
+    "metrics",
+]
--- /dev/null
+++ b/verbenanotch/telemetry/_events.py
@@ -0,0 +1,108 @@
+"""Numbered events: the catalogue, the log and the event file."""
+
+import enum
+import json
+import sys
+
+import attrs
+import structlog
+
+from verbenanotch.telemetry._clock import clock
+
+
+class Level(enum.StrEnum):
+    """Severity of an event."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@attrs.frozen(kw_only=True)
+class Event:
+    """One entry of the catalogue."""
+
+    number: int
+    name: str
+    level: Level
+    text: str
+    remedy: str = ""
+
+
+class _Output:
+    """Where events go; set once at start by `configure`."""
+
+    def __init__(self):
+        self.logger = structlog.get_logger()
+        self.host = ""
+        self.file = None
+        self.minimum = Level.INFO
+
+
+events_by_number: dict[int, Event] = {}
+_output = _Output()
+_RANK_BY_LEVEL = {level: rank for rank, level in enumerate(Level)}
+
+
+def event(number, name, level, text, remedy=""):
+    """Add an event to the catalogue and return it.
+
+    Raises ValueError if the number is taken.
+    """
+    if number in events_by_number:
+        raise ValueError(f"event number {number} is taken")
+    entry = Event(
+        number=number, name=name, level=level, text=text, remedy=remedy
+    )
+    events_by_number[number] = entry
+    return entry
+
+
+def configure(*, host, log_format="console", event_file=None, level="info"):
+    """Direct events to the standard error log and to an event file.
+
+    `log_format` is `console` or `json`. `event_file` is a path to which one
+    JSON object a line is appended, at every level.
+    """
+    if log_format == "json":
+        renderer = structlog.processors.JSONRenderer()
+    else:
+        renderer = structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, renderer],
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+    )
+    _output.logger = structlog.get_logger()
+    _output.host = host
+    _output.minimum = Level(level)
+    if event_file is not None:
+        _output.file = open(  # noqa: SIM115 (open until the process exits)
+            event_file, "a", encoding="utf-8", buffering=1
+        )
+
+
+def emit(entry, **fields):
+    """Log one occurrence of an event with its fields."""
+    timestamp = clock.now()
+    if _output.file is not None:
+        record = {
+            "hlc": timestamp,
+            "host": _output.host,
+            "event": entry.number,
+            "name": entry.name,
+            "level": entry.level,
+            **fields,
+        }
+        _output.file.write(json.dumps(record, default=str) + "\n")
+    if _RANK_BY_LEVEL[entry.level] < _RANK_BY_LEVEL[_output.minimum]:
+        return
+    log = getattr(_output.logger, entry.level.value)
+    log(
+        entry.text,
+        number=entry.number,
+        name=entry.name,
+        hlc=timestamp,
+        host=_output.host,
+        **fields,
+    )
--- /dev/null
+++ b/verbenanotch/wire/__init__.py
@@ -0,0 +1,31 @@
+"""Authenticated msgpack streams between the system's processes."""
+
+from verbenanotch.wire._codec import decode, encode, message
+from verbenanotch.wire._connection import Connection
+from verbenanotch.wire._handshake import PROTOCOL_VERSION, Purpose
+from verbenanotch.wire._listener import Listener, dial
+from verbenanotch.wire.exceptions import (
+    AuthenticationFailedError,
+    ConnectionClosedError,
+    FrameTooLargeError,
+    MalformedFrameError,
+    ProtocolVersionMismatchError,
+    WireError,
+)
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "AuthenticationFailedError",
+    "Connection",
+    "ConnectionClosedError",
+    "FrameTooLargeError",
+    "Listener",
+    "MalformedFrameError",
+    "ProtocolVersionMismatchError",
+    "Purpose",
+    "WireError",
+    "decode",
+    "dial",
+    "encode",
+    "message",
+]
--- /dev/null
+++ b/verbenanotch/wire/_connection.py
@@ -0,0 +1,161 @@
+"""One stream of messages over a TCP connection."""
+
+import collections
+import contextlib
+import itertools
+import socket
+
+import msgpack
+from eventlet import event
+
+from verbenanotch.wire._codec import decode, encode
+from verbenanotch.wire.exceptions import (
+    ConnectionClosedError,
+    FrameTooLargeError,
+    MalformedFrameError,
+)
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_PENDING_BYTES = 4 * 1024 * 1024
+RECEIVE_BYTES = 64 * 1024
+
+_incarnations = itertools.count(1)
+
+
+class Connection:
+    """Send and receive messages; safe for many greenthreads of one loop.
+
+    `peer_name` and `purpose` are set by the handshake. `incarnation` is
+    unique among the connections of this process. Only one greenthread may
+    receive.
+    """
+
+    def __init__(self, *, sock, max_frame_bytes=MAX_FRAME_BYTES):
+        """Take over a connected socket."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = sock
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=max_frame_bytes, use_list=True
+        )
+        self._max_frame_bytes = max_frame_bytes
+        self._pending = collections.deque()
+        self._pending_bytes = 0
+        self._flushing = False
+        self._drained = None
+        self.closed = False
+        self.peer_name = ""
+        self.purpose = ""
+        self.incarnation = next(_incarnations)
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def send(self, item):
+        """Queue a message and write what is queued.
+
+        Blocks while more than `MAX_PENDING_BYTES` wait for a slow peer.
+        Raises ConnectionClosedError, or FrameTooLargeError without sending
+        anything.
+        """
+        data = encode(item)
+        if len(data) > self._max_frame_bytes:
+            raise FrameTooLargeError(
+                f"message of {len(data)} bytes is over the bound of "
+                f"{self._max_frame_bytes}; split it"
+            )
+        self._wait_for_room()
+        self._pending.append(data)
+        self._pending_bytes += len(data)
+        if not self._flushing:
+            self._flush()
+
+    def receive(self):
+        """Return the next message; block until there is one.
+
+        Raises ConnectionClosedError, FrameTooLargeError or
+        MalformedFrameError; the connection is closed after any of them.
+        """
+        return decode(self.receive_plain())
+
+    def receive_plain(self):
+        """Return the next frame's unpacked value; see `receive`."""
+        while True:
+            try:
+                return self._unpacker.unpack()
+            except msgpack.OutOfData:
+                self._feed()
+            except Exception as error:
+                self.close()
+                raise MalformedFrameError(
+                    "peer sent bytes that are not msgpack; "
+                    "check what connects to this port"
+                ) from error
+
+    def send_plain(self, value):
+        """Write one plain msgpack value, for the handshake."""
+        self._write(msgpack.packb(value))
+
+    def close(self):
+        """Close the socket and wake every waiting greenthread."""
+        if self.closed:
+            return
+        self.closed = True
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+        self._wake_waiting()
+
+    def set_timeout(self, seconds):
+        """Bound each socket operation; None removes the bound."""
+        self._socket.settimeout(seconds)
+
+    def _feed(self):
+        try:
+            data = self._socket.recv(RECEIVE_BYTES)
+        except (OSError, ValueError, EOFError) as error:
+            self.close()
+            raise ConnectionClosedError(f"receive failed: {error}") from error
+        if not data:
+            self.close()
+            raise ConnectionClosedError("peer closed the connection")
+        self.received_bytes += len(data)
+        try:
+            self._unpacker.feed(data)
+        except msgpack.BufferFull as error:
+            self.close()
+            raise FrameTooLargeError(
+                f"peer sent a frame over {self._max_frame_bytes} bytes; "
+                "check what connects to this port"
+            ) from error
+
+    def _wait_for_room(self):
+        while self._pending_bytes > MAX_PENDING_BYTES and not self.closed:
+            if self._drained is None:
+                self._drained = event.Event()
+            self._drained.wait()
+        if self.closed:
+            raise ConnectionClosedError("the connection is closed; dial again")
+
+    def _flush(self):
+        self._flushing = True
+        try:
+            while self._pending:
+                data = b"".join(self._pending)
+                self._pending.clear()
+                self._write(data)
+                self._pending_bytes -= len(data)
+                self._wake_waiting()
+        finally:
+            self._flushing = False
+
+    def _write(self, data):
+        try:
+            self._socket.sendall(data)
+        except (OSError, ValueError, EOFError) as error:
+            self.close()
+            raise ConnectionClosedError(f"send failed: {error}") from error
+        self.sent_bytes += len(data)
+
+    def _wake_waiting(self):
+        if self._drained is not None:
+            drained, self._drained = self._drained, None
+            drained.send()
--- /dev/null
+++ b/verbenanotch/wire/_listener.py
@@ -0,0 +1,119 @@
+"""Accept and dial authenticated connections."""
+
+import socket
+
+import eventlet
+
+from verbenanotch.telemetry import emit, metrics
+from verbenanotch.wire import events
+from verbenanotch.wire._connection import Connection
+from verbenanotch.wire._handshake import greet
+from verbenanotch.wire.exceptions import ConnectionClosedError, WireError
+
+HANDSHAKE_TIMEOUT_SECONDS = 2.0
+LISTEN_BACKLOG = 1024
+
+
+class Listener:
+    """Accept connections and hand each to the handler of its purpose.
+
+    `handlers_by_purpose` maps a Purpose to a callable that takes the
+    connection and returns when it is done with it. Each runs in its own
+    greenthread; the connection is closed afterwards.
+    """
+
+    def __init__(self, *, address, port, key, name, handlers_by_purpose):
+        """Bind the address; `port` 0 picks a free one."""
+        self._key = key
+        self._name = name
+        self._handlers_by_purpose = handlers_by_purpose
+        self._socket = eventlet.listen((address, port), backlog=LISTEN_BACKLOG)
+        self.address, self.port = self._socket.getsockname()[:2]
+        self._connections = set()
+        self._acceptor = None
+
+    def start(self):
+        """Accept connections in the background."""
+        self._acceptor = eventlet.spawn(self._accept_forever)
+
+    def stop(self):
+        """Stop accepting and close every connection."""
+        if self._acceptor is not None:
+            self._acceptor.kill()
+        self._socket.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    def _accept_forever(self):
+        while True:
+            try:
+                sock, peer = self._socket.accept()
+            except OSError as error:
+                emit(events.ACCEPT_FAILED, error=str(error))
+                eventlet.sleep(0.1)
+                continue
+            eventlet.spawn(self._serve, sock, peer)
+
+    def _serve(self, sock, peer):
+        connection = Connection(sock=sock)
+        self._connections.add(connection)
+        try:
+            handler = self._greeted(connection)
+            handler(connection)
+        except ConnectionClosedError:
+            pass
+        except WireError as error:
+            metrics.increment(f"wire.refused.{error.kind}")
+            emit(
+                events.PEER_REFUSED,
+                peer=f"{peer[0]}:{peer[1]}",
+                kind=error.kind,
+                error=str(error),
+            )
+        finally:
+            connection.close()
+            self._connections.discard(connection)
+
+    def _greeted(self, connection):
+        connection.set_timeout(HANDSHAKE_TIMEOUT_SECONDS)
+        connection.peer_name, connection.purpose = greet(
+            connection,
+            key=self._key,
+            name=self._name,
+            purpose="",
+            role="listener",
+        )
+        connection.set_timeout(None)
+        handler = self._handlers_by_purpose.get(connection.purpose)
+        if handler is None:
+            raise WireError(
+                f"no service for purpose {connection.purpose!r} here; "
+                "check the addresses in the peer's settings"
+            )
+        return handler
+
+
+def dial(*, address, port, key, name, purpose, timeout_seconds=2.0):
+    """Return an authenticated connection to a peer.
+
+    `timeout_seconds` bounds the connect and each step of the handshake.
+    Raises ConnectionClosedError if the peer cannot be reached, or the errors
+    of the handshake.
+    """
+    try:
+        sock = socket.create_connection((address, port), timeout_seconds)
+    except OSError as error:
+        raise ConnectionClosedError(
+            f"cannot connect to {address}:{port}: {error}"
+        ) from error
+    connection = Connection(sock=sock)
+    try:
+        connection.peer_name, _ = greet(
+            connection, key=key, name=name, purpose=purpose, role="dialer"
+        )
+    except WireError:
+        connection.close()
+        raise
+    connection.purpose = purpose
+    connection.set_timeout(None)
+    return connection
--- /dev/null
+++ b/verbenanotch/wire/events.py
@@ -0,0 +1,18 @@
+"""Events 1000 to 1999: streams between processes."""
+
+from verbenanotch.telemetry import Level, event
+
+PEER_REFUSED = event(
+    1001,
+    "peer-refused",
+    Level.WARNING,
+    "refused a peer connection",
+    "Check the peer's key and release, and what connects to the peer port.",
+)
+ACCEPT_FAILED = event(
+    1002,
+    "accept-failed",
+    Level.ERROR,
+    "could not accept a connection",
+    "Check the limit of open files of the process.",
+)
