--- a/verbenanotch/catalog/_version.py
+++ b/verbenanotch/catalog/_version.py
@@ -3,7 +3,7 @@
 import attrs
 
 
-@attrs.frozen(order=True)
+@attrs.frozen(kw_only=True, order=True)
 class Version:
     """Identity of one accepted configuration; never used twice.
 
@@ -22,7 +22,7 @@
     def parse(cls, text):
         """Return the version of its text form; raise ValueError if none."""
         epoch, _, index = text.partition(".")
-        return cls(int(epoch), int(index))
+        return cls(epoch=int(epoch), index=int(index))
 
 
-NO_VERSION = Version(0, 0)
+NO_VERSION = Version(epoch=0, index=0)
--- /dev/null
+++ b/verbenanotch/daemon/_run.py
@@ -0,0 +1,64 @@
+"""Start the role of the settings and stop it on a signal."""
+
+import contextlib
+import gc
+import signal
+
+from eventlet import event, hubs
+
+from verbenanotch.daemon import events
+from verbenanotch.daemon._control import ControlHost
+from verbenanotch.daemon._proxy import ProxyHost
+from verbenanotch.telemetry import configure, emit, metrics
+
+
+def run(settings):
+    """Run the daemon until SIGTERM or SIGINT; return its exit code."""
+    telemetry = settings.telemetry
+    configure(
+        host=settings.host.name,
+        log_format=telemetry.log_format,
+        event_file=telemetry.event_file or None,
+        level=telemetry.log_level,
+    )
+    if telemetry.statsd_address:
+        metrics.configure(
+            host=telemetry.statsd_address,
+            port=telemetry.statsd_port,
+            prefix=f"verbenanotch.{settings.host.name}",
+        )
+    hubs.get_hub().debug_exceptions = False
+    role = _role(settings)
+    role.start()
+    # What start-up made lives until exit; the collector need not visit it.
+    gc.collect()
+    gc.freeze()
+    emit(events.STARTED, role=settings.host.role)
+    _wait_for_signal()
+    emit(events.STOPPING)
+    role.stop()
+    emit(events.STOPPED)
+    return 0
+
+
+def _role(settings):
+    if settings.host.role == "control":
+        return ControlHost(settings=settings)
+    return ProxyHost(settings=settings)
+
+
+def _wait_for_signal():
+    stopping = event.Event()
+
+    def on_signal(number, frame):
+        hub = hubs.get_hub()
+        hub.schedule_call_global(0, _send_once, stopping)
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    stopping.wait()
+
+
+def _send_once(stopping):
+    with contextlib.suppress(AssertionError):
+        stopping.send()
--- /dev/null
+++ b/verbenanotch/daemon/events.py
@@ -0,0 +1,7 @@
+"""Events 9000 to 9999: life of a process."""
+
+from verbenanotch.telemetry import Level, event
+
+STARTED = event(9001, "started", Level.INFO, "the daemon has started")
+STOPPING = event(9002, "stopping", Level.INFO, "the daemon is stopping")
+STOPPED = event(9003, "stopped", Level.INFO, "the daemon has stopped")
--- /dev/null
+++ b/verbenanotch/proxy/_announcements.py
@@ -0,0 +1,79 @@
+"""The HTTP interface for targets on the proxy's own host."""
+
+import json
+import re
+
+from verbenanotch.membership import TargetRecord
+
+MAX_BODY_BYTES = 16 * 1024
+DRAIN_PATH = re.compile(r"/v1/targets/(.+)/drain")
+TARGET_PATH = re.compile(r"/v1/targets/(.+)")
+
+
+class TargetInterface:
+    """WSGI application by which targets announce themselves, drain, leave."""
+
+    def __init__(self, *, local_targets):
+        """Keep announcements in `local_targets`."""
+        self._local_targets = local_targets
+
+    def application(self, environ, start_response):
+        """Answer one request; the WSGI entry point."""
+        status, document = self._answer(environ)
+        body = json.dumps(document).encode()
+        start_response(
+            status,
+            [
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(body))),
+            ],
+        )
+        return [body]
+
+    def _answer(self, environ):
+        method = environ["REQUEST_METHOD"]
+        path = environ["PATH_INFO"]
+        if method == "POST" and path == "/v1/targets":
+            return self._announce(environ)
+        drain = DRAIN_PATH.fullmatch(path)
+        if method == "POST" and drain:
+            return _found(self._local_targets.drain(drain.group(1)))
+        target = TARGET_PATH.fullmatch(path)
+        if method == "DELETE" and target:
+            return _found(self._local_targets.remove(target.group(1)))
+        return "404 Not Found", {"kind": "no-such-resource"}
+
+    def _announce(self, environ):
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > MAX_BODY_BYTES:
+            return "413 Content Too Large", {"kind": "too-large"}
+        try:
+            record = _record(json.loads(environ["wsgi.input"].read(length)))
+        except (ValueError, KeyError, TypeError) as error:
+            return "400 Bad Request", {
+                "kind": "malformed-announcement",
+                "problem": repr(error),
+                "remedy": "Send service, address, port and slots.",
+            }
+        self._local_targets.announce(record)
+        return "200 OK", {"target_id": record.target_id}
+
+
+def _record(document):
+    service = str(document["service"])
+    address = str(document["address"])
+    port = int(document["port"])
+    return TargetRecord(
+        target_id=f"{service}/{address}:{port}",
+        service=service,
+        address=address,
+        port=port,
+        slots=int(document["slots"]),
+        incarnation=int(document.get("incarnation", 0)),
+    )
+
+
+def _found(found):
+    if found:
+        return "200 OK", {}
+    return "404 Not Found", {"kind": "no-such-target"}
--- /dev/null
+++ b/verbenanotch/proxy/_outcome.py
@@ -0,0 +1,56 @@
+"""A call through the mesh and the ways in which it ends."""
+
+import dataclasses
+
+import attrs
+
+DEFAULT_RETRY_AFTER_MS = 1000
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """One run of a request at one target.
+
+    `remaining_ms` is the time to the caller's deadline when the call was
+    sent. `attempt` counts from 1. `depth` is the number of mesh calls above
+    this one.
+    """
+
+    request_id: str
+    service: str
+    target_id: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    remaining_ms: int
+    idempotent: bool
+    attempt: int = 1
+    depth: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answered:
+    """The target's own answer, whole."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NotRun:
+    """The target was provably not touched."""
+
+    reason: str
+    retry_after_ms: int = DEFAULT_RETRY_AFTER_MS
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unknown:
+    """The request may have run; nobody can tell."""
+
+    reason: str
+
+
+Outcome = Answered | NotRun | Unknown
