--- /dev/null
+++ b/verbenanotch/routing/_choice.py
@@ -0,0 +1,196 @@
+"""Choose the target of a request.
+
+Source for two random choices: Mitzenmacher, "The Power of Two Choices in
+Randomized Load Balancing", 2001.
+"""
+
+import dataclasses
+
+import attrs
+
+SPILL_PRESSURE = 0.8
+SPILL_MARGIN = 0.25
+PANIC_HEALTHY_SHARE = 0.5
+SAMPLE_ATTEMPTS = 6
+OVERLOAD_RETRY_AFTER_MS = 250
+NO_TARGET_RETRY_AFTER_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Chosen:
+    """The request goes to this target."""
+
+    target_id: str
+    panicked: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoTarget:
+    """No target can take the request now; it was not run.
+
+    `reason` is `no-target`, `draining`, `excluded`, `unhealthy` or
+    `overloaded`.
+    """
+
+    reason: str
+    retry_after_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class Candidates:
+    """The targets of a service, split by availability zone beforehand."""
+
+    targets: tuple
+    targets_by_zone: dict[str, tuple] = attrs.field(init=False)
+    _others_by_zone: dict[str, tuple] = attrs.field(init=False, factory=dict)
+
+    @targets_by_zone.default
+    def _split(self):
+        by_zone = {}
+        for target in self.targets:
+            by_zone.setdefault(target.availability_zone, []).append(target)
+        return {zone: tuple(targets) for zone, targets in by_zone.items()}
+
+    def in_zone(self, availability_zone):
+        """Return the targets of one zone."""
+        return self.targets_by_zone.get(availability_zone, ())
+
+    def outside_zone(self, availability_zone):
+        """Return the targets of all other zones."""
+        others = self._others_by_zone.get(availability_zone)
+        if others is None:
+            others = tuple(
+                target
+                for target in self.targets
+                if target.availability_zone != availability_zone
+            )
+            self._others_by_zone[availability_zone] = others
+        return others
+
+
+def choose(candidates, *, now, random, availability_zone, exclude=frozenset()):
+    """Return Chosen or NoTarget for one request.
+
+    `candidates` is a Candidates, or a sequence of TargetState that is split
+    on each call. `random` is a `random.Random`. `exclude` holds the ids of
+    targets that this request has tried. A draining target is never chosen.
+    """
+    if not isinstance(candidates, Candidates):
+        candidates = Candidates(targets=tuple(candidates))
+    near = candidates.in_zone(availability_zone)
+    best = _sample(near, now, random, exclude)
+    if best is not None and best.pressure(now) < SPILL_PRESSURE:
+        return Chosen(target_id=best.target_id)
+    far = candidates.outside_zone(availability_zone)
+    best = _nearer(best, _sample(far, now, random, exclude), now)
+    if best is not None:
+        return Chosen(target_id=best.target_id)
+    return _choose_by_scan(near, far, now, random, exclude)
+
+
+def _sample(targets, now, random, exclude):
+    """Return the less loaded of two random usable targets, or None.
+
+    Looks at a few at most, so that the cost does not grow with the number
+    of targets.
+    """
+    count = len(targets)
+    if count <= SAMPLE_ATTEMPTS:
+        usable = [item for item in targets if _is_usable(item, now, exclude)]
+        return _best_of_two(usable, now, random)
+    first = None
+    for _ in range(SAMPLE_ATTEMPTS):
+        target = targets[int(random.random() * count)]
+        if target is first or not _is_usable(target, now, exclude):
+            continue
+        if first is None:
+            first = target
+            continue
+        return min(first, target, key=lambda item: item.pressure(now))
+    return first
+
+
+def _is_usable(target, now, exclude):
+    return (
+        not target.draining
+        and target.target_id not in exclude
+        and target.has_room(now)
+        and not target.looks_ill(now)
+    )
+
+
+def _nearer(near, far, now):
+    """Return the far target only where the near one is clearly busier."""
+    if near is None or far is None:
+        return near or far
+    if far.pressure(now) + SPILL_MARGIN < near.pressure(now):
+        return far
+    return near
+
+
+def _choose_by_scan(near, far, now, random, exclude):
+    """Look at every target, near ones first, with ever weaker demands."""
+    near, far = (
+        [
+            target
+            for target in targets
+            if not target.draining and target.target_id not in exclude
+        ]
+        for targets in (near, far)
+    )
+    everyone = near + far
+    if not everyone:
+        return NoTarget(
+            reason="excluded" if exclude else "no-target",
+            retry_after_ms=NO_TARGET_RETRY_AFTER_MS,
+        )
+    healthy = {
+        target.target_id for target in everyone if not target.looks_ill(now)
+    }
+    for ramped in (True, False):
+        for targets in (near, far):
+            best = _best_of_two(
+                [
+                    target
+                    for target in targets
+                    if target.target_id in healthy
+                    and target.has_room(now, ramped=ramped)
+                ],
+                now,
+                random,
+            )
+            if best is not None:
+                return Chosen(target_id=best.target_id)
+    return _panic(near, far, healthy, now, random)
+
+
+def _panic(near, far, healthy, now, random):
+    """Ignore health when most targets look ill and the rest are full.
+
+    So many failing at once says more about the observer, or the network,
+    than about the targets; the few that look well must not carry all.
+    """
+    total = len(near) + len(far)
+    if len(healthy) < total * PANIC_HEALTHY_SHARE:
+        for targets in (near, far):
+            best = _best_of_two(
+                [
+                    target
+                    for target in targets
+                    if target.has_room(now, ramped=False)
+                ],
+                now,
+                random,
+            )
+            if best is not None:
+                return Chosen(target_id=best.target_id, panicked=True)
+    return NoTarget(
+        reason="overloaded" if healthy else "unhealthy",
+        retry_after_ms=OVERLOAD_RETRY_AFTER_MS,
+    )
+
+
+def _best_of_two(targets, now, random):
+    if len(targets) > 2:
+        targets = random.sample(targets, 2)
+    return min(targets, key=lambda item: item.pressure(now), default=None)
