Add the daemon's entry point

The loop is patched before every other import; settings are checked whole and every problem is printed before exit code 2.

--- /dev/null
+++ b/verbenanotch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's entry point and the command-line tool."""
--- /dev/null
+++ b/verbenanotch/cli/daemon.py
@@ -0,0 +1,63 @@
+"""Entry point of the daemon, `verbenanotchd`.
+
+The loop's patches come before every other import, and the library's own
+resolver is turned off because addresses are IP numbers.
+"""
+
+import os
+import warnings
+
+os.environ["EVENTLET_NO_GREENDNS"] = "yes"
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+import sys  # noqa: E402
+
+import click  # noqa: E402
+
+from verbenanotch import conf  # noqa: E402
+from verbenanotch.documents import Invalid, Valid  # noqa: E402
+
+EXIT_INVALID_SETTINGS = 2
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "settings_path",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="TOML file with the settings of this process.",
+)
+@click.option(
+    "--check",
+    "check_only",
+    is_flag=True,
+    help="Check the settings and exit without starting.",
+)
+def main(settings_path, check_only):
+    """Run one process of the mesh by its settings file."""
+    match conf.load(settings_path):
+        case Invalid(problems=problems):
+            for problem in problems:
+                click.echo(f"{settings_path}: {problem}", err=True)
+            sys.exit(EXIT_INVALID_SETTINGS)
+        case Valid(value=settings):
+            if check_only:
+                click.echo(f"{settings_path}: the settings are valid")
+                return
+            _run(settings)
+
+
+def _run(settings):
+    """Import the roles late, so that a check loads none of them."""
+    from verbenanotch import daemon
+
+    daemon.run(settings)
+
+
+if __name__ == "__main__":
+    main()
