--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Library code that the tests share."""
--- /dev/null
+++ b/tests/support/operator_fakes.py
@@ -0,0 +1,156 @@
+"""Small fakes behind the operators' interface and its server."""
+
+import contextlib
+
+import attrs
+import eventlet
+from eventlet import wsgi
+
+from verbenanotch.catalog import (
+    NO_VERSION,
+    Accepted,
+    Conflict,
+    Rejected,
+    Unavailable,
+    Version,
+    parse_mesh,
+)
+from verbenanotch.documents import Invalid, Valid
+from verbenanotch.operator import OperatorInterface
+
+TOKEN = "token-of-the-tests"
+
+
+@attrs.frozen(kw_only=True)
+class FakeRecord:
+    """One accepted version as the history gives it."""
+
+    version: Version
+    operator: str
+    submission_id: str
+    submitted_at_ms: int
+    text: bytes
+    mesh: object
+
+
+class FakeVersions:
+    """Accept submissions in memory; `next_outcomes` are given first."""
+
+    def __init__(self):
+        """Start with no version."""
+        self.records = []
+        self.next_outcomes = []
+
+    def submit(self, *, submission, timeout_seconds):
+        """Return the outcome of one submission."""
+        if self.next_outcomes:
+            return self.next_outcomes.pop(0)
+        for record in self.records:
+            if record.submission_id == submission.submission_id:
+                return Accepted(version=record.version)
+        match parse_mesh(submission.text):
+            case Invalid(problems=problems):
+                return Rejected(problems=problems)
+            case Valid(value=mesh):
+                return self._append(submission, mesh)
+
+    def rollback(
+        self, *, submission_id, operator, base, rollback_to, timeout_seconds
+    ):
+        """Accept an old version's text again."""
+        for record in self.records:
+            if record.version == rollback_to:
+                submission = attrs.evolve(
+                    record, submission_id=submission_id, operator=operator
+                )
+                return self._append(submission, record.mesh, base=base)
+        return Unavailable(reason="no such version")
+
+    def history(self):
+        """Return all records, the oldest first."""
+        return tuple(self.records)
+
+    def _append(self, submission, mesh, base=None):
+        winner = self.records[-1].version if self.records else NO_VERSION
+        if winner != (submission.base if base is None else base):
+            return Conflict(
+                winner=winner, winner_operator=self.records[-1].operator
+            )
+        version = Version(1, len(self.records) + 1)
+        record = FakeRecord(
+            version=version,
+            operator=submission.operator,
+            submission_id=submission.submission_id,
+            submitted_at_ms=submission.submitted_at_ms,
+            text=submission.text,
+            mesh=mesh,
+        )
+        self.records.append(record)
+        return Accepted(version=version)
+
+
+class FakeControl:
+    """A control host's state, set by the tests."""
+
+    def __init__(self):
+        """Start with one target and no proxies."""
+        self.versions_by_proxy = {}
+        self.target_ids = ["billing/127.0.0.1:9000"]
+        self.drained = []
+        self.is_ready = True
+
+    def status(self):
+        """Return the replica and its proxies."""
+        return {
+            "replica": {"name": "z1-c1", "role": "leader"},
+            "proxies": [
+                {"name": name, "availability_zone": "z1", "version": version}
+                for name, version in self.versions_by_proxy.items()
+            ],
+        }
+
+    def targets(self):
+        """Return the known targets."""
+        return [{"target_id": name} for name in self.target_ids]
+
+    def drain(self, target_id):
+        """Note a drain; return False for an unknown target."""
+        if target_id not in self.target_ids:
+            return False
+        self.drained.append(target_id)
+        return True
+
+    def ready(self):
+        """Return whether the host is ready."""
+        return self.is_ready
+
+
+@attrs.frozen(kw_only=True)
+class FakeHost:
+    """A served interface over fakes."""
+
+    versions: FakeVersions
+    control: FakeControl
+    server: str
+
+
+@contextlib.contextmanager
+def serve_fake_host():
+    """Serve an OperatorInterface over fakes on a free loopback port."""
+    versions = FakeVersions()
+    control = FakeControl()
+    interface = OperatorInterface(
+        token=TOKEN, versions=versions, control=control
+    )
+    sock = eventlet.listen(("127.0.0.1", 0))
+    server = eventlet.spawn(
+        wsgi.server, sock, interface.application, log_output=False
+    )
+    host, port = sock.getsockname()
+    try:
+        yield FakeHost(
+            versions=versions, control=control, server=f"{host}:{port}"
+        )
+    finally:
+        server.kill()
+        sock.close()
--- /dev/null
+++ b/tests/unit/test_operator.py
@@ -0,0 +1,168 @@
+"""The operators' interface over fakes of the log and the zone."""
+
+import json
+import socket
+
+import pytest
+import urllib3
+
+from tests.support.operator_fakes import TOKEN, serve_fake_host
+from verbenanotch.catalog import Unavailable, Unknown, Version
+
+MESH = b'name = "m"\n[services.a]\n'
+HEADERS = {
+    "Authorization": f"Bearer {TOKEN}",
+    "X-Submission-Id": "s1",
+    "X-Operator": "ann",
+}
+
+
+@pytest.fixture
+def host():
+    with serve_fake_host() as host:
+        yield host
+
+
+@pytest.fixture
+def ask(host):
+    pool = urllib3.PoolManager(retries=False, timeout=5)
+
+    def ask(method, path, body=None, **headers):
+        names = {name.replace("_", "-"): headers[name] for name in headers}
+        response = pool.request(
+            method,
+            f"http://{host.server}/v1/{path}",
+            body=body,
+            headers=HEADERS | names,
+        )
+        return response, json.loads(response.data)
+
+    return ask
+
+
+def test_accepts_lists_and_shows_a_version(ask):
+    response, value = ask("POST", "submissions", MESH)
+    assert (response.status, value["kind"]) == (201, "accepted")
+    _, listed = ask("GET", "versions")
+    assert listed["versions"][0]["operator"] == "ann"
+    assert listed["versions"][0]["mesh"] == "m"
+    _, shown = ask("GET", f"versions/{value['version']}")
+    assert shown["text"].encode() == MESH
+
+
+def test_a_resent_submission_gets_the_first_answer(ask, host):
+    first = ask("POST", "submissions", MESH)[1]
+    assert ask("POST", "submissions", MESH)[1] == first
+    assert len(host.versions.records) == 1
+
+
+def test_a_race_ends_in_a_conflict_that_names_the_winner(ask):
+    ask("POST", "submissions", MESH)
+    response, value = ask("POST", "submissions", MESH, X_Submission_Id="s2")
+    assert response.status == 409
+    assert value["kind"] == "conflict"
+    assert value["winner"] == "1.1"
+    assert value["remedy"]
+
+
+def test_a_faulty_file_is_rejected_with_every_problem(ask, host):
+    body = b'name = "m"\n[routes.r]\nprefix = "x"\nservice = "none"\n'
+    response, value = ask("POST", "submissions", body)
+    assert response.status == 422
+    assert [p["line"] for p in value["problems"]] == [3, 4]
+    assert host.versions.records == []
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status"), [(Unavailable, 503), (Unknown, 504)]
+)
+def test_doubtful_outcomes_are_told_apart(ask, host, outcome, status):
+    host.versions.next_outcomes.append(outcome(reason="no quorum"))
+    response, value = ask("POST", "submissions", MESH)
+    assert response.status == status
+    assert "same submission id" in value["remedy"]
+    assert ("Retry-After" in response.headers) == (status == 503)
+
+
+def test_rolls_back_to_a_new_version(ask):
+    ask("POST", "submissions", MESH)
+    response, value = ask(
+        "POST",
+        "rollbacks",
+        b'{"to": "1.1"}',
+        X_Submission_Id="s2",
+        X_Base_Version="1.1",
+    )
+    assert (response.status, value["version"]) == (201, str(Version(1, 2)))
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "headers", "kind"),
+    [
+        ("GET", "status", None, {"Authorization": ""}, "unauthorized"),
+        ("GET", "status", None, {"Authorization": "Bearer é"}, "unauthorized"),
+        ("GET", "nothing", None, {}, "not-found"),
+        ("GET", "versions/9.9", None, {}, "not-found"),
+        ("GET", "versions/x", None, {}, "invalid-request"),
+        ("PUT", "status", b"", {}, "method-not-allowed"),
+        ("POST", "submissions", MESH, {"X-Operator": ""}, "invalid-request"),
+        (
+            "POST",
+            "submissions",
+            MESH,
+            {"X-Base-Version": "new"},
+            "invalid-request",
+        ),
+        (
+            "POST",
+            "submissions",
+            MESH,
+            {"X-Timeout-Seconds": "nan"},
+            "invalid-request",
+        ),
+        ("POST", "rollbacks", b"[]", {}, "invalid-request"),
+        ("POST", "rollbacks", b"[" * 100_000, {}, "invalid-request"),
+        ("POST", "targets/x/drain", b"", {}, "not-found"),
+    ],
+)
+def test_refuses_bad_requests(ask, host, method, path, body, headers, kind):
+    _, value = ask(method, path, body, **headers)
+    assert value["kind"] == kind
+    assert value["remedy"]
+    assert host.versions.records == []
+
+
+@pytest.mark.parametrize("token", [TOKEN, "wrong"])
+def test_refuses_an_oversized_body_without_reading_it(host, token):
+    address, port = host.server.split(":")
+    with socket.create_connection((address, int(port)), 5) as sock:
+        sock.sendall(
+            b"POST /v1/submissions HTTP/1.1\r\nHost: x\r\n"
+            b"X-Submission-Id: s\r\nX-Operator: ann\r\n"
+            + f"Authorization: Bearer {token}\r\n".encode()
+            + b"Content-Length: 99999999999\r\n\r\n"
+        )
+        data = b"".join(iter(lambda: sock.recv(65536), b""))
+    expected = b"body-too-large" if token == TOKEN else b"unauthorized"
+    assert expected in data
+
+
+def test_requires_a_declared_length(ask):
+    response, value = ask("POST", "submissions", iter([MESH]))
+    assert (response.status, value["kind"]) == (411, "length-required")
+
+
+def test_drains_a_target_and_answers_ready_without_a_token(ask, host):
+    response, _ = ask("POST", "targets/billing/127.0.0.1:9000/drain", b"")
+    assert response.status == 202
+    assert host.control.drained == ["billing/127.0.0.1:9000"]
+    assert ask("GET", "ready", Authorization="")[0].status == 200
+    host.control.is_ready = False
+    assert ask("GET", "ready", Authorization="")[0].status == 503
+
+
+def test_an_error_of_the_log_leaves_the_host_alive(ask, host):
+    host.versions.next_outcomes.append("no outcome")
+    response, value = ask("POST", "submissions", MESH)
+    assert (response.status, value["kind"]) == (500, "internal-error")
+    assert ask("GET", "metrics")[1]["counters"]["operator.failed"] >= 1
--- /dev/null
+++ b/verbenanotch/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The tool's commands, one module each."""
--- /dev/null
+++ b/verbenanotch/operator/_requests.py
@@ -0,0 +1,180 @@
+"""Checked access to one request of an operator."""
+
+import contextlib
+import hmac
+import json
+import socket
+import time
+import urllib.parse
+
+from verbenanotch.catalog import NO_VERSION, Submission, Version
+from verbenanotch.operator.exceptions import (
+    BodyIncompleteError,
+    BodyTooLargeError,
+    InvalidRequestError,
+    LengthRequiredError,
+    UnauthorizedError,
+)
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_HEADER_CHARACTERS = 200
+DEFAULT_TIMEOUT_SECONDS = 5.0
+MAX_TIMEOUT_SECONDS = 60.0
+
+
+class ClosingBody:
+    """A response body after which no more of the request is read.
+
+    The server would otherwise read the rest of a refused body, however
+    long it is, to use the connection again.
+    """
+
+    def __init__(self, *, environ, chunks):
+        """Send `chunks`, then stop reading from the connection."""
+        self._environ = environ
+        self._chunks = chunks
+
+    def __iter__(self):
+        """Return an iterator over the chunks."""
+        return iter(self._chunks)
+
+    def close(self):
+        """Shut down the reading side; the server closes the rest."""
+        sock = self._environ["eventlet.input"].get_socket()
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RD)
+
+
+class Request:
+    """One request, read from its WSGI environment."""
+
+    def __init__(self, *, environ):
+        """Take the WSGI environment; reads nothing of the body."""
+        self._environ = environ
+        self.method = environ["REQUEST_METHOD"]
+        self.path = environ.get("PATH_INFO", "")
+
+    def check_token(self, token):
+        """Raise UnauthorizedError unless the request bears the token."""
+        given = self._environ.get("HTTP_AUTHORIZATION", "")
+        expected = f"Bearer {token}".encode()
+        if not hmac.compare_digest(given.encode("latin-1"), expected):
+            raise UnauthorizedError(
+                "the token is missing or wrong",
+                remedy="Send the header Authorization: Bearer TOKEN.",
+            )
+
+    def header(self, name, *, default=None):
+        """Return a header's value; without `default` it is required."""
+        key = "HTTP_" + name.upper().replace("-", "_")
+        value = self._environ.get(key, default)
+        if value is None or value == "":
+            if default is not None:
+                return default
+            raise InvalidRequestError(
+                f"the header {name} is missing", remedy=f"Send {name}."
+            )
+        if len(value) > MAX_HEADER_CHARACTERS or not value.isprintable():
+            raise InvalidRequestError(
+                f"the header {name} is no short printable text",
+                remedy=f"Use at most {MAX_HEADER_CHARACTERS} characters.",
+            )
+        return value
+
+    def version_header(self, name):
+        """Return the version in a header, NO_VERSION if it is absent."""
+        return parse_version(self.header(name, default=str(NO_VERSION)))
+
+    def timeout_seconds(self):
+        """Return how long the operator waits for an outcome."""
+        text = self.header("X-Timeout-Seconds", default="")
+        if not text:
+            return DEFAULT_TIMEOUT_SECONDS
+        try:
+            seconds = float(text)
+        except ValueError:
+            seconds = 0.0
+        if not 0 < seconds <= MAX_TIMEOUT_SECONDS:
+            raise InvalidRequestError(
+                f"{text!r} is no usable timeout",
+                remedy=f"Use up to {MAX_TIMEOUT_SECONDS:g} seconds.",
+            )
+        return seconds
+
+    def query(self):
+        """Return the last value of each parameter, keyed by name."""
+        pairs = urllib.parse.parse_qsl(self._environ.get("QUERY_STRING", ""))
+        return dict(pairs)
+
+    def body(self):
+        """Return the whole body; check its declared length first."""
+        length = self._body_bytes()
+        data = self._environ["wsgi.input"].read(length)
+        if len(data) < length:
+            raise BodyIncompleteError(
+                f"the body ended after {len(data)} of {length} bytes",
+                remedy="Send the request again.",
+            )
+        return data
+
+    def json_body(self):
+        """Return the object in a JSON body."""
+        try:
+            value = json.loads(self.body())
+        except (ValueError, RecursionError) as error:
+            raise InvalidRequestError(
+                f"the body is not JSON: {error}",
+                remedy="Send a JSON object.",
+            ) from error
+        if not isinstance(value, dict):
+            raise InvalidRequestError(
+                "the body is no JSON object", remedy="Send a JSON object."
+            )
+        return value
+
+    def submission(self, *, text, rollback_to=NO_VERSION):
+        """Return the Submission that the headers and `text` make."""
+        return Submission(
+            submission_id=self.header("X-Submission-Id"),
+            operator=self.header("X-Operator"),
+            text=text,
+            base=self.version_header("X-Base-Version"),
+            rollback_to=rollback_to,
+            submitted_at_ms=time.time_ns() // 1_000_000,
+        )
+
+    @property
+    def has_oversized_body(self):
+        """Whether the declared body is over the bound or of no length."""
+        try:
+            self._body_bytes()
+        except BodyTooLargeError:
+            return True
+        except LengthRequiredError:
+            return "HTTP_TRANSFER_ENCODING" in self._environ
+        return False
+
+    def _body_bytes(self):
+        declared = self._environ.get("CONTENT_LENGTH") or ""
+        if not declared.isascii() or not declared.isdecimal():
+            raise LengthRequiredError(
+                "the length of the body is not declared",
+                remedy="Send a Content-Length header.",
+            )
+        length = int(declared[:MAX_HEADER_CHARACTERS])
+        if length > MAX_BODY_BYTES:
+            raise BodyTooLargeError(
+                f"the body has {length} bytes",
+                remedy=f"Keep it within {MAX_BODY_BYTES} bytes.",
+            )
+        return length
+
+
+def parse_version(text):
+    """Return the version of its text form; raise InvalidRequestError."""
+    try:
+        return Version.parse(text)
+    except ValueError as error:
+        raise InvalidRequestError(
+            f"{text!r} is no version", remedy="Use a form such as 3.41."
+        ) from error
