Make versions with keywords in the operator tests

Cause: Version takes keywords alone since the thin roles came in, so that an epoch cannot be taken for an index; four tests still gave positions. Ruled out: positional versions, which the house style forbids.

--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -76,7 +76,7 @@
             return Conflict(
                 winner=winner, winner_operator=self.records[-1].operator
             )
-        version = Version(1, len(self.records) + 1)
+        version = Version(epoch=1, index=len(self.records) + 1)
         record = FakeRecord(
             version=version,
             operator=submission.operator,
