--- a/tests/unit/test_catalog.py
+++ b/tests/unit/test_catalog.py
@@ -59,4 +59,6 @@
 
 def test_versions_are_totally_ordered():
     assert Version(epoch=2, index=1) > Version(epoch=1, index=99)
-    assert Version.parse(str(Version(epoch=3, index=41))) == Version(3, 41)
+    assert Version.parse(str(Version(epoch=3, index=41))) == Version(
+        epoch=3, index=41
+    )
