Add records of keyed requests and the holders of keys

Cause: a request with an idempotency key must not run twice, so its state has to be kept in bounded memory at holders that every caller finds.

A key carries its time of issue (version 7 UUID, or 13 digits of milliseconds and a hyphen). That lets a holder tell a key that was never used from one that it has forgotten: keys that are too old, or issued before the holder's records began, are answered as unknown. Ruled out: opaque keys with tombstones, which either grow without bound or are forgotten at some time and then run again.

Holders come from rendezvous hashing over 1024 slices of keys for each zone, so that a change of membership moves few slices.

Conclusion: a full store refuses, and releases are matched by token so that a late one cannot free a later attempt.

--- /dev/null
+++ b/verbenanotch/idempotency/__init__.py
@@ -0,0 +1,60 @@
+"""Records that keep a keyed request from running twice."""
+
+from verbenanotch.idempotency._keys import issued_at_ms, new_key
+from verbenanotch.idempotency._members import (
+    Member,
+    View,
+    holders_for_key,
+    home_zone,
+    next_view,
+    slice_of,
+)
+from verbenanotch.idempotency._messages import (
+    Acknowledged,
+    AlreadyFinished,
+    Answer,
+    Begin,
+    Begun,
+    Finish,
+    Handover,
+    InProgress,
+    KeyConflict,
+    Look,
+    MarkUnknown,
+    NotSeen,
+    Record,
+    Refused,
+    Release,
+    State,
+    WasUnknown,
+)
+from verbenanotch.idempotency._records import RecordStore
+
+__all__ = [
+    "Acknowledged",
+    "AlreadyFinished",
+    "Answer",
+    "Begin",
+    "Begun",
+    "Finish",
+    "Handover",
+    "InProgress",
+    "KeyConflict",
+    "Look",
+    "MarkUnknown",
+    "Member",
+    "NotSeen",
+    "Record",
+    "RecordStore",
+    "Refused",
+    "Release",
+    "State",
+    "View",
+    "WasUnknown",
+    "holders_for_key",
+    "home_zone",
+    "issued_at_ms",
+    "new_key",
+    "next_view",
+    "slice_of",
+]
--- /dev/null
+++ b/verbenanotch/idempotency/_members.py
@@ -0,0 +1,152 @@
+"""Membership views and the holders of keys.
+
+Source for rendezvous hashing: Thaler and Ravishankar, "Using Name-Based
+Mappings to Increase Hit Rates", 1998.
+"""
+
+import attrs
+import xxhash
+
+SLICE_COUNT = 1024
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """One proxy that may hold records.
+
+    `incarnation` grows with each start of the process. `joined_epoch` is
+    the epoch of the first view that named this incarnation.
+    """
+
+    host: str
+    availability_zone: str
+    address: str
+    peer_port: int
+    incarnation: int
+    joined_epoch: int = 0
+
+    @property
+    def identity(self):
+        """Return what tells this process from an earlier one of its host."""
+        return (self.host, self.incarnation)
+
+
+@attrs.frozen(kw_only=True)
+class View:
+    """The members of one availability zone at one epoch.
+
+    The views of a zone come from one publisher at a time, with epochs that
+    grow by one. A member leaves the view only after its lease has expired,
+    or after it has said that it stopped.
+    """
+
+    availability_zone: str
+    epoch: int
+    members: tuple[Member, ...]
+
+    def by_identity(self):
+        """Return members keyed by identity."""
+        return {member.identity: member for member in self.members}
+
+
+def next_view(view, members):
+    """Return the view after `view` with `members`, or `view` if the same.
+
+    Keeps `joined_epoch` of those who stay and sets it for those who join.
+    """
+    known = view.by_identity()
+    epoch = view.epoch + 1
+    members = tuple(
+        known.get(member.identity) or attrs.evolve(member, joined_epoch=epoch)
+        for member in sorted(members, key=lambda item: item.identity)
+    )
+    if members == view.members:
+        return view
+    return View(
+        availability_zone=view.availability_zone, epoch=epoch, members=members
+    )
+
+
+def slice_of(key):
+    """Return the slice of a key, from 0 to `SLICE_COUNT` - 1."""
+    return xxhash.xxh64_intdigest(key.encode()) % SLICE_COUNT
+
+
+def home_zone(key, availability_zones):
+    """Return the zone that keeps the records of a key.
+
+    `availability_zones` are all zones of the mesh, also those that cannot
+    be reached now: every caller must come to the same result.
+    """
+    return max(
+        availability_zones,
+        key=lambda zone: (
+            xxhash.xxh64_intdigest(f"{key}\0{zone}".encode()),
+            zone,
+        ),
+    )
+
+
+def holders_for_key(key, members, *, home_zone):
+    """Return `(first, second)`, the members of the zone that hold a key.
+
+    `second` is None where the zone has one member, both where it has none.
+    """
+    members = [
+        member for member in members if member.availability_zone == home_zone
+    ]
+    return holders_for_slice(slice_of(key), members)
+
+
+def holders_for_slice(slice_number, members):
+    """Return the `(first, second)` holders of a slice among `members`."""
+    first = second = None
+    first_weight = second_weight = (-1, "")
+    for member in members:
+        weight = _weight(member, slice_number)
+        if weight > first_weight:
+            second, second_weight = first, first_weight
+            first, first_weight = member, weight
+        elif weight > second_weight:
+            second, second_weight = member, weight
+    return first, second
+
+
+def updated_pairs(pairs, old_view, view):
+    """Return the holders of every slice under `view`.
+
+    `pairs` are those under `old_view`. Only the slices of members that left
+    are worked out from all members; one that joined is compared with the
+    holders of each slice.
+    """
+    old = old_view.by_identity()
+    new = view.by_identity()
+    left = {identity for identity in old if identity not in new}
+    joined = [new[identity] for identity in new if identity not in old]
+    result = []
+    for slice_number, pair in enumerate(pairs):
+        held = [member for member in pair if member is not None]
+        if any(member.identity in left for member in held):
+            pair = holders_for_slice(slice_number, view.members)
+        elif joined:
+            pair = holders_for_slice(slice_number, held + joined)
+        result.append(pair)
+    return result
+
+
+def all_pairs(view):
+    """Return the holders of every slice, as a list by slice number."""
+    return [
+        holders_for_slice(slice_number, view.members)
+        for slice_number in range(SLICE_COUNT)
+    ]
+
+
+def identities(pair):
+    """Return the identities of a pair's members."""
+    return tuple(member.identity for member in pair if member is not None)
+
+
+def _weight(member, slice_number):
+    digest = xxhash.xxh64_intdigest(member.host.encode(), seed=slice_number)
+    return (digest, member.host)
--- /dev/null
+++ b/verbenanotch/idempotency/_records.py
@@ -0,0 +1,289 @@
+"""Records of keyed requests in bounded memory."""
+
+import heapq
+
+import attrs
+
+from verbenanotch.idempotency._keys import issued_at_ms
+from verbenanotch.idempotency._members import slice_of
+from verbenanotch.idempotency._messages import (
+    AlreadyFinished,
+    Begun,
+    InProgress,
+    KeyConflict,
+    NotSeen,
+    Record,
+    Refused,
+    State,
+    WasUnknown,
+)
+
+RECORD_OVERHEAD_BYTES = 1400
+HEADER_OVERHEAD_BYTES = 200
+IN_PROGRESS_RETRY_AFTER_MS = 200
+FULL_RETRY_AFTER_MS = 5000
+MAX_RELEASED_TOKENS = 8
+MILLISECONDS_PER_SECOND = 1000
+
+
+class RecordStore:
+    """Keep what is known of each key until the key is too old to be used.
+
+    A record is never dropped to make room: a full store refuses new keys. A
+    key older than `max_age_seconds` by its time of issue is never started.
+    Its record stays two clock margins longer, as the clocks of hosts differ;
+    after that the key is answered WasUnknown by its age alone.
+    """
+
+    def __init__(
+        self, *, max_bytes, max_age_seconds, clock_margin_seconds=2.0
+    ):
+        """Start empty."""
+        self._max_bytes = max_bytes
+        self._max_age_ms = int(max_age_seconds * MILLISECONDS_PER_SECOND)
+        self.clock_margin_ms = int(
+            clock_margin_seconds * MILLISECONDS_PER_SECOND
+        )
+        self._records_by_key = {}
+        self._keys_by_slice = {}
+        self._expiries = []
+        self._wall_ms = 0
+        self.used_bytes = 0
+
+    def __len__(self):
+        """Return the number of records."""
+        return len(self._records_by_key)
+
+    def begin(
+        self,
+        key,
+        digest,
+        *,
+        token,
+        timeout_ms,
+        wall_ms,
+        complete_since_ms=0,
+        released=(),
+    ):
+        """Record the key as started, if it is new; return the reply.
+
+        `complete_since_ms` tells from which time of issue on every key that
+        was ever used is in this store; an older key without a record is
+        answered WasUnknown. `released` are tokens whose attempts were given
+        up, as the first holder told.
+        """
+        self.expire(wall_ms)
+        record = self._records_by_key.get(key)
+        if record is not None:
+            if record.digest != digest:
+                return KeyConflict()
+            if record.state is State.STARTED and record.token == token:
+                return Begun()
+            if not _is_void(record, released):
+                return self._reply(record)
+        issued_ms = issued_at_ms(key)
+        reply = self._unusable(issued_ms, record, complete_since_ms)
+        if reply is not None:
+            return reply
+        return self._start(
+            record,
+            Record(
+                key=key,
+                digest=digest,
+                state=State.STARTED,
+                token=token,
+                issued_at_ms=issued_ms,
+                deadline_ms=self._wall_ms + timeout_ms,
+                released=_merged_tokens(record, released),
+            ),
+        )
+
+    def look(self, key, digest, *, wall_ms):
+        """Return the reply for a key without changing its record."""
+        self.expire(wall_ms)
+        record = self._records_by_key.get(key)
+        if record is None or record.state is State.RELEASED:
+            return NotSeen()
+        if record.digest != digest:
+            return KeyConflict()
+        return self._reply(record)
+
+    def finish(self, key, token, answer):
+        """Record the answer of the attempt; return whether it was applied.
+
+        An answer that does not fit into the memory left is not kept.
+        """
+        record = self._records_by_key.get(key)
+        if record is None or record.token != token:
+            return False
+        if record.state is State.FINISHED:
+            return True
+        finished = attrs.evolve(record, state=State.FINISHED, answer=answer)
+        if not self._fits(finished):
+            finished = attrs.evolve(record, state=State.UNKNOWN)
+        self._put(finished)
+        return True
+
+    def mark_unknown(self, key, token):
+        """Record that the attempt may have run; return whether applied."""
+        return self._advance(key, token, State.UNKNOWN)
+
+    def release(self, key, token):
+        """Record that the attempt did not run; return whether applied."""
+        return self._advance(key, token, State.RELEASED)
+
+    def adopt(self, records):
+        """Merge records of another holder; return False if memory is full.
+
+        Records that were merged before the memory was full stay.
+        """
+        for record in records:
+            own = self._records_by_key.get(record.key)
+            merged = record if own is None else merge(own, record)
+            if not self._fits(merged):
+                return False
+            self._put(merged)
+        return True
+
+    def records_in_slice(self, slice_number):
+        """Return the records whose keys fall into one slice."""
+        keys = self._keys_by_slice.get(slice_number, ())
+        return tuple(self._records_by_key[key] for key in keys)
+
+    def drop_slice(self, slice_number):
+        """Forget a slice that others hold now."""
+        for key in tuple(self._keys_by_slice.get(slice_number, ())):
+            self._remove(key)
+
+    def expire(self, wall_ms):
+        """Drop the records of keys that are too old to be used.
+
+        A wall clock that steps back is ignored until it has caught up.
+        """
+        self._wall_ms = max(self._wall_ms, wall_ms)
+        while self._expiries and self._expiries[0][0] < self._wall_ms:
+            _, key = heapq.heappop(self._expiries)
+            if key in self._records_by_key:
+                self._remove(key)
+
+    def _unusable(self, issued_ms, record, complete_since_ms):
+        """Return the reply for a key that cannot be started, or None."""
+        if issued_ms is None:
+            return Refused(reason="key-form", retry_after_ms=0, not_run=True)
+        if issued_ms < self._wall_ms - self._max_age_ms:
+            return WasUnknown(reason="too-old")
+        if record is None and issued_ms <= complete_since_ms:
+            return WasUnknown(reason="before-records")
+        ahead_ms = issued_ms - self._wall_ms - self.clock_margin_ms
+        if ahead_ms > 0:
+            return Refused(
+                reason="key-ahead", retry_after_ms=ahead_ms, not_run=True
+            )
+        return None
+
+    def _start(self, record, started):
+        if len(started.released) > MAX_RELEASED_TOKENS:
+            return Refused(
+                reason="released-too-often",
+                retry_after_ms=FULL_RETRY_AFTER_MS,
+                not_run=True,
+            )
+        if not self._fits(started):
+            return Refused(
+                reason="memory",
+                retry_after_ms=FULL_RETRY_AFTER_MS,
+                not_run=True,
+            )
+        self._put(started)
+        return Begun(released=started.released)
+
+    def _reply(self, record):
+        match record.state:
+            case State.FINISHED:
+                return AlreadyFinished(answer=record.answer)
+            case State.STARTED if self._wall_ms < record.deadline_ms:
+                return InProgress(retry_after_ms=IN_PROGRESS_RETRY_AFTER_MS)
+            case _:
+                return WasUnknown(reason="attempt-lost")
+
+    def _advance(self, key, token, state):
+        record = self._records_by_key.get(key)
+        if record is None or record.token != token:
+            return False
+        if record.state is State.STARTED:
+            self._put(attrs.evolve(record, state=state))
+        return True
+
+    def _fits(self, record):
+        own = self._records_by_key.get(record.key)
+        freed = 0 if own is None else size_bytes(own)
+        return self.used_bytes - freed + size_bytes(record) <= self._max_bytes
+
+    def _put(self, record):
+        own = self._records_by_key.get(record.key)
+        if own is None:
+            keys = self._keys_by_slice.setdefault(slice_of(record.key), {})
+            keys[record.key] = None
+            expiry_ms = (
+                record.issued_at_ms
+                + self._max_age_ms
+                + 2 * self.clock_margin_ms
+            )
+            heapq.heappush(self._expiries, (expiry_ms, record.key))
+        else:
+            self.used_bytes -= size_bytes(own)
+        self._records_by_key[record.key] = record
+        self.used_bytes += size_bytes(record)
+
+    def _remove(self, key):
+        record = self._records_by_key.pop(key)
+        self.used_bytes -= size_bytes(record)
+        slice_number = slice_of(key)
+        keys = self._keys_by_slice[slice_number]
+        del keys[key]
+        if not keys:
+            del self._keys_by_slice[slice_number]
+
+
+def size_bytes(record):
+    """Return the memory that a record is counted with."""
+    size = RECORD_OVERHEAD_BYTES + 2 * len(record.key)
+    if record.answer is not None:
+        size += len(record.answer.body)
+        size += sum(
+            HEADER_OVERHEAD_BYTES + len(name) + len(value)
+            for name, value in record.answer.headers
+        )
+    return size
+
+
+def merge(one, other):
+    """Return what two holders of one key know together.
+
+    Attempts of which neither knows the other to be given up may both have
+    been dispatched as far as one can tell, so the result is UNKNOWN unless
+    one of them has finished.
+    """
+    tokens = tuple(dict.fromkeys(one.released + other.released))
+    high, low = sorted(
+        (one, other), key=lambda record: record.state, reverse=True
+    )
+    same = one.token == other.token
+    if not same and high.state is not State.FINISHED:
+        if _is_void(high, low.released):
+            high = low
+        elif not _is_void(low, high.released):
+            high = attrs.evolve(high, state=State.UNKNOWN)
+    return attrs.evolve(high, released=tokens)
+
+
+def _is_void(record, released):
+    """Return whether the record's attempt was given up before dispatch."""
+    if record.state is State.RELEASED:
+        return True
+    return record.state is State.STARTED and record.token in released
+
+
+def _merged_tokens(record, released):
+    tokens = () if record is None else (*record.released, record.token)
+    return tuple(dict.fromkeys((*tokens, *released)))
