Add outlier ejection, the deadline queue, retry budgets and fingerprints

Cause: a failing target, an overload or a request that crashes its targets must not take the rest of a service along.

Ejection grows with each time and is capped at half of the targets. The queue refuses at once what the measured service time cannot bring to its deadline. Retries are bounded three ways: attempts that travel with the call, a share of recent requests, and a mark that they were used up below. Two deaths in flight in a zone block a fingerprint; an answer clears it.

Ruled out: counting only deaths after one another, which would spare requests that happened to be in flight at two crashes, but lets a third target die.

Conclusion: an innocent request that was in flight at two crashes without an answer between them is refused for a while, which is written down.

--- /dev/null
+++ b/tests/unit/test_routing_limits.py
@@ -0,0 +1,250 @@
+"""Limits, outliers, the queue, retries and fingerprints."""
+
+import random
+
+import pytest
+
+from verbenanotch.routing import (
+    AdaptiveLimit,
+    Call,
+    DeadlineQueue,
+    Fingerprints,
+    GiveUp,
+    OutcomeKind,
+    OutlierDetector,
+    Queued,
+    QueueRefused,
+    Retry,
+    RetryBudget,
+    TargetState,
+    decide_retry,
+    fingerprint,
+)
+
+
+@pytest.fixture
+def make_target():
+    def make(target_id="a"):
+        return TargetState(
+            target_id=target_id,
+            service="orders",
+            availability_zone="rennes",
+            host="h",
+            slots=16,
+            first_seen=0.0,
+        )
+
+    return make
+
+
+def observe(limit, seconds, *, in_flight, times=300):
+    for _ in range(times):
+        limit.observe(seconds, in_flight)
+
+
+def test_limit_shrinks_when_latency_grows_and_recovers():
+    limit = AdaptiveLimit(slots=16)
+    observe(limit, 0.01, in_flight=16)
+    assert limit.value > 16
+    observe(limit, 0.1, in_flight=16, times=60)
+    assert limit.value < 8
+    observe(limit, 0.01, in_flight=16)
+    assert limit.value > 16
+
+
+def test_limit_stays_in_its_bounds():
+    limit = AdaptiveLimit(slots=4)
+    observe(limit, 0.01, in_flight=8, times=1000)
+    assert limit.value == 8.0
+    for _ in range(100):
+        limit.refused()
+    assert limit.value == 1.0
+
+
+def test_idle_target_does_not_grow_its_limit():
+    limit = AdaptiveLimit(slots=16)
+    observe(limit, 0.01, in_flight=1)
+    assert limit.value == 16.0
+
+
+def fail(detector, target, *, now, count, times=5):
+    outcome = None
+    for _ in range(times):
+        target.started(now)
+        target.finished(now, 0.01, OutcomeKind.FAILED)
+        outcome = detector.finished(
+            target, OutcomeKind.FAILED, now=now, target_count=count
+        )
+    return outcome
+
+
+def test_ejection_grows_and_ends(make_target):
+    detector, target = OutlierDetector(), make_target()
+    first = fail(detector, target, now=10.0, count=4)
+    assert first.until == 12.0
+    assert target.looks_ill(11.9)
+    assert not target.looks_ill(12.0)
+    assert fail(detector, target, now=12.0, count=4).until == 16.0
+    assert fail(detector, target, now=500.0, count=4).until == 502.0
+
+
+def test_ejections_are_capped_and_counted(make_target):
+    detector = OutlierDetector()
+    targets = [make_target(str(n)) for n in range(4)]
+    ejected = [
+        fail(detector, target, now=1.0, count=4) is not None
+        for target in targets
+    ]
+    assert ejected == [True, True, False, False]
+    assert detector.capped == 2
+    only = make_target("only")
+    assert fail(OutlierDetector(), only, now=1.0, count=1) is None
+
+
+def test_refusals_and_cancellations_eject_nobody(make_target):
+    detector, target = OutlierDetector(), make_target()
+    for kind in (OutcomeKind.REFUSED, OutcomeKind.CANCELLED) * 20:
+        target.finished(1.0, 0.0, kind)
+        assert not detector.finished(target, kind, now=1.0, target_count=4)
+    assert not target.looks_ill(1.0)
+
+
+def test_queue_gives_the_earliest_deadline_first():
+    queue = DeadlineQueue(max_length=8, slots=2, service_seconds=0.1)
+    for name, deadline in (("late", 9.0), ("soon", 1.0), ("mid", 5.0)):
+        assert isinstance(queue.offer(name, deadline, 0.0), Queued)
+    assert [queue.take(0.0).item for _ in range(4)] == [
+        "soon",
+        "mid",
+        "late",
+        None,
+    ]
+
+
+def test_queue_refuses_at_once_what_cannot_make_it():
+    queue = DeadlineQueue(max_length=3, slots=1, service_seconds=0.1)
+    assert isinstance(queue.offer("a", 0.15, 0.0), QueueRefused)
+    for name in "bcd":
+        assert isinstance(queue.offer(name, 1.0, 0.0), Queued)
+    match queue.offer("e", 9.0, 0.0):
+        case QueueRefused(reason="queue-full", retry_after_ms=delay):
+            assert delay == 400
+        case outcome:
+            pytest.fail(f"unexpected {outcome}")
+
+
+def test_queue_gives_back_those_that_became_late():
+    queue = DeadlineQueue(max_length=8, slots=4, service_seconds=0.1)
+    queue.offer("a", 0.2, 0.0)
+    ticket = queue.offer("b", 0.3, 0.0).ticket
+    queue.offer("c", 2.0, 0.0)
+    assert queue.cancel(ticket)
+    assert not queue.cancel(ticket)
+    taken = queue.take(0.5)
+    assert (taken.item, taken.late) == ("c", ("a",))
+    assert len(queue) == 0
+
+
+def retry(call=None, budget=None, **options):
+    options = {
+        "may_have_run": True,
+        "idempotent": True,
+        "exhausted_below": False,
+        **options,
+    }
+    return decide_retry(
+        call or Call(attempt=1, attempts_left=3, deadline=10.0),
+        budget=budget or RetryBudget(),
+        now=0.0,
+        random=random.Random(1),
+        **options,
+    )
+
+
+def test_retry_counts_down():
+    outcome = retry()
+    assert isinstance(outcome, Retry)
+    assert (outcome.call.attempt, outcome.call.attempts_left) == (2, 2)
+    assert outcome.call.below().attempts_left == 1
+
+
+@pytest.mark.parametrize(
+    ("reason", "call", "options"),
+    [
+        ("not-idempotent", None, {"idempotent": False}),
+        ("exhausted-below", None, {"exhausted_below": True}),
+        ("attempts", Call(attempt=3, attempts_left=1, deadline=9.0), {}),
+        ("deadline", None, {"expected_seconds": 10.0}),
+    ],
+)
+def test_retry_is_given_up(reason, call, options):
+    assert retry(call, **options) == GiveUp(reason=reason)
+
+
+def test_request_that_provably_did_not_run_may_go_elsewhere():
+    outcome = retry(idempotent=False, may_have_run=False)
+    assert isinstance(outcome, Retry)
+
+
+def test_budget_bounds_retries_to_a_share():
+    budget = RetryBudget()
+    retried = 0
+    for number in range(1000):
+        now = number / 1000
+        budget.requested(now)
+        retried += budget.withdraw(now)
+    assert 95 <= retried <= 105
+    assert retry(budget=budget) == GiveUp(reason="budget")
+
+
+def deaths(*, times, start=0.0):
+    fingerprints = Fingerprints(host="h", incarnation=1)
+    for number in range(times):
+        fingerprints.died(b"f", start + number)
+    return fingerprints
+
+
+def test_two_deaths_in_the_zone_block_for_a_while():
+    one, other = deaths(times=1), Fingerprints(host="g", incarnation=1)
+    assert one.check(b"f", 1.0) is None
+    notice = other.died(b"f", 1.0)
+    assert one.noticed(notice, 1.0)
+    assert not one.noticed(notice, 1.0)
+    blocked = one.check(b"f", 2.0)
+    assert blocked.deaths == 2
+    assert blocked.retry_after_ms == 29_001
+    assert one.refused == 1
+    assert one.check(b"f", 31.0) is None
+
+
+def test_death_after_a_block_blocks_for_longer():
+    fingerprints = deaths(times=2)
+    fingerprints.died(b"f", 40.0)
+    assert fingerprints.check(b"f", 90.0)
+
+
+def test_answer_clears_a_fingerprint():
+    fingerprints = deaths(times=1)
+    fingerprints.answered(b"f")
+    fingerprints.died(b"f", 2.0)
+    assert fingerprints.check(b"f", 2.0) is None
+
+
+def test_fingerprints_keep_blocked_ones_in_bounded_memory():
+    fingerprints = Fingerprints(host="h", incarnation=1, max_entries=3)
+    for _ in range(2):
+        fingerprints.died(b"poison", 0.0)
+    for number in range(50):
+        fingerprints.died(b"%d" % number, 1.0)
+    assert len(fingerprints) == 3
+    assert fingerprints.check(b"poison", 2.0)
+
+
+def test_fingerprint_tells_requests_apart():
+    def of(**fields):
+        plain = {"route": "r", "method": "GET", "path": "/a", "body": b""}
+        return fingerprint(**{**plain, **fields})
+
+    assert of() == of()
+    assert len({of(), of(path="/b"), of(body=b"x"), of(key="k")}) == 4
+    assert of(key="k") == of(key="k", body=b"x")
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -1,17 +1,52 @@
 """Which target a request goes to, and whether it goes at all."""
 
 from verbenanotch.routing._choice import Candidates, Chosen, NoTarget, choose
+from verbenanotch.routing._fingerprints import (
+    Blocked,
+    DeathNotice,
+    Fingerprints,
+    fingerprint,
+)
 from verbenanotch.routing._limit import AdaptiveLimit
+from verbenanotch.routing._outliers import Ejected, OutlierDetector
+from verbenanotch.routing._queue import (
+    DeadlineQueue,
+    Queued,
+    QueueRefused,
+    Taken,
+)
+from verbenanotch.routing._retries import (
+    Call,
+    GiveUp,
+    Retry,
+    RetryBudget,
+    decide_retry,
+)
 from verbenanotch.routing._routes import RouteTable
 from verbenanotch.routing._target import OutcomeKind, TargetState
 
 __all__ = [
     "AdaptiveLimit",
+    "Blocked",
+    "Call",
     "Candidates",
     "Chosen",
+    "DeadlineQueue",
+    "DeathNotice",
+    "Ejected",
+    "Fingerprints",
+    "GiveUp",
     "NoTarget",
     "OutcomeKind",
+    "OutlierDetector",
+    "QueueRefused",
+    "Queued",
+    "Retry",
+    "RetryBudget",
     "RouteTable",
+    "Taken",
     "TargetState",
     "choose",
+    "decide_retry",
+    "fingerprint",
 ]
