Add the stand-in target and the harness for real processes

The target writes each run to a ledger before it answers, so that the ledger can judge whether a request ran. The harness gives each host its own loopback address, chosen by process id and probed, so that runs side by side do not collide; it ends only processes that it started.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example meshes, settings and the demonstration."""
--- /dev/null
+++ b/examples/stand_in_target.py
@@ -0,0 +1,380 @@
+"""Stand-in for a target: serves requests and writes a ledger of its runs.
+
+Run by `python -m examples.stand_in_target`. It announces itself to its local
+proxy each second. A request's query or `POST /_control` changes how it
+behaves; see `Behaviour`. On SIGTERM it drains, finishes and leaves.
+"""
+
+import os
+import warnings
+
+os.environ["EVENTLET_NO_GREENDNS"] = "yes"
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+if __name__ == "__main__":
+    eventlet.monkey_patch()
+
+import hashlib  # noqa: E402
+import json  # noqa: E402
+import select  # noqa: E402
+import signal  # noqa: E402
+import socket  # noqa: E402
+import time  # noqa: E402
+import urllib.parse  # noqa: E402
+
+import attrs  # noqa: E402
+import click  # noqa: E402
+import urllib3  # noqa: E402
+from eventlet import semaphore, wsgi  # noqa: E402
+
+RENEWAL_SECONDS = 1.0
+ANNOUNCE_TIMEOUT_SECONDS = 2.0
+CANCELLATION_POLL_SECONDS = 0.02
+DRAIN_SECONDS = 10.0
+MILLISECONDS_PER_SECOND = 1000
+CRASH_EXIT_CODE = 70
+PASSED_ON_PREFIX = "HTTP_X_VERBENANOTCH_"
+DEFAULT_CALL_TIMEOUT_MS = 2000
+
+
+@attrs.frozen(kw_only=True)
+class Behaviour:
+    """How the target treats requests; all of it can change at run time.
+
+    `crash_marker` is a text in a body that kills the process once the run
+    is in the ledger. `reported_health` and `reported_in_flight` replace the
+    true reports when set. `shed_over` refuses work when more requests are
+    in flight; 0 never does. `call_on` is a path that each run asks for
+    through the mesh before it answers.
+    """
+
+    latency_ms: int = 0
+    fail_status: int = 0
+    crash_marker: str = ""
+    reported_health: int = 0
+    reported_in_flight: int = -1
+    padding_bytes: int = 0
+    cut_body: bool = False
+    honour_cancellation: bool = True
+    shed_over: int = 0
+    call_on: str = ""
+
+    def changed(self, values):
+        """Return a copy with `values`, texts included; ignore the rest."""
+        changes = {}
+        for field in attrs.fields(type(self)):
+            if field.name in values:
+                changes[field.name] = _convert(
+                    values[field.name], field.default
+                )
+        return attrs.evolve(self, **changes)
+
+
+def _convert(value, default):
+    if isinstance(default, bool):
+        return value in (True, 1, "1", "true")
+    return type(default)(value)
+
+
+class Ledger:
+    """Append-only file of runs, one JSON object a line."""
+
+    def __init__(self, *, path, target):
+        """Open the file at `path` for appending."""
+        self._file = open(  # noqa: SIM115 (open until the process exits)
+            path, "a", encoding="utf-8", buffering=1
+        )
+        self._target = target
+
+    def write(self, phase, request):
+        """Record that a run has `started`, `finished` or was `cancelled`."""
+        record = {
+            "phase": phase,
+            "target": self._target,
+            "time": time.time(),
+            **attrs.asdict(request),
+        }
+        self._file.write(json.dumps(record) + "\n")
+
+
+@attrs.frozen(kw_only=True)
+class RunRequest:
+    """What identifies one request in the ledger and in its answer."""
+
+    request_id: str
+    key: str
+    method: str
+    path: str
+    body_sha256: str
+
+
+class StandInTarget:
+    """Serve the target's side of the protocol over HTTP."""
+
+    def __init__(self, *, name, slots, ledger, behaviour, mesh_entry=""):
+        """Take the collaborators; `mesh_entry` is a proxy to call on."""
+        self.name = name
+        self.behaviour = behaviour
+        self.in_flight = 0
+        self._slots = slots
+        self._free_slots = semaphore.Semaphore(slots)
+        self._ledger = ledger
+        self._mesh_entry = mesh_entry
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def application(self, environ, start_response):
+        """Answer one request; a WSGI callable."""
+        match environ["PATH_INFO"]:
+            case "/health":
+                status = self.behaviour.reported_health or 200
+                return _answer(start_response, status, {"status": status})
+            case "/load":
+                return _answer(start_response, 200, self._load())
+            case "/_control":
+                values = json.loads(environ["wsgi.input"].read() or b"{}")
+                self.behaviour = self.behaviour.changed(values)
+                return _answer(
+                    start_response, 200, attrs.asdict(self.behaviour)
+                )
+            case _:
+                return self._serve(environ, start_response)
+
+    def _load(self):
+        reported = self.behaviour.reported_in_flight
+        in_flight = self.in_flight if reported < 0 else reported
+        return {"in_flight": in_flight, "slots": self._slots}
+
+    def _serve(self, environ, start_response):
+        query = urllib.parse.parse_qsl(environ.get("QUERY_STRING", ""))
+        behaviour = self.behaviour.changed(dict(query))
+        body = environ["wsgi.input"].read()
+        if len(body) < int(environ.get("CONTENT_LENGTH") or 0):
+            return _answer(start_response, 400, {"kind": "body-cut"})
+        if behaviour.shed_over and self.in_flight >= behaviour.shed_over:
+            return _answer(start_response, 503, {"kind": "shed"})
+        self.in_flight += 1
+        try:
+            with self._free_slots:
+                return self._run(environ, start_response, behaviour, body)
+        finally:
+            self.in_flight -= 1
+
+    def _run(self, environ, start_response, behaviour, body):
+        request = _read_request(environ, body)
+        self._ledger.write("started", request)
+        marker = behaviour.crash_marker.encode()
+        if marker and marker in body:
+            os._exit(CRASH_EXIT_CODE)
+        if not _work(environ, behaviour):
+            self._ledger.write("cancelled", request)
+            return _answer(start_response, 499, {"kind": "cancelled"})
+        value = attrs.asdict(request) | {"target": self.name}
+        if behaviour.call_on:
+            value["called"] = self._call_on(environ, behaviour, request)
+        self._ledger.write("finished", request)
+        if behaviour.padding_bytes:
+            value["padding"] = "x" * behaviour.padding_bytes
+        status = behaviour.fail_status or 200
+        if behaviour.cut_body:
+            return _cut_answer(environ, start_response, status, value)
+        return _answer(start_response, status, value)
+
+    def _call_on(self, environ, behaviour, request):
+        """Ask the mesh for another route within what is left of the time."""
+        headers = _passed_on_headers(environ)
+        headers["X-Request-Id"] = f"{request.request_id}.{self.name}"
+        remaining_ms = environ.get(
+            "HTTP_X_REQUEST_TIMEOUT_MS", str(DEFAULT_CALL_TIMEOUT_MS)
+        )
+        headers["X-Request-Timeout-Ms"] = remaining_ms
+        response = self._pool.request(
+            "GET",
+            f"http://{self._mesh_entry}{behaviour.call_on}",
+            headers=headers,
+            timeout=float(remaining_ms) / MILLISECONDS_PER_SECOND,
+        )
+        return {
+            "status": response.status,
+            "outcome": response.headers.get("X-Verbenanotch-Outcome", ""),
+        }
+
+
+def _passed_on_headers(environ):
+    """Return the mesh's own headers, which a target passes on."""
+    return {
+        key.removeprefix("HTTP_").replace("_", "-").title(): value
+        for key, value in environ.items()
+        if key.startswith(PASSED_ON_PREFIX)
+    }
+
+
+def _read_request(environ, body):
+    return RunRequest(
+        request_id=environ.get("HTTP_X_REQUEST_ID", ""),
+        key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        body_sha256=hashlib.sha256(body).hexdigest(),
+    )
+
+
+def _work(environ, behaviour):
+    """Take the request's time; return False if the caller has gone."""
+    end = time.monotonic() + behaviour.latency_ms / MILLISECONDS_PER_SECOND
+    while (left := end - time.monotonic()) > 0:
+        eventlet.sleep(min(left, CANCELLATION_POLL_SECONDS))
+        if behaviour.honour_cancellation and _is_closed(environ):
+            return False
+    return True
+
+
+def _is_closed(environ):
+    """Tell whether the peer has closed the connection."""
+    sock = environ["eventlet.input"].get_socket()
+    try:
+        if not _is_readable(sock):
+            return False
+        return sock.recv(1, socket.MSG_PEEK) == b""
+    except OSError:
+        return True
+
+
+def _is_readable(sock):
+    poll = eventlet.patcher.original("select").poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _answer(start_response, status, value):
+    body = json.dumps(value).encode()
+    start_response(
+        f"{status} Status",
+        [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ],
+    )
+    return [body]
+
+
+def _cut_answer(environ, start_response, status, value):
+    """Declare the whole body, send half of it and end the connection."""
+    body = _answer(start_response, status, value)[0]
+    yield body[: len(body) // 2]
+    environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
+
+
+class Announcer:
+    """Keep the target announced at its local proxy."""
+
+    def __init__(self, *, proxy, service, address, port, slots, incarnation):
+        """Announce `address:port` at the proxy's target interface."""
+        self._url = f"http://{proxy}/v1/targets"
+        self._target_id = f"{service}/{address}:{port}"
+        self._body = json.dumps(
+            {
+                "service": service,
+                "address": address,
+                "port": port,
+                "slots": slots,
+                "incarnation": incarnation,
+            }
+        )
+        self._pool = urllib3.PoolManager(
+            retries=False, timeout=ANNOUNCE_TIMEOUT_SECONDS
+        )
+
+    def run_forever(self):
+        """Announce and renew once a second, whether the proxy is up or not."""
+        while True:
+            self._ask("POST", self._url, self._body)
+            eventlet.sleep(RENEWAL_SECONDS)
+
+    def drain(self):
+        """Ask for no new work."""
+        self._ask("POST", f"{self._url}/{self._target_id}/drain", "{}")
+
+    def leave(self):
+        """Withdraw the target."""
+        self._ask("DELETE", f"{self._url}/{self._target_id}", None)
+
+    def _ask(self, method, url, body):
+        try:
+            response = self._pool.request(
+                method,
+                url,
+                body=body,
+                headers={"Content-Type": "application/json"},
+            )
+        except urllib3.exceptions.HTTPError as error:
+            print(f"{method} {url}: {error}", flush=True)
+            return
+        if response.status >= 400:
+            print(f"{method} {url}: {response.status}", flush=True)
+
+
+@click.command()
+@click.option("--service", required=True)
+@click.option("--address", required=True)
+@click.option("--port", required=True, type=int)
+@click.option("--announced-port", type=int, help="Port of a relay before it.")
+@click.option("--proxy", required=True, help="ADDRESS:PORT for targets.")
+@click.option("--mesh-entry", default="", help="ADDRESS:PORT for callers.")
+@click.option("--slots", default=16)
+@click.option("--ledger", "ledger_path", required=True)
+@click.option("--behaviour", "behaviour_text", default="{}", help="JSON.")
+def main(
+    service,
+    address,
+    port,
+    announced_port,
+    proxy,
+    mesh_entry,
+    slots,
+    ledger_path,
+    behaviour_text,
+):
+    """Run one stand-in target until SIGTERM."""
+    name = f"{service}/{address}:{port}"
+    target = StandInTarget(
+        name=name,
+        slots=slots,
+        ledger=Ledger(path=ledger_path, target=name),
+        behaviour=Behaviour().changed(json.loads(behaviour_text)),
+        mesh_entry=mesh_entry,
+    )
+    announcer = Announcer(
+        proxy=proxy,
+        service=service,
+        address=address,
+        port=announced_port or port,
+        slots=slots,
+        incarnation=time.time_ns() // 1_000_000,
+    )
+    renewal = eventlet.spawn(announcer.run_forever)
+    sock = eventlet.listen((address, port), reuse_port=False)
+    server = eventlet.spawn(
+        wsgi.server, sock, target.application, log_output=False
+    )
+    terminated = []
+    signal.signal(signal.SIGTERM, lambda *_: terminated.append(True))
+    while not terminated:
+        eventlet.sleep(CANCELLATION_POLL_SECONDS)
+    _shut_down(target, announcer, renewal)
+    server.kill()
+
+
+def _shut_down(target, announcer, renewal):
+    """Drain, finish what is in flight within the bound, and leave."""
+    renewal.kill()
+    announcer.drain()
+    end = time.monotonic() + DRAIN_SECONDS
+    while target.in_flight and time.monotonic() < end:
+        eventlet.sleep(CANCELLATION_POLL_SECONDS)
+    announcer.leave()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/support/harness.py
@@ -0,0 +1,391 @@
+"""Run a whole mesh of real processes on loopback for a test."""
+
+import json
+import os
+import shutil
+import signal
+import socket
+import uuid
+
+import attrs
+import tomli_w
+import urllib3
+
+from examples import topology as plans
+from examples.launcher import Child, stop_all, wait_until
+from verbenanotch.catalog import NO_VERSION, Version
+from verbenanotch.cli._client import OperatorClient
+from verbenanotch.cli._status import collect, wait_in_force
+from verbenanotch.cli.commands.submit import submit_file
+
+SECRETS = plans.Secrets(
+    peer_key="peer-key-of-the-tests", operator_token="token-of-the-tests"
+)
+FIRST_OCTET = 16
+OCTETS = 200
+READY_SECONDS = 30.0
+CALL_TIMEOUT_SECONDS = 15.0
+SLOTS = 8
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """What a caller got; `outcome` is empty if the header is missing."""
+
+    status: int
+    outcome: str
+    request_id: str
+    retry_after: str
+    body: bytes
+
+    @property
+    def value(self):
+        """Return the body's JSON value."""
+        return json.loads(self.body)
+
+
+class Mesh:
+    """Processes of one mesh; use it as a context manager.
+
+    `folder` takes settings, data, logs and ledgers. `links` are pairs of
+    host names, dialling host first; `proxy_factory(address, port)` gives
+    the relay for one of them, with `address` and `port` to dial.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder,
+        zones=("z1",),
+        control_hosts_per_zone=3,
+        proxies_per_zone=2,
+        links=(),
+        relay_factory=None,
+        overrides=None,
+    ):
+        """Plan the hosts and write their settings; start nothing.
+
+        `overrides` maps a section name such as `control` to settings that
+        replace the planned ones on every host that has the section.
+        """
+        self.folder = folder
+        self.topology = plans.plan(
+            zones=zones,
+            control_hosts_per_zone=control_hosts_per_zone,
+            proxies_per_zone=proxies_per_zone,
+            second_octet=_free_octet(),
+        )
+        self.relays_by_link = {}
+        self._children_by_name = {}
+        self._targets_by_name = {}
+        self._next_port_by_proxy = {}
+        self._pool = urllib3.PoolManager(retries=False, maxsize=64)
+        for link in links:
+            self._place_relay(link, relay_factory)
+        for host in self.topology.hosts_by_name.values():
+            self._write_settings(host, overrides or {})
+        self.client = OperatorClient(
+            servers=self.topology.servers, token=SECRETS.operator_token
+        )
+
+    def __enter__(self):
+        """Start every host and wait until all are ready."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        """Stop every process that this mesh started."""
+        self.stop()
+
+    def start(self):
+        """Start all daemons; wait until they are ready."""
+        for host in self.topology.hosts_by_name.values():
+            self.start_host(host.name)
+        for host in self.topology.hosts_by_name.values():
+            self.wait_ready(host.name)
+
+    def start_host(self, name):
+        """Start one daemon without waiting."""
+        child = self._children_by_name.get(name)
+        if child is None:
+            child = Child(
+                name=name,
+                module="verbenanotch.cli.daemon",
+                arguments=["--settings", str(self.settings_path(name))],
+                log_path=self.folder / f"{name}.log",
+            )
+            self._children_by_name[name] = child
+        child.start()
+
+    def wait_ready(self, name):
+        """Wait until a control host is ready or a proxy accepts callers."""
+        host = self.topology.hosts_by_name[name]
+        if host.role == "control":
+            self.wait_until(
+                lambda: self._is_control_ready(host), what=f"ready {name}"
+            )
+        else:
+            self.wait_until(
+                lambda: _accepts(host.address, plans.CALLER_PORT),
+                what=f"listening {name}",
+            )
+
+    def wait_until(self, predicate, *, what, timeout_seconds=READY_SECONDS):
+        """Return the predicate's first true value, with logs on failure."""
+        return wait_until(
+            predicate,
+            timeout_seconds=timeout_seconds,
+            what=what,
+            explain=self.tails,
+        )
+
+    def tails(self):
+        """Return the ends of the logs of all processes."""
+        return "\n".join(
+            f"--- {child.name} "
+            f"{'alive' if child.is_alive else child.exit_code}\n{child.tail()}"
+            for child in self._all_children()
+        )
+
+    def child(self, name):
+        """Return the process of a host or a target by its name."""
+        return self._children_by_name.get(name) or self._targets_by_name[name]
+
+    def kill(self, name):
+        """End a process at once, as a crash would."""
+        self.child(name).kill()
+
+    def freeze(self, name):
+        """Stop a process without ending it."""
+        self.child(name).signal(signal.SIGSTOP)
+
+    def thaw(self, name):
+        """Let a frozen process go on."""
+        self.child(name).signal(signal.SIGCONT)
+
+    def terminate(self, name):
+        """Ask a process to shut down; do not wait."""
+        self.child(name).terminate()
+
+    def restart(self, name):
+        """Kill a process if it runs, start it and wait until it is ready."""
+        child = self.child(name)
+        if child.is_alive:
+            child.kill()
+        child.start()
+        if name in self.topology.hosts_by_name:
+            self.wait_ready(name)
+
+    def wipe_disk(self, name):
+        """Remove a control host's data, as a replaced disk would."""
+        shutil.rmtree(self.folder / f"{name}.data", ignore_errors=True)
+
+    def start_target(self, proxy_name, service, *, slots=SLOTS, **behaviour):
+        """Start a stand-in target beside a proxy; return its name."""
+        host = self.topology.hosts_by_name[proxy_name]
+        port = self._next_port_by_proxy.get(
+            proxy_name, plans.TARGET_SERVICE_PORT
+        )
+        self._next_port_by_proxy[proxy_name] = port + 1
+        name = f"{proxy_name}-{service}-{port}"
+        child = Child(
+            name=name,
+            module="tests.support.stand_in_target",
+            arguments=self._target_arguments(
+                host, name, service, port, slots, behaviour
+            ),
+            log_path=self.folder / f"{name}.log",
+        )
+        self._targets_by_name[name] = child
+        child.start()
+        self.wait_until(
+            lambda: _accepts(host.address, port), what=f"listening {name}"
+        )
+        return name
+
+    def control_target(self, name, **behaviour):
+        """Change the behaviour of a stand-in target."""
+        proxy_name, _, port = self._target_parts(name)
+        host = self.topology.hosts_by_name[proxy_name]
+        self._pool.request(
+            "POST",
+            f"http://{host.server(port)}/_control",
+            body=json.dumps(behaviour),
+            timeout=CALL_TIMEOUT_SECONDS,
+        )
+
+    def target_id(self, name):
+        """Return the id that a target announces."""
+        proxy_name, service, port = self._target_parts(name)
+        host = self.topology.hosts_by_name[proxy_name]
+        return f"{service}/{host.server(port)}"
+
+    def submit(
+        self, text, *, base=NO_VERSION, submission_id=None, operator="tester"
+    ):
+        """Submit a file's text or bytes; return the Reply."""
+        return submit_file(
+            self.client,
+            text=text.encode() if isinstance(text, str) else text,
+            submission_id=submission_id or uuid.uuid4().hex,
+            operator=operator,
+            base=base,
+        )
+
+    def accept(self, text, **options):
+        """Submit a file that must be accepted; wait until it is in force."""
+        reply = self.submit(text, **options)
+        assert reply.kind == "accepted", f"{reply}\n{self.tails()}"
+        version = Version.parse(reply.value["version"])
+        self.wait_in_force(version)
+        return version
+
+    def wait_in_force(self, version, *, timeout_seconds=READY_SECONDS):
+        """Wait until every proxy has acknowledged a version."""
+        return wait_in_force(
+            self.client, version, timeout_seconds=timeout_seconds
+        )
+
+    def status(self):
+        """Return the merged MeshStatus."""
+        return collect(self.client)
+
+    def call(
+        self,
+        method,
+        path,
+        *,
+        proxy,
+        key=None,
+        body=None,
+        request_id=None,
+        timeout_ms=None,
+        timeout_seconds=CALL_TIMEOUT_SECONDS,
+    ):
+        """Send a caller's request to a proxy; return its Answer."""
+        given = {
+            "Idempotency-Key": key,
+            "X-Request-Id": request_id,
+            "X-Request-Timeout-Ms": timeout_ms and str(timeout_ms),
+        }
+        host = self.topology.hosts_by_name[proxy]
+        response = self._pool.request(
+            method,
+            f"http://{host.server(plans.CALLER_PORT)}{path}",
+            body=body,
+            headers={name: value for name, value in given.items() if value},
+            timeout=timeout_seconds,
+        )
+        return Answer(
+            status=response.status,
+            outcome=response.headers.get("X-Verbenanotch-Outcome", ""),
+            request_id=response.headers.get("X-Request-Id", ""),
+            retry_after=response.headers.get("Retry-After", ""),
+            body=response.data,
+        )
+
+    def settings_path(self, name):
+        """Return the path of a host's settings file."""
+        return self.folder / f"{name}.toml"
+
+    def event_paths(self):
+        """Return the event files of all daemons."""
+        return sorted(self.folder.glob("*.events.jsonl"))
+
+    def stop(self):
+        """End every process that this mesh started, and its relays."""
+        stop_all(list(self._targets_by_name.values()))
+        stop_all(list(self._children_by_name.values()))
+        for relay in self.relays_by_link.values():
+            relay.stop()
+
+    def _all_children(self):
+        return [
+            *self._children_by_name.values(),
+            *self._targets_by_name.values(),
+        ]
+
+    def _place_relay(self, link, relay_factory):
+        from_name, to_name = link
+        from_host = self.topology.hosts_by_name[from_name]
+        to_host = self.topology.hosts_by_name[to_name]
+        self.relays_by_link[link] = relay_factory(
+            listen_address=from_host.address,
+            address=to_host.address,
+            port=plans.PEER_PORT,
+        )
+
+    def _write_settings(self, host, overrides):
+        peers_by_link = {
+            link: {"address": relay.listen_address, "peer_port": relay.port}
+            for link, relay in self.relays_by_link.items()
+        }
+        settings = plans.make_settings(
+            host,
+            self.topology,
+            secrets=SECRETS,
+            folder=str(self.folder),
+            peers_by_link=peers_by_link,
+        )
+        for section, values in overrides.items():
+            if section in settings:
+                settings[section] |= values
+        path = self.settings_path(host.name)
+        path.write_text(tomli_w.dumps(settings), encoding="utf-8")
+
+    def _is_control_ready(self, host):
+        try:
+            response = self._pool.request(
+                "GET",
+                f"http://{host.server(plans.OPERATOR_PORT)}/v1/ready",
+                timeout=2.0,
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return response.status == 200
+
+    def _target_arguments(self, host, name, service, port, slots, behaviour):
+        values_by_option = {
+            "service": service,
+            "address": host.address,
+            "port": port,
+            "proxy": host.server(plans.TARGET_PORT),
+            "mesh-entry": host.server(plans.CALLER_PORT),
+            "slots": slots,
+            "ledger": self.folder / f"{name}.ledger.jsonl",
+            "behaviour": json.dumps(behaviour),
+        }
+        return [f"--{key}={value}" for key, value in values_by_option.items()]
+
+    def _target_parts(self, name):
+        for proxy in self.topology.proxies:
+            if name.startswith(f"{proxy.name}-"):
+                rest = name.removeprefix(f"{proxy.name}-")
+                service, _, port = rest.rpartition("-")
+                return proxy.name, service, int(port)
+        raise KeyError(name)
+
+
+def _free_octet():
+    """Return a second octet whose addresses no other test run uses."""
+    for attempt in range(OCTETS):
+        octet = FIRST_OCTET + (os.getpid() + attempt) % OCTETS
+        with socket.socket() as sock:
+            try:
+                sock.bind((f"127.{octet}.1.1", plans.PEER_PORT))
+            except OSError:
+                continue
+            return octet
+    raise RuntimeError("no loopback network is free; end other test runs")
+
+
+def _accepts(address, port):
+    try:
+        socket.create_connection((address, port), 1.0).close()
+    except OSError:
+        return False
+    return True
--- /dev/null
+++ b/tests/support/ledger.py
@@ -0,0 +1,44 @@
+"""Read the ledgers of stand-in targets: what truly ran."""
+
+import collections
+import json
+import pathlib
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class LedgerEntry:
+    """One phase of one run: `started`, `finished` or `cancelled`."""
+
+    phase: str
+    target: str
+    time: float
+    request_id: str
+    key: str
+    method: str
+    path: str
+    body_sha256: str
+
+
+def read_ledgers(folder):
+    """Return the entries of every ledger in a folder, by time."""
+    entries = []
+    for path in sorted(pathlib.Path(folder).glob("*.ledger.jsonl")):
+        for line in path.read_text(encoding="utf-8").splitlines():
+            entries.append(LedgerEntry(**json.loads(line)))
+    return sorted(entries, key=lambda entry: entry.time)
+
+
+def runs_by_request_id(entries):
+    """Return how often each request was started."""
+    return collections.Counter(
+        entry.request_id for entry in entries if entry.phase == "started"
+    )
+
+
+def runs_by_key(entries):
+    """Return how often each idempotency key was started."""
+    return collections.Counter(
+        entry.key for entry in entries if entry.phase == "started"
+    )
