Add the remaining commands of the tool

The time line is sorted whole, not merged from sorted files: a file is out of order when the host's clock went back between two starts; the test for it writes such a file.

--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -17,6 +17,7 @@
 )
 from verbenanotch.documents import Invalid, Valid
 from verbenanotch.operator import OperatorInterface
+from verbenanotch.telemetry import configure
 
 TOKEN = "token-of-the-tests"
 
@@ -137,6 +138,7 @@
 @contextlib.contextmanager
 def serve_fake_host():
     """Serve an OperatorInterface over fakes on a free loopback port."""
+    configure(host="fake", level="error")
     versions = FakeVersions()
     control = FakeControl()
     interface = OperatorInterface(
--- /dev/null
+++ b/tests/unit/test_cli_timeline.py
@@ -0,0 +1,80 @@
+"""The merged time line of event files."""
+
+import json
+
+import pytest
+from click.testing import CliRunner
+
+from verbenanotch.cli.tool import main
+
+
+def write_events(path, *records):
+    lines = [
+        json.dumps(
+            {
+                "hlc": hlc << 16,
+                "host": path.name.split(".")[0],
+                "event": 8001,
+                "name": "submission-answered",
+                "level": "info",
+                **fields,
+            }
+        )
+        for hlc, fields in records
+    ]
+    path.write_text("\n".join(lines) + "\n")
+
+
+@pytest.fixture
+def folder(tmp_path):
+    write_events(
+        tmp_path / "a.events.jsonl",
+        (3, {"request": "r1"}),
+        (1, {"version": "1.2"}),
+    )
+    write_events(tmp_path / "b.events.jsonl", (2, {"request_id": "r1"}))
+    return tmp_path
+
+
+def read(*arguments):
+    result = CliRunner().invoke(main, [*map(str, arguments), "--json"])
+    return result.exit_code, json.loads(result.stdout)
+
+
+def test_merges_by_the_clock_whatever_the_order_in_a_file(folder):
+    _, value = read("timeline", folder)
+    assert [e["hlc"] >> 16 for e in value["entries"]] == [1, 2, 3]
+    assert [e["host"] for e in value["entries"]] == ["a", "b", "a"]
+
+
+@pytest.mark.parametrize(
+    ("filters", "count"),
+    [
+        (("--version", "1.2"), 1),
+        (("--request", "r1"), 2),
+        (("--host", "b"), 1),
+        (("--host", "b", "--version", "1.2"), 0),
+    ],
+)
+def test_filters(folder, filters, count):
+    _, value = read("timeline", folder, *filters)
+    assert len(value["entries"]) == count
+
+
+def test_a_line_cut_by_a_crash_is_counted_not_fatal(folder):
+    path = folder / "a.events.jsonl"
+    path.write_text(path.read_text() + '{"hlc": 12')
+    _, value = read("timeline", folder)
+    assert len(value["entries"]) == 3
+    assert value["skipped_by_path"] == {str(path): 1}
+
+
+def test_explains_a_request_over_hosts(folder):
+    code, value = read("explain", "r1", folder)
+    assert (code, value["hosts"]) == (0, ["b", "a"])
+    assert read("explain", "r9", folder)[0] == 1
+
+
+def test_missing_event_files_are_a_usage_fault(tmp_path):
+    assert read("timeline", tmp_path)[0] == 2
+    assert read("timeline", tmp_path / "none")[0] == 2
--- /dev/null
+++ b/verbenanotch/cli/commands/diff.py
@@ -0,0 +1,70 @@
+"""Compare versions, or a file with a version."""
+
+import difflib
+import sys
+
+import click
+
+from verbenanotch.cli import _options
+from verbenanotch.cli.commands.history import list_versions, show_version
+from verbenanotch.cli.commands.submit import parse_version, read_file
+from verbenanotch.cli.exceptions import FaultyInputError, ToolError
+
+
+def diff_texts(old, new, *, old_name, new_name):
+    """Return the unified difference of two texts, empty if equal."""
+    lines = difflib.unified_diff(
+        old.splitlines(), new.splitlines(), old_name, new_name, lineterm=""
+    )
+    return "\n".join(lines)
+
+
+def fetch_text(client, version):
+    """Return a version's text; raise ToolError if it is not known."""
+    reply = show_version(client, version)
+    if reply.exit_code:
+        raise ToolError(_options.describe_refusal(reply.value))
+    return reply.value["text"]
+
+
+def newest_version(client):
+    """Return the text form of the newest version; raise ToolError if none."""
+    versions = list_versions(client).value.get("versions", [])
+    if not versions:
+        raise ToolError("no version was accepted yet; submit a file first")
+    return versions[-1]["version"]
+
+
+def _read_side(client, side):
+    """Return a side's text: a version's, or a file's."""
+    try:
+        version = parse_version(side)
+    except FaultyInputError:
+        return read_file(side).decode("utf-8", errors="replace")
+    return fetch_text(client, version)
+
+
+@click.command("diff")
+@click.argument("new")
+@click.option("--base", default="", help="Version to compare with.")
+@_options.json_option
+@_options.reports_errors
+@_options.server_options
+def command(settings, client, new, base, as_json):
+    """Show how NEW, a file or a version, differs from the base.
+
+    The base is the newest version unless --base names another. Exits with 0
+    if they are equal and with 1 if they differ.
+    """
+    base = base or newest_version(client)
+    difference = diff_texts(
+        fetch_text(client, parse_version(base)),
+        _read_side(client, new),
+        old_name=base,
+        new_name=new,
+    )
+    if as_json:
+        _options.print_json({"base": base, "new": new, "diff": difference})
+    elif difference:
+        click.echo(difference)
+    sys.exit(1 if difference else 0)
--- /dev/null
+++ b/verbenanotch/cli/commands/history.py
@@ -0,0 +1,51 @@
+"""List the accepted versions."""
+
+import datetime
+
+import click
+
+from verbenanotch.cli import _options
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+def list_versions(client):
+    """Return the Reply with the versions, the oldest first."""
+    return client.request("GET", "/v1/versions")
+
+
+def show_version(client, version):
+    """Return the Reply with one version and its text."""
+    return client.request("GET", f"/v1/versions/{version}")
+
+
+def describe(value):
+    """Return one line for each version."""
+    lines = [
+        f"{entry['version']}  {_format_time(entry['submitted_at_ms'])}  "
+        f"{entry['operator']}  {entry['mesh']}  {entry['submission_id']}"
+        for entry in value["versions"]
+    ]
+    return "\n".join(lines) or "no version was accepted yet"
+
+
+def _format_time(milliseconds):
+    moment = datetime.datetime.fromtimestamp(
+        milliseconds / MILLISECONDS_PER_SECOND, tz=datetime.UTC
+    )
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+@click.command("history")
+@click.option("--text", "version", default="", help="Print this version.")
+@_options.json_option
+@_options.reports_errors
+@_options.server_options
+def command(settings, client, version, as_json):
+    """List the accepted versions, or print the text of one."""
+    if version:
+        reply = show_version(client, version)
+        _options.finish(
+            reply, as_json=as_json, describe=lambda value: value["text"]
+        )
+    _options.finish(list_versions(client), as_json=as_json, describe=describe)
--- /dev/null
+++ b/verbenanotch/cli/commands/rollback.py
@@ -0,0 +1,73 @@
+"""Make a new version with the text of an old one."""
+
+import json
+import uuid
+
+import click
+
+from verbenanotch.cli import _options
+from verbenanotch.cli.commands.submit import (
+    DEFAULT_WAIT_SECONDS,
+    finish_submission,
+    parse_version,
+    submission_headers,
+)
+from verbenanotch.cli.exceptions import UnknownOutcomeError
+
+
+def roll_back(client, *, to, submission_id, operator, base):
+    """Return the Reply to one rollback."""
+    headers = submission_headers(
+        submission_id=submission_id, operator=operator, base=base
+    )
+    return client.request(
+        "POST",
+        "/v1/rollbacks",
+        headers=headers | {"Content-Type": "application/json"},
+        body=json.dumps({"to": str(to)}),
+    )
+
+
+@click.command("rollback")
+@click.argument("version")
+@click.option(
+    "--base",
+    required=True,
+    help="The newest version, which the rollback replaces.",
+)
+@click.option("--submission-id", default="", help="Id of an earlier try.")
+@click.option("--wait", is_flag=True, help="Wait until it is in force.")
+@click.option(
+    "--timeout", default=DEFAULT_WAIT_SECONDS, help="Seconds to wait."
+)
+@_options.json_option
+@_options.reports_errors
+@_options.server_options
+def command(
+    settings, client, version, base, submission_id, wait, timeout, as_json
+):
+    """Accept the text of VERSION again as a new, greater version.
+
+    Exits as `submit` does.
+    """
+    submission_id = submission_id or uuid.uuid4().hex
+    try:
+        reply = roll_back(
+            client,
+            to=parse_version(version),
+            submission_id=submission_id,
+            operator=settings.operator,
+            base=parse_version(base),
+        )
+    except UnknownOutcomeError as error:
+        raise UnknownOutcomeError(
+            f"{error} The submission id is {submission_id}"
+        ) from error
+    finish_submission(
+        reply,
+        submission_id=submission_id,
+        as_json=as_json,
+        client=client,
+        wait=wait,
+        timeout=timeout,
+    )
--- a/verbenanotch/cli/tool.py
+++ b/verbenanotch/cli/tool.py
@@ -1,10 +1,42 @@
 """Entry point of the command-line tool, `verbenanotch`."""
 
-import click
-
-from verbenanotch.cli.commands import status, submit
-
-COMMANDS = (submit, status)
+import os
+import warnings
+
+# The catalogue of events imports packages that stand on the loop; the tool
+# itself runs no loop, and addresses are IP numbers.
+os.environ["EVENTLET_NO_GREENDNS"] = "yes"
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import click  # noqa: E402
+
+from verbenanotch.cli.commands import (  # noqa: E402
+    check,
+    diff,
+    drain,
+    events,
+    explain,
+    history,
+    rollback,
+    status,
+    submit,
+    targets,
+    timeline,
+)
+
+COMMANDS = (
+    check,
+    submit,
+    diff,
+    history,
+    rollback,
+    status,
+    targets,
+    drain,
+    explain,
+    timeline,
+    events,
+)
 
 
 @click.group()
