Add the fault proxy and read the status as the control host gives it

Per link: delay, cuts of one or both directions that swallow bytes while the connections stay, freeze, reset, truncation and reordering by connection. A reset is told from an orderly end by a failing send, because the loop's sockets give both as the end of the stream on reading.

--- /dev/null
+++ b/tests/unit/test_support_faults.py
@@ -0,0 +1,131 @@
+"""Each fault of the fault proxy, against an echo server."""
+
+import contextlib
+import socket
+
+import eventlet
+import pytest
+
+from tests.support.fault_proxy import FaultProxy
+
+SECONDS = 5.0
+SILENCE_SECONDS = 0.2
+
+
+@pytest.fixture
+def relay():
+    listener = eventlet.listen(("127.0.0.1", 0))
+    server = eventlet.spawn(eventlet.serve, listener, echo)
+    address, port = listener.getsockname()
+    proxy = FaultProxy(listen_address="127.0.0.1", address=address, port=port)
+    yield proxy
+    proxy.stop()
+    server.kill()
+    listener.close()
+
+
+def echo(sock, _):
+    with contextlib.suppress(OSError):
+        while data := sock.recv(4096):
+            sock.sendall(data)
+
+
+@pytest.fixture
+def dial(relay):
+    with contextlib.ExitStack() as stack:
+        yield lambda: stack.enter_context(
+            socket.create_connection(("127.0.0.1", relay.port), SECONDS)
+        )
+
+
+def exchange(sock, data):
+    sock.sendall(data)
+    return sock.recv(4096)
+
+
+def assert_silent(sock, data):
+    sock.settimeout(SILENCE_SECONDS)
+    with pytest.raises(TimeoutError):
+        exchange(sock, data)
+    sock.settimeout(SECONDS)
+
+
+def test_relays_and_passes_the_end_on(dial):
+    sock = dial()
+    assert exchange(sock, b"hello") == b"hello"
+    sock.shutdown(socket.SHUT_WR)
+    assert sock.recv(1) == b""
+
+
+def assert_reset(sock):
+    """Tell a reset from an orderly end, after which one send succeeds."""
+    assert sock.recv(1) == b""
+    with pytest.raises(BrokenPipeError):
+        sock.sendall(b"x")
+
+
+@pytest.mark.parametrize("direction", ["cut_forward", "cut_backward"])
+def test_a_cut_swallows_and_healing_without_reset_goes_on(
+    relay, dial, direction
+):
+    sock = dial()
+    exchange(sock, b"a")
+    relay.set(**{direction: True})
+    assert_silent(sock, b"lost")
+    assert relay.swallowed_bytes == 4
+    relay.heal(reset=False)
+    assert exchange(sock, b"again") == b"again"
+
+
+def test_new_connections_vanish_in_a_cut(relay, dial):
+    relay.cut()
+    assert_silent(dial(), b"lost")
+    relay.heal()
+    assert exchange(dial(), b"new") == b"new"
+
+
+def test_a_freeze_holds_the_bytes(relay, dial):
+    sock = dial()
+    relay.set(frozen=True)
+    assert_silent(sock, b"held")
+    relay.set()
+    assert sock.recv(4096) == b"held"
+
+
+def test_a_reset_is_seen_as_one(relay, dial):
+    sock = dial()
+    exchange(sock, b"a")
+    relay.reset()
+    assert_reset(sock)
+
+
+def test_a_stream_is_truncated_after_so_many_bytes(relay, dial):
+    relay.set(truncate_after_bytes=3)
+    sock = dial()
+    assert exchange(sock, b"hello") == b"hel"
+    assert sock.recv(4096) == b""
+
+
+def test_connections_overtake_each_other(relay, dial):
+    relay.set(reorder_seconds=0.5)
+    socks = [dial() for _ in range(6)]
+    order = []
+
+    def ask(number):
+        socks[number].sendall(b"x")
+        socks[number].recv(1)
+        order.append(number)
+
+    threads = [eventlet.spawn(ask, number) for number in range(6)]
+    for thread in threads:
+        thread.wait()
+    assert sorted(order) == list(range(6))
+    assert order != list(range(6))
+
+
+def test_a_refused_destination_resets_the_dialler():
+    proxy = FaultProxy(listen_address="127.0.0.1", address="127.0.0.1", port=1)
+    sock = socket.create_connection(("127.0.0.1", proxy.port), SECONDS)
+    with sock:
+        assert_reset(sock)
+    proxy.stop()
--- a/verbenanotch/cli/_status.py
+++ b/verbenanotch/cli/_status.py
@@ -21,33 +21,25 @@
     kind = "not-in-force"
 
 
-@attrs.frozen(kw_only=True)
-class ProxyStatus:
-    """A proxy's last acknowledged version, as its zone knows it."""
-
-    name: str
-    availability_zone: str
-    version: Version
-
-
 @attrs.frozen(kw_only=True)
 class MeshStatus:
     """What all control hosts that answered say together.
 
+    `versions_by_proxy` are the last acknowledged versions.
     `unreachable_by_server` holds the reasons of those that did not answer;
     proxies that only they know are missing.
     """
 
     replicas_by_server: dict[str, dict]
-    proxies_by_name: dict[str, ProxyStatus]
+    versions_by_proxy: dict[str, Version]
     unreachable_by_server: dict[str, str]
 
     def lagging(self, version):
         """Return the names of known proxies that hold an older version."""
         return sorted(
             name
-            for name, proxy in self.proxies_by_name.items()
-            if proxy.version < version
+            for name, held in self.versions_by_proxy.items()
+            if held < version
         )
 
 
@@ -57,13 +49,13 @@
     Raises UnavailableError if none answers.
     """
     replicas_by_server = {}
-    proxies_by_name = {}
+    versions_by_proxy = {}
     unreachable_by_server = {}
     for server in client.servers:
         match client.ask(server, "GET", "/v1/status"):
             case Reply(status=200, value=value):
-                replicas_by_server[server] = value.get("replica", {})
-                _merge(proxies_by_name, value.get("proxies", []))
+                replicas_by_server[server] = _read_replica(value)
+                _merge(versions_by_proxy, value.get("proxies", {}))
             case Reply(value=value):
                 reason = value.get("reason", "refused")
                 unreachable_by_server[server] = reason
@@ -76,7 +68,7 @@
         )
     return MeshStatus(
         replicas_by_server=replicas_by_server,
-        proxies_by_name=proxies_by_name,
+        versions_by_proxy=versions_by_proxy,
         unreachable_by_server=unreachable_by_server,
     )
 
@@ -90,7 +82,7 @@
     end = time.monotonic() + timeout_seconds
     while True:
         status = collect(client)
-        in_force = status.proxies_by_name and not status.lagging(version)
+        in_force = status.versions_by_proxy and not status.lagging(version)
         if in_force and not status.unreachable_by_server:
             return status
         if time.monotonic() >= end:
@@ -98,21 +90,25 @@
         time.sleep(POLL_SECONDS)
 
 
-def _merge(proxies_by_name, entries):
-    for entry in entries:
-        proxy = ProxyStatus(
-            name=entry["name"],
-            availability_zone=entry.get("availability_zone", ""),
-            version=Version.parse(entry.get("version") or str(NO_VERSION)),
-        )
-        known = proxies_by_name.get(proxy.name)
-        if known is None or known.version < proxy.version:
-            proxies_by_name[proxy.name] = proxy
+def _read_replica(value):
+    """Return a replica's state with the version that it holds."""
+    replica = dict(value.get("replica") or {})
+    if value.get("version"):
+        replica["version"] = value["version"]
+    return replica
+
+
+def _merge(versions_by_proxy, versions_by_name):
+    """Keep the greatest version that any control host has of each proxy."""
+    for name, text in versions_by_name.items():
+        version = Version.parse(text) if text else NO_VERSION
+        known = versions_by_proxy.get(name, version)
+        versions_by_proxy[name] = max(known, version)
 
 
 def _not_in_force(status, version):
     lagging = status.lagging(version)
-    if lagging or not status.proxies_by_name:
+    if lagging or not status.versions_by_proxy:
         names = ", ".join(lagging) or "no proxy is known"
         return NotInForceError(
             f"version {version} is not in force; behind: {names}. "
--- a/verbenanotch/cli/commands/status.py
+++ b/verbenanotch/cli/commands/status.py
@@ -15,14 +15,10 @@
     return {
         "newest": newest and str(newest),
         "replicas_by_server": status.replicas_by_server,
-        "proxies": [
-            {
-                "name": proxy.name,
-                "availability_zone": proxy.availability_zone,
-                "version": str(proxy.version),
-            }
-            for _, proxy in sorted(status.proxies_by_name.items())
-        ],
+        "versions_by_proxy": {
+            name: str(version)
+            for name, version in sorted(status.versions_by_proxy.items())
+        },
         "lagging": status.lagging(newest) if newest else [],
         "unreachable_by_server": status.unreachable_by_server,
     }
@@ -30,7 +26,7 @@
 
 def newest_version(status):
     """Return the newest version that a replica or a proxy holds."""
-    versions = [proxy.version for proxy in status.proxies_by_name.values()]
+    versions = list(status.versions_by_proxy.values())
     for replica in status.replicas_by_server.values():
         if replica.get("version"):
             versions.append(parse_version(replica["version"]))
@@ -47,12 +43,9 @@
         lines.append(f"control host {server}: {details}")
     for server, reason in value["unreachable_by_server"].items():
         lines.append(f"control host {server}: no answer ({reason})")
-    for proxy in value["proxies"]:
-        behind = " (behind)" if proxy["name"] in value["lagging"] else ""
-        lines.append(
-            f"proxy {proxy['name']} in {proxy['availability_zone']}: "
-            f"{proxy['version']}{behind}"
-        )
+    for name, version in value["versions_by_proxy"].items():
+        behind = " (behind)" if name in value["lagging"] else ""
+        lines.append(f"proxy {name}: {version}{behind}")
     return "\n".join(lines)
 
 
