--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -17,6 +17,7 @@
 )
 from verbenanotch.documents import Invalid, Valid
 from verbenanotch.operator import OperatorInterface
+from verbenanotch.telemetry import configure
 
 TOKEN = "token-of-the-tests"
 
@@ -103,10 +104,7 @@
         """Return the replica and its proxies."""
         return {
             "replica": {"name": "z1-c1", "role": "leader"},
-            "proxies": [
-                {"name": name, "availability_zone": "z1", "version": version}
-                for name, version in self.versions_by_proxy.items()
-            ],
+            "proxies": dict(self.versions_by_proxy),
         }
 
     def targets(self):
@@ -137,6 +135,7 @@
 @contextlib.contextmanager
 def serve_fake_host():
     """Serve an OperatorInterface over fakes on a free loopback port."""
+    configure(host="fake", level="error")
     versions = FakeVersions()
     control = FakeControl()
     interface = OperatorInterface(
