Add the replicated log and the versions on it

Accepted versions need a quorum log that is the project's own.

A member is a host and the identity of its disk, so an emptied data folder makes another member whose votes and acknowledgements do not count. Joint configurations were ruled out: one change at a time is enough for replacing a host and is easier to reason about.

--- /dev/null
+++ b/tests/support/replicas.py
@@ -0,0 +1,169 @@
+"""Replicas of one process that talk over real connections, for tests."""
+
+import random
+import time
+
+import eventlet
+
+from verbenanotch import conf, wire
+from verbenanotch.catalog import Submission, Versions, VersionService
+from verbenanotch.replication import Replica
+
+KEY = "0123456789abcdef"
+MESH = 'name = "m{}"\n[services.a]\n[routes.r]\nprefix = "/"\nservice = "a"\n'
+
+
+def wait_for(condition, seconds=15.0):
+    """Block until the condition holds; fail loudly if it never does."""
+    deadline = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < deadline, "condition never held"
+        eventlet.sleep(0.01)
+
+
+def free_port():
+    """Return a port that was free a moment ago."""
+    sock = eventlet.listen(("127.0.0.1", 0))
+    port = sock.getsockname()[1]
+    sock.close()
+    return port
+
+
+class Host:
+    """One control host: listener, replica, versions."""
+
+    def __init__(self, *, settings, files=None):
+        """Start on the settings' port and data folder."""
+        self.name = settings.host.name
+        self.settings = settings
+        self.versions = Versions()
+        self.replica = Replica(
+            settings=settings,
+            state_machine=self.versions,
+            random=random.Random(settings.host.name),
+            files=files,
+        )
+        self.service = VersionService(
+            replica=self.replica, versions=self.versions
+        )
+        self.replica.start()
+        self.listener = wire.Listener(
+            address=settings.host.address,
+            port=settings.host.peer_port,
+            key=KEY.encode(),
+            name=self.name,
+            handlers_by_purpose={
+                wire.Purpose.REPLICATION: self.replica.handle
+            },
+        )
+        self.listener.start()
+
+    def stop(self):
+        """End without any goodbye."""
+        self.listener.stop()
+        self.replica.stop()
+
+    def submit(self, number, *, base=None, submission_id=None, timeout=10.0):
+        """Submit the mesh with a number in its name."""
+        if base is None:
+            base = self.versions.current_version
+        submission = Submission(
+            submission_id=submission_id or f"s{number}",
+            operator=self.name,
+            text=MESH.format(number).encode(),
+            base=base,
+        )
+        return self.service.submit(
+            submission=submission, timeout_seconds=timeout
+        )
+
+
+class Cluster:
+    """Control hosts by name, in folders of one path."""
+
+    def __init__(self, *, path, voters, learners=(), **control):
+        """Plan the hosts; `control` overrides settings."""
+        self.path = path
+        self.hosts_by_name = {}
+        self.control = {
+            "election_timeout_ms": 300,
+            "heartbeat_ms": 50,
+            **control,
+        }
+        names = (*voters, *learners)
+        self.ports_by_name = {name: free_port() for name in names}
+        # Where a host dials a peer: (dialler, peer) -> port of a relay.
+        self.relay_ports = {}
+        self.voter_names = voters
+
+    def settings(self, name):
+        """Return the settings of one host."""
+        peers = {
+            peer: conf.Voter(
+                address="127.0.0.1",
+                peer_port=self.relay_ports.get((name, peer), port),
+            )
+            for peer, port in self.ports_by_name.items()
+        }
+        voters = {peer: peers[peer] for peer in self.voter_names}
+        return conf.Settings(
+            host=conf.HostSettings(
+                name=name,
+                role="control",
+                availability_zone="zone-a",
+                address="127.0.0.1",
+                peer_port=self.ports_by_name[name],
+                peer_key=KEY,
+            ),
+            control=conf.ControlSettings(
+                data_folder=str(self.path / name),
+                operator_port=1,
+                operator_token="token",
+                voters_by_name=voters,
+                control_hosts_by_name=peers,
+                **self.control,
+            ),
+        )
+
+    def start(self, *names, files=None):
+        """Start hosts, all that are planned by default."""
+        for name in names or self.ports_by_name:
+            self.hosts_by_name[name] = Host(
+                settings=self.settings(name), files=files
+            )
+
+    def stop(self, *names):
+        """Stop hosts, all that run by default."""
+        for name in names or list(self.hosts_by_name):
+            self.hosts_by_name.pop(name).stop()
+
+    def leader(self):
+        """Return the host that leads, waiting for one."""
+        found = []
+
+        def one_leads():
+            found[:] = [
+                host
+                for host in self.hosts_by_name.values()
+                if host.replica.status().role == "leader"
+            ]
+            return len(found) == 1
+
+        wait_for(one_leads)
+        return found[0]
+
+    def followers(self):
+        """Return the other hosts."""
+        leader = self.leader()
+        return [
+            host for host in self.hosts_by_name.values() if host is not leader
+        ]
+
+    def agree(self, version):
+        """Wait until every host has this version."""
+        wait_for(
+            lambda: all(
+                host.versions.current_version == version
+                for host in self.hosts_by_name.values()
+            )
+        )
--- a/verbenanotch/catalog/__init__.py
+++ b/verbenanotch/catalog/__init__.py
@@ -10,6 +10,8 @@
     Unknown,
 )
 from verbenanotch.catalog._version import NO_VERSION, Version
+from verbenanotch.catalog._version_service import VersionService
+from verbenanotch.catalog._versions import VersionRecord, Versions
 
 __all__ = [
     "NO_VERSION",
@@ -23,5 +25,8 @@
     "Unavailable",
     "Unknown",
     "Version",
+    "VersionRecord",
+    "VersionService",
+    "Versions",
     "parse_mesh",
 ]
--- /dev/null
+++ b/verbenanotch/catalog/_version_service.py
@@ -0,0 +1,82 @@
+"""Submissions of operators, decided by the replicated log."""
+
+import attrs
+
+from verbenanotch.catalog._submission import (
+    Rejected,
+    Submission,
+    Unavailable,
+    Unknown,
+)
+from verbenanotch.catalog._versions import (
+    decode_outcome,
+    encode_submission,
+)
+from verbenanotch.documents import Invalid, Problem
+from verbenanotch.replication import _outcomes
+
+
+@attrs.frozen(kw_only=True)
+class VersionService:
+    """Submit and roll back on any control host.
+
+    `replica` has `propose`; `versions` is the Versions that it applies to.
+    """
+
+    replica: object
+    versions: object
+
+    def submit(self, *, submission, timeout_seconds=5.0):
+        """Return Accepted, Conflict, Rejected, Unavailable or Unknown.
+
+        The same submission id gets the same answer again.
+        """
+        answer = self.versions.first_answer(submission)
+        if answer is not None:
+            return answer
+        result = self.versions.check(submission.text)
+        if isinstance(result, Invalid):
+            return Rejected(problems=result.problems)
+        outcome = self.replica.propose(
+            command=encode_submission(submission),
+            timeout_seconds=timeout_seconds,
+        )
+        match outcome:
+            case _outcomes.Committed(result=result):
+                return decode_outcome(result)
+            case _outcomes.Unavailable(reason=reason):
+                return Unavailable(reason=reason)
+            case _outcomes.Unknown(reason=reason):
+                return Unknown(reason=reason)
+
+    def rollback(
+        self,
+        *,
+        submission_id,
+        operator,
+        to,
+        base,
+        submitted_at_ms=0,
+        timeout_seconds=5.0,
+    ):
+        """Submit the text of version `to` as a new, greater version."""
+        record = self.versions.records_by_version.get(to)
+        if record is None:
+            problem = Problem(
+                key="to",
+                line=0,
+                text=f"version {to} is not in the history",
+                remedy="Choose a version that `history` lists.",
+            )
+            return Rejected(problems=(problem,))
+        submission = Submission(
+            submission_id=submission_id,
+            operator=operator,
+            text=record.text,
+            base=base,
+            rollback_to=to,
+            submitted_at_ms=submitted_at_ms,
+        )
+        return self.submit(
+            submission=submission, timeout_seconds=timeout_seconds
+        )
--- /dev/null
+++ b/verbenanotch/catalog/_versions.py
@@ -0,0 +1,312 @@
+"""The accepted versions: a state machine on the replicated log.
+
+Bounds: `MAX_RECORDS` versions of history, fewer when their compressed texts
+are over `MAX_HISTORY_BYTES` (never below one), and `MAX_ANSWERS` submission
+ids. A submission id that was resent after so many others is taken as new;
+its base is then behind, so it ends in a conflict and is not applied twice.
+"""
+
+import collections
+import functools
+import hashlib
+import zlib
+
+import attrs
+import msgpack
+
+from verbenanotch.catalog import events
+from verbenanotch.catalog._mesh import parse_mesh
+from verbenanotch.catalog._submission import (
+    Accepted,
+    Conflict,
+    Rejected,
+    Submission,
+)
+from verbenanotch.catalog._version import NO_VERSION, Version
+from verbenanotch.documents import Invalid, Problem
+from verbenanotch.telemetry import emit
+
+MAX_RECORDS = 1024
+MAX_HISTORY_BYTES = 64 * 1024 * 1024
+MAX_ANSWERS = 4096
+DIGEST_BYTES = 16
+SNAPSHOT_FORMAT = 1
+
+
+@attrs.frozen(kw_only=True)
+class VersionRecord:
+    """One accepted version; `rollback_to` is NO_VERSION if it is none."""
+
+    version: Version
+    packed_text: bytes = attrs.field(repr=False)
+    operator: str
+    submission_id: str
+    submitted_at_ms: int
+    rollback_to: Version = NO_VERSION
+
+    @property
+    def text(self):
+        """Return the bytes of the operator's file."""
+        return zlib.decompress(self.packed_text)
+
+    @functools.cached_property
+    def mesh(self):
+        """Return the Mesh of the text."""
+        return parse_mesh(self.text).value
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """The first answer to a submission id, and for which content."""
+
+    digest: bytes
+    result: bytes
+
+
+class Versions:
+    """The accepted versions, in the order of the log."""
+
+    def __init__(self):
+        """Begin without any version."""
+        self.records_by_version = {}
+        self._answers_by_id = collections.OrderedDict()
+        self._history_bytes = 0
+        self._callbacks = []
+        self._checked = (b"", None)
+
+    @property
+    def current(self):
+        """Return the newest VersionRecord, or None."""
+        if not self.records_by_version:
+            return None
+        return next(reversed(self.records_by_version.values()))
+
+    @property
+    def current_version(self):
+        """Return the newest version, or NO_VERSION."""
+        record = self.current
+        return record.version if record else NO_VERSION
+
+    def on_change(self, callback):
+        """Call `callback(record)` after each accepted version or restore.
+
+        It runs within the replica's step and must not block.
+        """
+        self._callbacks.append(callback)
+
+    def first_answer(self, submission):
+        """Return the outcome that its id got before, or None."""
+        answer = self._answers_by_id.get(submission.submission_id)
+        if answer is None:
+            return None
+        if answer.digest != digest_of(submission):
+            return _rejected(
+                "submission_id",
+                "the id was used before for another file",
+                "Submit with a new submission id.",
+            )
+        return decode_outcome(answer.result)
+
+    def check(self, text):
+        """Return the result of `parse_mesh`; the last one is kept."""
+        digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
+        if self._checked[0] != digest:
+            self._checked = (digest, parse_mesh(text))
+        return self._checked[1]
+
+    def apply(self, version, command):
+        """Decide on one committed submission; return the encoded outcome."""
+        submission = decode_submission(command)
+        outcome = self.first_answer(submission)
+        if outcome is not None:
+            return encode_outcome(outcome)
+        outcome = self._decide(version, submission)
+        result = encode_outcome(outcome)
+        self._remember(submission, result)
+        if isinstance(outcome, Accepted):
+            self._accept(version, submission)
+        return result
+
+    def snapshot(self):
+        """Return the whole state as bytes."""
+        records = [
+            _record_to_plain(record)
+            for record in self.records_by_version.values()
+        ]
+        answers = [
+            [submission_id, answer.digest, answer.result]
+            for submission_id, answer in self._answers_by_id.items()
+        ]
+        return msgpack.packb([SNAPSHOT_FORMAT, records, answers])
+
+    def restore(self, data):
+        """Replace the whole state by that of a snapshot."""
+        _, records, answers = msgpack.unpackb(data)
+        self.records_by_version.clear()
+        self._history_bytes = 0
+        for values in records:
+            self._keep(_record_from_plain(values))
+        self._answers_by_id = collections.OrderedDict(
+            (submission_id, Answer(digest=digest, result=result))
+            for submission_id, digest, result in answers
+        )
+        self._announce()
+
+    def _decide(self, version, submission):
+        current = self.current
+        if submission.base != self.current_version:
+            return Conflict(
+                winner=self.current_version,
+                winner_operator=current.operator if current else "",
+            )
+        result = self.check(submission.text)
+        if isinstance(result, Invalid):
+            return Rejected(problems=result.problems)
+        return Accepted(version=version)
+
+    def _accept(self, version, submission):
+        record = VersionRecord(
+            version=version,
+            packed_text=zlib.compress(submission.text),
+            operator=submission.operator,
+            submission_id=submission.submission_id,
+            submitted_at_ms=submission.submitted_at_ms,
+            rollback_to=submission.rollback_to,
+        )
+        self._keep(record)
+        emit(
+            events.VERSION_ACCEPTED,
+            version=str(version),
+            operator=submission.operator,
+            submission=submission.submission_id,
+        )
+        self._announce()
+
+    def _keep(self, record):
+        self.records_by_version[record.version] = record
+        self._history_bytes += len(record.packed_text)
+        while len(self.records_by_version) > 1 and (
+            len(self.records_by_version) > MAX_RECORDS
+            or self._history_bytes > MAX_HISTORY_BYTES
+        ):
+            oldest = next(iter(self.records_by_version))
+            dropped = self.records_by_version.pop(oldest)
+            self._history_bytes -= len(dropped.packed_text)
+
+    def _remember(self, submission, result):
+        self._answers_by_id[submission.submission_id] = Answer(
+            digest=digest_of(submission), result=result
+        )
+        if len(self._answers_by_id) > MAX_ANSWERS:
+            self._answers_by_id.popitem(last=False)
+
+    def _announce(self):
+        record = self.current
+        if record is None:
+            return
+        for callback in self._callbacks:
+            callback(record)
+
+
+def digest_of(submission):
+    """Return what must be the same when a submission is sent again.
+
+    The base is left out: a client may have learned of its own version
+    since.
+    """
+    digest = hashlib.blake2b(submission.text, digest_size=DIGEST_BYTES)
+    digest.update(str(submission.rollback_to).encode())
+    return digest.digest()
+
+
+def encode_submission(submission):
+    """Return the command that the log carries."""
+    return msgpack.packb(
+        [
+            submission.submission_id,
+            submission.operator,
+            zlib.compress(submission.text),
+            str(submission.base),
+            str(submission.rollback_to),
+            submission.submitted_at_ms,
+        ]
+    )
+
+
+def decode_submission(command):
+    """Return the Submission of a command."""
+    values = msgpack.unpackb(command)
+    submission_id, operator, packed, base, rollback_to, submitted = values
+    return Submission(
+        submission_id=submission_id,
+        operator=operator,
+        text=zlib.decompress(packed),
+        base=Version.parse(base),
+        rollback_to=Version.parse(rollback_to),
+        submitted_at_ms=submitted,
+    )
+
+
+def encode_outcome(outcome):
+    """Return the bytes of Accepted, Conflict or Rejected."""
+    match outcome:
+        case Accepted(version=version):
+            values = ["accepted", str(version)]
+        case Conflict(winner=winner, winner_operator=operator):
+            values = ["conflict", str(winner), operator]
+        case Rejected(problems=problems):
+            values = ["rejected", [_problem_to_plain(p) for p in problems]]
+    return msgpack.packb(values)
+
+
+def decode_outcome(data):
+    """Return the outcome of `encode_outcome`'s bytes."""
+    match msgpack.unpackb(data):
+        case ["accepted", version]:
+            return Accepted(version=Version.parse(version))
+        case ["conflict", winner, operator]:
+            return Conflict(
+                winner=Version.parse(winner), winner_operator=operator
+            )
+        case ["rejected", problems]:
+            return Rejected(
+                problems=tuple(_problem_from_plain(p) for p in problems)
+            )
+    raise ValueError("unknown outcome; run the same release on every host")
+
+
+def _rejected(key, text, remedy):
+    problem = Problem(key=key, line=0, text=text, remedy=remedy)
+    return Rejected(problems=(problem,))
+
+
+def _problem_to_plain(problem):
+    return [problem.key, problem.line, problem.text, problem.remedy]
+
+
+def _problem_from_plain(values):
+    key, line, text, remedy = values
+    return Problem(key=key, line=line, text=text, remedy=remedy)
+
+
+def _record_to_plain(record):
+    return [
+        str(record.version),
+        record.packed_text,
+        record.operator,
+        record.submission_id,
+        record.submitted_at_ms,
+        str(record.rollback_to),
+    ]
+
+
+def _record_from_plain(values):
+    version, packed, operator, submission_id, submitted, rollback_to = values
+    return VersionRecord(
+        version=Version.parse(version),
+        packed_text=packed,
+        operator=operator,
+        submission_id=submission_id,
+        submitted_at_ms=submitted,
+        rollback_to=Version.parse(rollback_to),
+    )
--- /dev/null
+++ b/verbenanotch/replication/__init__.py
@@ -0,0 +1,37 @@
+"""The replicated log of accepted versions: Raft, written for this project."""
+
+from verbenanotch.replication._outcomes import (
+    Committed,
+    ReadConfirmed,
+    ReadUnavailable,
+    ReplicaStatus,
+    Unavailable,
+    Unknown,
+)
+from verbenanotch.replication._replica import Replica
+from verbenanotch.replication.exceptions import (
+    DamagedFileError,
+    DiskFailedError,
+    ForeignFolderError,
+    LogConflictError,
+    MissingFileError,
+    ReplicationError,
+    StorageError,
+)
+
+__all__ = [
+    "Committed",
+    "DamagedFileError",
+    "DiskFailedError",
+    "ForeignFolderError",
+    "LogConflictError",
+    "MissingFileError",
+    "ReadConfirmed",
+    "ReadUnavailable",
+    "Replica",
+    "ReplicaStatus",
+    "ReplicationError",
+    "StorageError",
+    "Unavailable",
+    "Unknown",
+]
--- /dev/null
+++ b/verbenanotch/replication/_leader.py
@@ -0,0 +1,308 @@
+"""The actions of a leader; a part of the decision core."""
+
+from verbenanotch.replication._effects import (
+    ChunkRequest,
+    Outgoing,
+    ReadResult,
+)
+from verbenanotch.replication._entries import (
+    Entry,
+    EntryKind,
+    encode_configuration,
+)
+from verbenanotch.replication._leadership import Leadership, PendingRead
+from verbenanotch.replication._messages import Append, SnapshotReply
+from verbenanotch.replication._roles import NOBODY, Role
+
+MAX_APPEND_BYTES = 1024 * 1024
+LEARNER_PATIENCE_TIMEOUTS = 10
+
+
+class LeaderActions:
+    """Replicate, commit, confirm reads and change voters.
+
+    Mixed into the core, which holds the state.
+    """
+
+    def propose(self, kind, data, now):
+        """Append an entry as the leader; return it, or None on others."""
+        if self.role != Role.LEADER:
+            return None
+        entry = Entry(
+            term=self.term,
+            index=self.log.last_index + 1,
+            kind=int(kind),
+            data=data,
+        )
+        self.log.append(entry)
+        self._effects.entries.append(entry)
+        self._replicate(now)
+        return entry
+
+    def request_read(self, token, now):
+        """Begin to confirm the commit index; the result is an effect."""
+        if self.role != Role.LEADER:
+            self._effects.reads.append(ReadResult(token=token, index=None))
+        elif self.commit_index < self._leadership.first_index:
+            self._leadership.early_read_tokens.append(token)
+        else:
+            self._begin_read(token, now)
+
+    def meet(self, member, now):
+        """Take in that a member is connected, with or without a vote."""
+        self.members_by_name[member.name] = member
+        if self.role == Role.LEADER:
+            self._leadership.add_peer(
+                member.id, next_index=self.log.last_index + 1, now=now
+            )
+
+    def may_change_voters(self):
+        """Tell whether this leader may append a change of voters."""
+        return (
+            self.role == Role.LEADER
+            and self.commit_index >= self._leadership.first_index
+            and self.commit_index >= self.log.configuration_index
+        )
+
+    def change_voters(self, add, remove, now):
+        """Append the change; return the entry, or None and the reason."""
+        configuration = self.log.configuration
+        if remove:
+            voter = configuration.voters_by_name.get(remove)
+            if voter is None:
+                return None, f"{remove} has no vote"
+            if len(configuration.voters) == 1:
+                return None, f"{remove} is the last voter"
+            changed = configuration.removing(voter.id)
+        else:
+            member = self.members_by_name.get(add)
+            if add in configuration.voters_by_name:
+                return None, f"{add} has a vote already"
+            if member is None or not self._is_caught_up(member.id, now):
+                return None, f"{add} is not connected and caught up"
+            changed = configuration.adding(member)
+        return self.change_configuration(changed, now), ""
+
+    def change_configuration(self, configuration, now):
+        """Append a change of voters; return the entry."""
+        data = encode_configuration(configuration)
+        entry = self.propose(EntryKind.CONFIGURATION, data, now)
+        self._follow_voters(now)
+        return entry
+
+    def _become_leader(self, now):
+        self.role = Role.LEADER
+        self.leader_id = self.own_id
+        self._leadership = Leadership(
+            own_id=self.own_id, first_index=self.log.last_index + 1, now=now
+        )
+        self._follow_voters(now)
+        for member in self.members_by_name.values():
+            self.meet(member, now)
+        self.propose(EntryKind.EMPTY, b"", now)
+        self._next_heartbeat_at = now + self._timing.heartbeat
+
+    def _follow_voters(self, now):
+        for voter in self.log.configuration.voters:
+            self._leadership.add_peer(
+                voter.id, next_index=self.log.last_index + 1, now=now
+            )
+
+    def _lead_on(self, now):
+        """Send heartbeats; step down when no quorum answers."""
+        timeout = self._timing.election_timeout
+        if not self._leadership.hears_quorum(
+            self.log.configuration, now=now, patience=timeout
+        ):
+            self._become_follower(self.term, NOBODY, now)
+            return
+        if now < self._next_heartbeat_at:
+            return
+        self._next_heartbeat_at = now + self._timing.heartbeat
+        self._leadership.drop_silent_learners(
+            self.log.configuration,
+            now=now,
+            patience=LEARNER_PATIENCE_TIMEOUTS * timeout,
+        )
+        self._readmit(now)
+        self._heartbeat(now)
+
+    def _heartbeat(self, now):
+        for member_id, progress in self._leadership.progress_by_id.items():
+            if not self._send_missing(member_id, progress, now):
+                self._send_append(member_id, progress.next_index - 1, ())
+
+    def _replicate(self, now):
+        for member_id, progress in self._leadership.progress_by_id.items():
+            self._send_missing(member_id, progress, now)
+
+    def _send_missing(self, member_id, progress, now):
+        """Send the next entries or chunk; tell whether anything was sent."""
+        if progress.is_waiting(now, self._timing.election_timeout):
+            return False
+        if progress.next_index > self.log.last_index:
+            return False
+        progress.awaited_since = now
+        previous = progress.next_index - 1
+        if self.log.term_at(previous) is None:
+            progress.awaited_round = self._request_chunk(member_id, progress)
+            return True
+        entries = self.log.entries_from(
+            progress.next_index, max_bytes=MAX_APPEND_BYTES
+        )
+        progress.awaited_round = self._send_append(
+            member_id, previous, entries
+        )
+        return True
+
+    def _send_append(self, member_id, previous, entries):
+        """Send entries that follow `previous`; return the round.
+
+        A heartbeat for a peer that is behind the log names the log's base.
+        """
+        previous = max(previous, self.log.base_index)
+        message = Append(
+            term=self.term,
+            previous_index=previous,
+            previous_term=self.log.term_at(previous),
+            entries=entries,
+            commit_index=self.commit_index,
+            round=self._leadership.next_round(),
+        )
+        self._effects.appends.append(
+            Outgoing(target=member_id, message=message)
+        )
+        return message.round
+
+    def _request_chunk(self, member_id, progress):
+        index = self.log.snapshot.index
+        if progress.snapshot_index != index:
+            progress.snapshot_index = index
+            progress.snapshot_offset = 0
+        request = ChunkRequest(
+            target=member_id,
+            term=self.term,
+            offset=progress.snapshot_offset,
+            round=self._leadership.next_round(),
+        )
+        self._effects.chunks.append(request)
+        return request.round
+
+    def _on_progress(self, source, reply, now):
+        """Take in an AppendReply or a SnapshotReply."""
+        if reply.term > self.term:
+            self._become_follower(reply.term, NOBODY, now)
+            return
+        if self.role != Role.LEADER or reply.term < self.term:
+            return
+        progress = self._leadership.progress_by_id.get(source)
+        if progress is None:
+            return
+        progress.note_answer(reply.round, now)
+        if isinstance(reply, SnapshotReply):
+            self._note_chunk(progress, reply)
+        elif reply.matched:
+            progress.match_index = max(progress.match_index, reply.index)
+            progress.next_index = max(
+                progress.next_index, progress.match_index + 1
+            )
+        else:
+            progress.next_index = max(
+                progress.match_index + 1,
+                min(progress.next_index - 1, reply.index),
+            )
+        self._advance_commit(now)
+        if self.role == Role.LEADER:
+            self._send_missing(source, progress, now)
+            self._confirm_reads()
+
+    def _note_chunk(self, progress, reply):
+        if reply.installed:
+            progress.match_index = max(progress.match_index, reply.index)
+            progress.next_index = progress.match_index + 1
+        elif reply.index == progress.snapshot_index:
+            progress.snapshot_offset = reply.offset
+
+    def _advance_commit(self, now):
+        configuration = self.log.configuration
+        index = self._leadership.committable_index(
+            configuration, self.synced_index
+        )
+        # Only entries of the own term commit by counting; see Ongaro 3.6.2.
+        if index <= self.commit_index or self.log.term_at(index) != self.term:
+            return
+        self.commit_index = index
+        if not self.is_voter and index >= self.log.configuration_index:
+            self._heartbeat(now)
+            self._become_follower(self.term, NOBODY, now)
+            return
+        self._heartbeat(now)
+        tokens = self._leadership.early_read_tokens
+        self._leadership.early_read_tokens = []
+        for token in tokens:
+            self._begin_read(token, now)
+
+    def _begin_read(self, token, now):
+        self._leadership.pending_reads.append(
+            PendingRead(
+                token=token,
+                round=self._leadership.round,
+                index=self.commit_index,
+            )
+        )
+        self._heartbeat(now)
+        self._confirm_reads()
+
+    def _confirm_reads(self):
+        for read in self._leadership.take_confirmed_reads(
+            self.log.configuration
+        ):
+            self._effects.reads.append(
+                ReadResult(token=read.token, index=read.index)
+            )
+
+    def _refuse_reads(self):
+        tokens = [read.token for read in self._leadership.pending_reads]
+        for token in tokens + self._leadership.early_read_tokens:
+            self._effects.reads.append(ReadResult(token=token, index=None))
+
+    def _readmit(self, now):
+        """Give a vote to a host's new disk, in two committed steps.
+
+        First the lost disk's vote is removed, then the new disk is added;
+        the two together could make quorums that do not intersect.
+        """
+        if not self.may_change_voters():
+            return
+        configuration = self.log.configuration
+        for name, member in sorted(self.members_by_name.items()):
+            voter = configuration.voters_by_name.get(name)
+            if not self._is_caught_up(member.id, now):
+                continue
+            if voter is None and name in configuration.returning:
+                self.change_configuration(configuration.adding(member), now)
+                return
+            if voter is not None and self._is_lost(voter, member, now):
+                self.change_configuration(
+                    configuration.removing(voter.id, returning=True), now
+                )
+                return
+
+    def _is_caught_up(self, member_id, now):
+        """Tell whether a peer answers and holds all that is committed."""
+        progress = self._leadership.progress_by_id.get(member_id)
+        return (
+            progress is not None
+            and now - progress.acked_at < self._timing.election_timeout
+            and progress.match_index >= self.commit_index
+        )
+
+    def _is_lost(self, voter, member, now):
+        """Tell whether a voter's host came back with another disk.
+
+        A voter that still answers is not lost, whoever else has its name.
+        """
+        if voter.id in (member.id, self.own_id):
+            return False
+        progress = self._leadership.progress_by_id[voter.id]
+        return now - progress.acked_at >= self._timing.election_timeout
--- /dev/null
+++ b/verbenanotch/replication/_outcomes.py
@@ -0,0 +1,84 @@
+"""Outcomes of proposals and reads, and the status of a replica."""
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from verbenanotch.replication._entries import Member
+
+if TYPE_CHECKING:
+    from verbenanotch.catalog import Version
+
+
+class OutcomeCode(enum.IntEnum):
+    """How an outcome of a forwarded proposal travels."""
+
+    COMMITTED = 0
+    UNAVAILABLE = 1
+    UNKNOWN = 2
+    NOT_LEADER = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Committed:
+    """The command is committed and was applied with this result."""
+
+    version: "Version"
+    result: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unavailable:
+    """The command is not committed and never will be."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unknown:
+    """The command may be committed, now or later."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadConfirmed:
+    """The local state machine has applied all that was committed."""
+
+    index: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadUnavailable:
+    """No quorum confirmed the commit index in time."""
+
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class ReplicaStatus:
+    """What an operator may see of a replica.
+
+    `role` is a Role, `blank` before the replica belongs to a cluster,
+    `learner` without a vote, `failed` after an error, or `stopped`.
+    `leader` is a host name, empty if unknown. `returning` are the hosts
+    whose new disks await a vote. `fsync_ms` is the last sync's duration.
+    """
+
+    name: str
+    disk_id: str
+    cluster_id: str
+    role: str
+    term: int
+    leader: str
+    commit_index: int
+    applied_index: int
+    synced_index: int
+    last_index: int
+    snapshot_index: int
+    voters_by_name: dict[str, Member]
+    returning: tuple[str, ...]
+    fsync_ms: float
+    error: str = ""
--- /dev/null
+++ b/verbenanotch/replication/_roles.py
@@ -0,0 +1,14 @@
+"""Roles of a replica."""
+
+import enum
+
+NOBODY = ""
+
+
+class Role(enum.StrEnum):
+    """What a replica does in the current term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
--- /dev/null
+++ b/verbenanotch/replication/_storage.py
@@ -0,0 +1,395 @@
+"""The data folder: identity, log, snapshot and the mark of what is synced.
+
+Files: `identity` (who this disk is), `log-N` (term, vote and entries;
+appended, replaced by `log-N+1` after a snapshot), `snapshot-I` (the state
+up to entry I), `mark` (how many bytes of which log were synced; itself
+written after each sync and not synced, so it may lag but never leads).
+"""
+
+import time
+
+import attrs
+
+from verbenanotch.replication import _records
+from verbenanotch.replication._entries import (
+    Configuration,
+    Entry,
+    Member,
+    configuration_from_plain,
+    configuration_to_plain,
+)
+from verbenanotch.replication._files import TEMPORARY_SUFFIX
+from verbenanotch.replication._log import Log, SnapshotPoint
+from verbenanotch.replication.exceptions import (
+    DamagedFileError,
+    DiskFailedError,
+    ForeignFolderError,
+    MissingFileError,
+)
+
+IDENTITY = "identity"
+MARK = "mark"
+LOG_PREFIX = "log-"
+SNAPSHOT_PREFIX = "snapshot-"
+HEADER_RECORD = 0
+STATE_RECORD = 1
+ENTRY_RECORD = 2
+REJOIN = (
+    "Stop this host, check its disk, empty the data folder and start it "
+    "again: it rejoins and copies the state from the leader"
+)
+
+
+@attrs.frozen(kw_only=True)
+class Identity:
+    """Whose disk this is and which cluster it belongs to, if any."""
+
+    name: str
+    disk_id: str
+    cluster_id: str = ""
+    first_voters: tuple[Member, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Recovered:
+    """What the data folder holds."""
+
+    identity: Identity
+    term: int
+    vote: str
+    log: Log
+    snapshot_data: bytes | None
+    cut_bytes: int = 0
+
+
+class Storage:
+    """Write what must survive a crash; find damage when reading it."""
+
+    def __init__(self, *, files, monotonic=time.monotonic):
+        """Use the folder behind `files`."""
+        self._files = files
+        self._monotonic = monotonic
+        self._sequence = 0
+        self._log_bytes = 0
+        self._pending = []
+        self._header = None
+        self.last_sync_ms = 0.0
+
+    # Reading.
+
+    def open(self, *, name, new_disk_id):
+        """Return what the folder holds, or begin an empty one.
+
+        `new_disk_id` identifies the disk if the folder is empty. Raises
+        MissingFileError, DamagedFileError or ForeignFolderError.
+        """
+        self._remove_temporaries()
+        identity = self._read_identity(name)
+        if identity is None:
+            return self._begin(Identity(name=name, disk_id=new_disk_id))
+        return self._recover(identity)
+
+    def _remove_temporaries(self):
+        for name in self._files.names():
+            if name.endswith(TEMPORARY_SUFFIX):
+                self._files.remove(name)
+
+    def _read_identity(self, name):
+        data = self._files.read(IDENTITY)
+        if data is None:
+            return None
+        values = self._single_record(IDENTITY, data)
+        identity = Identity(
+            name=values[0],
+            disk_id=values[1],
+            cluster_id=values[2],
+            first_voters=configuration_from_plain(values[3]).voters,
+        )
+        if identity.name != name:
+            raise ForeignFolderError(
+                file=IDENTITY,
+                offset=0,
+                text=f"the folder belongs to host {identity.name!r}",
+                remedy=f"Give host {name!r} its own data folder",
+            )
+        return identity
+
+    def _single_record(self, name, data):
+        found = _records.scan(data)
+        if len(found.values) != 1 or found.sound_bytes != len(data):
+            raise DamagedFileError(
+                file=name,
+                offset=0 if not found.values else found.sound_bytes,
+                text="the checksum or the length is wrong",
+                remedy=REJOIN,
+            )
+        return found.values[0]
+
+    def _begin(self, identity):
+        """Begin an empty folder; the identity comes last and seals it."""
+        names = self._files.names()
+        if any(self._has_content(name) for name in names):
+            raise MissingFileError(
+                file=IDENTITY,
+                offset=0,
+                text="the file is missing while others are there",
+                remedy=REJOIN,
+            )
+        for name in names:
+            self._files.remove(name)
+        point = SnapshotPoint(index=0, term=0, configuration=Configuration())
+        log = Log(snapshot=point, base_index=0, base_term=0)
+        self._files.replace(MARK, _mark(0, 0))
+        self._start_log(log, term=0, vote="")
+        self.save_identity(identity)
+        return Recovered(
+            identity=identity, term=0, vote="", log=log, snapshot_data=None
+        )
+
+    def _has_content(self, name):
+        if name.startswith(SNAPSHOT_PREFIX):
+            return True
+        if not name.startswith(LOG_PREFIX):
+            return False
+        records = _records.scan(self._files.read(name)).values
+        return len(records) > 2
+
+    def _recover(self, identity):
+        marked_sequence, marked_bytes = self._read_mark()
+        sequence = self._newest_sequence(marked_sequence)
+        log_name = f"{LOG_PREFIX}{sequence}"
+        data = self._files.read(log_name)
+        synced = marked_bytes if marked_sequence == sequence else 0
+        found = self._checked_scan(log_name, data, synced)
+        cut_bytes = len(data) - found.sound_bytes
+        if cut_bytes:
+            self._files.truncate(log_name, found.sound_bytes)
+        self._sequence = sequence
+        self._log_bytes = found.sound_bytes
+        header = found.values[0]
+        point, snapshot_data = self._read_snapshot(header, log_name, identity)
+        term, vote, log = _replay(found, point, log_name)
+        self._write_mark()
+        self._remove_others(keep=(log_name, _snapshot_name(point.index)))
+        return Recovered(
+            identity=identity,
+            term=term,
+            vote=vote,
+            log=log,
+            snapshot_data=snapshot_data,
+            cut_bytes=cut_bytes,
+        )
+
+    def _read_mark(self):
+        data = self._files.read(MARK)
+        if data is None:
+            raise _missing(MARK)
+        sequence, size = self._single_record(MARK, data)
+        return int.from_bytes(sequence, "big"), int.from_bytes(size, "big")
+
+    def _newest_sequence(self, marked_sequence):
+        sequences = [
+            int(name.removeprefix(LOG_PREFIX))
+            for name in self._files.names()
+            if name.startswith(LOG_PREFIX)
+        ]
+        newest = max(sequences, default=0)
+        if newest < marked_sequence or not newest:
+            raise _missing(f"{LOG_PREFIX}{max(marked_sequence, 1)}")
+        return newest
+
+    def _checked_scan(self, name, data, synced_bytes):
+        """Return the sound records; refuse any damage but a torn tail."""
+        found = _records.scan(data)
+        damaged = found.sound_bytes < len(data)
+        if (
+            found.sound_bytes < synced_bytes
+            or len(found.values) < 2
+            or (damaged and found.sound_after)
+        ):
+            raise DamagedFileError(
+                file=name,
+                offset=found.sound_bytes,
+                text="a record that was synced is damaged or cut off",
+                remedy=REJOIN,
+            )
+        return found
+
+    def _read_snapshot(self, header, log_name, identity):
+        _, _, _, snapshot_index = header
+        if snapshot_index == 0:
+            voters = Configuration(voters=identity.first_voters)
+            point = SnapshotPoint(index=0, term=0, configuration=voters)
+            return point, None
+        name = _snapshot_name(snapshot_index)
+        data = self._files.read(name)
+        if data is None:
+            raise MissingFileError(
+                file=name,
+                offset=0,
+                text=f"the snapshot that {log_name} continues is missing",
+                remedy=REJOIN,
+            )
+        index, term, voters, content = self._single_record(name, data)
+        configuration = configuration_from_plain(voters)
+        point = SnapshotPoint(
+            index=index, term=term, configuration=configuration
+        )
+        return point, content
+
+    def _remove_others(self, keep):
+        for name in self._files.names():
+            stale = name.startswith((LOG_PREFIX, SNAPSHOT_PREFIX))
+            if stale and name not in keep:
+                self._files.remove(name)
+
+    # Writing.
+
+    def save_identity(self, identity):
+        """Replace the identity file, synced."""
+        voters = Configuration(voters=identity.first_voters)
+        values = [
+            identity.name,
+            identity.disk_id,
+            identity.cluster_id,
+            configuration_to_plain(voters),
+        ]
+        self._guard(
+            IDENTITY,
+            lambda: self._files.replace(IDENTITY, _records.pack(values)),
+        )
+
+    def append(self, *, term, vote, state_changed, entries):
+        """Queue a change of state and entries for the next sync."""
+        if state_changed:
+            self._pending.append(_state_record(term, vote))
+        self._pending.extend(_entry_record(entry) for entry in entries)
+
+    def sync(self):
+        """Write and sync all that is queued, with one sync."""
+        data = b"".join(self._pending)
+        self._pending.clear()
+        name = f"{LOG_PREFIX}{self._sequence}"
+        self._guard(name, lambda: self._write_log(name, data))
+
+    def save_snapshot(self, *, log, term, vote, data):
+        """Write the snapshot at `log.snapshot` and begin a new log file.
+
+        The new log file holds the term, the vote and all entries of `log`.
+        """
+        point = log.snapshot
+        name = _snapshot_name(point.index)
+        record = _records.pack(
+            [
+                point.index,
+                point.term,
+                configuration_to_plain(point.configuration),
+                data,
+            ]
+        )
+        self._guard(name, lambda: self._files.replace(name, record))
+        self._pending.clear()
+        self._guard(
+            LOG_PREFIX, lambda: self._start_log(log, term=term, vote=vote)
+        )
+        log_name = f"{LOG_PREFIX}{self._sequence}"
+        self._remove_others(keep=(log_name, name))
+
+    def _start_log(self, log, *, term, vote):
+        sequence = self._sequence + 1
+        header = [
+            HEADER_RECORD,
+            log.base_index,
+            log.base_term,
+            log.snapshot.index,
+        ]
+        records = [_records.pack(header), _state_record(term, vote)]
+        entries = log.entries_from(log.base_index + 1)
+        records.extend(_entry_record(entry) for entry in entries)
+        data = b"".join(records)
+        self._files.replace(f"{LOG_PREFIX}{sequence}", data)
+        self._sequence = sequence
+        self._log_bytes = len(data)
+        self._write_mark()
+
+    def _write_log(self, name, data):
+        began = self._monotonic()
+        self._files.append(name, data)
+        self._files.sync(name)
+        self.last_sync_ms = (self._monotonic() - began) * 1000
+        self._log_bytes += len(data)
+        self._write_mark()
+
+    def _write_mark(self):
+        self._files.overwrite(MARK, _mark(self._sequence, self._log_bytes))
+
+    def _guard(self, name, action):
+        try:
+            action()
+        except OSError as error:
+            raise DiskFailedError(
+                file=name,
+                offset=self._log_bytes,
+                text=f"writing failed: {error.strerror}",
+                remedy="Check the disk and its free space, then restart",
+            ) from error
+
+
+def _replay(found, point, log_name):
+    """Return term, vote and log of a log file's records."""
+    _, base_index, base_term, _ = found.values[0]
+    term, vote = 0, ""
+    log = Log(snapshot=point, base_index=base_index, base_term=base_term)
+    for offset, record in zip(found.offsets, found.values, strict=True):
+        if record[0] == STATE_RECORD:
+            term, vote = record[1], record[2]
+        elif record[0] == ENTRY_RECORD:
+            entry = Entry(
+                term=record[1],
+                index=record[2],
+                kind=record[3],
+                data=record[4],
+            )
+            if not base_index < entry.index <= log.last_index + 1:
+                raise DamagedFileError(
+                    file=log_name,
+                    offset=offset,
+                    text=f"entry {entry.index} does not follow",
+                    remedy=REJOIN,
+                )
+            log.merge((entry,), commit_index=point.index)
+    if log.last_index < point.index:
+        raise DamagedFileError(
+            file=log_name,
+            offset=found.sound_bytes,
+            text="the log ends before the snapshot that it continues",
+            remedy=REJOIN,
+        )
+    return term, vote, log
+
+
+def _missing(name):
+    return MissingFileError(
+        file=name, offset=0, text="the file is missing", remedy=REJOIN
+    )
+
+
+def _snapshot_name(index):
+    return f"{SNAPSHOT_PREFIX}{index}"
+
+
+def _mark(sequence, size):
+    # A fixed width keeps the file's length the same when it is overwritten.
+    return _records.pack(
+        [sequence.to_bytes(8, "big"), size.to_bytes(8, "big")]
+    )
+
+
+def _state_record(term, vote):
+    return _records.pack([STATE_RECORD, term, vote])
+
+
+def _entry_record(entry):
+    return _records.pack(
+        [ENTRY_RECORD, entry.term, entry.index, entry.kind, entry.data]
+    )
