Prove the data folder and the votes of lost disks under faults

Found by the isolation test: after a reset of all links the redial delay of 0.25 s was near the election timeout, so a healthy leader was deposed. Links now redial at once and back off only while nobody answers. A writer that blocks on a silent connection could not notice the silence; a watcher closes it now.

--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -1,10 +1,12 @@
 """Replicas of one process that talk over real connections, for tests."""
 
 import random
+import shutil
 import time
 
 import eventlet
 
+from tests.support.fault_proxy import HEALTHY, FaultProxy
 from verbenanotch import conf, wire
 from verbenanotch.catalog import Submission, Versions, VersionService
 from verbenanotch.replication import Replica
@@ -92,8 +94,7 @@
         }
         names = (*voters, *learners)
         self.ports_by_name = {name: free_port() for name in names}
-        # Where a host dials a peer: (dialler, peer) -> port of a relay.
-        self.relay_ports = {}
+        self.relays_by_pair = {}
         self.voter_names = voters
 
     def settings(self, name):
@@ -101,9 +102,9 @@
         peers = {
             peer: conf.Voter(
                 address="127.0.0.1",
-                peer_port=self.relay_ports.get((name, peer), port),
+                peer_port=self._dialled_port(name, peer),
             )
-            for peer, port in self.ports_by_name.items()
+            for peer in self.ports_by_name
         }
         voters = {peer: peers[peer] for peer in self.voter_names}
         return conf.Settings(
@@ -125,6 +126,46 @@
             ),
         )
 
+    def add_relays(self):
+        """Put a relay on every link, by (dialler, peer), before a start."""
+        for peer, port in self.ports_by_name.items():
+            for name in self.ports_by_name:
+                if name != peer:
+                    self.relays_by_pair[name, peer] = FaultProxy(
+                        listen_address="127.0.0.1",
+                        address="127.0.0.1",
+                        port=port,
+                    )
+
+    def isolate(self, name):
+        """Cut every link of a host silently."""
+        for pair, relay in self.relays_by_pair.items():
+            if name in pair:
+                relay.cut()
+
+    def heal(self):
+        """Mend the links that are cut; the others stay as they are."""
+        for relay in self.relays_by_pair.values():
+            if relay.faults != HEALTHY:
+                relay.heal()
+
+    def wipe(self, name):
+        """Remove a stopped host's data folder."""
+        shutil.rmtree(self.path / name)
+
+    def has_vote(self, name):
+        """Tell whether all hosts know that this host's disk has a vote."""
+        disk_id = self.hosts_by_name[name].replica.status().disk_id
+        for host in self.hosts_by_name.values():
+            voter = host.replica.status().voters_by_name.get(name)
+            if voter is None or voter.disk_id != disk_id:
+                return False
+        return True
+
+    def _dialled_port(self, name, peer):
+        relay = self.relays_by_pair.get((name, peer))
+        return relay.port if relay else self.ports_by_name[peer]
+
     def start(self, *names, files=None):
         """Start hosts, all that are planned by default."""
         for name in names or self.ports_by_name:
@@ -137,6 +178,12 @@
         for name in names or list(self.hosts_by_name):
             self.hosts_by_name.pop(name).stop()
 
+    def close(self):
+        """Stop all hosts and relays."""
+        self.stop()
+        for relay in self.relays_by_pair.values():
+            relay.stop()
+
     def leader(self):
         """Return the host that leads, waiting for one."""
         found = []
--- /dev/null
+++ b/tests/unit/test_replication_faults.py
@@ -0,0 +1,142 @@
+"""Lost disks, cuts and lost answers, over real connections."""
+
+import eventlet
+import pytest
+
+from tests.support.replicas import Cluster, wait_for
+from verbenanotch.catalog import Accepted, Unavailable, Unknown
+from verbenanotch.replication import Committed
+from verbenanotch.replication import Unavailable as Refused
+
+VOTERS = ("c1", "c2", "c3")
+
+
+@pytest.fixture
+def make_cluster(tmp_path):
+    clusters = []
+
+    def make(*, relays=False, **settings):
+        cluster = Cluster(path=tmp_path, voters=VOTERS, **settings)
+        if relays:
+            cluster.add_relays()
+        cluster.start()
+        clusters.append(cluster)
+        return cluster
+
+    yield make
+    for cluster in clusters:
+        cluster.close()
+
+
+def accept(cluster, number):
+    outcome = cluster.leader().submit(number)
+    assert isinstance(outcome, Accepted), outcome
+    return outcome.version
+
+
+def test_an_isolated_leader_steps_down_and_loses_what_it_took(make_cluster):
+    cluster = make_cluster(relays=True)
+    cluster.agree(accept(cluster, 1))
+    old = cluster.leader()
+    cluster.isolate(old.name)
+    lost = old.submit(2, timeout=0.2)
+    assert isinstance(lost, Unknown)
+    wait_for(lambda: old.replica.status().role != "leader")
+    late = old.submit(3, timeout=0.2)
+    assert isinstance(late, Unavailable)
+    version = accept(cluster, 4)
+    eventlet.sleep(1.0)
+    assert old.replica.status().role != "leader"
+    cluster.heal()
+    cluster.agree(version)
+    assert [
+        record.mesh.name for record in old.versions.records_by_version.values()
+    ] == ["m1", "m4"]
+
+
+def test_an_isolated_follower_does_not_depose_the_leader(make_cluster):
+    cluster = make_cluster(relays=True)
+    cluster.agree(accept(cluster, 1))
+    leader = cluster.leader()
+    term = leader.replica.status().term
+    cluster.isolate(cluster.followers()[0].name)
+    eventlet.sleep(1.5)
+    cluster.heal()
+    cluster.agree(accept(cluster, 2))
+    assert leader.replica.status().term == term
+
+
+def test_a_resend_to_a_new_leader_gets_the_first_answer(make_cluster):
+    cluster = make_cluster()
+    old = cluster.leader()
+    first = old.submit(1, submission_id="again")
+    cluster.stop(old.name)
+    newer = accept(cluster, 2) if cluster.leader() else None
+    again = cluster.leader().submit(1, submission_id="again")
+    assert again == first
+    assert cluster.leader().versions.current_version == newer
+
+
+def test_a_lost_disk_rejoins_then_a_second_one_is_lost(make_cluster):
+    cluster = make_cluster()
+    cluster.agree(accept(cluster, 1))
+    for number, name in enumerate(("c3", "c2", "c1"), start=2):
+        cluster.stop(name)
+        cluster.wipe(name)
+        version = accept(cluster, number)
+        cluster.start(name)
+        wait_for(lambda name=name: cluster.has_vote(name))
+        cluster.agree(version)
+    host = cluster.leader()
+    assert len(host.versions.records_by_version) == 4
+
+
+def test_a_lost_disk_gives_no_vote_before_it_is_readmitted(make_cluster):
+    cluster = make_cluster()
+    cluster.agree(accept(cluster, 1))
+    cluster.stop("c3")
+    version = accept(cluster, 2)
+    cluster.stop("c1", "c2")
+    cluster.wipe("c2")
+    cluster.start("c2", "c3")
+    eventlet.sleep(2.0)
+    for host in cluster.hosts_by_name.values():
+        assert host.replica.status().leader == ""
+        assert host.versions.current_version != version
+    cluster.start("c1")
+    cluster.agree(version)
+    wait_for(lambda: cluster.has_vote("c2"))
+
+
+def test_learners_follow_and_catch_up_by_snapshot(make_cluster):
+    cluster = make_cluster(learners=("c4",), snapshot_every_entries=20)
+    cluster.agree(accept(cluster, 1))
+    learner = cluster.hosts_by_name["c4"]
+    assert learner.replica.status().role == "learner"
+    cluster.stop("c4")
+    for number in range(2, 60):
+        version = accept(cluster, number)
+    cluster.start("c4")
+    cluster.agree(version)
+    learner = cluster.hosts_by_name["c4"]
+    assert learner.replica.status().snapshot_index >= 40
+    assert len(learner.versions.records_by_version) == 59
+    assert isinstance(learner.submit(60), Accepted)
+
+
+def test_voters_are_replaced_one_at_a_time(make_cluster):
+    cluster = make_cluster(learners=("c4",))
+    version = accept(cluster, 1)
+    cluster.agree(version)
+    follower = cluster.followers()[0]
+    added = follower.replica.change_voters(add="c4")
+    assert isinstance(added, Committed)
+    leader = cluster.leader()
+    removed = leader.replica.change_voters(remove=leader.name)
+    assert isinstance(removed, Committed)
+    cluster.stop(leader.name)
+    cluster.agree(accept(cluster, 2))
+    voters = cluster.leader().replica.status().voters_by_name
+    assert set(voters) == {"c1", "c2", "c3", "c4"} - {leader.name}
+    refused = cluster.leader().replica.change_voters(add="nobody")
+    assert isinstance(refused, Refused)
--- a/verbenanotch/replication/_links.py
+++ b/verbenanotch/replication/_links.py
@@ -18,7 +18,8 @@
 
 HELLO_SECONDS = 0.5
 SILENCE_SECONDS = 3.0
-REDIAL_SECONDS = 0.25
+MIN_REDIAL_SECONDS = 0.02
+MAX_REDIAL_SECONDS = 1.0
 MAX_QUEUED_MESSAGES = 512
 
 
@@ -34,6 +35,7 @@
         self._links = links
         self._outbox = queue.LightQueue(MAX_QUEUED_MESSAGES)
         self._heard_at = 0.0
+        self._was_greeted = False
         self._greenthread = None
 
     def start(self):
@@ -55,43 +57,61 @@
         return True
 
     def _dial_forever(self):
+        delay = MIN_REDIAL_SECONDS
         while True:
             try:
-                connection = wire.dial(
-                    address=self.address,
-                    port=self.port,
-                    key=self._links.key,
-                    name=self._links.own_name,
-                    purpose=wire.Purpose.REPLICATION,
-                )
-                self._use(connection)
+                self._use(self._dial())
             except wire.WireError as error:
                 emit(events.LINK_LOST, peer=self.name, error=str(error))
-            eventlet.sleep(REDIAL_SECONDS * self._links.jitter())
+            if self._was_greeted:
+                self._was_greeted = False
+                delay = MIN_REDIAL_SECONDS
+            eventlet.sleep(delay * self._links.jitter())
+            delay = min(2 * delay, MAX_REDIAL_SECONDS)
+
+    def _dial(self):
+        return wire.dial(
+            address=self.address,
+            port=self.port,
+            key=self._links.key,
+            name=self._links.own_name,
+            purpose=wire.Purpose.REPLICATION,
+        )
 
     def _use(self, connection):
         self._heard_at = time.monotonic()
-        reader = eventlet.spawn(self._read_forever, connection)
+        helpers = [
+            eventlet.spawn(self._read_forever, connection),
+            eventlet.spawn(self._close_when_silent, connection),
+        ]
         try:
             self._write_forever(connection)
         finally:
             self.remote_id = ""
             self._drop_queued()
-            reader.kill()
+            for greenthread in helpers:
+                greenthread.kill()
             connection.close()
 
     def _write_forever(self, connection):
         hello_at = 0.0
         while not connection.closed:
             now = time.monotonic()
-            if now - self._heard_at > SILENCE_SECONDS:
-                raise wire.ConnectionClosedError("the peer is silent")
             if now >= hello_at:
                 hello_at = now + HELLO_SECONDS
                 connection.send(self._links.make_hello())
             with contextlib.suppress(queue.Empty):
                 connection.send(self._outbox.get(timeout=hello_at - now))
 
+    def _close_when_silent(self, connection):
+        """Close a connection whose peer does not answer Hellos.
+
+        The writer cannot tell, since it may be blocked in a write.
+        """
+        while time.monotonic() - self._heard_at < SILENCE_SECONDS:
+            eventlet.sleep(HELLO_SECONDS)
+        connection.close()
+
     def _read_forever(self, connection):
         try:
             while True:
@@ -100,6 +120,7 @@
                 if isinstance(message, Hello):
                     self._links.accept_hello(message, connection)
                     self.remote_id = message.member.id
+                    self._was_greeted = True
         except wire.WireError:
             connection.close()
 
