Test the decision core and the accepted versions on their own

A committed command that is no submission would have stopped every replica for good; it now gets a refusal, the same everywhere. A file whose command is over the frame bound is rejected instead of being called unavailable. A replica whose disk failed no longer takes forwarded proposals.

--- /dev/null
+++ b/tests/unit/test_replication_core.py
@@ -0,0 +1,332 @@
+"""Decisions of the core, without clock, disk or network."""
+
+import random
+import zlib
+
+import pytest
+
+from verbenanotch.replication._core import Core
+from verbenanotch.replication._effects import Timing
+from verbenanotch.replication._entries import (
+    Configuration,
+    Entry,
+    EntryKind,
+    Member,
+    encode_configuration,
+)
+from verbenanotch.replication._log import Log, SnapshotPoint
+from verbenanotch.replication._messages import (
+    Append,
+    AppendReply,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from verbenanotch.replication._roles import Role
+from verbenanotch.replication.exceptions import LogConflictError
+
+TIMING = Timing(election_timeout=1.0, heartbeat=0.2)
+
+
+def member(name, disk_id="1"):
+    return Member(name=name, disk_id=disk_id, address="127.0.0.1", peer_port=1)
+
+
+A, B, C = (member(name) for name in "abc")
+
+
+def make_core(*, voters=(A, B, C), terms=(), term=0, vote="", own=A):
+    """Return a core whose log holds entries of these terms."""
+    configuration = Configuration(voters=tuple(voters))
+    log = Log(
+        snapshot=SnapshotPoint(index=0, term=0, configuration=configuration),
+        base_index=0,
+        base_term=0,
+        entries=[
+            Entry(term=each, index=index, kind=EntryKind.COMMAND)
+            for index, each in enumerate(terms, start=1)
+        ],
+    )
+    return Core(
+        own_id=own.id,
+        log=log,
+        term=term,
+        vote=vote,
+        timing=TIMING,
+        random=random.Random(1),
+        now=0.0,
+    )
+
+
+def lead(core, now=3.0):
+    """Make a core the leader by the votes of `b`."""
+    core.tick(now)
+    core.receive(
+        B.id, VoteReply(term=core.term + 1, granted=True, pre=True), now
+    )
+    core.receive(B.id, VoteReply(term=core.term, granted=True, pre=False), now)
+    assert core.role == Role.LEADER
+    sync(core, now)
+
+
+def sync(core, now):
+    """Do as a shell whose disk is fast; return the effects."""
+    effects = core.take_effects()
+    if effects.entries:
+        last = effects.entries[-1]
+        core.note_synced(last.index, last.term, now)
+    return effects
+
+
+def acknowledge(core, peer, index, now, *, round_number=1000, term=None):
+    reply = AppendReply(
+        term=term or core.term, matched=True, index=index, round=round_number
+    )
+    core.receive(peer.id, reply, now)
+
+
+def append(term, previous, *, terms=(), commit_index=0, previous_term=None):
+    entries = tuple(
+        Entry(term=each, index=index, kind=EntryKind.COMMAND)
+        for index, each in enumerate(terms, start=previous + 1)
+    )
+    return Append(
+        term=term,
+        previous_index=previous,
+        previous_term=previous_term or 0,
+        entries=entries,
+        commit_index=commit_index,
+        round=1,
+    )
+
+
+def reply_of(core):
+    (outgoing,) = core.take_effects().messages
+    return outgoing.message
+
+
+def vote_request(term, *, last_index=0, last_term=0, pre=False):
+    return VoteRequest(
+        term=term, last_index=last_index, last_term=last_term, pre=pre
+    )
+
+
+def test_a_vote_is_given_once_a_term_and_only_to_a_log_as_long():
+    core = make_core(terms=(1, 1), term=1)
+    core.receive(B.id, vote_request(2, last_index=1, last_term=1), 5.0)
+    assert not reply_of(core).granted
+    core.receive(B.id, vote_request(2, last_index=2, last_term=1), 5.0)
+    effects = core.take_effects()
+    assert effects.messages[0].message.granted
+    assert (effects.term, effects.vote) == (2, B.id)
+    assert effects.state_changed
+    core.receive(C.id, vote_request(2, last_index=9, last_term=1), 5.0)
+    assert not reply_of(core).granted
+
+
+def test_a_vote_survives_a_restart():
+    core = make_core(term=2, vote=B.id)
+    core.receive(C.id, vote_request(2), 5.0)
+    assert not reply_of(core).granted
+
+
+def test_a_pre_vote_changes_nothing_and_is_refused_beside_a_leader():
+    core = make_core()
+    core.receive(B.id, vote_request(7, pre=True), 5.0)
+    effects = core.take_effects()
+    assert effects.messages[0].message.granted
+    assert not effects.state_changed
+    core.receive(B.id, append(1, 0), 5.0)
+    core.take_effects()
+    core.receive(C.id, vote_request(7, pre=True), 5.5)
+    assert not reply_of(core).granted
+    core.receive(C.id, vote_request(7), 5.5)
+    assert core.term == 1
+
+
+def test_a_learner_never_campaigns():
+    core = make_core(voters=(B, C))
+    core.tick(100.0)
+    assert core.take_effects().is_empty
+
+
+def test_a_host_with_a_new_disk_has_no_vote_of_its_old_one():
+    core = make_core(own=member("a", "2"))
+    core.tick(100.0)
+    assert core.role == Role.FOLLOWER
+    candidate = make_core(voters=(A, B, C))
+    candidate.tick(3.0)
+    reply = VoteReply(term=1, granted=True, pre=True)
+    candidate.receive(member("b", "2").id, reply, 3.0)
+    assert candidate.role == Role.PRE_CANDIDATE
+
+
+def test_an_entry_counts_only_once_it_is_synced():
+    core = make_core()
+    lead(core)
+    entry = core.propose(EntryKind.COMMAND, b"", 3.0)
+    acknowledge(core, B, entry.index, 3.0)
+    assert core.commit_index < entry.index
+    acknowledge(core, C, entry.index, 3.0)
+    assert core.commit_index == entry.index
+    assert core.applicable_index < entry.index
+    core.note_synced(entry.index, entry.term, 3.0)
+    assert core.applicable_index == entry.index
+
+
+def test_an_entry_of_an_older_term_does_not_commit_by_counting():
+    core = make_core(terms=(1,), term=1)
+    lead(core)
+    acknowledge(core, B, 1, 3.0)
+    assert core.commit_index == 0
+    acknowledge(core, B, 2, 3.0)
+    assert core.commit_index == 2
+
+
+def test_a_conflicting_tail_is_replaced_and_a_committed_one_never():
+    core = make_core(terms=(1, 1, 1), term=1)
+    core.receive(B.id, append(2, 1, terms=(2,), previous_term=1), 5.0)
+    effects = core.take_effects()
+    assert [entry.term for entry in effects.entries] == [2]
+    assert core.log.last_index == 2
+    assert core.applicable_index <= 1
+    core.receive(B.id, append(2, 2, previous_term=2, commit_index=2), 5.0)
+    with pytest.raises(LogConflictError):
+        core.receive(C.id, append(3, 1, terms=(3,), previous_term=1), 5.0)
+
+
+def test_a_mismatch_names_where_to_try_next():
+    core = make_core(terms=(1, 2, 2), term=2)
+    core.receive(B.id, append(3, 9, previous_term=3), 5.0)
+    assert reply_of(core).index == 4
+    core.receive(B.id, append(3, 3, previous_term=3), 5.0)
+    assert reply_of(core).index == 2
+
+
+def test_a_leader_without_a_quorum_steps_down():
+    core = make_core()
+    lead(core)
+    acknowledge(core, B, 1, 3.5)
+    core.tick(4.4)
+    assert core.role == Role.LEADER
+    core.tick(4.6)
+    assert core.role == Role.FOLLOWER
+    assert core.leader_id == ""
+
+
+def test_a_read_needs_a_quorum_after_it_was_asked():
+    core = make_core()
+    lead(core)
+    core.request_read("early", 3.0)
+    acknowledge(core, B, 1, 3.0, round_number=1)
+    sent = sync(core, 3.0).appends
+    assert core.commit_index == 1
+    acknowledge(core, C, 1, 3.1, round_number=1)
+    assert core.take_effects().reads == []
+    newest = max(outgoing.message.round for outgoing in sent)
+    acknowledge(core, C, 1, 3.1, round_number=newest)
+    (read,) = core.take_effects().reads
+    assert (read.token, read.index) == ("early", 1)
+
+
+def test_a_read_is_refused_by_a_leader_that_is_deposed():
+    core = make_core()
+    lead(core)
+    core.request_read("token", 3.0)
+    acknowledge(core, B, 0, 3.0, term=9)
+    (read,) = core.take_effects().reads
+    assert read.index is None
+
+
+def test_voters_change_one_at_a_time_after_an_entry_of_the_own_term():
+    core = make_core()
+    lead(core)
+    assert not core.may_change_voters()
+    acknowledge(core, B, 1, 3.0)
+    assert core.may_change_voters()
+    entry, _ = core.change_voters("", "c", 3.0)
+    assert not core.may_change_voters()
+    sync(core, 3.0)
+    acknowledge(core, C, entry.index, 3.0)
+    assert core.commit_index < entry.index
+    acknowledge(core, B, entry.index, 3.0)
+    assert core.may_change_voters()
+
+
+def test_a_new_disk_is_readmitted_in_two_steps_by_the_others():
+    core = make_core()
+    lead(core)
+    acknowledge(core, B, 1, 3.0)
+    sync(core, 3.0)
+    new = member("c", "2")
+    core.meet(new, 3.2)
+    core.tick(3.3)
+    assert C.id in core.log.configuration.voters_by_id
+    for now in (3.6, 3.9, 4.2, 4.5):
+        acknowledge(core, new, 1, now)
+        acknowledge(core, B, 1, now)
+        core.tick(now)
+    assert set(core.log.configuration.voters_by_id) == {A.id, B.id}
+    assert core.log.configuration.returning == ("c",)
+    index = core.log.last_index
+    sync(core, 4.5)
+    acknowledge(core, new, index, 4.5)
+    assert core.commit_index < index
+    acknowledge(core, B, index, 4.5)
+    core.tick(4.8)
+    assert set(core.log.configuration.voters_by_id) == {A.id, B.id, new.id}
+    assert core.log.configuration.returning == ()
+
+
+def test_a_snapshot_arrives_in_chunks_and_a_damaged_one_is_not_taken():
+    core = make_core(voters=())
+    data = bytes(range(100))
+    point = SnapshotPoint(
+        index=50, term=2, configuration=Configuration(voters=(A, B, C))
+    )
+
+    def chunk(offset, part):
+        return chunk_of(point, data, offset, part)
+
+    core.receive(B.id, chunk(0, data[:60]), 5.0)
+    assert reply_of(core).offset == 60
+    core.receive(B.id, chunk(60, b"\x00" * 40), 5.0)
+    assert reply_of(core) == SnapshotReply(
+        term=3, index=50, offset=0, installed=False, round=1
+    )
+    core.receive(B.id, chunk(0, data[:60]), 5.0)
+    core.receive(B.id, chunk(60, data[60:]), 5.0)
+    effects = core.take_effects()
+    assert effects.snapshot.data == data
+    assert effects.messages[-1].message.installed
+    assert core.log.last_index == core.commit_index == 50
+    assert core.is_voter
+
+
+def chunk_of(point, data, offset, part):
+    return SnapshotChunk(
+        term=3,
+        index=point.index,
+        index_term=point.term,
+        configuration=encode_configuration(point.configuration),
+        total_bytes=len(data),
+        checksum=zlib.crc32(data),
+        offset=offset,
+        data=part,
+        round=1,
+    )
+
+
+def test_a_snapshot_keeps_entries_that_agree_with_it():
+    core = make_core(terms=(1, 1, 1), term=1)
+    configuration = Configuration(voters=(A, B, C))
+    core.log.install(
+        SnapshotPoint(index=2, term=1, configuration=configuration)
+    )
+    assert core.log.last_index == 3
+    core.log.install(
+        SnapshotPoint(index=3, term=9, configuration=configuration)
+    )
+    assert core.log.last_index == 3
+    assert core.log.last_term == 9
--- /dev/null
+++ b/tests/unit/test_versions.py
@@ -0,0 +1,180 @@
+"""The accepted versions as a state machine, and their service."""
+
+import pytest
+
+from verbenanotch.catalog import (
+    NO_VERSION,
+    Accepted,
+    Conflict,
+    Rejected,
+    Submission,
+    Unavailable,
+    Unknown,
+    Version,
+    Versions,
+    VersionService,
+    _versions,
+)
+from verbenanotch.replication import Committed
+from verbenanotch.replication import Unavailable as ReplicaUnavailable
+from verbenanotch.replication import Unknown as ReplicaUnknown
+
+MESH = b'name = "m"\n[services.a]\n'
+
+
+class LocalReplica:
+    """Apply each command at once; or give a fixed outcome."""
+
+    def __init__(self, versions):
+        """Apply to `versions`."""
+        self.versions = versions
+        self.index = 0
+        self.outcome = None
+
+    def propose(self, *, command, timeout_seconds):
+        """Return the outcome of a command."""
+        if self.outcome is not None:
+            return self.outcome
+        self.index += 1
+        version = Version(epoch=1, index=self.index)
+        result = self.versions.apply(version, command)
+        return Committed(version=version, result=result)
+
+
+@pytest.fixture
+def versions():
+    return Versions()
+
+
+@pytest.fixture
+def service(versions):
+    return VersionService(replica=LocalReplica(versions), versions=versions)
+
+
+def submit(service, submission_id, *, base=None, text=MESH):
+    if base is None:
+        base = service.versions.current_version
+    return service.submit(
+        submission=Submission(
+            submission_id=submission_id, operator="ann", text=text, base=base
+        )
+    )
+
+
+def test_versions_grow_and_callers_are_told(service, versions):
+    seen = []
+    versions.on_change(lambda record: seen.append(record.version))
+    first = submit(service, "a")
+    second = submit(service, "b")
+    assert first.version < second.version
+    assert seen == [first.version, second.version]
+    assert versions.current.text == MESH
+    assert versions.current.mesh.name == "m"
+
+
+def test_a_resend_gets_the_first_answer_whatever_it_was(service):
+    accepted = submit(service, "a")
+    conflict = submit(service, "b", base=NO_VERSION)
+    assert conflict == Conflict(winner=accepted.version, winner_operator="ann")
+    submit(service, "c")
+    assert submit(service, "a", base=NO_VERSION) == accepted
+    assert submit(service, "b") == conflict
+
+
+def test_a_submission_id_with_another_file_is_refused(service, versions):
+    submit(service, "a")
+    refused = submit(service, "a", text=MESH + b"[services.b]\n")
+    assert isinstance(refused, Rejected)
+    assert refused.problems[0].key == "submission_id"
+    assert len(versions.records_by_version) == 1
+
+
+def test_a_bad_file_is_refused_before_the_log_and_in_it(service, versions):
+    assert isinstance(submit(service, "a", text=b"x"), Rejected)
+    assert service.replica.index == 0
+    bad = Submission(submission_id="b", operator="ann", text=b"x")
+    result = service.replica.propose(
+        command=_versions.encode_submission(bad), timeout_seconds=1
+    ).result
+    assert isinstance(_versions.decode_outcome(result), Rejected)
+    assert versions.current is None
+
+
+def test_a_rollback_is_a_greater_version_with_the_old_text(service, versions):
+    first = submit(service, "a")
+    second = submit(service, "b", text=MESH + b"[services.b]\n")
+    third = service.rollback(
+        submission_id="c",
+        operator="bob",
+        to=first.version,
+        base=second.version,
+    )
+    assert third.version > second.version
+    assert versions.current.text == MESH
+    assert versions.current.rollback_to == first.version
+    missing = service.rollback(
+        submission_id="d",
+        operator="bob",
+        to=Version(epoch=9, index=9),
+        base=third.version,
+    )
+    assert isinstance(missing, Rejected)
+
+
+def test_a_snapshot_keeps_versions_and_answers(service, versions):
+    accepted = submit(service, "a")
+    conflict = submit(service, "b", base=NO_VERSION)
+    restored = Versions()
+    seen = []
+    restored.on_change(lambda record: seen.append(record.version))
+    restored.restore(versions.snapshot())
+    assert restored.current == versions.current
+    assert seen == [accepted.version]
+    again = VersionService(replica=LocalReplica(restored), versions=restored)
+    assert submit(again, "a") == accepted
+    assert submit(again, "b") == conflict
+
+
+def test_the_history_and_the_answers_are_bounded(
+    service, versions, monkeypatch
+):
+    monkeypatch.setattr(_versions, "MAX_RECORDS", 3)
+    monkeypatch.setattr(_versions, "MAX_ANSWERS", 4)
+    for number in range(9):
+        outcome = submit(service, str(number))
+        assert isinstance(outcome, Accepted)
+    assert [v.index for v in versions.records_by_version] == [7, 8, 9]
+    forgotten = submit(service, "0", base=NO_VERSION)
+    assert isinstance(forgotten, Conflict)
+    monkeypatch.setattr(_versions, "MAX_HISTORY_BYTES", 1)
+    submit(service, "last")
+    assert len(versions.records_by_version) == 1
+
+
+def test_no_quorum_and_no_answer_are_told_apart(service):
+    service.replica.outcome = ReplicaUnavailable(reason="cut")
+    assert isinstance(submit(service, "a"), Unavailable)
+    service.replica.outcome = ReplicaUnknown(reason="cut")
+    assert isinstance(submit(service, "a"), Unknown)
+
+
+def test_a_command_that_is_no_submission_is_passed_over(versions):
+    version = Version(epoch=1, index=1)
+    for command in (
+        b"",
+        b"\xc1",
+        b"\x93",
+        b"\x01",
+        b"\x96\x01\x02\x03\x04\x05",
+    ):
+        outcome = _versions.decode_outcome(versions.apply(version, command))
+        assert isinstance(outcome, Rejected)
+    assert versions.current is None
+
+
+def test_a_file_too_large_for_the_log_is_rejected(service, monkeypatch):
+    monkeypatch.setattr(
+        "verbenanotch.catalog._version_service.MAX_COMMAND_BYTES", 10
+    )
+    assert isinstance(submit(service, "a"), Rejected)
+    assert service.replica.index == 0
--- a/verbenanotch/catalog/_version_service.py
+++ b/verbenanotch/catalog/_version_service.py
@@ -9,10 +9,12 @@
     Unknown,
 )
 from verbenanotch.catalog._versions import (
+    MAX_COMMAND_BYTES,
     decode_outcome,
     encode_submission,
+    rejected,
 )
-from verbenanotch.documents import Invalid, Problem
+from verbenanotch.documents import Invalid
 from verbenanotch.replication import _outcomes
 
 
@@ -37,9 +39,15 @@
         result = self.versions.check(submission.text)
         if isinstance(result, Invalid):
             return Rejected(problems=result.problems)
+        command = encode_submission(submission)
+        if len(command) > MAX_COMMAND_BYTES:
+            return rejected(
+                "(document)",
+                f"the compressed file has {len(command)} bytes",
+                f"Keep it within {MAX_COMMAND_BYTES} bytes.",
+            )
         outcome = self.replica.propose(
-            command=encode_submission(submission),
-            timeout_seconds=timeout_seconds,
+            command=command, timeout_seconds=timeout_seconds
         )
         match outcome:
             case _outcomes.Committed(result=result):
@@ -62,13 +70,11 @@
         """Submit the text of version `to` as a new, greater version."""
         record = self.versions.records_by_version.get(to)
         if record is None:
-            problem = Problem(
-                key="to",
-                line=0,
-                text=f"version {to} is not in the history",
-                remedy="Choose a version that `history` lists.",
+            return rejected(
+                "to",
+                f"version {to} is not in the history",
+                "Choose a version that `history` lists.",
             )
-            return Rejected(problems=(problem,))
         submission = Submission(
             submission_id=submission_id,
             operator=operator,
--- a/verbenanotch/catalog/_versions.py
+++ b/verbenanotch/catalog/_versions.py
@@ -29,6 +29,7 @@
 MAX_RECORDS = 1024
 MAX_HISTORY_BYTES = 64 * 1024 * 1024
 MAX_ANSWERS = 4096
+MAX_COMMAND_BYTES = 3 * 1024 * 1024
 DIGEST_BYTES = 16
 SNAPSHOT_FORMAT = 1
 
@@ -100,7 +101,7 @@
         if answer is None:
             return None
         if answer.digest != digest_of(submission):
-            return _rejected(
+            return rejected(
                 "submission_id",
                 "the id was used before for another file",
                 "Submit with a new submission id.",
@@ -116,7 +117,11 @@
 
     def apply(self, version, command):
         """Decide on one committed submission; return the encoded outcome."""
-        submission = decode_submission(command)
+        try:
+            submission = decode_submission(command)
+        except (ValueError, TypeError, zlib.error, msgpack.UnpackException):
+            # Every replica must get past such an entry in the same way.
+            return encode_outcome(_not_a_submission())
         outcome = self.first_answer(submission)
         if outcome is not None:
             return encode_outcome(outcome)
@@ -235,8 +240,18 @@
 
 def decode_submission(command):
     """Return the Submission of a command."""
-    values = msgpack.unpackb(command)
-    submission_id, operator, packed, base, rollback_to, submitted = values
+    match msgpack.unpackb(command):
+        case [
+            str(submission_id),
+            str(operator),
+            bytes(packed),
+            str(base),
+            str(rollback_to),
+            int(submitted),
+        ]:
+            pass
+        case _:
+            raise ValueError("the command is no submission")
     return Submission(
         submission_id=submission_id,
         operator=operator,
@@ -275,7 +290,16 @@
     raise ValueError("unknown outcome; run the same release on every host")
 
 
-def _rejected(key, text, remedy):
+def _not_a_submission():
+    return rejected(
+        "(command)",
+        "the command is no submission",
+        "Run the same release on every host.",
+    )
+
+
+def rejected(key, text, remedy):
+    """Return Rejected for one problem without a line."""
     problem = Problem(key=key, line=0, text=text, remedy=remedy)
     return Rejected(problems=(problem,))
 
--- a/verbenanotch/replication/_driver.py
+++ b/verbenanotch/replication/_driver.py
@@ -18,7 +18,7 @@
     Unavailable,
     Unknown,
 )
-from verbenanotch.replication._roles import Role
+from verbenanotch.replication._roles import NOBODY, Role
 from verbenanotch.replication.exceptions import ReplicationError
 from verbenanotch.telemetry import emit, metrics
 
@@ -84,6 +84,16 @@
         self._snapshot_data = data
         self._state_machine.restore(data)
 
+    def receive(self, member_id, message):
+        """Hand a peer's message to the core."""
+        if self.error is not None:
+            return
+        try:
+            self.core.receive(member_id, message, time.monotonic())
+        except ReplicationError as error:
+            self.fail(error)
+        self.wake()
+
     def propose(self, kind, data):
         """Append as the leader; return an Event of the outcome, or None."""
         entry = self.core.propose(kind, data, time.monotonic())
@@ -120,6 +130,17 @@
         finally:
             self._read_waiters.remove((index, applied))
 
+    def fail(self, error):
+        """Stop taking part; only a restart helps."""
+        if self.error is not None:
+            return
+        self.error = error
+        emit(events.REPLICA_FAILED, error=str(error))
+        metrics.increment("replication.failed")
+        self._greenthreads[0].kill()
+        self.core.leader_id = NOBODY
+        self._end_waiting(f"the replica failed: {error}")
+
     def _tick_forever(self):
         while True:
             eventlet.sleep(self._tick_seconds)
@@ -128,23 +149,16 @@
 
     def _run(self):
         try:
-            while True:
+            while self.error is None:
                 self._wakened.wait()
                 self._wakened = event.Event()
                 self._step()
         except Exception as error:
             # After any error here the memory may differ from the disk.
-            self._fail(error)
+            self.fail(error)
             if not isinstance(error, ReplicationError):
                 raise
 
-    def _fail(self, error):
-        self.error = error
-        emit(events.REPLICA_FAILED, error=str(error))
-        metrics.increment("replication.failed")
-        self._greenthreads[0].kill()
-        self._end_waiting(f"the replica failed: {error}")
-
     def _step(self):
         """Carry out all effects, also those that syncing brings about."""
         while True:
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -34,6 +34,7 @@
 from verbenanotch.replication._outcomes import ReplicaStatus
 from verbenanotch.replication._requests import Requests
 from verbenanotch.replication._storage import Storage
+from verbenanotch.replication.exceptions import ReplicationError
 from verbenanotch.telemetry import emit
 
 DISK_ID_BYTES = 8
@@ -173,11 +174,8 @@
             case ProposeReply() | ReadReply():
                 self._requests.take_reply(message)
             case _:
-                if self._identity.cluster_id and self._driver.error is None:
-                    self._driver.core.receive(
-                        member_id, message, time.monotonic()
-                    )
-                    self._driver.wake()
+                if self._identity.cluster_id:
+                    self._driver.receive(member_id, message)
 
     def _assemble(self, recovered):
         host = self._settings.host
@@ -246,7 +244,11 @@
         identity = attrs.evolve(
             self._identity, cluster_id=cluster_id, first_voters=voters
         )
-        self._storage.save_identity(identity)
+        try:
+            self._storage.save_identity(identity)
+        except ReplicationError as error:
+            self._driver.fail(error)
+            return
         self._identity = identity
         self._driver.core.log.set_first_voters(Configuration(voters=voters))
         emit(entry, cluster=cluster_id, own=self._own.id)
--- a/verbenanotch/replication/_requests.py
+++ b/verbenanotch/replication/_requests.py
@@ -23,10 +23,12 @@
     Unavailable,
     Unknown,
 )
+from verbenanotch.replication._roles import Role
 
 RETRY_SECONDS = 0.05
 MAX_COMMAND_BYTES = 3 * 1024 * 1024
 MAX_SERVED_SECONDS = 30.0
+PROPOSED_KINDS = (EntryKind.COMMAND, EntryKind.CONFIGURATION)
 NO_LEADER = "no leader is known; a quorum of the voters may be unreachable"
 
 
@@ -93,6 +95,11 @@
         if waiting is not None:
             waiting.send(reply)
 
+    def _leads_here(self):
+        """Tell whether this replica leads and its disk works."""
+        leads = self._driver.core.leader_id == self._own_id
+        return leads and self._driver.error is None
+
     def _no_leader_reason(self):
         if self._driver.error is not None:
             return f"this replica failed: {self._driver.error}"
@@ -101,10 +108,10 @@
     def _propose_once(self, kind, data, deadline):
         """Return an outcome, or None if nothing was handed to a leader."""
         leader_id = self._driver.core.leader_id
+        if self._leads_here():
+            return self._propose_here(kind, data, deadline)
         if self._driver.error is not None or not leader_id:
             return None
-        if leader_id == self._own_id:
-            return self._propose_here(kind, data, deadline)
         return self._forward(leader_id, kind, data, deadline)
 
     def _propose_here(self, kind, data, deadline):
@@ -125,11 +132,11 @@
     def _change_here(self, data, deadline):
         core = self._driver.core
         add, remove = msgpack.unpackb(data)
-        while core.role == "leader" and not core.may_change_voters():
+        while core.role == Role.LEADER and not core.may_change_voters():
             if time.monotonic() >= deadline:
                 return Unavailable(reason="another change is not done yet")
             eventlet.sleep(RETRY_SECONDS)
-        if core.role != "leader":
+        if core.role != Role.LEADER:
             return None
         entry, reason = core.change_voters(add, remove, time.monotonic())
         if entry is None:
@@ -168,11 +175,11 @@
 
     def _read_index_once(self, deadline):
         leader_id = self._driver.core.leader_id
-        if self._driver.error is not None or not leader_id:
-            return None
         left = max(0.0, deadline - time.monotonic())
-        if leader_id == self._own_id:
+        if self._leads_here():
             return self._read_index_here(left)
+        if self._driver.error is not None or not leader_id:
+            return None
         reply = self._ask(
             leader_id,
             lambda request_id: ReadRequest(request_id=request_id),
@@ -191,7 +198,7 @@
     def _serve_proposal(self, member_id, request):
         seconds = min(request.timeout_ms / 1000, MAX_SERVED_SECONDS)
         outcome = None
-        if self._driver.core.leader_id == self._own_id:
+        if self._leads_here() and request.kind in PROPOSED_KINDS:
             outcome = self._propose_here(
                 request.kind, request.data, time.monotonic() + seconds
             )
@@ -199,7 +206,7 @@
 
     def _serve_read(self, member_id, request):
         index = None
-        if self._driver.core.leader_id == self._own_id:
+        if self._leads_here():
             index = self._read_index_here(MAX_SERVED_SECONDS)
         reply = ReadReply(
             request_id=request.request_id,
