Test the order of sync, answer and apply, and a failing disk

The order is what the promises rest on: an answer after the sync, a vote request after the own vote is synced, an entry applied only when synced, one sync for a whole batch. A disk whose sync fails stops its replica with a typed error; the other voters go on.

--- /dev/null
+++ b/tests/unit/test_replication_driver.py
@@ -0,0 +1,222 @@
+"""The order of disk, links and state machine."""
+
+import errno
+import random
+
+import eventlet
+import pytest
+
+from tests.support.replicas import Cluster, wait_for
+from verbenanotch.catalog import Accepted
+from verbenanotch.replication import Committed, Unavailable, Unknown
+from verbenanotch.replication._core import Core
+from verbenanotch.replication._driver import Driver
+from verbenanotch.replication._effects import Timing
+from verbenanotch.replication._entries import (
+    Configuration,
+    Entry,
+    EntryKind,
+    Member,
+)
+from verbenanotch.replication._files import Files
+from verbenanotch.replication._log import Log, SnapshotPoint
+from verbenanotch.replication._messages import Append, VoteReply
+
+TIMING = Timing(election_timeout=60.0, heartbeat=20.0)
+A, B = (
+    Member(name=name, disk_id="1", address="127.0.0.1", peer_port=1)
+    for name in "ab"
+)
+
+
+class Recorder:
+    """Storage, links and state machine that note the order of calls."""
+
+    def __init__(self):
+        """Begin with no calls."""
+        self.calls = []
+        self.last_sync_ms = 0.0
+
+    def append(self, *, term, vote, state_changed, entries):
+        """Note what is queued for the disk."""
+        if state_changed:
+            self.calls.append(f"write term {term}")
+        self.calls.extend(f"write {entry.index}" for entry in entries)
+
+    def sync(self):
+        """Note a sync."""
+        self.calls.append("sync")
+
+    def send(self, target, message):
+        """Note a message; an Append by what it carries."""
+        name = type(message).__name__
+        if isinstance(message, Append):
+            name = f"append of {len(message.entries)}"
+        self.calls.append(f"send {name}")
+
+    def apply(self, version, command):
+        """Note an entry."""
+        self.calls.append(f"apply {version.index}")
+        return b"result"
+
+
+@pytest.fixture
+def recorder():
+    return Recorder()
+
+
+@pytest.fixture
+def driver(recorder):
+    configuration = Configuration(voters=(A, B))
+    point = SnapshotPoint(index=0, term=0, configuration=configuration)
+    core = Core(
+        own_id=A.id,
+        log=Log(snapshot=point, base_index=0, base_term=0),
+        term=0,
+        vote="",
+        timing=TIMING,
+        random=random.Random(1),
+        now=0.0,
+    )
+    driver = Driver(
+        core=core,
+        storage=recorder,
+        state_machine=recorder,
+        send=recorder.send,
+        timing=TIMING,
+        snapshot_every=1000,
+    )
+    driver.start()
+    yield driver
+    driver.stop()
+
+
+def settle(driver):
+    driver.wake()
+    for _ in range(5):
+        eventlet.sleep(0)
+
+
+def append(*, entries=(), previous=0, commit_index=0, term=1):
+    return Append(
+        term=term,
+        previous_index=previous,
+        previous_term=1 if previous else 0,
+        entries=tuple(
+            Entry(term=1, index=index, kind=EntryKind.COMMAND)
+            for index in entries
+        ),
+        commit_index=commit_index,
+        round=1,
+    )
+
+
+def lead(driver):
+    driver.core.tick(10_000.0)
+    settle(driver)
+    driver.receive(B.id, VoteReply(term=1, granted=True, pre=True))
+    settle(driver)
+    driver.receive(B.id, VoteReply(term=1, granted=True, pre=False))
+
+
+def test_a_follower_syncs_before_it_answers_and_applies(driver, recorder):
+    driver.receive(B.id, append(entries=(1, 2), commit_index=1))
+    settle(driver)
+    assert recorder.calls == [
+        "write term 1",
+        "write 1",
+        "write 2",
+        "sync",
+        "send AppendReply",
+        "apply 1",
+    ]
+
+
+def test_messages_of_one_batch_share_a_sync(driver, recorder):
+    driver.receive(B.id, append(entries=(1,)))
+    driver.receive(B.id, append(entries=(2, 3), previous=1))
+    settle(driver)
+    assert recorder.calls.count("sync") == 1
+
+
+def test_a_candidate_syncs_its_vote_before_it_asks(driver, recorder):
+    lead(driver)
+    asked = recorder.calls.index("send VoteRequest", 1)
+    assert recorder.calls[asked - 2 : asked] == ["write term 1", "sync"]
+
+
+def test_a_leader_sends_before_its_sync_but_applies_after(driver, recorder):
+    lead(driver)
+    settle(driver)
+    recorder.calls.clear()
+    driver.core._leadership.progress_by_id[B.id].awaited_round = 0
+    driver.propose(EntryKind.COMMAND, b"x")
+    settle(driver)
+    assert recorder.calls == ["send append of 2", "write 2", "sync"]
+
+
+def test_an_entry_replaced_by_another_leader_is_surely_not_committed(driver):
+    lead(driver)
+    settle(driver)
+    replaced = driver.propose(EntryKind.COMMAND, b"x")
+    assert replaced is not None
+    settle(driver)
+    other = Entry(term=2, index=2, kind=EntryKind.EMPTY)
+    message = Append(
+        term=2,
+        previous_index=1,
+        previous_term=1,
+        entries=(other,),
+        commit_index=2,
+        round=1,
+    )
+    driver.receive(B.id, message)
+    settle(driver)
+    assert isinstance(replaced.wait(1), Unavailable)
+
+
+def test_stopping_leaves_waiting_proposals_unknown(driver):
+    lead(driver)
+    settle(driver)
+    waiting = driver.propose(EntryKind.COMMAND, b"x")
+    driver.stop()
+    assert isinstance(waiting.wait(1), Unknown)
+
+
+class FailingFiles(Files):
+    """Files whose syncs fail on demand."""
+
+    failing = False
+
+    def sync(self, name):
+        """Fail as a broken disk does."""
+        if self.failing:
+            raise OSError(errno.EIO, "input/output error")
+        super().sync(name)
+
+
+def test_a_failed_disk_stops_the_replica_and_the_others_go_on(tmp_path):
+    cluster = Cluster(path=tmp_path, voters=("c1", "c2", "c3"))
+    cluster.start("c1", "c2")
+    files = FailingFiles(folder=tmp_path / "c3")
+    cluster.start("c3", files=files)
+    try:
+        first = cluster.leader().submit(1)
+        cluster.agree(first.version)
+        files.failing = True
+        broken = cluster.hosts_by_name["c3"]
+        broken.submit(2, timeout=1.0)
+        wait_for(lambda: broken.replica.status().role == "failed")
+        assert "input/output error" in broken.replica.status().error
+        assert isinstance(
+            broken.replica.propose(command=b"", timeout_seconds=0.1),
+            Unavailable,
+        )
+        cluster.stop("c3")
+        assert isinstance(cluster.leader().submit(3), Accepted)
+        outcome = cluster.leader().replica.propose(
+            command=b"", timeout_seconds=5
+        )
+        assert isinstance(outcome, Committed)
+    finally:
+        cluster.close()
