Keep what is committed across a restart without a leader

How far entries are committed is now synced before any of them is applied, and a restart applies them at once. Recording it without a sync was ruled out: it does not survive a power loss.

Two voters that neither one's settings name had no link between them; a replica now dials all voters that the log names, and all control hosts of its settings while it has no leader. A change of voters waits within its deadline until it is allowed.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; they print figures and assert nothing."""
--- /dev/null
+++ b/bench/replication_submit.py
@@ -0,0 +1,101 @@
+"""Measure submissions to three voters that share one process and loop.
+
+Usage: python -m bench.replication_submit [FOLDER]. Real connections on
+127.0.0.1 and real syncs; since the three voters share a loop, their syncs
+stall each other, and separate processes are at least as fast. Prints the
+latency of submissions one after another (on the leader and forwarded), and
+of concurrent proposals with the syncs that they took.
+"""
+
+import pathlib
+import shutil
+import sys
+import tempfile
+import time
+
+import eventlet
+
+eventlet.monkey_patch()
+
+from hdrh.histogram import HdrHistogram  # noqa: E402
+
+from tests.support.replicas import Cluster  # noqa: E402
+from verbenanotch import telemetry  # noqa: E402
+from verbenanotch.telemetry import metrics  # noqa: E402
+
+SUBMISSIONS = 200
+CONCURRENT = (1, 10, 50)
+ROUNDS = 20
+MAX_MICROSECONDS = 60_000_000
+
+
+def main():
+    """Print the figures."""
+    telemetry.configure(host="bench", level="error")
+    parent = sys.argv[1] if len(sys.argv) > 1 else None
+    folder = tempfile.mkdtemp(dir=parent)
+    cluster = Cluster(
+        path=pathlib.Path(folder),
+        voters=("c1", "c2", "c3"),
+        election_timeout_ms=1000,
+        heartbeat_ms=200,
+    )
+    cluster.start()
+    try:
+        cluster.agree(cluster.leader().submit(0).version)
+        measure_submissions(cluster, "leader", cluster.leader())
+        measure_submissions(cluster, "forwarded", cluster.followers()[0])
+        for count in CONCURRENT:
+            measure_concurrent(cluster.leader(), count)
+    finally:
+        cluster.close()
+        shutil.rmtree(folder)
+
+
+def measure_submissions(cluster, label, host):
+    """Submit one after another."""
+    histogram = HdrHistogram(1, MAX_MICROSECONDS, 3)
+    for number in range(SUBMISSIONS):
+        began = time.monotonic()
+        outcome = host.submit(f"{label}-{number}")
+        record(histogram, began)
+        cluster.agree(outcome.version)
+    report(f"submissions, {label}", histogram)
+
+
+def measure_concurrent(host, count):
+    """Propose `count` commands at once, several times."""
+    histogram = HdrHistogram(1, MAX_MICROSECONDS, 3)
+    syncs = metrics.totals_by_name["replication.fsyncs"]
+
+    def propose(_):
+        began = time.monotonic()
+        host.replica.propose(command=b"x" * 1000, timeout_seconds=10)
+        record(histogram, began)
+
+    pool = eventlet.GreenPool(count)
+    for _ in range(ROUNDS):
+        list(pool.imap(propose, range(count)))
+    syncs = metrics.totals_by_name["replication.fsyncs"] - syncs
+    report(f"proposals, {count} at once", histogram)
+    each = syncs / (ROUNDS * count)
+    print(f"  syncs a proposal, all three voters: {each:.2f}")
+
+
+def record(histogram, began):
+    """Record the time since `began`."""
+    histogram.record_value(int((time.monotonic() - began) * 1e6))
+
+
+def report(label, histogram):
+    """Print one row."""
+    print(
+        f"{label:28} "
+        f"p50 {histogram.get_value_at_percentile(50) / 1000:7.2f} ms  "
+        f"p99 {histogram.get_value_at_percentile(99) / 1000:7.2f} ms  "
+        f"max {histogram.get_max_value() / 1000:7.2f} ms"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/unit/test_replication_core.py
+++ b/tests/unit/test_replication_core.py
@@ -186,12 +186,13 @@
 
 def test_a_conflicting_tail_is_replaced_and_a_committed_one_never():
     core = make_core(terms=(1, 1, 1), term=1)
-    core.receive(B.id, append(2, 1, terms=(2,), previous_term=1), 5.0)
+    core.receive(
+        B.id, append(2, 1, terms=(2,), previous_term=1, commit_index=2), 5.0
+    )
     effects = core.take_effects()
     assert [entry.term for entry in effects.entries] == [2]
-    assert core.log.last_index == 2
-    assert core.applicable_index <= 1
-    core.receive(B.id, append(2, 2, previous_term=2, commit_index=2), 5.0)
+    assert core.log.last_index == core.commit_index == 2
+    assert core.applicable_index == 1
     with pytest.raises(LogConflictError):
         core.receive(C.id, append(3, 1, terms=(3,), previous_term=1), 5.0)
 
@@ -224,7 +225,9 @@
     assert core.commit_index == 1
     acknowledge(core, C, 1, 3.1, round_number=1)
     assert core.take_effects().reads == []
-    newest = max(outgoing.message.round for outgoing in sent)
+    *_, before, _, newest = sorted(each.message.round for each in sent)
+    acknowledge(core, C, 1, 3.1, round_number=before)
+    assert core.take_effects().reads == []
     acknowledge(core, C, 1, 3.1, round_number=newest)
     (read,) = core.take_effects().reads
     assert (read.token, read.index) == ("early", 1)
@@ -279,6 +282,18 @@
     assert core.log.configuration.returning == ()
 
 
+def test_a_voter_that_answers_is_not_lost_whoever_has_its_name():
+    core = make_core()
+    lead(core)
+    new = member("c", "2")
+    core.meet(new, 3.0)
+    for now in (3.3, 3.6, 3.9, 4.2, 4.5):
+        for peer in (B, C, new):
+            acknowledge(core, peer, 1, now)
+        core.tick(now)
+    assert C.id in core.log.configuration.voters_by_id
+
+
 def test_a_snapshot_arrives_in_chunks_and_a_damaged_one_is_not_taken():
     core = make_core(voters=())
     data = bytes(range(100))
--- a/tests/unit/test_replication_driver.py
+++ b/tests/unit/test_replication_driver.py
@@ -43,6 +43,10 @@
             self.calls.append(f"write term {term}")
         self.calls.extend(f"write {entry.index}" for entry in entries)
 
+    def append_commit(self, index):
+        """Note how far entries are committed."""
+        self.calls.append(f"commit {index}")
+
     def sync(self):
         """Note a sync."""
         self.calls.append("sync")
@@ -65,9 +69,8 @@
     return Recorder()
 
 
-@pytest.fixture
-def driver(recorder):
-    configuration = Configuration(voters=(A, B))
+def make_driver(recorder, *voters):
+    configuration = Configuration(voters=voters)
     point = SnapshotPoint(index=0, term=0, configuration=configuration)
     core = Core(
         own_id=A.id,
@@ -78,7 +81,7 @@
         random=random.Random(1),
         now=0.0,
     )
-    driver = Driver(
+    return Driver(
         core=core,
         storage=recorder,
         state_machine=recorder,
@@ -86,6 +89,11 @@
         timing=TIMING,
         snapshot_every=1000,
     )
+
+
+@pytest.fixture
+def driver(recorder):
+    driver = make_driver(recorder, A, B)
     driver.start()
     yield driver
     driver.stop()
@@ -128,6 +136,8 @@
         "write 2",
         "sync",
         "send AppendReply",
+        "commit 1",
+        "sync",
         "apply 1",
     ]
 
@@ -155,6 +165,17 @@
     assert recorder.calls == ["send append of 2", "write 2", "sync"]
 
 
+def test_a_leader_sends_nothing_before_its_term_is_synced(recorder):
+    driver = make_driver(recorder, A)
+    driver.core.meet(B, 0.0)
+    driver.start()
+    driver.core.tick(10_000.0)
+    settle(driver)
+    driver.stop()
+    assert recorder.calls[:3] == ["write term 1", "write 1", "sync"]
+    assert "send append of 1" in recorder.calls
+
+
 def test_an_entry_replaced_by_another_leader_is_surely_not_committed(driver):
     lead(driver)
     settle(driver)
--- a/tests/unit/test_replication_faults.py
+++ b/tests/unit/test_replication_faults.py
@@ -138,5 +138,39 @@
     cluster.agree(accept(cluster, 2))
     voters = cluster.leader().replica.status().voters_by_name
     assert set(voters) == {"c1", "c2", "c3", "c4"} - {leader.name}
-    refused = cluster.leader().replica.change_voters(add="nobody")
+    refused = cluster.leader().replica.change_voters(
+        add="nobody", timeout_seconds=0.2
+    )
     assert isinstance(refused, Refused)
+
+
+def test_a_host_that_restarts_cut_off_holds_what_it_held(make_cluster):
+    cluster = make_cluster(learners=("c4",))
+    version = accept(cluster, 1)
+    cluster.agree(version)
+    cluster.stop()
+    cluster.start("c4")
+    host = cluster.hosts_by_name["c4"]
+    assert host.versions.current_version == version
+    assert host.replica.status().leader == ""
+
+
+def test_a_replica_reaches_voters_that_its_settings_do_not_name(make_cluster):
+    cluster = make_cluster(learners=("c4", "c5"))
+    version = accept(cluster, 1)
+    cluster.agree(version)
+    for name in ("c4", "c5"):
+        leader = cluster.leader()
+        assert isinstance(leader.replica.change_voters(add=name), Committed)
+    for name in ("c1", "c2", "c3"):
+        wait_for(cluster.leader)
+        outcome = cluster.leader().replica.change_voters(remove=name)
+        assert isinstance(outcome, Committed), outcome
+    cluster.stop("c1", "c2", "c3")
+    version = accept(cluster, 2)
+    cluster.agree(version)
+    cluster.stop("c5")
+    cluster.wipe("c5")
+    cluster.start("c5")
+    eventlet.sleep(1.0)
+    assert not cluster.has_vote("c5")
--- a/tests/unit/test_replication_storage.py
+++ b/tests/unit/test_replication_storage.py
@@ -1,5 +1,7 @@
 """The data folder after crashes and damage."""
 
+import os
+
 import pytest
 
 from verbenanotch.replication import (
@@ -81,6 +83,7 @@
         storage.append(
             term=index, vote="c2", state_changed=True, entries=[entry(index)]
         )
+        storage.append_commit(index - 1)
         storage.sync()
         acknowledged.append((index, index))
     point = SnapshotPoint(
@@ -133,6 +136,7 @@
     term, last_index = acknowledged[-1]
     assert recovered.term >= term
     assert recovered.log.last_index >= last_index
+    assert recovered.commit_index >= last_index - 2
     assert recovered.log.last_index >= recovered.log.snapshot.index
     held = recovered.log.entries_from(recovered.log.base_index + 1)
     assert [e.index for e in held] == [
@@ -175,7 +179,8 @@
 
 def test_damage_before_sound_records_is_found_without_the_mark(folder):
     (folder / "mark").write_bytes(pack_mark(0, 0))
-    flip(log_file(folder), 40)
+    path = log_file(folder)
+    flip(path, path.stat().st_size // 2)
     with pytest.raises(DamagedFileError):
         opened(folder)
 
@@ -202,6 +207,17 @@
         opened(folder)
 
 
+def test_a_file_is_synced_before_it_takes_its_name(tmp_path, monkeypatch):
+    calls = []
+    replace = os.replace
+    monkeypatch.setattr(os, "fsync", lambda _: calls.append("sync"))
+    monkeypatch.setattr(
+        os, "replace", lambda *names: (calls.append("name"), replace(*names))
+    )
+    Files(folder=tmp_path).replace("file", b"data")
+    assert calls == ["sync", "name", "sync"]
+
+
 def test_another_hosts_folder_is_refused(folder):
     with pytest.raises(ForeignFolderError):
         Storage(files=Files(folder=folder)).open(name="c2", new_disk_id="d")
--- a/verbenanotch/replication/_core.py
+++ b/verbenanotch/replication/_core.py
@@ -32,7 +32,18 @@
     a host and its disk, so a host that lost its disk is another peer.
     """
 
-    def __init__(self, *, own_id, log, term, vote, timing, random, now):
+    def __init__(
+        self,
+        *,
+        own_id,
+        log,
+        term,
+        vote,
+        timing,
+        random,
+        now,
+        commit_index=0,
+    ):
         """Start as a follower with the state that storage holds."""
         self.own_id = own_id
         self.log = log
@@ -40,7 +51,7 @@
         self.vote = vote
         self.role = Role.FOLLOWER
         self.leader_id = NOBODY
-        self.commit_index = log.snapshot.index
+        self.commit_index = max(commit_index, log.snapshot.index)
         self.synced_index = log.last_index
         self._timing = timing
         self._random = random
--- a/verbenanotch/replication/_driver.py
+++ b/verbenanotch/replication/_driver.py
@@ -48,6 +48,7 @@
         """Take the parts; `send(member_id, message)` queues a message."""
         self.core = core
         self.applied_index = core.log.snapshot.index
+        self._noted_commit = core.commit_index
         self.error = None
         self._storage = storage
         self._state_machine = state_machine
@@ -62,7 +63,8 @@
         self._greenthreads = []
 
     def start(self):
-        """Run in the background."""
+        """Apply what is known to be committed; run in the background."""
+        self._apply_committed()
         self._greenthreads = [
             eventlet.spawn(self._tick_forever),
             eventlet.spawn(self._run),
@@ -200,10 +202,7 @@
             state_changed=effects.state_changed,
             entries=effects.entries,
         )
-        self._storage.sync()
-        metrics.increment("replication.fsyncs")
-        metrics.timing("replication.fsync_ms", self._storage.last_sync_ms)
-        metrics.gauge("replication.fsync_ms", self._storage.last_sync_ms)
+        self._sync_storage()
         if effects.entries:
             last = effects.entries[-1]
             self.core.note_synced(last.index, last.term, time.monotonic())
@@ -219,6 +218,7 @@
         )
         self.restore(effects.snapshot.data)
         self.applied_index = effects.snapshot.point.index
+        self._noted_commit = max(self._noted_commit, self.applied_index)
         self._end_waiting(
             "a snapshot of another leader covers it",
             to_index=self.applied_index,
@@ -227,6 +227,7 @@
         emit(events.SNAPSHOT_INSTALLED, index=self.applied_index)
 
     def _apply_committed(self):
+        self._note_commit()
         while self.applied_index < self.core.applicable_index:
             entry = self.core.log.entry_at(self.applied_index + 1)
             self._apply(entry)
@@ -234,6 +235,25 @@
             if self.applied_index >= index and not applied.ready():
                 applied.send(True)
 
+    def _note_commit(self):
+        """Sync how far entries are committed before any is applied.
+
+        A restart applies them again at once, so that a host that is cut
+        off never hands out less than before.
+        """
+        index = self.core.applicable_index
+        if index > self._noted_commit:
+            self._noted_commit = index
+            self._storage.append_commit(index)
+            self._sync_storage()
+            metrics.gauge("replication.commit_index", index)
+
+    def _sync_storage(self):
+        self._storage.sync()
+        metrics.increment("replication.fsyncs")
+        metrics.timing("replication.fsync_ms", self._storage.last_sync_ms)
+        metrics.gauge("replication.fsync_ms", self._storage.last_sync_ms)
+
     def _apply(self, entry):
         version = Version(epoch=entry.term, index=entry.index)
         result = b""
@@ -281,6 +301,10 @@
             # What the core has changed meanwhile goes to the disk first.
             self.wake()
             return
+        self._take_snapshot()
+
+    def _take_snapshot(self):
+        log = self.core.log
         point = SnapshotPoint(
             index=self.applied_index,
             term=log.term_at(self.applied_index),
--- a/verbenanotch/replication/_leader.py
+++ b/verbenanotch/replication/_leader.py
@@ -66,6 +66,8 @@
 
     def change_voters(self, add, remove, now):
         """Append the change; return the entry, or None and the reason."""
+        if not self.may_change_voters():
+            return None, "another change is not committed yet"
         configuration = self.log.configuration
         if remove:
             voter = configuration.voters_by_name.get(remove)
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -4,6 +4,7 @@
 import time
 
 import attrs
+import eventlet
 
 from verbenanotch import wire
 from verbenanotch.replication import events
@@ -38,6 +39,8 @@
 from verbenanotch.telemetry import emit
 
 DISK_ID_BYTES = 8
+DIAL_SECONDS = 0.2
+MAX_ALONE_SECONDS = 3.0
 MILLISECONDS = 1000
 
 
@@ -85,13 +88,14 @@
         self._assemble(recovered)
         self._running = True
         self._driver.start()
-        self._dial_known()
+        self._dialer = eventlet.spawn(self._dial_forever)
         self._act_on(self._bootstrap.begin())
 
     def stop(self):
         """End all connections and background work."""
         self._running = False
         if self._driver is not None:
+            self._dialer.kill()
             self._links.stop()
             self._driver.stop()
 
@@ -195,6 +199,7 @@
             log=recovered.log,
             term=recovered.term,
             vote=recovered.vote,
+            commit_index=recovered.commit_index,
             timing=timing,
             random=self._random,
             now=time.monotonic(),
@@ -253,14 +258,25 @@
         self._driver.core.log.set_first_voters(Configuration(voters=voters))
         emit(entry, cluster=cluster_id, own=self._own.id)
 
-    def _dial_known(self):
+    def _dial_forever(self):
+        """Have links to all voters; without a leader, to all hosts."""
         control = self._settings.control
-        for name, peer in control.voters_by_name.items():
-            self._links.ensure(
-                name=name, address=peer.address, port=peer.peer_port
-            )
-        for voter in self._driver.core.log.configuration.voters:
-            self._dial(voter)
+        alone_seconds = 0.0
+        while True:
+            core = self._driver.core
+            alone_seconds += DIAL_SECONDS
+            if core.leader_id:
+                alone_seconds = 0.0
+            peers_by_name = dict(control.voters_by_name)
+            if alone_seconds > MAX_ALONE_SECONDS:
+                peers_by_name.update(control.control_hosts_by_name)
+            for name, peer in peers_by_name.items():
+                self._links.ensure(
+                    name=name, address=peer.address, port=peer.peer_port
+                )
+            for voter in core.log.configuration.voters:
+                self._dial(voter)
+            eventlet.sleep(DIAL_SECONDS)
 
     def _dial(self, member):
         """Dial a peer where the settings say, or else where it says."""
--- a/verbenanotch/replication/_requests.py
+++ b/verbenanotch/replication/_requests.py
@@ -130,18 +130,18 @@
         return Unknown(reason="no quorum has answered in time")
 
     def _change_here(self, data, deadline):
+        """Change voters as soon as it is allowed, within the deadline."""
         core = self._driver.core
         add, remove = msgpack.unpackb(data)
-        while core.role == Role.LEADER and not core.may_change_voters():
+        while core.role == Role.LEADER:
+            entry, reason = core.change_voters(add, remove, time.monotonic())
+            if entry is not None:
+                outcome = self._driver.wait_for(entry)
+                return self._await_outcome(outcome, deadline)
             if time.monotonic() >= deadline:
-                return Unavailable(reason="another change is not done yet")
+                return Unavailable(reason=reason)
             eventlet.sleep(RETRY_SECONDS)
-        if core.role != Role.LEADER:
-            return None
-        entry, reason = core.change_voters(add, remove, time.monotonic())
-        if entry is None:
-            return Unavailable(reason=reason)
-        return self._await_outcome(self._driver.wait_for(entry), deadline)
+        return None
 
     def _forward(self, leader_id, kind, data, deadline):
         left = max(0.0, deadline - time.monotonic())
--- a/verbenanotch/replication/_storage.py
+++ b/verbenanotch/replication/_storage.py
@@ -34,6 +34,7 @@
 HEADER_RECORD = 0
 STATE_RECORD = 1
 ENTRY_RECORD = 2
+COMMIT_RECORD = 3
 REJOIN = (
     "Stop this host, check its disk, empty the data folder and start it "
     "again: it rejoins and copies the state from the leader"
@@ -52,11 +53,12 @@
 
 @attrs.frozen(kw_only=True)
 class Recovered:
-    """What the data folder holds."""
+    """What the data folder holds; `commit_index` is what was applied."""
 
     identity: Identity
     term: int
     vote: str
+    commit_index: int
     log: Log
     snapshot_data: bytes | None
     cut_bytes: int = 0
@@ -71,8 +73,8 @@
         self._monotonic = monotonic
         self._sequence = 0
         self._log_bytes = 0
+        self._commit_index = 0
         self._pending = []
-        self._header = None
         self.last_sync_ms = 0.0
 
     # Reading.
@@ -143,7 +145,12 @@
         self._start_log(log, term=0, vote="")
         self.save_identity(identity)
         return Recovered(
-            identity=identity, term=0, vote="", log=log, snapshot_data=None
+            identity=identity,
+            term=0,
+            vote="",
+            commit_index=0,
+            log=log,
+            snapshot_data=None,
         )
 
     def _has_content(self, name):
@@ -168,13 +175,16 @@
         self._log_bytes = found.sound_bytes
         header = found.values[0]
         point, snapshot_data = self._read_snapshot(header, log_name, identity)
-        term, vote, log = _replay(found, point, log_name)
+        log = Log(snapshot=point, base_index=header[1], base_term=header[2])
+        term, vote, commit_index = _replay(found, log, log_name)
+        self._commit_index = commit_index
         self._write_mark()
         self._remove_others(keep=(log_name, _snapshot_name(point.index)))
         return Recovered(
             identity=identity,
             term=term,
             vote=vote,
+            commit_index=commit_index,
             log=log,
             snapshot_data=snapshot_data,
             cut_bytes=cut_bytes,
@@ -265,6 +275,11 @@
             self._pending.append(_state_record(term, vote))
         self._pending.extend(_entry_record(entry) for entry in entries)
 
+    def append_commit(self, index):
+        """Queue that the entries up to `index` are committed."""
+        self._commit_index = index
+        self._pending.append(_commit_record(index))
+
     def sync(self):
         """Write and sync all that is queued, with one sync."""
         data = b"".join(self._pending)
@@ -304,6 +319,8 @@
             log.snapshot.index,
         ]
         records = [_records.pack(header), _state_record(term, vote)]
+        if self._commit_index > log.snapshot.index:
+            records.append(_commit_record(self._commit_index))
         entries = log.entries_from(log.base_index + 1)
         records.extend(_entry_record(entry) for entry in entries)
         data = b"".join(records)
@@ -335,37 +352,43 @@
             ) from error
 
 
-def _replay(found, point, log_name):
-    """Return term, vote and log of a log file's records."""
-    _, base_index, base_term, _ = found.values[0]
-    term, vote = 0, ""
-    log = Log(snapshot=point, base_index=base_index, base_term=base_term)
+def _replay(found, log, log_name):
+    """Fill the log from a file's records; return term, vote and commit."""
+    term, vote, commit_index = 0, "", log.snapshot.index
     for offset, record in zip(found.offsets, found.values, strict=True):
-        if record[0] == STATE_RECORD:
-            term, vote = record[1], record[2]
-        elif record[0] == ENTRY_RECORD:
-            entry = Entry(
-                term=record[1],
-                index=record[2],
-                kind=record[3],
-                data=record[4],
-            )
-            if not base_index < entry.index <= log.last_index + 1:
-                raise DamagedFileError(
-                    file=log_name,
-                    offset=offset,
-                    text=f"entry {entry.index} does not follow",
-                    remedy=REJOIN,
-                )
-            log.merge((entry,), commit_index=point.index)
-    if log.last_index < point.index:
+        match record:
+            case [int(kind), int(new_term), str(new_vote)] if (
+                kind == STATE_RECORD
+            ):
+                term, vote = new_term, new_vote
+            case [int(kind), int(index)] if kind == COMMIT_RECORD:
+                commit_index = max(commit_index, index)
+            case [int(kind), *_] if kind == ENTRY_RECORD:
+                _replay_entry(record, log, commit_index, log_name, offset)
+    if log.last_index < commit_index:
         raise DamagedFileError(
             file=log_name,
             offset=found.sound_bytes,
-            text="the log ends before the snapshot that it continues",
+            text=f"the log ends before committed entry {commit_index}",
+            remedy=REJOIN,
+        )
+    return term, vote, commit_index
+
+
+def _replay_entry(record, log, commit_index, log_name, offset):
+    _, term, index, kind, data = record
+    follows = log.base_index < index <= log.last_index + 1
+    if not follows or (
+        index <= commit_index and log.term_at(index) not in (None, term)
+    ):
+        raise DamagedFileError(
+            file=log_name,
+            offset=offset,
+            text=f"entry {index} does not follow what comes before",
             remedy=REJOIN,
         )
-    return term, vote, log
+    entry = Entry(term=term, index=index, kind=kind, data=data)
+    log.merge((entry,), commit_index=commit_index)
 
 
 def _missing(name):
@@ -389,6 +412,10 @@
     return _records.pack([STATE_RECORD, term, vote])
 
 
+def _commit_record(index):
+    return _records.pack([COMMIT_RECORD, index])
+
+
 def _entry_record(entry):
     return _records.pack(
         [ENTRY_RECORD, entry.term, entry.index, entry.kind, entry.data]
