--- a/verbenanotch/wire/__init__.py
+++ b/verbenanotch/wire/__init__.py
@@ -1,6 +1,12 @@
 """Authenticated msgpack streams between the system's processes."""
 
-from verbenanotch.wire._codec import decode, encode, message
+from verbenanotch.wire._codec import (
+    decode,
+    encode,
+    from_plain,
+    message,
+    to_plain,
+)
 from verbenanotch.wire._connection import Connection
 from verbenanotch.wire._handshake import PROTOCOL_VERSION, Purpose
 from verbenanotch.wire._listener import Listener, dial
@@ -27,5 +33,7 @@
     "decode",
     "dial",
     "encode",
+    "from_plain",
     "message",
+    "to_plain",
 ]
