--- /dev/null
+++ b/tests/unit/test_distribution.py
@@ -0,0 +1,335 @@
+"""Parts, deltas, the swap of snapshots, admission and floors."""
+
+import attrs
+import pytest
+
+from tests.support.control_side import make_mesh, make_target
+from verbenanotch.catalog import NO_VERSION, Version
+from verbenanotch.distribution import (
+    Applied,
+    BelowFloor,
+    Outdated,
+    SnapshotHolder,
+    Unclosed,
+    WrongBase,
+)
+from verbenanotch.distribution._acknowledgements import Acknowledgements
+from verbenanotch.distribution._admission import (
+    Admission,
+    Admitted,
+    Queued,
+    Refused,
+)
+from verbenanotch.distribution._choice import (
+    Candidate,
+    StaleWatch,
+    choose_control_host,
+)
+from verbenanotch.distribution._floor import (
+    FloorFound,
+    FloorOpen,
+    decide_floor,
+)
+from verbenanotch.distribution._mesh_state import encode_mesh
+from verbenanotch.distribution._messages import Subscribe, Update
+from verbenanotch.distribution._session import ProxySession
+from verbenanotch.membership import (
+    ALL_HOSTS,
+    EntrySet,
+    HostRecord,
+    encode_entry,
+)
+
+
+def version(index):
+    return Version(epoch=1, index=index)
+
+
+def state(mesh, index):
+    return encode_mesh(version=version(index), mesh=mesh, pause=lambda: None)
+
+
+def host_record(host, service, *, sequence=1):
+    return HostRecord(
+        host=host,
+        availability_zone="z1",
+        address="127.0.0.1",
+        peer_port=1,
+        incarnation=1,
+        sequence=sequence,
+        targets=(make_target(service, host=host),),
+    )
+
+
+def table(*records):
+    return EntrySet.of(
+        {record.host: encode_entry(record) for record in records}
+    )
+
+
+def make_session(*, entry_services=(), local_services=()):
+    return ProxySession(
+        host="p",
+        connection=None,
+        subscription=Subscribe(
+            entry_services=tuple(entry_services),
+            held=NO_VERSION,
+            held_digest=0,
+            digests_by_service={},
+            newborn=False,
+            floor=NO_VERSION,
+        ),
+        local_services=frozenset(local_services),
+    )
+
+
+@pytest.fixture
+def holder():
+    return SnapshotHolder(floor=NO_VERSION)
+
+
+def test_a_proxy_gets_only_what_it_needs(holder):
+    session = make_session(entry_services=["s0"], local_services=["s1"])
+    update = session.next_update(
+        state=state(make_mesh(5), 1), tables_by_service={}
+    )
+    assert isinstance(holder.apply(update), Applied)
+    assert set(holder.snapshot.services_by_name) == {"s0", "s1", "s2"}
+    assert set(holder.snapshot.routes_by_name) == {"s0-0", "s1-0", "s2-0"}
+    assert {item.service for item in update.targets} == {
+        ALL_HOSTS,
+        "s0",
+        "s1",
+        "s2",
+    }
+
+
+def test_a_delta_carries_only_the_change(holder):
+    session = make_session()
+    first = make_mesh(5)
+    holder.apply(
+        session.next_update(state=state(first, 1), tables_by_service={})
+    )
+    route = attrs.evolve(first.routes["s3-0"], timeout_ms=9)
+    second = attrs.evolve(first, routes={**first.routes, "s3-0": route})
+    update = session.next_update(state=state(second, 2), tables_by_service={})
+    assert set(update.mesh[0].routes) == {"s3-0"}
+    assert update.mesh[0].services == {} and update.targets == ()
+    assert holder.apply(update) == Applied(version=version(2))
+    assert holder.snapshot.routes_by_name == second.routes
+
+
+def test_a_new_service_comes_with_its_targets_and_goes_with_its_route(holder):
+    session = make_session()
+    tables = {"s1": table(host_record("h1", "s1"))}
+    holder.apply(
+        session.next_update(
+            state=state(make_mesh(1), 1), tables_by_service=tables
+        )
+    )
+    assert holder.snapshot.target_ids_by_service == {}
+    held = holder.snapshot
+    update = session.next_update(
+        state=state(make_mesh(2), 2), tables_by_service=tables
+    )
+    holder.apply(update)
+    assert holder.snapshot.target_ids_by_service == {"s1": ("s1/h1:80",)}
+    assert holder.snapshot.hosts_by_name["h1"].targets
+    assert held.routes_by_name.keys() == {"s0-0"}
+    holder.apply(
+        session.next_update(
+            state=state(make_mesh(1), 3), tables_by_service=tables
+        )
+    )
+    assert holder.snapshot.targets_by_id == {}
+    assert holder.snapshot.hosts_by_name == {}
+
+
+def test_a_route_without_service_or_targets_is_refused(holder):
+    session = make_session()
+    update = session.next_update(
+        state=state(make_mesh(2), 1), tables_by_service={}
+    )
+    assert holder.apply(attrs.evolve(update, targets=())) == Unclosed(
+        route="s0-0", service="s0"
+    )
+    assert holder.snapshot.version == NO_VERSION
+
+
+def test_wrong_base_or_digest_changes_nothing(holder):
+    session = make_session()
+    first = session.next_update(
+        state=state(make_mesh(1), 1), tables_by_service={}
+    )
+    second = session.next_update(
+        state=state(make_mesh(2), 2), tables_by_service={}
+    )
+    assert holder.apply(second) == WrongBase(mesh=True, services=())
+    wrong = attrs.evolve(first, mesh=(attrs.evolve(first.mesh[0], digest=1),))
+    assert holder.apply(wrong) == WrongBase(mesh=True, services=())
+    assert holder.snapshot.version == NO_VERSION
+    holder.apply(first)
+    assert holder.apply(second) == Applied(version=version(2))
+
+
+def test_a_wrong_table_is_named_and_the_others_are_taken(holder):
+    session = make_session()
+    mesh_state = state(make_mesh(2), 1)
+    holder.apply(session.next_update(state=mesh_state, tables_by_service={}))
+    tables = {
+        "s0": table(host_record("h0", "s0")),
+        "s1": table(host_record("h1", "s1")),
+    }
+    update = session.next_update(state=mesh_state, tables_by_service=tables)
+    targets = tuple(
+        attrs.evolve(item, digest=1) if item.service == "s0" else item
+        for item in update.targets
+    )
+    outcome = holder.apply(attrs.evolve(update, targets=targets))
+    assert outcome == Applied(version=version(1), services=("s0",))
+    assert set(holder.snapshot.targets_by_id) == {"s1/h1:80"}
+    session.forget(mesh=False, services=outcome.services)
+    update = session.next_update(state=mesh_state, tables_by_service=tables)
+    assert [item.service for item in update.targets] == ["s0"]
+    holder.apply(update)
+    assert len(holder.snapshot.targets_by_id) == 2
+
+
+def test_an_older_version_is_never_applied(holder):
+    new, old = make_session(), make_session()
+    holder.apply(
+        new.next_update(state=state(make_mesh(2), 2), tables_by_service={})
+    )
+    update = old.next_update(
+        state=state(make_mesh(1), 1), tables_by_service={}
+    )
+    assert holder.apply(update) == Outdated(held=version(2))
+    assert holder.snapshot.version == version(2)
+
+
+def test_nothing_is_applied_below_the_floor_or_before_it_is_known():
+    holder = SnapshotHolder()
+    update = make_session().next_update(
+        state=state(make_mesh(1), 3), tables_by_service={}
+    )
+    assert holder.apply(update) == BelowFloor(floor=None)
+    holder.raise_floor(version(4))
+    assert holder.apply(update) == BelowFloor(floor=version(4))
+    holder.raise_floor(version(2))
+    assert holder.floor == version(4)
+
+
+def test_an_older_record_of_a_host_is_not_taken(holder):
+    session, stale = make_session(), make_session()
+    mesh_state = state(make_mesh(1), 1)
+    tables = {"s0": table(host_record("h0", "s0", sequence=5))}
+    holder.apply(
+        session.next_update(state=mesh_state, tables_by_service=tables)
+    )
+    tables = {"s0": table(host_record("h0", "s0", sequence=4))}
+    update = stale.next_update(state=mesh_state, tables_by_service=tables)
+    holder.apply(attrs.evolve(update, mesh=()))
+    assert holder.snapshot.hosts_by_name["h0"].sequence == 5
+
+
+def test_a_swap_is_refused_if_another_came_between_its_steps(holder):
+    update = make_session().next_update(
+        state=state(make_mesh(300), 1), tables_by_service={}
+    )
+    later = make_session().next_update(
+        state=state(make_mesh(1), 2), tables_by_service={}
+    )
+    pauses = []
+
+    def pause():
+        if not pauses:
+            pauses.append(1)
+            holder.apply(later)
+
+    assert isinstance(holder.apply(update, pause=pause), WrongBase)
+    assert holder.snapshot.version == version(2)
+
+
+def test_an_empty_update_is_not_sent():
+    session = make_session()
+    mesh_state = state(make_mesh(1), 1)
+    assert isinstance(
+        session.next_update(state=mesh_state, tables_by_service={}), Update
+    )
+    assert session.next_update(state=mesh_state, tables_by_service={}) is None
+
+
+def test_admission_is_bounded_and_takes_the_newest_first():
+    admission = Admission(limit=1)
+    assert admission.request("a", held=version(1)) == Admitted()
+    for index, key in enumerate("bcde"):
+        assert admission.request(key, held=version(index)) == Queued()
+    assert isinstance(admission.request("f", held=version(9)), Refused)
+    assert admission.finish("a") == "e"
+    assert admission.finish("b") is None
+    assert admission.finish("e") == "d"
+
+
+def test_the_choice_spreads_and_avoids_busy_and_stale_hosts():
+    names = [f"c{number}" for number in range(3)]
+
+    def choose(host, **changes):
+        return choose_control_host(
+            [
+                Candidate(
+                    name=name,
+                    current=version(changes.get(name, 5)),
+                    busy_until=changes.get(f"busy_{name}", 0.0),
+                )
+                for name in names
+            ],
+            host=host,
+            at_least=version(5),
+            now=1.0,
+        )
+
+    chosen = [choose(f"p{number}") for number in range(90)]
+    assert all(chosen.count(name) >= 15 for name in names)
+    first = choose("p0")
+    assert choose("p0", **{first: 4}) != first
+    assert choose("p0", **{f"busy_{first}": 9.0}) != first
+    assert choose("p0", busy_c0=9.0, busy_c1=9.0, busy_c2=9.0) is None
+
+
+def test_a_control_host_behind_another_one_is_left_after_a_while():
+    watch = StaleWatch()
+    old, new = version(1), version(2)
+    assert not watch.is_stale(subscribed=old, others=[new], now=0.0)
+    assert not watch.is_stale(subscribed=new, others=[new], now=1.0)
+    assert not watch.is_stale(subscribed=old, others=[new], now=2.0)
+    assert watch.is_stale(subscribed=old, others=[new], now=4.0)
+
+
+def test_a_floor_without_quorum_needs_every_control_host_of_the_zone():
+    known = {"c1": version(4)}
+    assert decide_floor(
+        control_hosts={"c1", "c2"},
+        versions_by_control_host=known,
+        peer_versions=[version(5)],
+    ) == FloorOpen(silent=("c2",))
+    assert decide_floor(
+        control_hosts={"c1", "c2"},
+        versions_by_control_host={**known, "c2": version(3)},
+        peer_versions=[version(5)],
+    ) == FloorFound(version=version(5))
+
+
+def test_acknowledgements_tell_the_lowest_and_who_lags():
+    acknowledgements = Acknowledgements()
+    acknowledgements.note("a", version(2))
+    acknowledgements.note("b", version(1))
+    summary = acknowledgements.summary(
+        hosts=["a", "b"],
+        availability_zone="z1",
+        source="c1",
+        current=version(2),
+    )
+    assert (summary.lowest, summary.count) == (version(1), 2)
+    assert summary.laggards == ("b",)
+    acknowledgements.retain(["a"])
+    assert acknowledgements.version("b") == NO_VERSION
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,202 @@
+"""Leases, damped expiry and the tables of all zones."""
+
+import attrs
+import pytest
+
+from verbenanotch.membership import (
+    ALL_HOSTS,
+    Directory,
+    EntrySet,
+    HostRecord,
+    PublishedTable,
+    Stale,
+    Taken,
+    TargetRecord,
+    WrongBase,
+    ZoneTable,
+    ZoneTableUpdate,
+    decode_entry,
+)
+
+LEASE = 3.0
+
+
+def host_record(host, *, sequence=1, incarnation=1, zone="z1", service="a"):
+    target = TargetRecord(
+        target_id=f"{service}/{host}:80",
+        service=service,
+        address="127.0.0.1",
+        port=80,
+        slots=4,
+        incarnation=1,
+    )
+    return HostRecord(
+        host=host,
+        availability_zone=zone,
+        address="127.0.0.1",
+        peer_port=70,
+        incarnation=incarnation,
+        sequence=sequence,
+        targets=(target,),
+    )
+
+
+@pytest.fixture
+def table():
+    return ZoneTable(availability_zone="z1", lease_seconds=LEASE)
+
+
+def announce(table, count, *, now=0.0):
+    for number in range(count):
+        table.announce(host_record(f"h{number}"), now=now)
+
+
+def renew(table, host, *, now):
+    return table.renew(host=host, incarnation=1, sequence=1, now=now)
+
+
+def zone_update(published, *, sequence, base=None, whole=False, digest=None):
+    delta = (base or EntrySet()).delta_to(published.entries)
+    return ZoneTableUpdate(
+        availability_zone="z2",
+        source="c2",
+        source_incarnation=5,
+        sequence=sequence,
+        whole=whole,
+        base_digest=base.digest if base else 0,
+        digest=published.entries.digest if digest is None else digest,
+        changed=delta.changed,
+        removed=delta.removed,
+    )
+
+
+def test_a_lease_ends_unless_renewed(table):
+    announce(table, 2)
+    assert renew(table, "h0", now=2.0)
+    assert table.expire(now=3.5).dropped == ("h1",)
+    assert set(table.records_by_host) == {"h0"}
+
+
+def test_an_older_record_changes_nothing(table):
+    table.announce(host_record("h0", sequence=5), now=0.0)
+    assert not table.announce(host_record("h0", sequence=4), now=2.9)
+    assert table.get("h0").sequence == 5
+    assert table.expire(now=3.0).dropped == ("h0",)
+
+
+def test_many_leases_that_end_at_once_are_kept_as_suspect(table):
+    announce(table, 10)
+    for number in range(6):
+        renew(table, f"h{number}", now=2.0)
+    expiry = table.expire(now=3.5)
+    assert expiry.dropped == ()
+    assert len(expiry.suspected) == 4
+    assert len(table.records_by_host) == 10
+    assert len(table.direct_records_by_host) == 6
+    assert renew(table, "h9", now=4.0)
+    assert "h9" not in table.suspect_hosts
+
+
+def test_leases_that_end_one_by_one_within_a_lease_time_are_damped(table):
+    for number in range(10):
+        table.announce(host_record(f"h{number}"), now=number * 0.1)
+    dropped = [table.expire(now=3.0 + step * 0.1) for step in range(11)]
+    kept = len(table.records_by_host)
+    assert sum(len(expiry.dropped) for expiry in dropped) == 2
+    assert kept == 8
+
+
+def test_suspects_are_dropped_only_while_most_hosts_are_live(table):
+    announce(table, 10)
+    table.expire(now=4.0)
+    assert table.expire(now=1000.0).dropped == ()
+    for number in range(6):
+        renew(table, f"h{number}", now=1000.0)
+    assert len(table.expire(now=1001.0).dropped) == 4
+
+
+def test_another_control_host_vouches_for_a_host_that_is_cut_off(table):
+    announce(table, 1)
+    table.vouch(host_record("h0"), source="c2", now=1.0)
+    assert table.expire(now=9.0).dropped == ()
+    table.withdraw(host="h0", source="c2", now=9.0, hold_seconds=LEASE)
+    assert table.expire(now=9.5).dropped == ()
+    assert table.expire(now=12.0).dropped == ("h0",)
+
+
+def test_vouched_hosts_are_not_vouched_for_in_turn(table):
+    table.vouch(host_record("h0"), source="c2", now=0.0)
+    assert table.direct_records_by_host == {}
+    before = table.sequence
+    table.announce(host_record("h0"), now=0.0)
+    assert set(table.direct_records_by_host) == {"h0"}
+    assert table.sequence > before
+
+
+def test_release_ends_only_its_own_incarnation(table):
+    table.announce(host_record("h0", incarnation=2), now=0.0)
+    table.release(host="h0", incarnation=1)
+    assert "h0" in table.records_by_host
+    table.release(host="h0", incarnation=2)
+    assert table.records_by_host == {}
+
+
+def test_a_delta_leads_to_the_same_digest_as_the_whole():
+    first = EntrySet.of({"a": b"1", "b": b"2"})
+    second = EntrySet.of({"b": b"3", "c": b"4"})
+    delta = first.delta_to(second)
+    result = first.evolve(changed=delta.changed, removed=delta.removed)
+    assert result.digest == second.digest != first.digest
+    assert result.entries_by_key == second.entries_by_key
+    assert second.subset(["c", "x"]).digest == EntrySet.of({"c": b"4"}).digest
+
+
+def test_zone_deltas_need_their_base_and_digest(table):
+    directory = Directory(zone_table=table)
+    remote = PublishedTable()
+    remote.follow({"r0": host_record("r0", zone="z2")})
+    base = remote.entries
+    assert isinstance(
+        directory.receive(zone_update(remote, sequence=1, base=base)),
+        WrongBase,
+    )
+    whole = zone_update(remote, sequence=1, whole=True)
+    assert directory.receive(whole) == Taken(hosts=frozenset({"r0"}))
+    assert isinstance(directory.receive(whole), Stale)
+    remote.follow({"r1": host_record("r1", zone="z2")})
+    wrong = zone_update(remote, sequence=2, base=base, digest=7)
+    assert isinstance(directory.receive(wrong), WrongBase)
+    assert set(directory.records_by_host) == {"r0"}
+    directory.receive(zone_update(remote, sequence=2, base=base))
+    assert set(directory.records_by_host) == {"r1"}
+
+
+def test_services_hold_the_targets_of_all_zones(table):
+    directory = Directory(zone_table=table)
+    announce(table, 1)
+    directory.refresh_zone()
+    remote = PublishedTable()
+    remote.follow({"r0": host_record("r0", zone="z2")})
+    directory.receive(zone_update(remote, sequence=1, whole=True))
+    entries = directory.entries_by_service["a"].entries_by_key
+    assert set(entries) == {"h0", "r0"}
+    assert set(directory.entries_by_service[ALL_HOSTS].entries_by_key) == {
+        "h0"
+    }
+    drained = attrs.evolve(
+        host_record("h0", sequence=2),
+        targets=(attrs.evolve(host_record("h0").targets[0], draining=True),),
+    )
+    table.announce(drained, now=0.0)
+    directory.refresh({"h0"})
+    entries = directory.entries_by_service["a"].entries_by_key
+    assert decode_entry(entries["h0"], HostRecord).targets[0].draining
+
+
+def test_a_digest_names_a_recent_state_of_a_published_table():
+    published = PublishedTable()
+    published.follow({"h0": host_record("h0")})
+    digest = published.entries.digest
+    published.follow({"h0": host_record("h0"), "h1": host_record("h1")})
+    assert set(published.delta_from(digest).changed) == {"h1"}
+    assert published.delta_from(12345) is None
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -10,11 +10,14 @@
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.distribution import Publisher
 from verbenanotch.membership import Directory, ZoneExchange, ZoneTable
+from verbenanotch.membership import events as membership_events
 from verbenanotch.operator import OperatorInterface
-from verbenanotch.replication import Replica
+from verbenanotch.replication import ReadConfirmed, Replica
+from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import Listener, Purpose
 
 EXPIRY_SECONDS = 0.5
+ZONE_LIVE_SECONDS = 5.0
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -34,15 +37,22 @@
         self._table = ZoneTable(
             availability_zone=host.availability_zone,
             lease_seconds=control.lease_ms / MILLISECONDS_PER_SECOND,
+            started_at=time.monotonic(),
         )
         self._directory = Directory(zone_table=self._table)
         self._publisher = Publisher(
-            versions=self._versions, directory=self._directory
+            settings=settings,
+            versions=self._versions,
+            directory=self._directory,
+            confirm=self._confirm,
+            on_zone_change=self._zone_changed,
         )
         self._exchange = ZoneExchange(
             settings=settings,
             directory=self._directory,
             on_change=self._publisher.wake,
+            summarize=self._publisher.summarize,
+            on_drain=self._publisher.drain,
         )
         self._listener = Listener(
             address=host.address,
@@ -71,6 +81,7 @@
     def start(self):
         """Start serving."""
         self._replica.start()
+        self._publisher.start()
         self._listener.start()
         self._exchange.start()
         self._http.start()
@@ -81,6 +92,7 @@
         self._expirer.kill()
         self._http.stop()
         self._exchange.stop()
+        self._publisher.stop()
         self._replica.stop()
         self._listener.stop()
 
@@ -89,15 +101,17 @@
         return bool(self._replica.status().leader)
 
     def status(self):
-        """Return the state of the replica and of the zone's proxies."""
+        """Return the state of the replica, the zone's proxies, all zones.
+
+        A zone that was not heard of lately is not `live`: whether a version
+        is in force there is unknown.
+        """
         current = self._versions.current
         return {
             "replica": attrs.asdict(self._replica.status()),
             "version": str(current.version) if current else "",
-            "proxies": {
-                host: str(session.acknowledged)
-                for host, session in self._publisher.sessions_by_host.items()
-            },
+            "proxies": self._proxies(),
+            "zones": self._zones(),
         }
 
     def targets(self):
@@ -113,13 +127,77 @@
         ]
 
     def drain(self, target_id):
-        """Give a target no new work; return whether it is known."""
-        known = any(t["target_id"] == target_id for t in self.targets())
-        self._publisher.drain(target_id)
-        return known
+        """Give a target no new work; return whether it could be told."""
+        own_zone = self._table.availability_zone
+        for target in self.targets():
+            if target["target_id"] == target_id:
+                zone = target["availability_zone"]
+                if zone != own_zone:
+                    return self._exchange.drain(zone, target_id)
+                self._publisher.drain(target_id)
+                return True
+        return False
+
+    def _proxies(self):
+        acknowledgements = self._publisher.acknowledgements
+        suspects = self._table.suspect_hosts
+        return [
+            {
+                "name": host,
+                "availability_zone": record.availability_zone,
+                "version": str(acknowledgements.version(host)),
+                "suspect": host in suspects,
+            }
+            for host, record in self._table.records_by_host.items()
+        ]
+
+    def _zones(self):
+        own = self._publisher.summarize()
+        zones = [_zone(own, live=True)]
+        now = time.monotonic()
+        for zone, heard in self._exchange.summaries_by_zone.items():
+            if zone != own.availability_zone:
+                age = now - heard.heard_at
+                zones.append(
+                    _zone(heard.summary, live=age < ZONE_LIVE_SECONDS)
+                )
+        return zones
+
+    def _confirm(self, timeout_seconds):
+        """Return whether a quorum confirmed that no version is missing."""
+        outcome = self._replica.confirm_read(timeout_seconds=timeout_seconds)
+        return isinstance(outcome, ReadConfirmed)
+
+    def _zone_changed(self):
+        self._exchange.wake()
 
     def _expire_forever(self):
         while True:
             eventlet.sleep(EXPIRY_SECONDS)
-            if self._table.expire(now=time.monotonic()):
+            expiry = self._table.expire(now=time.monotonic())
+            if expiry.suspected:
+                metrics.increment(
+                    "membership.suspected", len(expiry.suspected)
+                )
+                emit(
+                    membership_events.HOSTS_SUSPECTED,
+                    hosts=list(expiry.suspected),
+                )
+            for host in expiry.dropped:
+                emit(membership_events.HOST_EXPIRED, peer=host)
+            if self._directory.refresh(expiry.dropped):
                 self._publisher.wake()
+            if expiry.dropped or expiry.suspected:
+                self._exchange.wake()
+
+
+def _zone(summary, *, live):
+    """Return a ZoneSummary as operators see it."""
+    return {
+        "availability_zone": summary.availability_zone,
+        "version": str(summary.current),
+        "lowest_in_force": str(summary.lowest),
+        "proxies": summary.count,
+        "laggards": list(summary.laggards),
+        "live": live,
+    }
--- a/verbenanotch/distribution/__init__.py
+++ b/verbenanotch/distribution/__init__.py
@@ -1,21 +1,27 @@
 """Distribute versions and targets to proxies, whole and in order."""
 
-from verbenanotch.distribution._publisher import Publisher
-from verbenanotch.distribution._snapshot import (
+from verbenanotch.distribution._floor import FloorResponder
+from verbenanotch.distribution._holder import (
     Applied,
+    BelowFloor,
     Outdated,
-    Snapshot,
     SnapshotHolder,
     Unclosed,
+    WrongBase,
 )
+from verbenanotch.distribution._publisher import Publisher
+from verbenanotch.distribution._snapshot import Snapshot
 from verbenanotch.distribution._subscriber import Subscriber
 
 __all__ = [
     "Applied",
+    "BelowFloor",
+    "FloorResponder",
     "Outdated",
     "Publisher",
     "Snapshot",
     "SnapshotHolder",
     "Subscriber",
     "Unclosed",
+    "WrongBase",
 ]
--- /dev/null
+++ b/verbenanotch/distribution/_floor.py
@@ -0,0 +1,152 @@
+"""The version below which a restarted proxy must not serve."""
+
+import dataclasses
+import random
+
+import attrs
+import eventlet
+from eventlet import event
+
+from verbenanotch.catalog import NO_VERSION, Version
+from verbenanotch.distribution._messages import FloorReply, FloorRequest
+from verbenanotch.wire import Purpose, WireError, dial
+
+PEERS_ASKED = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FloorFound:
+    """The proxy held no version later than this one."""
+
+    version: Version
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FloorOpen:
+    """A silent control host may have given out a later version."""
+
+    silent: tuple[str, ...]
+
+
+def decide_floor(*, control_hosts, versions_by_control_host, peer_versions):
+    """Return FloorFound or FloorOpen for a zone without a quorum.
+
+    A control host syncs each version to its disk before it gives it out, so
+    what this proxy held is at one of the zone's control hosts: all of them
+    must have answered. The versions of other proxies raise the floor where
+    a control host has lost its disk.
+    """
+    silent = tuple(
+        sorted(
+            name
+            for name in control_hosts
+            if name not in versions_by_control_host
+        )
+    )
+    if silent:
+        return FloorOpen(silent=silent)
+    versions = [*versions_by_control_host.values(), *peer_versions]
+    return FloorFound(version=max(versions, default=NO_VERSION))
+
+
+class FloorResponder:
+    """Tell other proxies of the zone which version this one holds."""
+
+    def __init__(self, *, holder):
+        """Read the version from `holder`."""
+        self._holder = holder
+
+    def handle(self, connection):
+        """Answer the requests of one connection."""
+        while True:
+            match connection.receive():
+                case FloorRequest():
+                    version = self._holder.snapshot.version
+                    connection.send(FloorReply(version=version))
+
+
+class FloorConfirmer:
+    """Ask the quorum once for all proxies that wait at a time.
+
+    `confirm` takes a timeout in seconds and returns whether a quorum has
+    confirmed the local state; it may block.
+    """
+
+    def __init__(self, *, confirm, timeout_seconds):
+        """Ask nothing yet."""
+        self._confirm = confirm
+        self._timeout_seconds = timeout_seconds
+        self._waiting = []
+        self._asking = False
+
+    def confirmed(self):
+        """Return whether a read that began after this call succeeded."""
+        answer = event.Event()
+        self._waiting.append(answer)
+        if not self._asking:
+            self._asking = True
+            eventlet.spawn(self._ask_all)
+        return answer.wait()
+
+    def _ask_all(self):
+        while self._waiting:
+            waiting, self._waiting = self._waiting, []
+            try:
+                result = self._confirm(self._timeout_seconds)
+            except Exception:
+                result = False
+            for answer in waiting:
+                answer.send(result)
+        self._asking = False
+
+
+def ask_peers(*, host, peers_by_host, timeout_seconds):
+    """Return the versions that some proxies of the zone hold."""
+    others = [name for name in peers_by_host if name != host.name]
+    chosen = random.sample(others, min(PEERS_ASKED, len(others)))
+    pool = eventlet.GreenPool(PEERS_ASKED)
+    results = pool.imap(
+        lambda name: _ask_peer(host, peers_by_host[name], timeout_seconds),
+        chosen,
+    )
+    return [version for version in results if version is not None]
+
+
+def _ask_peer(host, endpoint, timeout_seconds):
+    address, _, port = endpoint.rpartition(":")
+    try:
+        connection = dial(
+            address=address,
+            port=int(port),
+            key=host.peer_key.encode(),
+            name=host.name,
+            purpose=Purpose.DISTRIBUTION,
+            timeout_seconds=timeout_seconds,
+        )
+    except (WireError, ValueError):
+        return None
+    try:
+        connection.set_timeout(timeout_seconds)
+        connection.send(FloorRequest())
+        return connection.receive().version
+    except (WireError, AttributeError):
+        return None
+    finally:
+        connection.close()
+
+
+@attrs.define(kw_only=True)
+class FloorSearch:
+    """Answers of one proxy's search so far."""
+
+    control_hosts: frozenset[str]
+    versions_by_control_host: dict[str, Version] = attrs.field(factory=dict)
+    peer_versions: list[Version] = attrs.field(factory=list)
+
+    def decide(self):
+        """Return FloorFound or FloorOpen by the answers so far."""
+        return decide_floor(
+            control_hosts=self.control_hosts,
+            versions_by_control_host=self.versions_by_control_host,
+            peer_versions=self.peer_versions,
+        )
--- /dev/null
+++ b/verbenanotch/distribution/_holder.py
@@ -0,0 +1,286 @@
+"""Check updates and swap the snapshot in one step."""
+
+import dataclasses
+
+import attrs
+
+from verbenanotch.catalog import Route, Service, Version
+from verbenanotch.distribution._mesh_state import MeshPart
+from verbenanotch.distribution._snapshot import (
+    Snapshot,
+    with_mesh,
+    with_targets,
+)
+from verbenanotch.membership import (
+    ALL_HOSTS,
+    EntrySet,
+    HostRecord,
+    decode_entry,
+)
+
+STEP_ENTRIES = 250
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Applied:
+    """The update is in force; `services` need their targets whole."""
+
+    version: Version
+    services: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outdated:
+    """The version is older than the one held; nothing changed."""
+
+    held: Version
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BelowFloor:
+    """The version is older than one held before the last restart.
+
+    Without a `floor` it is not known yet; nothing changed.
+    """
+
+    floor: Version | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WrongBase:
+    """Base or digest do not fit; nothing changed, the parts are needed."""
+
+    mesh: bool
+    services: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unclosed:
+    """A route lacks its service or its targets; nothing changed."""
+
+    route: str
+    service: str
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class _State:
+    """All that belongs to one snapshot, encoded and decoded."""
+
+    part: MeshPart = attrs.field(factory=MeshPart)
+    tables_by_service: dict[str, EntrySet] = attrs.field(factory=dict)
+    records_by_service: dict[str, dict[str, HostRecord]] = attrs.field(
+        factory=dict
+    )
+    snapshot: Snapshot = attrs.field(factory=Snapshot)
+
+
+class SnapshotHolder:
+    """Own the snapshot in force; apply only later, whole updates.
+
+    `floor` is the version below which nothing may be applied, None as long
+    as it is not known.
+    """
+
+    def __init__(self, *, floor=None):
+        """Start with no version and no targets."""
+        self.floor = floor
+        self._state = _State()
+
+    @property
+    def snapshot(self):
+        """Return the snapshot in force."""
+        return self._state.snapshot
+
+    @property
+    def mesh_digest(self):
+        """Return the digest of the held part of the version."""
+        return self._state.part.digest
+
+    @property
+    def digests_by_service(self):
+        """Return the digests of the held targets."""
+        return {
+            service: entries.digest
+            for service, entries in self._state.tables_by_service.items()
+        }
+
+    def raise_floor(self, version):
+        """Take a version below which nothing may be applied."""
+        if self.floor is None or self.floor < version:
+            self.floor = version
+
+    def apply(self, update, *, pause=lambda: None):
+        """Swap in an update; return what became of it.
+
+        `pause` is called between the steps of a long update; the swap
+        itself is one step, and is refused if another came in between.
+        """
+        state = self._state
+        for mesh in update.mesh:
+            refusal = self._refusal(mesh)
+            if refusal is not None:
+                return refusal
+        part, fits = _next_part(state.part, update.mesh)
+        tables, wrong = _next_tables(state.tables_by_service, update.targets)
+        if not fits:
+            return WrongBase(mesh=True, services=wrong)
+        if wrong and update.mesh:
+            return WrongBase(mesh=False, services=wrong)
+        update = attrs.evolve(
+            update,
+            targets=tuple(
+                item for item in update.targets if item.service not in wrong
+            ),
+        )
+        decoded = _decode(update, state, pause)
+        outcome = self._swap(state, update, part, tables, decoded)
+        if isinstance(outcome, Applied):
+            return dataclasses.replace(outcome, services=wrong)
+        return outcome
+
+    def _refusal(self, mesh):
+        if self.floor is None or mesh.version < self.floor:
+            return BelowFloor(floor=self.floor)
+        held = self._state.part.version
+        if mesh.version < held:
+            return Outdated(held=held)
+        return None
+
+    def _swap(self, state, update, part, tables, decoded):
+        if self._state is not state:
+            return WrongBase(mesh=bool(update.mesh), services=())
+        services, routes, records = decoded
+        unclosed = _unclosed(services, routes, tables)
+        if unclosed is not None:
+            return unclosed
+        changed = {item.service for item in update.targets}
+        if update.mesh:
+            gone = tables.keys() - services.keys() - {ALL_HOSTS}
+            changed |= gone
+            for service in gone:
+                del tables[service]
+                records.pop(service, None)
+        snapshot = state.snapshot
+        if update.mesh:
+            snapshot = with_mesh(
+                snapshot,
+                version=part.version,
+                services_by_name=services,
+                routes_by_name=routes,
+            )
+        if changed:
+            snapshot = with_targets(
+                snapshot, records_by_service=records, changed_services=changed
+            )
+        self._state = _State(
+            part=part,
+            tables_by_service=tables,
+            records_by_service=records,
+            snapshot=snapshot,
+        )
+        return Applied(version=part.version)
+
+
+def _next_part(held, updates):
+    """Return the part after an update, and whether the update fits."""
+    for item in updates:
+        if not item.whole and (item.base, item.base_digest) != (
+            held.version,
+            held.digest,
+        ):
+            return held, False
+        base = MeshPart() if item.whole else held
+        part = MeshPart(
+            version=item.version,
+            services=base.services.evolve(
+                changed=item.services, removed=item.removed_services
+            ),
+            routes=base.routes.evolve(
+                changed=item.routes, removed=item.removed_routes
+            ),
+        )
+        return part, part.digest == item.digest
+    return held, True
+
+
+def _next_tables(held, updates):
+    """Return the tables after an update, and the services that don't fit."""
+    tables = dict(held)
+    wrong = []
+    for item in updates:
+        base = EntrySet() if item.whole else held.get(item.service)
+        if base is None or base.digest != (
+            0 if item.whole else item.base_digest
+        ):
+            wrong.append(item.service)
+            continue
+        entries = base.evolve(changed=item.changed, removed=item.removed)
+        if entries.digest == item.digest:
+            tables[item.service] = entries
+        else:
+            wrong.append(item.service)
+    return tables, tuple(wrong)
+
+
+def _decode(update, state, pause):
+    """Return services, routes and records after an update, in steps."""
+    services = state.snapshot.services_by_name
+    routes = state.snapshot.routes_by_name
+    for item in update.mesh:
+        services = _decoded(
+            {} if item.whole else services,
+            item.services,
+            item.removed_services,
+            Service,
+            pause,
+        )
+        routes = _decoded(
+            {} if item.whole else routes,
+            item.routes,
+            item.removed_routes,
+            Route,
+            pause,
+        )
+    records = dict(state.records_by_service)
+    for item in update.targets:
+        held = records.get(item.service, {})
+        new = _decoded(
+            {} if item.whole else held,
+            item.changed,
+            item.removed,
+            HostRecord,
+            pause,
+        )
+        records[item.service] = _latest(held, new)
+    return services, routes, records
+
+
+def _decoded(held, changed, removed, cls, pause):
+    result = dict(held)
+    for key in removed:
+        result.pop(key, None)
+    for number, (key, data) in enumerate(changed.items(), start=1):
+        result[key] = decode_entry(data, cls)
+        if number % STEP_ENTRIES == 0:
+            pause()
+    return result
+
+
+def _latest(held, new):
+    """Return the new records, but never an older one of the same host.
+
+    A control host that was cut off for long may still give old ones.
+    """
+    return {
+        host: held[host]
+        if host in held and held[host].order > record.order
+        else record
+        for host, record in new.items()
+    }
+
+
+def _unclosed(services, routes, tables):
+    for name, route in routes.items():
+        if route.service not in services or route.service not in tables:
+            return Unclosed(route=name, service=route.service)
+    return None
--- a/verbenanotch/distribution/_messages.py
+++ b/verbenanotch/distribution/_messages.py
@@ -2,40 +2,77 @@
 
 import attrs
 
-from verbenanotch.catalog import Route, Service, Version
-from verbenanotch.membership import HostRecord
+from verbenanotch.catalog import Version
 from verbenanotch.wire import message
 
 
 @message(300)
 @attrs.frozen(kw_only=True)
 class Subscribe:
-    """A proxy asks for versions and targets.
+    """A proxy asks for the versions and targets that it needs.
 
-    `services` are those it routes to; empty means all. `held` is the
-    version that it holds.
+    `entry_services` are those that callers reach through it; empty means
+    all. `held` and `held_digest` name the version that it holds and the
+    content of its part, `digests_by_service` its targets. A `newborn` proxy
+    holds nothing and needs a floor; `floor` is one that it has found.
     """
 
-    services: tuple[str, ...]
+    entry_services: tuple[str, ...]
     held: Version
+    held_digest: int
+    digests_by_service: dict[str, int]
+    newborn: bool
+    floor: Version
 
 
-@message(301)
 @attrs.frozen(kw_only=True)
 class MeshUpdate:
-    """One whole version, as far as the proxy subscribed."""
+    """What turns the part of version `base` into that of `version`.
+
+    A `whole` update has no base. Entries are encoded services and routes.
+    `base_digest` and `digest` name the content before and after.
+    """
 
     version: Version
-    services: dict[str, Service]
-    routes: dict[str, Route]
+    whole: bool
+    base: Version
+    base_digest: int
+    digest: int
+    services: dict[str, bytes]
+    removed_services: tuple[str, ...]
+    routes: dict[str, bytes]
+    removed_routes: tuple[str, ...]
 
 
-@message(302)
 @attrs.frozen(kw_only=True)
 class TargetsUpdate:
-    """All hosts with targets of the subscribed services."""
+    """A change of the hosts with targets of one service.
+
+    `service` ALL_HOSTS stands for the hosts of the own zone. Entries are
+    encoded host records by host.
+    """
+
+    service: str
+    whole: bool
+    base_digest: int
+    digest: int
+    changed: dict[str, bytes]
+    removed: tuple[str, ...]
+
+
+@message(301)
+@attrs.frozen(kw_only=True)
+class Update:
+    """Changes that come into force together; `mesh` has one at most."""
+
+    mesh: tuple[MeshUpdate, ...]
+    targets: tuple[TargetsUpdate, ...]
+
 
-    records: tuple[HostRecord, ...]
+@message(302)
+@attrs.frozen(kw_only=True)
+class Unsubscribe:
+    """The proxy takes its updates from another control host."""
 
 
 @message(303)
@@ -52,3 +89,53 @@
     """A target is to get no new work from now on."""
 
     target_id: str
+
+
+@message(305)
+@attrs.frozen(kw_only=True)
+class Resync:
+    """Parts of an update did not fit; they are needed whole."""
+
+    mesh: bool
+    services: tuple[str, ...]
+
+
+@message(306)
+@attrs.frozen(kw_only=True)
+class Busy:
+    """Too many subscriptions start at once; none was started."""
+
+    retry_after_ms: int
+
+
+@message(307)
+@attrs.frozen(kw_only=True)
+class FloorConfirmed:
+    """A quorum has confirmed that no later version than this was held."""
+
+    version: Version
+
+
+@message(308)
+@attrs.frozen(kw_only=True)
+class FloorUnknown:
+    """No quorum can be reached; the proxy must find the floor itself.
+
+    `peers_by_host` are proxies of the zone, as `address:port`.
+    """
+
+    peers_by_host: dict[str, str]
+
+
+@message(309)
+@attrs.frozen(kw_only=True)
+class FloorRequest:
+    """Ask a control host or another proxy for the version it holds."""
+
+
+@message(310)
+@attrs.frozen(kw_only=True)
+class FloorReply:
+    """The version held; NO_VERSION if none."""
+
+    version: Version
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -1,56 +1,103 @@
 """The control host's side of the streams to proxies."""
 
+import collections
 import time
 
-import attrs
 import eventlet
-from eventlet import event
 
-from verbenanotch.catalog import NO_VERSION, Version
+from verbenanotch.catalog import NO_VERSION
 from verbenanotch.distribution import events
+from verbenanotch.distribution._acknowledgements import Acknowledgements
+from verbenanotch.distribution._admission import (
+    Admission,
+    Admitted,
+    Refused,
+)
+from verbenanotch.distribution._floor import FloorConfirmer
+from verbenanotch.distribution._mesh_state import MeshState, encode_mesh
 from verbenanotch.distribution._messages import (
     Acknowledge,
+    Busy,
     DrainTarget,
-    MeshUpdate,
+    FloorConfirmed,
+    FloorReply,
+    FloorRequest,
+    FloorUnknown,
+    Resync,
     Subscribe,
-    TargetsUpdate,
+    Unsubscribe,
+)
+from verbenanotch.distribution._session import FloorState, ProxySession
+from verbenanotch.membership import (
+    Announce,
+    AnnounceNeeded,
+    Release,
+    Renew,
+    Renewed,
+    Signal,
 )
-from verbenanotch.membership import Announce, AnnounceNeeded, Release, Renew
-from verbenanotch.telemetry import emit
+from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import ConnectionClosedError
 
-
-@attrs.define(kw_only=True)
-class ProxySession:
-    """One connected proxy; `acknowledged` is the version in force there."""
-
-    host: str
-    connection: object
-    services: tuple[str, ...] | None = None
-    sent: Version = NO_VERSION
-    acknowledged: Version = NO_VERSION
-    sent_targets_mark: object = None
-    wakeup: object = attrs.field(factory=event.Event)
+STATES_KEPT = 16
+FLOOR_TIMEOUT_SECONDS = 1.0
+SILENCE_SECONDS = 10.0
+MILLISECONDS_PER_SECOND = 1000
 
 
 class Publisher:
     """Serve the streams of the zone's proxies.
 
-    `versions` gives the current version, `directory` the targets.
+    `versions` gives the accepted versions, `directory` the targets.
+    `confirm` takes a timeout in seconds and returns whether a quorum has
+    confirmed that the local versions are current. `on_zone_change` is
+    called when the own zone's table has changed.
     """
 
-    def __init__(self, *, versions, directory):
+    def __init__(
+        self,
+        *,
+        settings,
+        versions,
+        directory,
+        confirm,
+        on_zone_change=lambda: None,
+    ):
         """Publish each change of `versions` as it happens."""
+        control = settings.control
+        self._settings = settings
         self._versions = versions
         self._directory = directory
+        self._on_zone_change = on_zone_change
+        self._confirmer = FloorConfirmer(
+            confirm=confirm, timeout_seconds=FLOOR_TIMEOUT_SECONDS
+        )
+        self._admission = Admission(limit=control.admission_limit)
+        self._pause = control.coalesce_ms / MILLISECONDS_PER_SECOND
+        self._state = MeshState()
+        self._states_by_version = collections.OrderedDict()
+        self._encoding = Signal()
+        self._encoder = None
+        self.acknowledgements = Acknowledgements()
         self.sessions_by_host = {}
-        versions.on_change(lambda record: self.wake())
+        versions.on_change(lambda record: self._encoding.set())
+
+    def start(self):
+        """Encode versions in the background."""
+        self._encoding.set()
+        self._encoder = eventlet.spawn(self._encode_forever)
+
+    def stop(self):
+        """End the work in the background."""
+        if self._encoder is not None:
+            self._encoder.kill()
 
     def handle(self, connection):
         """Serve one proxy until its connection ends."""
         session = ProxySession(
             host=connection.peer_name, connection=connection
         )
+        connection.set_timeout(SILENCE_SECONDS)
         self.sessions_by_host[session.host] = session
         sender = eventlet.spawn(self._send_forever, session)
         try:
@@ -58,13 +105,14 @@
                 self._receive(session, connection.receive())
         finally:
             sender.kill()
+            self._finish_start(session)
             if self.sessions_by_host.get(session.host) is session:
                 del self.sessions_by_host[session.host]
 
     def wake(self):
         """Let every stream look for something new to send."""
         for session in self.sessions_by_host.values():
-            _wake(session)
+            session.signal.set()
 
     def drain(self, target_id):
         """Tell the proxies of the zone to give a target no new work."""
@@ -74,64 +122,208 @@
             except ConnectionClosedError:
                 continue
 
+    def summarize(self):
+        """Return the ZoneSummary of the own zone."""
+        host = self._settings.host
+        hosts = self._directory.zone_table.records_by_host
+        self.acknowledgements.retain(hosts)
+        return self.acknowledgements.summary(
+            hosts=hosts,
+            availability_zone=host.availability_zone,
+            source=host.name,
+            current=self._current_version(),
+        )
+
+    def _current_version(self):
+        current = self._versions.current
+        return NO_VERSION if current is None else current.version
+
     def _receive(self, session, item):
-        table = self._directory.zone_table
         match item:
-            case Subscribe(services=services, held=held):
-                session.services = services
-                session.sent = held
-                session.acknowledged = held
-                _wake(session)
+            case Subscribe():
+                self._subscribe(session, item)
+            case Unsubscribe():
+                session.subscription = None
+                self._finish_start(session)
             case Acknowledge(version=version):
-                session.acknowledged = version
+                self.acknowledgements.note(session.host, version)
+            case Resync(mesh=mesh, services=services):
+                metrics.increment("distribution.resyncs")
+                emit(events.RESYNC_ASKED, peer=session.host, mesh=mesh)
+                session.forget(mesh=mesh, services=services)
+                session.signal.set()
+            case FloorRequest():
+                reply = FloorReply(version=self._current_version())
+                session.connection.send(reply)
+            case Announce() | Renew() | Release():
+                self._receive_lease(session, item)
+
+    def _receive_lease(self, session, item):
+        table = self._directory.zone_table
+        match item:
             case Announce(record=record):
-                if table.announce(record, now=time.monotonic()):
-                    emit(events.HOST_ANNOUNCED, peer=record.host)
-                    self.wake()
-            case Renew(host=host, incarnation=incarnation, sequence=sequence):
-                held = table.renew(
-                    host=host,
-                    incarnation=incarnation,
-                    sequence=sequence,
-                    now=time.monotonic(),
+                session.local_services = frozenset(
+                    target.service for target in record.targets
                 )
-                if not held:
+                table.announce(record, now=time.monotonic())
+                self._renewed(session)
+                self._zone_changed(record.host)
+                session.signal.set()
+            case Renew():
+                self.acknowledgements.note(session.host, item.held)
+                if table.renew(
+                    host=item.host,
+                    incarnation=item.incarnation,
+                    sequence=item.sequence,
+                    now=time.monotonic(),
+                ):
+                    self._renewed(session)
+                else:
                     session.connection.send(AnnounceNeeded())
             case Release(host=host, incarnation=incarnation):
                 table.release(host=host, incarnation=incarnation)
-                self.wake()
+                self._zone_changed(host)
+
+    def _renewed(self, session):
+        session.connection.send(Renewed(current=self._current_version()))
+
+    def _zone_changed(self, host):
+        if self._directory.refresh({host}):
+            emit(events.HOST_CHANGED, peer=host)
+            self.wake()
+        self._on_zone_change()
+
+    def _subscribe(self, session, item):
+        session.subscription = item
+        session.floor = item.floor
+        session.floor_state = FloorState.KNOWN
+        if item.newborn:
+            session.floor_state = FloorState.ASKED
+        match self._admission.request(session, held=item.held):
+            case Admitted():
+                session.admitted = True
+                session.signal.set()
+            case Refused(retry_after_ms=retry_after_ms):
+                session.subscription = None
+                metrics.increment("distribution.busy")
+                session.connection.send(Busy(retry_after_ms=retry_after_ms))
+
+    def _finish_start(self, session):
+        session.admitted = False
+        following = self._admission.finish(session)
+        if following is not None:
+            following.admitted = True
+            following.signal.set()
 
     def _send_forever(self, session):
+        started = None
         try:
             while True:
-                session.wakeup.wait()
-                session.wakeup = event.Event()
-                if session.services is not None:
-                    self._send_targets(session)
-                    self._send_mesh(session)
+                session.signal.wait()
+                if session.subscription is None or not (
+                    session.admitted or session.subscription is started
+                ):
+                    continue
+                if session.subscription is not started:
+                    started = session.subscription
+                    self._start(session)
+                self._send(session)
+                self._finish_start(session)
+                # Changes that come meanwhile go out together.
+                eventlet.sleep(self._pause)
         except ConnectionClosedError:
             session.connection.close()
 
-    def _send_mesh(self, session):
-        current = self._versions.current
-        if current is None or current.version <= session.sent:
+    def _start(self, session):
+        """Find the floor and the base of a new subscription."""
+        item = session.subscription
+        session.sent_part = self._held_part(session)
+        tables = self._directory.entries_by_service
+        session.sent_tables_by_service = {
+            service: tables[service]
+            for service, digest in item.digests_by_service.items()
+            if service in tables and tables[service].digest == digest
+        }
+        if session.floor_state is FloorState.ASKED:
+            self._find_floor(session)
+
+    def _find_floor(self, session):
+        if self._confirmer.confirmed():
+            session.floor = self._current_version()
+            session.floor_state = FloorState.KNOWN
+            session.connection.send(FloorConfirmed(version=session.floor))
             return
+        session.floor_state = FloorState.UNKNOWN
+        metrics.increment("distribution.floors_unknown")
+        records = self._directory.zone_table.records_by_host
         session.connection.send(
-            MeshUpdate(
-                version=current.version,
-                services=current.mesh.services_by_name,
-                routes=current.mesh.routes_by_name,
+            FloorUnknown(
+                peers_by_host={
+                    host: f"{record.address}:{record.peer_port}"
+                    for host, record in records.items()
+                }
             )
         )
-        session.sent = current.version
 
-    def _send_targets(self, session):
-        records = tuple(self._directory.records_by_host.values())
-        if records != session.sent_targets_mark:
-            session.sent_targets_mark = records
-            session.connection.send(TargetsUpdate(records=records))
+    def _held_part(self, session):
+        """Return the part that the proxy holds, if it can be a base."""
+        item = session.subscription
+        if item.held == NO_VERSION:
+            return None
+        state = self._state_of(item.held)
+        if state is None:
+            return None
+        need = state.needed_services(
+            entry_services=item.entry_services,
+            local_services=session.local_services,
+        )
+        part = state.part(need)
+        return part if part.digest == item.held_digest else None
 
+    def _state_of(self, version):
+        state = self._states_by_version.get(version)
+        record = self._versions.records_by_version.get(version)
+        if state is None and record is not None:
+            state = self._encode(record)
+        return state
 
-def _wake(session):
-    if not session.wakeup.ready():
-        session.wakeup.send()
+    def _send(self, session):
+        if session.floor_state is not FloorState.KNOWN:
+            return
+        settles_in = self._directory.zone_table.settles_in(
+            now=time.monotonic()
+        )
+        if settles_in > 0:
+            # A control host that has just started knows too few hosts yet.
+            eventlet.spawn_after(settles_in, session.signal.set)
+            return
+        if self._settings.control.whole_state_updates:
+            session.forget(
+                mesh=True, services=list(session.sent_tables_by_service)
+            )
+        update = session.next_update(
+            state=self._state,
+            tables_by_service=self._directory.entries_by_service,
+        )
+        if update is not None:
+            metrics.increment("distribution.updates")
+            session.connection.send(update)
+
+    def _encode_forever(self):
+        while True:
+            self._encoding.wait()
+            current = self._versions.current
+            if current is not None and current.version > self._state.version:
+                self._state = self._encode(current)
+                self.wake()
+
+    def _encode(self, record):
+        state = encode_mesh(
+            version=record.version,
+            mesh=record.mesh,
+            pause=lambda: eventlet.sleep(0),
+        )
+        self._states_by_version[record.version] = state
+        while len(self._states_by_version) > STATES_KEPT:
+            self._states_by_version.popitem(last=False)
+        return state
--- /dev/null
+++ b/verbenanotch/distribution/_session.py
@@ -0,0 +1,114 @@
+"""What a control host knows of one proxy's stream."""
+
+import enum
+
+import attrs
+
+from verbenanotch.catalog import NO_VERSION, Version
+from verbenanotch.distribution._mesh_state import MeshPart, mesh_update
+from verbenanotch.distribution._messages import (
+    Subscribe,
+    TargetsUpdate,
+    Update,
+)
+from verbenanotch.membership import ALL_HOSTS, EntrySet, Signal
+
+
+class FloorState(enum.Enum):
+    """How far a newborn proxy's floor is known."""
+
+    ASKED = "asked"
+    UNKNOWN = "unknown"
+    KNOWN = "known"
+
+
+@attrs.define(kw_only=True, eq=False)
+class ProxySession:
+    """One connected proxy; without `subscription` it only announces.
+
+    `sent_part` and `sent_tables_by_service` are what it holds if it applied
+    everything sent. `floor` is the least version that it may be given.
+    """
+
+    host: str
+    connection: object
+    subscription: Subscribe | None = None
+    local_services: frozenset[str] = frozenset()
+    floor_state: FloorState = FloorState.KNOWN
+    floor: Version = NO_VERSION
+    admitted: bool = False
+    sent_part: MeshPart | None = None
+    sent_tables_by_service: dict[str, EntrySet] = attrs.field(factory=dict)
+    signal: Signal = attrs.field(factory=Signal)
+
+    def next_update(self, *, state, tables_by_service):
+        """Return the Update that brings the proxy up to date, or None.
+
+        `state` is the current MeshState. Targets of new services travel in
+        the same update as the routes that need them.
+        """
+        if state.version < self.floor:
+            return None
+        need = state.needed_services(
+            entry_services=self.subscription.entry_services,
+            local_services=self.local_services,
+        )
+        part = state.part(need)
+        mesh = self._next_mesh(part)
+        services = [ALL_HOSTS, *part.services.entries_by_key]
+        targets = self._next_targets(services, tables_by_service)
+        if not mesh and not targets:
+            return None
+        return Update(mesh=mesh, targets=targets)
+
+    def forget(self, *, mesh, services):
+        """Send these parts whole again."""
+        if mesh:
+            self.sent_part = None
+        for service in services:
+            self.sent_tables_by_service.pop(service, None)
+
+    def _next_mesh(self, part):
+        sent = self.sent_part
+        if part.version < max(self.subscription.held, NO_VERSION):
+            return ()
+        if sent is not None:
+            if part.version < sent.version:
+                return ()
+            same = part.version == sent.version
+            if same and part.digest == sent.digest:
+                return ()
+        elif part.version == NO_VERSION:
+            return ()
+        self.sent_part = part
+        return (mesh_update(base=sent, part=part),)
+
+    def _next_targets(self, services, tables_by_service):
+        updates = []
+        sent_by_service = self.sent_tables_by_service
+        for service in services:
+            entries = tables_by_service.get(service, NO_ENTRIES)
+            sent = sent_by_service.get(service)
+            if sent is entries:
+                continue
+            sent_by_service[service] = entries
+            if sent is None or sent.digest != entries.digest:
+                updates.append(_targets_update(service, sent, entries))
+        for service in sent_by_service.keys() - set(services):
+            del sent_by_service[service]
+        return tuple(updates)
+
+
+NO_ENTRIES = EntrySet()
+
+
+def _targets_update(service, sent, entries):
+    delta = (sent or NO_ENTRIES).delta_to(entries)
+    return TargetsUpdate(
+        service=service,
+        whole=sent is None,
+        base_digest=0 if sent is None else sent.digest,
+        digest=entries.digest,
+        changed=delta.changed,
+        removed=delta.removed,
+    )
--- a/verbenanotch/distribution/_snapshot.py
+++ b/verbenanotch/distribution/_snapshot.py
@@ -1,6 +1,4 @@
-"""What a proxy holds: one immutable snapshot, swapped in one step."""
-
-import dataclasses
+"""What a proxy serves by: one immutable snapshot."""
 
 import attrs
 
@@ -27,70 +25,69 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Applied:
-    """The version is in force."""
-
-    version: Version
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Outdated:
-    """The version is not greater than the one held; nothing changed."""
-
-    held: Version
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Unclosed:
-    """A route names a service that is not in the update; nothing changed."""
-
-    route: str
-    service: str
-
-
-class SnapshotHolder:
-    """Own the snapshot in force; apply only greater, closed versions."""
-
-    def __init__(self):
-        """Start with no version and no targets."""
-        self.snapshot = Snapshot()
+def with_mesh(snapshot, *, version, services_by_name, routes_by_name):
+    """Return the snapshot with another version."""
+    return attrs.evolve(
+        snapshot,
+        version=version,
+        services_by_name=services_by_name,
+        routes_by_name=routes_by_name,
+        route_table=RouteTable(routes_by_name=routes_by_name),
+    )
 
-    def apply_mesh(self, *, version, services_by_name, routes_by_name):
-        """Swap in a version; return Applied, Outdated or Unclosed."""
-        held = self.snapshot.version
-        if version <= held:
-            return Outdated(held=held)
-        for name, route in routes_by_name.items():
-            if route.service not in services_by_name:
-                return Unclosed(route=name, service=route.service)
-        self.snapshot = attrs.evolve(
-            self.snapshot,
-            version=version,
-            services_by_name=services_by_name,
-            routes_by_name=routes_by_name,
-            route_table=RouteTable(routes_by_name=routes_by_name),
-        )
-        return Applied(version=version)
 
-    def apply_targets(self, records):
-        """Swap in the hosts and targets of all zones."""
-        targets_by_id = {}
-        host_names_by_target_id = {}
-        ids_by_service = {}
-        for record in records:
+def with_targets(snapshot, *, records_by_service, changed_services):
+    """Return the snapshot with the targets of some services replaced.
+
+    `records_by_service` holds the records of every service by host, each
+    with the targets of that service alone.
+    """
+    hosts = dict(snapshot.hosts_by_name)
+    targets = dict(snapshot.targets_by_id)
+    names = dict(snapshot.host_names_by_target_id)
+    ids_by_service = dict(snapshot.target_ids_by_service)
+    touched_hosts = set()
+    for service in changed_services:
+        for target_id in ids_by_service.pop(service, ()):
+            targets.pop(target_id, None)
+            touched_hosts.add(names.pop(target_id, None))
+        records = records_by_service.get(service, {})
+        touched_hosts.update(records)
+        ids = []
+        for record in records.values():
             for target in record.targets:
-                targets_by_id[target.target_id] = target
-                host_names_by_target_id[target.target_id] = record.host
-                ids = ids_by_service.setdefault(target.service, [])
+                targets[target.target_id] = target
+                names[target.target_id] = record.host
                 ids.append(target.target_id)
-        self.snapshot = attrs.evolve(
-            self.snapshot,
-            hosts_by_name={record.host: record for record in records},
-            targets_by_id=targets_by_id,
-            host_names_by_target_id=host_names_by_target_id,
-            target_ids_by_service={
-                service: tuple(sorted(ids))
-                for service, ids in ids_by_service.items()
-            },
-        )
+        if ids:
+            ids_by_service[service] = tuple(sorted(ids))
+    if "" in changed_services:
+        touched_hosts.update(hosts)
+    _replace_hosts(hosts, touched_hosts, records_by_service)
+    return attrs.evolve(
+        snapshot,
+        hosts_by_name=hosts,
+        targets_by_id=targets,
+        host_names_by_target_id=names,
+        target_ids_by_service=ids_by_service,
+    )
+
+
+def _replace_hosts(hosts, touched_hosts, records_by_service):
+    """Put together each touched host's record from its services."""
+    found = {}
+    for records in records_by_service.values():
+        for host in touched_hosts & records.keys():
+            found.setdefault(host, []).append(records[host])
+    for host in touched_hosts:
+        hosts.pop(host, None)
+        if host in found:
+            latest = max(found[host], key=lambda record: record.order)
+            hosts[host] = attrs.evolve(
+                latest,
+                targets=tuple(
+                    target
+                    for record in found[host]
+                    for target in record.targets
+                ),
+            )
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -1,33 +1,81 @@
 """The proxy's side of the streams from control hosts."""
 
 import random
+import time
 
+import attrs
 import eventlet
 
+from verbenanotch.catalog import NO_VERSION, Version
 from verbenanotch.distribution import events
+from verbenanotch.distribution._choice import (
+    Candidate,
+    StaleWatch,
+    choose_control_host,
+)
+from verbenanotch.distribution._floor import (
+    FloorFound,
+    FloorOpen,
+    FloorSearch,
+    ask_peers,
+)
+from verbenanotch.distribution._holder import (
+    Applied,
+    BelowFloor,
+    Outdated,
+    Unclosed,
+    WrongBase,
+)
 from verbenanotch.distribution._messages import (
     Acknowledge,
+    Busy,
     DrainTarget,
-    MeshUpdate,
+    FloorConfirmed,
+    FloorReply,
+    FloorRequest,
+    FloorUnknown,
+    Resync,
     Subscribe,
-    TargetsUpdate,
+    Unsubscribe,
+    Update,
 )
-from verbenanotch.distribution._snapshot import Applied, Unclosed
-from verbenanotch.membership import Announce, AnnounceNeeded, Release, Renew
-from verbenanotch.telemetry import emit
+from verbenanotch.membership import (
+    Announce,
+    AnnounceNeeded,
+    Release,
+    Renew,
+    Renewed,
+    Signal,
+)
+from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import Purpose, WireError, dial
 
 RENEW_SECONDS = 1.0
+SILENCE_SECONDS = 3.0
 RECONNECT_BASE_SECONDS = 0.1
-RECONNECT_CAP_SECONDS = 5.0
+RECONNECT_CAP_SECONDS = 1.0
+RESUBSCRIBE_BASE_SECONDS = 0.2
+RESUBSCRIBE_CAP_SECONDS = 5.0
+CHOICE_SECONDS = 0.25
+MILLISECONDS_PER_SECOND = 1000
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Link:
+    """One connected control host."""
+
+    name: str
+    connection: object
+    current: Version = NO_VERSION
+    busy_until: float = 0.0
 
 
 class Subscriber:
-    """Keep one stream to each control host of the zone.
+    """Announce to every control host of the zone, subscribe to one.
 
-    `holder` gets the versions and targets. `announcement` is a callable
-    that returns the HostRecord to announce. `on_drain` is called with the
-    id of a target that is to get no new work.
+    `holder` gets the updates. `announcement` is a callable that returns the
+    HostRecord to announce. `on_drain` is called with the id of a target
+    that is to get no new work.
     """
 
     def __init__(self, *, settings, holder, announcement, on_drain):
@@ -36,9 +84,28 @@
         self._holder = holder
         self._announcement = announcement
         self._on_drain = on_drain
-        self._connections_by_name = {}
+        self._links_by_name = {}
+        self._subscribed = None
+        self._attempts = 0
+        self._not_before = 0.0
+        self._stale_watch = StaleWatch()
+        self._search = None
+        self._changed = Signal()
         self._greenthreads = []
 
+    @property
+    def subscribed_to(self):
+        """Return the name of the control host that sends updates, or None."""
+        return None if self._subscribed is None else self._subscribed.name
+
+    @property
+    def control_bytes(self):
+        """Return the bytes sent and received on the open streams."""
+        return sum(
+            link.connection.sent_bytes + link.connection.received_bytes
+            for link in self._links_by_name.values()
+        )
+
     def start(self):
         """Dial every control host in the background."""
         proxy = self._settings.proxy
@@ -47,11 +114,11 @@
                 eventlet.spawn(self._run_forever, name, peer)
             )
         self._greenthreads.append(eventlet.spawn(self._renew_forever))
+        self._greenthreads.append(eventlet.spawn(self._choose_forever))
 
     def announce(self):
         """Send the current announcement to every control host."""
-        record = self._announcement()
-        self._send_all(Announce(record=record))
+        self._send_all(Announce(record=self._announcement()))
 
     def release(self):
         """Give up the lease at every control host."""
@@ -64,15 +131,12 @@
         """End every stream."""
         for greenthread in self._greenthreads:
             greenthread.kill()
-        for connection in list(self._connections_by_name.values()):
-            connection.close()
+        for link in list(self._links_by_name.values()):
+            link.connection.close()
 
     def _send_all(self, item):
-        for connection in list(self._connections_by_name.values()):
-            try:
-                connection.send(item)
-            except WireError:
-                continue
+        for link in list(self._links_by_name.values()):
+            _try_send(link, item)
 
     def _renew_forever(self):
         while True:
@@ -83,6 +147,7 @@
                     host=record.host,
                     incarnation=record.incarnation,
                     sequence=record.sequence,
+                    held=self._holder.snapshot.version,
                 )
             )
 
@@ -92,13 +157,14 @@
             try:
                 self._run(name, peer)
             except WireError as error:
-                if self._connections_by_name.pop(name, None) is not None:
+                link = self._links_by_name.pop(name, None)
+                if link is not None:
                     failures = 0
-                    emit(events.CONTROL_LOST, peer=name, error=str(error))
+                    self._lose(link, error)
             bound = min(
                 RECONNECT_CAP_SECONDS, RECONNECT_BASE_SECONDS * 2**failures
             )
-            failures += 1
+            failures = min(failures + 1, 10)
             eventlet.sleep(random.uniform(0, bound))
 
     def _run(self, name, peer):
@@ -110,43 +176,190 @@
             name=host.name,
             purpose=Purpose.DISTRIBUTION,
         )
-        self._connections_by_name[name] = connection
+        # Each renewal is answered; silence is a cut network.
+        connection.set_timeout(SILENCE_SECONDS)
+        link = _Link(name=name, connection=connection)
+        self._links_by_name[name] = link
         connection.send(Announce(record=self._announcement()))
-        connection.send(
-            Subscribe(
-                services=self._settings.proxy.entry_services,
-                held=self._holder.snapshot.version,
-            )
+        while True:
+            self._receive(link, connection.receive())
+
+    def _lose(self, link, error):
+        emit(events.CONTROL_LOST, peer=link.name, error=str(error))
+        link.connection.close()
+        if self._subscribed is link:
+            self._subscribed = None
+            self._delay_choice()
+
+    def _delay_choice(self):
+        """Wait at random, so that a zone does not come back at once."""
+        bound = min(
+            RESUBSCRIBE_CAP_SECONDS,
+            RESUBSCRIBE_BASE_SECONDS * 2 ** min(self._attempts, 10),
         )
+        self._attempts += 1
+        self._not_before = time.monotonic() + random.uniform(0, bound)
+
+    def _choose_forever(self):
         while True:
-            self._receive(connection, connection.receive())
+            now = time.monotonic()
+            self._leave_stale(now)
+            if self._subscribed is None and now >= self._not_before:
+                self._subscribe_to_one(now)
+            self._changed.wait(CHOICE_SECONDS)
+
+    def _leave_stale(self, now):
+        link = self._subscribed
+        if link is None:
+            return
+        others = [
+            other.current
+            for other in self._links_by_name.values()
+            if other is not link
+        ]
+        if self._stale_watch.is_stale(
+            subscribed=link.current, others=others, now=now
+        ):
+            emit(events.CONTROL_STALE, peer=link.name)
+            self._subscribed = None
+            _try_send(link, Unsubscribe())
+
+    def _subscribe_to_one(self, now):
+        name = choose_control_host(
+            [
+                Candidate(
+                    name=link.name,
+                    current=link.current,
+                    busy_until=link.busy_until,
+                )
+                for link in self._links_by_name.values()
+            ],
+            host=self._settings.host.name,
+            at_least=self._least_wanted(),
+            now=now,
+        )
+        if name is not None:
+            self._subscribed = self._links_by_name[name]
+            self._subscribe()
+
+    def _least_wanted(self):
+        currents = [link.current for link in self._links_by_name.values()]
+        return max(currents, default=NO_VERSION)
+
+    def _subscribe(self):
+        holder = self._holder
+        floor = holder.floor
+        _try_send(
+            self._subscribed,
+            Subscribe(
+                entry_services=self._settings.proxy.entry_services,
+                held=holder.snapshot.version,
+                held_digest=holder.mesh_digest,
+                digests_by_service=holder.digests_by_service,
+                newborn=floor is None,
+                floor=NO_VERSION if floor is None else floor,
+            ),
+        )
 
-    def _receive(self, connection, item):
+    def _receive(self, link, item):
         match item:
-            case MeshUpdate():
-                self._apply_mesh(connection, item)
-            case TargetsUpdate(records=records):
-                self._holder.apply_targets(records)
+            case Update() if link is self._subscribed:
+                self._apply(link, item)
+            case Renewed(current=current):
+                link.current = current
+                self._changed.set()
             case AnnounceNeeded():
-                connection.send(Announce(record=self._announcement()))
+                link.connection.send(Announce(record=self._announcement()))
             case DrainTarget(target_id=target_id):
                 self._on_drain(target_id)
+            case Busy(retry_after_ms=retry_after_ms):
+                self._postpone(link, retry_after_ms)
+            case FloorConfirmed(version=version):
+                self._holder.raise_floor(version)
+                emit(events.FLOOR_CONFIRMED, version=str(version))
+            case FloorUnknown(peers_by_host=peers_by_host):
+                self._start_search(link, peers_by_host)
+            case FloorReply(version=version):
+                self._note_floor(link, version)
 
-    def _apply_mesh(self, connection, item):
-        outcome = self._holder.apply_mesh(
-            version=item.version,
-            services_by_name=item.services,
-            routes_by_name=item.routes,
-        )
+    def _postpone(self, link, retry_after_ms):
+        wait = retry_after_ms / MILLISECONDS_PER_SECOND
+        link.busy_until = time.monotonic() + wait * (1 + random.random())
+        metrics.increment("distribution.postponed")
+        if self._subscribed is link:
+            self._subscribed = None
+            self._changed.set()
+
+    def _apply(self, link, update):
+        outcome = self._holder.apply(update, pause=_pause)
         match outcome:
-            case Applied(version=version):
-                emit(events.VERSION_IN_FORCE, version=str(version))
+            case Applied(version=version, services=services):
+                self._attempts = 0
+                if services:
+                    _try_send(link, Resync(mesh=False, services=services))
+                if update.mesh:
+                    emit(events.VERSION_IN_FORCE, version=str(version))
+                    self._send_all(Acknowledge(version=version))
+            case WrongBase(mesh=mesh, services=services):
+                # A refused update is not applied in part: its services are
+                # needed whole, too.
+                names = {item.service for item in update.targets}
+                whole = tuple(sorted(names | set(services)))
+                emit(events.RESYNC_NEEDED, mesh=mesh, services=list(whole))
+                _try_send(link, Resync(mesh=bool(update.mesh), services=whole))
             case Unclosed(route=route, service=service):
-                emit(
-                    events.VERSION_REFUSED,
-                    version=str(item.version),
-                    route=route,
-                    service=service,
-                )
-                return
-        connection.send(Acknowledge(version=self._holder.snapshot.version))
+                emit(events.VERSION_REFUSED, route=route, service=service)
+                _try_send(link, Resync(mesh=True, services=(service,)))
+            case Outdated() | BelowFloor():
+                emit(events.VERSION_TOO_OLD, peer=link.name)
+
+    def _start_search(self, link, peers_by_host):
+        """Find the floor without a quorum; then subscribe with it."""
+        if link is not self._subscribed or self._holder.floor is not None:
+            return
+        if self._search is None:
+            names = self._settings.proxy.control_hosts_by_name
+            self._search = FloorSearch(control_hosts=frozenset(names))
+            self._greenthreads.append(
+                eventlet.spawn(self._search_floor, peers_by_host)
+            )
+
+    def _search_floor(self, peers_by_host):
+        wait = self._settings.proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
+        self._send_all(FloorRequest())
+        began = time.monotonic()
+        self._search.peer_versions.extend(
+            ask_peers(
+                host=self._settings.host,
+                peers_by_host=peers_by_host,
+                timeout_seconds=wait,
+            )
+        )
+        eventlet.sleep(max(0.0, wait - (time.monotonic() - began)))
+        search, self._search = self._search, None
+        match search.decide():
+            case FloorFound(version=version):
+                emit(events.FLOOR_FOUND, version=str(version))
+                self._holder.raise_floor(version)
+            case FloorOpen(silent=silent):
+                emit(events.FLOOR_OPEN, silent=list(silent))
+                self._delay_choice()
+        # The next subscription carries the floor or asks for it again.
+        self._subscribed = None
+        self._changed.set()
+
+    def _note_floor(self, link, version):
+        if self._search is not None:
+            self._search.versions_by_control_host[link.name] = version
+
+
+def _try_send(link, item):
+    try:
+        link.connection.send(item)
+    except WireError:
+        # The link's own greenthread sees the end and dials again.
+        link.connection.close()
+
+
+def _pause():
+    eventlet.sleep(0)
--- a/verbenanotch/distribution/events.py
+++ b/verbenanotch/distribution/events.py
@@ -9,11 +9,11 @@
     4002,
     "version-refused",
     Level.ERROR,
-    "refused a version that is not whole",
+    "refused a version that is not whole; asked for it again",
     "Compare the release of the control host with the proxy's.",
 )
-HOST_ANNOUNCED = event(
-    4003, "host-announced", Level.INFO, "a proxy announced its targets"
+HOST_CHANGED = event(
+    4003, "host-changed", Level.INFO, "a proxy changed what it announces"
 )
 CONTROL_LOST = event(
     4004,
@@ -22,3 +22,41 @@
     "lost the stream from a control host",
     "Check the control host; the proxy keeps its snapshot and dials again.",
 )
+CONTROL_STALE = event(
+    4005,
+    "control-stale",
+    Level.WARNING,
+    "left a control host that stayed behind another one",
+    "Check the network between that control host and the voters.",
+)
+VERSION_TOO_OLD = event(
+    4006,
+    "version-too-old",
+    Level.WARNING,
+    "refused a version older than the one held or than the floor",
+)
+RESYNC_NEEDED = event(
+    4007,
+    "resync-needed",
+    Level.WARNING,
+    "an update did not fit; asked for its parts whole",
+)
+RESYNC_ASKED = event(
+    4008, "resync-asked", Level.INFO, "a proxy asked for parts whole"
+)
+FLOOR_CONFIRMED = event(
+    4009, "floor-confirmed", Level.INFO, "a quorum confirmed the floor"
+)
+FLOOR_FOUND = event(
+    4010,
+    "floor-found",
+    Level.INFO,
+    "found the floor by all control hosts of the zone, without a quorum",
+)
+FLOOR_OPEN = event(
+    4011,
+    "floor-open",
+    Level.WARNING,
+    "no quorum, and a control host of the zone is silent; not serving yet",
+    "Bring back a quorum or the silent control host.",
+)
--- a/verbenanotch/membership/_directory.py
+++ b/verbenanotch/membership/_directory.py
@@ -1,54 +1,196 @@
-"""The tables of all zones, as one control host knows them."""
+"""The targets of all zones, as one control host knows them."""
+
+import dataclasses
 
 import attrs
 
+from verbenanotch.membership._entry_set import (
+    EntrySet,
+    decode_entry,
+    encode_entry,
+)
 from verbenanotch.membership._records import HostRecord
 
+ALL_HOSTS = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Taken:
+    """The update was taken; `hosts` have changed."""
+
+    hosts: frozenset[str]
+
 
-@attrs.define(kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stale:
+    """A later update of the same source is held; nothing changed."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WrongBase:
+    """The update does not fit what is held; the whole table is needed."""
+
+
+@attrs.frozen(kw_only=True)
 class ZoneFeed:
-    """The last table received from one control host of another zone."""
+    """The last table received from a control host of another zone."""
 
     availability_zone: str
     source: str
     source_incarnation: int
     sequence: int
+    entries: EntrySet
     records_by_host: dict[str, HostRecord]
 
+    def is_after(self, update):
+        """Return whether an update of the same source says nothing new.
+
+        Another incarnation is another process and always says something
+        new, also if its clock was set back.
+        """
+        if update.source_incarnation != self.source_incarnation:
+            return False
+        if update.sequence != self.sequence:
+            return update.sequence < self.sequence
+        return update.digest == self.entries.digest
+
 
 class Directory:
-    """Own zone's table merged with the feeds of the other zones."""
+    """Own zone's table merged with the feeds of the other zones.
+
+    `entries_by_service` holds an EntrySet of host records for each service,
+    reduced to its targets; the one under ALL_HOSTS has the hosts of the own
+    zone without targets. A feed of a zone that was cut off stays.
+    """
 
     def __init__(self, *, zone_table):
         """Start with the own zone alone."""
         self.zone_table = zone_table
-        self._feeds_by_source = {}
+        self.feeds_by_zone = {}
+        self.records_by_host = {}
+        self.entries_by_service = {}
 
     def receive(self, update):
-        """Take a zone's table unless a later one of its source is held."""
-        feed = self._feeds_by_source.get(update.source)
-        order = (update.source_incarnation, update.sequence)
-        if feed is not None:
-            held = (feed.source_incarnation, feed.sequence)
-            if order <= held:
-                return False
-        self._feeds_by_source[update.source] = ZoneFeed(
+        """Take another zone's update; return Taken, Stale or WrongBase."""
+        held = self.feeds_by_zone.get(update.availability_zone)
+        same = held is not None and held.source == update.source
+        if same and held.is_after(update):
+            return Stale()
+        if not update.whole and (
+            not same or held.entries.digest != update.base_digest
+        ):
+            return WrongBase()
+        entries = EntrySet() if update.whole else held.entries
+        entries = entries.evolve(
+            changed=update.changed, removed=update.removed
+        )
+        if entries.digest != update.digest:
+            return WrongBase()
+        records = _feed_records(update, held)
+        self.feeds_by_zone[update.availability_zone] = ZoneFeed(
             availability_zone=update.availability_zone,
             source=update.source,
             source_incarnation=update.source_incarnation,
             sequence=update.sequence,
-            records_by_host={record.host: record for record in update.records},
+            entries=entries,
+            records_by_host=records,
         )
-        return True
-
-    @property
-    def records_by_host(self):
-        """The latest record of each host of every zone."""
-        merged = {}
-        for feed in self._feeds_by_source.values():
-            for host, record in feed.records_by_host.items():
-                held = merged.get(host)
-                if held is None or held.order < record.order:
-                    merged[host] = record
-        merged.update(self.zone_table.records_by_host)
-        return merged
+        hosts = set(update.changed) | set(update.removed)
+        if update.whole and held is not None:
+            hosts |= set(held.records_by_host)
+        return Taken(hosts=frozenset(self.refresh(hosts)))
+
+    def refresh(self, hosts):
+        """Look at hosts again; return those whose record has changed."""
+        changed = {}
+        for host in hosts:
+            record = self._resolve(host)
+            held = self.records_by_host.get(host)
+            if record == held:
+                continue
+            changed[host] = (held, record)
+            if record is None:
+                del self.records_by_host[host]
+            else:
+                self.records_by_host[host] = record
+        self._change_services(changed)
+        return changed.keys()
+
+    def refresh_zone(self):
+        """Look at every host of the own zone again."""
+        table = self.zone_table
+        own = {
+            host
+            for host, record in self.records_by_host.items()
+            if record.availability_zone == table.availability_zone
+        }
+        return self.refresh(own | set(table.records_by_host))
+
+    def _resolve(self, host):
+        own = self.zone_table.get(host)
+        if own is not None:
+            return own
+        latest = None
+        for feed in self.feeds_by_zone.values():
+            record = feed.records_by_host.get(host)
+            if record and (latest is None or latest.order < record.order):
+                latest = record
+        return latest
+
+    def _change_services(self, changed):
+        changes_by_service = {}
+        for host, (held, record) in changed.items():
+            before = self._entries(held)
+            after = self._entries(record)
+            for service in before.keys() | after.keys():
+                new = after.get(service)
+                if before.get(service) != new:
+                    changes = changes_by_service.setdefault(service, {})
+                    changes[host] = new
+        for service, changes in changes_by_service.items():
+            entries = self.entries_by_service.get(service, EntrySet())
+            self.entries_by_service[service] = entries.evolve(
+                changed={h: d for h, d in changes.items() if d is not None},
+                removed=[h for h, d in changes.items() if d is None],
+            )
+
+    def _entries(self, record):
+        """Return the encoded entries of one record, keyed by service."""
+        if record is None:
+            return {}
+        services = {target.service for target in record.targets}
+        entries = {
+            service: encode_entry(
+                attrs.evolve(
+                    record,
+                    targets=tuple(
+                        t for t in record.targets if t.service == service
+                    ),
+                )
+            )
+            for service in services
+        }
+        if record.availability_zone == self.zone_table.availability_zone:
+            bare = attrs.evolve(record, sequence=0, targets=())
+            entries[ALL_HOSTS] = encode_entry(bare)
+        return entries
+
+
+def _feed_records(update, held):
+    """Return the feed's records; never an older one of the same host."""
+    changed = {
+        host: decode_entry(data, HostRecord)
+        for host, data in update.changed.items()
+    }
+    if held is None:
+        return changed
+    for host, record in changed.items():
+        known = held.records_by_host.get(host)
+        if known is not None and known.order > record.order:
+            changed[host] = known
+    if update.whole:
+        return changed
+    kept = {**held.records_by_host, **changed}
+    for host in update.removed:
+        kept.pop(host, None)
+    return kept
--- /dev/null
+++ b/verbenanotch/membership/_entry_set.py
@@ -0,0 +1,101 @@
+"""Encoded entries by key, with a digest that is kept up by changes."""
+
+import attrs
+import msgpack
+import xxhash
+
+from verbenanotch.wire import from_plain, to_plain
+
+DIGEST_MASK = (1 << 64) - 1
+
+
+@attrs.frozen(kw_only=True)
+class EntryDelta:
+    """What turns one EntrySet into another."""
+
+    changed: dict[str, bytes]
+    removed: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class EntrySet:
+    """Immutable entries; two sets of the same entries share a digest.
+
+    The digest is the sum, modulo 2**64, of the xxh3 hashes of the entries,
+    so that a change costs no more than the changed entries. Source: Bellare
+    and Micciancio, "A New Paradigm for Collision-Free Hashing", 1997.
+    """
+
+    entries_by_key: dict[str, bytes] = attrs.field(factory=dict)
+    hashes_by_key: dict[str, int] = attrs.field(factory=dict, repr=False)
+    digest: int = 0
+
+    @classmethod
+    def of(cls, entries_by_key):
+        """Return the set of the given entries."""
+        return cls().evolve(changed=entries_by_key)
+
+    def evolve(self, *, changed, removed=()):
+        """Return the set with entries replaced, added and removed."""
+        entries = dict(self.entries_by_key)
+        hashes = dict(self.hashes_by_key)
+        digest = self.digest
+        for key in removed:
+            if entries.pop(key, None) is not None:
+                digest -= hashes.pop(key)
+        for key, data in changed.items():
+            digest -= hashes.get(key, 0)
+            entries[key] = data
+            hashes[key] = entry_hash(key, data)
+            digest += hashes[key]
+        return EntrySet(
+            entries_by_key=entries,
+            hashes_by_key=hashes,
+            digest=digest & DIGEST_MASK,
+        )
+
+    def subset(self, keys):
+        """Return the set of the entries with these keys."""
+        hashes = {
+            key: self.hashes_by_key[key]
+            for key in keys
+            if key in self.hashes_by_key
+        }
+        return EntrySet(
+            entries_by_key={key: self.entries_by_key[key] for key in hashes},
+            hashes_by_key=hashes,
+            digest=sum(hashes.values()) & DIGEST_MASK,
+        )
+
+    def delta_to(self, other):
+        """Return what turns this set into `other`."""
+        return EntryDelta(
+            changed={
+                key: data
+                for key, data in other.entries_by_key.items()
+                if self.hashes_by_key.get(key) != other.hashes_by_key[key]
+            },
+            removed=tuple(
+                key
+                for key in self.entries_by_key
+                if key not in other.entries_by_key
+            ),
+        )
+
+
+def entry_hash(key, data):
+    """Return the 64-bit hash of one entry."""
+    return xxhash.xxh3_64_intdigest(msgpack.packb((key, data)))
+
+
+def encode_entry(value):
+    """Return the canonical bytes of an attrs value."""
+    return msgpack.packb(to_plain(value))
+
+
+def decode_entry(data, cls):
+    """Return the attrs value of `encode_entry`'s bytes.
+
+    Raises MalformedFrameError if the bytes do not fit the class.
+    """
+    return from_plain(msgpack.unpackb(data), cls)
--- a/verbenanotch/membership/_exchange.py
+++ b/verbenanotch/membership/_exchange.py
@@ -3,72 +3,211 @@
 import random
 import time
 
+import attrs
 import eventlet
 
-from verbenanotch.membership._messages import ZoneHello, ZoneTableUpdate
-from verbenanotch.wire import Purpose, WireError, dial
+from verbenanotch.membership import events
+from verbenanotch.membership._directory import Stale, Taken, WrongBase
+from verbenanotch.membership._entry_set import EntrySet, decode_entry
+from verbenanotch.membership._messages import (
+    ZoneDrain,
+    ZoneHello,
+    ZoneResync,
+    ZoneSummary,
+    ZoneTableUpdate,
+)
+from verbenanotch.membership._published import PublishedTable
+from verbenanotch.membership._records import HostRecord
+from verbenanotch.membership._signal import Signal
+from verbenanotch.telemetry import emit
+from verbenanotch.wire import (
+    ConnectionClosedError,
+    Purpose,
+    WireError,
+    dial,
+)
 
-POLL_SECONDS = 0.1
-RECONNECT_SECONDS = 1.0
+SUMMARY_SECONDS = 1.0
+SILENCE_SECONDS = 5.0
+RECONNECT_BASE_SECONDS = 0.1
+RECONNECT_CAP_SECONDS = 2.0
 MILLISECONDS_PER_SECOND = 1000
 
 
+@attrs.frozen(kw_only=True)
+class HeardSummary:
+    """A zone's last ZoneSummary and when it came, in monotonic seconds."""
+
+    summary: ZoneSummary
+    heard_at: float
+
+
 class ZoneExchange:
-    """Send the own zone's table to, and take tables from, other hosts."""
+    """Serve the own zone's table and take those of the other zones.
+
+    Control hosts of the own zone get the leases held here; those of other
+    zones get the zone's whole table. `summarize` returns the ZoneSummary of
+    the own zone, `on_drain` is called with the id of a target.
+    """
 
-    def __init__(self, *, settings, directory, on_change):
-        """Call `on_change` when another zone's table has changed."""
+    def __init__(self, *, settings, directory, on_change, summarize, on_drain):
+        """Call `on_change` when a table has changed."""
         self._settings = settings
         self._directory = directory
         self._on_change = on_change
+        self._summarize = summarize
+        self._on_drain = on_drain
         self._incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
+        self._direct = PublishedTable()
+        self._whole = PublishedTable()
+        self._followed_sequence = None
+        self._signals = set()
         self._greenthreads = []
+        self._connections_by_zone = {}
+        self.summaries_by_zone = {}
 
     def start(self):
-        """Dial every other control host in the background."""
-        peers_by_name = {
-            **self._settings.control.voters_by_name,
-            **self._settings.control.control_hosts_by_name,
-        }
-        for name, peer in peers_by_name.items():
-            if name != self._settings.host.name:
-                self._greenthreads.append(
-                    eventlet.spawn(self._run_forever, peer)
-                )
+        """Dial the own zone's control hosts and one of each other zone."""
+        for zone, peers_by_name in self._peers_by_zone().items():
+            if zone == self._settings.host.availability_zone:
+                for name, peer in peers_by_name.items():
+                    self._spawn(zone, {name: peer})
+            else:
+                self._spawn(zone, peers_by_name)
 
     def stop(self):
         """End every exchange."""
         for greenthread in self._greenthreads:
             greenthread.kill()
 
+    def wake(self):
+        """Send what has changed in the own zone."""
+        for signal in self._signals:
+            signal.set()
+
+    def drain(self, availability_zone, target_id):
+        """Pass a drain on to another zone; return whether it was sent."""
+        connection = self._connections_by_zone.get(availability_zone)
+        if connection is None:
+            return False
+        try:
+            connection.send(ZoneDrain(target_id=target_id))
+        except WireError:
+            return False
+        return True
+
     def handle(self, connection):
-        """Send the own zone's table whenever it changes."""
-        connection.receive()
-        sent = None
-        while not connection.closed:
-            table = self._directory.zone_table
-            if table.sequence != sent:
-                sent = table.sequence
-                connection.send(self._update(table))
-            eventlet.sleep(POLL_SECONDS)
-
-    def _update(self, table):
-        return ZoneTableUpdate(
-            availability_zone=table.availability_zone,
-            source=self._settings.host.name,
-            source_incarnation=self._incarnation,
-            sequence=table.sequence,
-            records=tuple(table.records_by_host.values()),
+        """Serve the own zone's table to a control host."""
+        hello = connection.receive()
+        own_zone = self._settings.host.availability_zone
+        sibling = hello.availability_zone == own_zone
+        table = self._direct if sibling else self._whole
+        session = _Session(
+            connection=connection,
+            table=table,
+            sent_digest=hello.held_digest or None,
+            sibling=sibling,
+        )
+        self._signals.add(session.signal)
+        sender = eventlet.spawn(self._send_forever, session)
+        try:
+            while True:
+                match connection.receive():
+                    case ZoneResync():
+                        session.sent_digest = None
+                        session.signal.set()
+                    case ZoneDrain(target_id=target_id):
+                        self._on_drain(target_id)
+        finally:
+            sender.kill()
+            self._signals.discard(session.signal)
+
+    def _send_forever(self, session):
+        pause = self._settings.control.coalesce_ms / MILLISECONDS_PER_SECOND
+        summary_at = 0.0
+        try:
+            while True:
+                self._follow()
+                self._send_table(session)
+                if time.monotonic() >= summary_at:
+                    summary_at = time.monotonic() + SUMMARY_SECONDS
+                    session.connection.send(self._summarize())
+                eventlet.sleep(pause)
+                session.signal.wait(SUMMARY_SECONDS)
+        except ConnectionClosedError:
+            session.connection.close()
+
+    def _follow(self):
+        table = self._directory.zone_table
+        if table.sequence != self._followed_sequence:
+            self._followed_sequence = table.sequence
+            self._direct.follow(table.direct_records_by_host)
+            self._whole.follow(table.records_by_host)
+
+    def _send_table(self, session):
+        table = self._directory.zone_table
+        settles_in = table.settles_in(now=time.monotonic())
+        if not session.sibling and settles_in > 0:
+            # A control host that has just started knows too few hosts yet.
+            return
+        entries = session.table.entries
+        if session.sent_digest == entries.digest:
+            return
+        delta = session.table.delta_from(session.sent_digest)
+        whole = delta is None
+        session.connection.send(
+            ZoneTableUpdate(
+                availability_zone=table.availability_zone,
+                source=self._settings.host.name,
+                source_incarnation=self._incarnation,
+                sequence=table.sequence,
+                whole=whole,
+                base_digest=0 if whole else session.sent_digest,
+                digest=entries.digest,
+                changed=entries.entries_by_key if whole else delta.changed,
+                removed=() if whole else delta.removed,
+            )
+        )
+        session.sent_digest = entries.digest
+
+    def _peers_by_zone(self):
+        control = self._settings.control
+        peers_by_zone = {}
+        peers = {**control.voters_by_name, **control.control_hosts_by_name}
+        for name, peer in peers.items():
+            if name != self._settings.host.name:
+                # Without a zone in the settings, each host is dialled.
+                zone = peer.availability_zone or f"(zone of {name})"
+                peers_by_zone.setdefault(zone, {})[name] = peer
+        return peers_by_zone
+
+    def _spawn(self, zone, peers_by_name):
+        self._greenthreads.append(
+            eventlet.spawn(self._run_forever, zone, peers_by_name)
         )
 
-    def _run_forever(self, peer):
+    def _run_forever(self, zone, peers_by_name):
+        failures = 0
+        names = sorted(peers_by_name)
+        random.shuffle(names)
         while True:
+            name = names[0]
+            feed = _Feed(name=name)
             try:
-                self._run(peer)
-            except WireError:
-                eventlet.sleep(random.uniform(0, RECONNECT_SECONDS))
+                self._run(peers_by_name[name], feed)
+            except WireError as error:
+                if feed.heard:
+                    failures = 0
+                    emit(events.ZONE_LOST, peer=name, error=str(error))
+            self._lose(feed)
+            names = [*names[1:], name]
+            failures += 1
+            bound = RECONNECT_BASE_SECONDS * 2 ** min(failures, 10)
+            eventlet.sleep(
+                random.uniform(0, min(RECONNECT_CAP_SECONDS, bound))
+            )
 
-    def _run(self, peer):
+    def _run(self, peer, feed):
         host = self._settings.host
         connection = dial(
             address=peer.address,
@@ -77,7 +216,98 @@
             name=host.name,
             purpose=Purpose.ZONE,
         )
-        connection.send(ZoneHello(availability_zone=host.availability_zone))
-        while True:
-            if self._directory.receive(connection.receive()):
-                self._on_change()
+        # The peer's summaries are its heartbeat; silence is a cut network.
+        connection.set_timeout(SILENCE_SECONDS)
+        connection.send(
+            ZoneHello(
+                availability_zone=host.availability_zone,
+                held_digest=self._held_digest(peer, feed.name),
+            )
+        )
+        try:
+            while True:
+                self._receive(connection, connection.receive(), feed)
+        finally:
+            connection.close()
+            if self._connections_by_zone.get(feed.zone) is connection:
+                del self._connections_by_zone[feed.zone]
+
+    def _held_digest(self, peer, name):
+        held = self._directory.feeds_by_zone.get(peer.availability_zone)
+        same = held is not None and held.source == name
+        return held.entries.digest if same else 0
+
+    def _receive(self, connection, item, feed):
+        feed.heard = True
+        match item:
+            case ZoneSummary():
+                feed.zone = item.availability_zone
+                self._connections_by_zone[feed.zone] = connection
+                self.summaries_by_zone[feed.zone] = HeardSummary(
+                    summary=item, heard_at=time.monotonic()
+                )
+            case ZoneTableUpdate():
+                outcome = self._take(item, feed)
+                if isinstance(outcome, WrongBase):
+                    emit(events.ZONE_RESYNC, peer=feed.name)
+                    connection.send(ZoneResync())
+                elif isinstance(outcome, Taken) and outcome.hosts:
+                    self._on_change()
+
+    def _take(self, update, feed):
+        if update.availability_zone != self._settings.host.availability_zone:
+            return self._directory.receive(update)
+        entries = EntrySet() if update.whole else feed.entries
+        if not update.whole and entries.digest != update.base_digest:
+            return WrongBase()
+        entries = entries.evolve(
+            changed=update.changed, removed=update.removed
+        )
+        if entries.digest != update.digest:
+            return WrongBase()
+        gone = feed.entries.entries_by_key.keys() - entries.entries_by_key
+        feed.entries = entries
+        return self._vouch(update.changed, gone, feed.name)
+
+    def _vouch(self, changed, gone, source):
+        table = self._directory.zone_table
+        now = time.monotonic()
+        for data in changed.values():
+            record = decode_entry(data, HostRecord)
+            table.vouch(record, source=source, now=now)
+        for host in gone:
+            table.withdraw(host=host, source=source, now=now)
+        hosts = self._directory.refresh(changed.keys() | gone)
+        return Taken(hosts=frozenset(hosts)) if hosts else Stale()
+
+    def _lose(self, feed):
+        """Let the leases that a lost sibling held go on for a lease time."""
+        table = self._directory.zone_table
+        for host in feed.entries.entries_by_key:
+            table.withdraw(
+                host=host,
+                source=feed.name,
+                now=time.monotonic(),
+                hold_seconds=table.lease_seconds,
+            )
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Session:
+    """A control host that is served; `sent_digest` names what it holds."""
+
+    connection: object
+    table: PublishedTable
+    sent_digest: int | None
+    sibling: bool
+    signal: Signal = attrs.field(factory=Signal)
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Feed:
+    """A control host that is dialled, with what it sent."""
+
+    name: str
+    zone: str = ""
+    heard: bool = False
+    entries: EntrySet = attrs.field(factory=EntrySet)
--- a/verbenanotch/membership/_messages.py
+++ b/verbenanotch/membership/_messages.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from verbenanotch.catalog import Version
 from verbenanotch.membership._records import HostRecord
 from verbenanotch.wire import message
 
@@ -17,11 +18,15 @@
 @message(201)
 @attrs.frozen(kw_only=True)
 class Renew:
-    """A proxy renews its lease; nothing has changed since `sequence`."""
+    """A proxy renews its lease; nothing has changed since `sequence`.
+
+    `held` is the version in force there.
+    """
 
     host: str
     incarnation: int
     sequence: int
+    held: Version
 
 
 @message(202)
@@ -39,24 +44,73 @@
     incarnation: int
 
 
+@message(204)
+@attrs.frozen(kw_only=True)
+class Renewed:
+    """The lease goes on; `current` is the control host's version."""
+
+    current: Version
+
+
 @message(210)
 @attrs.frozen(kw_only=True)
 class ZoneHello:
-    """A control host asks another one for the table of its zone."""
+    """A control host asks another one for the table of its zone.
+
+    `held_digest` names the table that it holds already; 0 if none.
+    """
 
     availability_zone: str
+    held_digest: int
 
 
 @message(211)
 @attrs.frozen(kw_only=True)
 class ZoneTableUpdate:
-    """The whole table of a zone, as one control host of it sees it.
+    """A change of a zone's table, as one control host of it sees it.
 
     `source_incarnation` grows with each start of the sending control host.
+    A `whole` update has no base. `changed` holds encoded HostRecords by
+    host; `digest` is that of the resulting table.
     """
 
     availability_zone: str
     source: str
     source_incarnation: int
     sequence: int
-    records: tuple[HostRecord, ...]
+    whole: bool
+    base_digest: int
+    digest: int
+    changed: dict[str, bytes]
+    removed: tuple[str, ...]
+
+
+@message(212)
+@attrs.frozen(kw_only=True)
+class ZoneResync:
+    """The last update did not fit; the whole table is needed."""
+
+
+@message(213)
+@attrs.frozen(kw_only=True)
+class ZoneSummary:
+    """What the proxies of a zone acknowledged; also the heartbeat.
+
+    `lowest` is the least version in force at any of `count` proxies.
+    `laggards` names some that are behind the sender's version.
+    """
+
+    availability_zone: str
+    source: str
+    current: Version
+    lowest: Version
+    count: int
+    laggards: tuple[str, ...]
+
+
+@message(214)
+@attrs.frozen(kw_only=True)
+class ZoneDrain:
+    """A target of the receiver's zone is to get no new work."""
+
+    target_id: str
--- /dev/null
+++ b/verbenanotch/membership/_published.py
@@ -0,0 +1,50 @@
+"""A table of host records in its encoded form, with its recent states."""
+
+import collections
+
+from verbenanotch.membership._entry_set import EntrySet, encode_entry
+
+RECENT_STATES = 64
+
+
+class PublishedTable:
+    """Follow a table; give deltas from any of its recent states."""
+
+    def __init__(self):
+        """Start with an empty table."""
+        self.entries = EntrySet()
+        self._records_by_host = {}
+        self._recent_by_digest = collections.OrderedDict()
+        self._deltas_by_digests = {}
+
+    def follow(self, records_by_host):
+        """Take the records that the table holds now."""
+        held = self._records_by_host
+        changed = {
+            host: encode_entry(record)
+            for host, record in records_by_host.items()
+            if held.get(host) is not record
+        }
+        removed = [host for host in held if host not in records_by_host]
+        if not changed and not removed:
+            return
+        self._remember(self.entries)
+        self.entries = self.entries.evolve(changed=changed, removed=removed)
+        self._records_by_host = dict(records_by_host)
+        self._deltas_by_digests.clear()
+
+    def delta_from(self, digest):
+        """Return the EntryDelta from a recent state, or None."""
+        base = self._recent_by_digest.get(digest)
+        if digest == self.entries.digest:
+            base = self.entries
+        if base is None:
+            return None
+        if digest not in self._deltas_by_digests:
+            self._deltas_by_digests[digest] = base.delta_to(self.entries)
+        return self._deltas_by_digests[digest]
+
+    def _remember(self, entries):
+        self._recent_by_digest[entries.digest] = entries
+        while len(self._recent_by_digest) > RECENT_STATES:
+            self._recent_by_digest.popitem(last=False)
