Export the bounds of depth and timeout from the catalogue

The proxy checks the headers of callers against the same bounds as the operators' files. Defining them a second time was ruled out, since the two could drift apart.

--- a/verbenanotch/catalog/__init__.py
+++ b/verbenanotch/catalog/__init__.py
@@ -1,6 +1,13 @@
 """Operators' files: services, routes, versions and their rules."""
 
-from verbenanotch.catalog._mesh import Mesh, Route, Service, parse_mesh
+from verbenanotch.catalog._mesh import (
+    MAX_CALL_DEPTH,
+    MAX_TIMEOUT_MS,
+    Mesh,
+    Route,
+    Service,
+    parse_mesh,
+)
 from verbenanotch.catalog._submission import (
     Accepted,
     Conflict,
@@ -14,6 +21,8 @@
 from verbenanotch.catalog._versions import VersionRecord, Versions
 
 __all__ = [
+    "MAX_CALL_DEPTH",
+    "MAX_TIMEOUT_MS",
     "NO_VERSION",
     "Accepted",
     "Conflict",
