--- /dev/null
+++ b/tests/unit/test_proxy_entry.py
@@ -0,0 +1,386 @@
+"""From a caller's request to its outcome, over a fake way to targets."""
+
+import http.client
+import json
+import socket
+import time
+
+import attrs
+import eventlet
+import pytest
+
+from tests.unit.test_proxy_peers import SETTINGS
+from verbenanotch.catalog import Route, Service, Version
+from verbenanotch.daemon._caller_protocol import CallerProtocol
+from verbenanotch.daemon._http import HttpServer
+from verbenanotch.distribution import SnapshotHolder
+from verbenanotch.membership import HostRecord, TargetRecord
+from verbenanotch.proxy import CallerWatch, Dispatcher, EntryInterface
+from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
+
+MAX_BODY_BYTES = 1000
+ECHO = Answered(status=200, headers=(("X-From", "t"),), body=b"hello")
+
+
+class FakePeers:
+    """Give scripted outcomes; the last one stays."""
+
+    def __init__(self):
+        """Answer every call."""
+        self.outcomes = [ECHO]
+        self.calls = []
+
+    def forward(self, record, call, *, deadline, cancellation):
+        """Note the call and return or run the next outcome."""
+        self.calls.append(call)
+        outcome = self.outcomes[0]
+        if len(self.outcomes) > 1:
+            self.outcomes.pop(0)
+        return outcome(cancellation) if callable(outcome) else outcome
+
+
+@attrs.define(kw_only=True)
+class Answer:
+    """What the caller sees."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+    @property
+    def outcome(self):
+        """Return the outcome header."""
+        return self.headers.get("X-Verbenanotch-Outcome")
+
+    @property
+    def reason(self):
+        """Return the reason in the JSON body."""
+        return json.loads(self.body)["reason"]
+
+
+@attrs.define(kw_only=True)
+class Entry:
+    """A running entry; `targets` hosts have one target each."""
+
+    http: HttpServer
+    peers: FakePeers
+    holder: SnapshotHolder
+
+    def ask(self, method="POST", path="/pay/1", body=None, **headers):
+        """Send one request."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.http.port, timeout=5
+        )
+        names = {name.replace("_", "-"): v for name, v in headers.items()}
+        connection.request(method, path, body=body, headers=names)
+        response = connection.getresponse()
+        answer = Answer(
+            status=response.status,
+            headers=dict(response.getheaders()),
+            body=response.read(),
+        )
+        connection.close()
+        return answer
+
+    def send(self, data):
+        """Send raw bytes; return the start of what comes back."""
+        with socket.create_connection(("127.0.0.1", self.http.port)) as sock:
+            sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+            chunks = []
+            while data := sock.recv(65536):
+                chunks.append(data)
+            return b"".join(chunks)
+
+
+def make_record(number, service="pay"):
+    target = TargetRecord(
+        target_id=f"{service}/{number}",
+        service=service,
+        address="127.0.0.1",
+        port=1,
+        slots=4,
+        incarnation=1,
+    )
+    return HostRecord(
+        host=f"h{number}",
+        availability_zone="z1",
+        address="127.0.0.1",
+        peer_port=number,
+        incarnation=1,
+        sequence=1,
+        targets=(target,),
+    )
+
+
+@pytest.fixture
+def entry():
+    holder = SnapshotHolder()
+    holder.apply_targets([make_record(number) for number in range(1, 5)])
+    holder.apply_mesh(
+        version=Version(epoch=1, index=1),
+        services_by_name={"pay": Service(cold_start_ms=0)},
+        routes_by_name={"pay": Route(prefix="/pay", service="pay")},
+    )
+    settings = attrs.evolve(
+        SETTINGS,
+        proxy=attrs.evolve(SETTINGS.proxy, max_body_bytes=MAX_BODY_BYTES),
+    )
+    peers = FakePeers()
+    callers = CallerWatch()
+    dispatcher = Dispatcher(
+        settings=settings, holder=holder, local_targets=None, peers=peers
+    )
+    interface = EntryInterface(
+        settings=settings,
+        holder=holder,
+        dispatcher=dispatcher,
+        callers=callers,
+    )
+    server = HttpServer(
+        address="127.0.0.1",
+        port=0,
+        application=interface.application,
+        protocol=CallerProtocol,
+    )
+    callers.start()
+    server.start()
+    yield Entry(http=server, peers=peers, holder=holder)
+    server.stop()
+    callers.stop()
+
+
+def test_an_answer_is_passed_on_whole(entry):
+    answer = entry.ask(body=b"x", X_Request_Id="mine", X_Extra="1")
+    assert (answer.status, answer.body) == (200, b"hello")
+    assert answer.outcome == "answered"
+    assert answer.headers["X-Request-Id"] == "mine"
+    assert answer.headers["X-From"] == "t"
+    call = entry.peers.calls[0]
+    assert (call.method, call.path, call.body) == ("POST", "/pay/1", b"x")
+    assert ("X-Extra", "1") in call.headers
+
+
+def test_a_target_cannot_claim_another_outcome(entry):
+    entry.peers.outcomes = [
+        Answered(
+            status=503,
+            headers=(("X-Verbenanotch-Outcome", "not-run"),),
+            body=b"",
+        )
+    ]
+    answer = entry.ask()
+    assert (answer.status, answer.outcome) == (503, "answered")
+
+
+def test_not_run_and_unknown_as_the_caller_sees_them(entry):
+    entry.peers.outcomes = [NotRun(reason="target-full", retry_after_ms=1500)]
+    answer = entry.ask()
+    assert (answer.status, answer.outcome) == (503, "not-run")
+    assert answer.headers["Retry-After"] == "2"
+    assert answer.reason == "target-full"
+    entry.peers.outcomes = [Unknown(reason="peer-lost")]
+    answer = entry.ask()
+    assert (answer.status, answer.outcome) == (504, "unknown")
+    assert answer.reason == "peer-lost"
+    assert json.loads(answer.body)["request_id"]
+
+
+def test_a_request_that_is_not_idempotent_is_dispatched_once(entry):
+    entry.peers.outcomes = [Unknown(reason="peer-lost"), ECHO]
+    assert entry.ask("POST").outcome == "unknown"
+    assert len(entry.peers.calls) == 1
+
+
+def test_an_idempotent_request_is_retried_elsewhere(entry):
+    entry.peers.outcomes = [Unknown(reason="peer-lost"), ECHO]
+    assert entry.ask("GET").outcome == "answered"
+    first, second = entry.peers.calls
+    assert first.target_id != second.target_id
+    assert (first.attempt, second.attempt) == (1, 2)
+
+
+def test_a_refused_request_goes_to_another_target(entry):
+    entry.peers.outcomes = [NotRun(reason="peer-leaving"), ECHO]
+    assert entry.ask("POST").outcome == "answered"
+    assert len(entry.peers.calls) == 2
+
+
+def test_after_an_attempt_that_may_have_run_it_is_never_not_run(entry):
+    entry.peers.outcomes = [
+        Unknown(reason="peer-lost"),
+        NotRun(reason="target-full"),
+    ]
+    answer = entry.ask("GET")
+    assert answer.outcome == "unknown"
+    assert len(entry.peers.calls) > 1
+
+
+def test_retries_that_travel_bound_the_attempts(entry):
+    entry.peers.outcomes = [Unknown(reason="peer-lost")]
+    entry.ask("GET", X_Verbenanotch_Retries="0", X_Verbenanotch_Depth="8")
+    assert len(entry.peers.calls) == 1
+    assert entry.peers.calls[0].retries_below == 0
+    assert entry.peers.calls[0].depth == 8
+
+
+@pytest.mark.parametrize(
+    ("headers", "status", "reason"),
+    [
+        ({"X_Request_Timeout_Ms": "0"}, 400, "bad-timeout"),
+        ({"X_Request_Timeout_Ms": "600001"}, 400, "bad-timeout"),
+        ({"X_Request_Timeout_Ms": "-5"}, 400, "bad-timeout"),
+        ({"X_Request_Timeout_Ms": "soon"}, 400, "bad-timeout"),
+        ({"X_Verbenanotch_Depth": "9"}, 400, "too-deep"),
+        ({"X_Verbenanotch_Depth": "x"}, 400, "bad-call-headers"),
+        ({"X_Verbenanotch_Retries": "-1"}, 400, "bad-call-headers"),
+        ({"X_Request_Id": "a b"}, 400, "bad-request-id"),
+        ({"Transfer_Encoding": "gzip"}, 501, "bad-transfer-encoding"),
+    ],
+)
+def test_bad_headers_are_typed_and_not_run(entry, headers, status, reason):
+    answer = entry.ask("GET", **headers)
+    assert (answer.status, answer.reason) == (status, reason)
+    assert answer.outcome == "not-run"
+    assert entry.peers.calls == []
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status", "reason"),
+    [
+        (b"POST /pay HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400, "length"),
+        (b"POST /pay HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400, "length"),
+        (
+            b"POST /pay HTTP/1.1\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabcd",
+            400,
+            "bad-length",
+        ),
+        (
+            b"POST /pay HTTP/1.1\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\nabc",
+            400,
+            "bad-length",
+        ),
+        (
+            b"POST /pay HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc",
+            400,
+            "body-cut-short",
+        ),
+        (
+            b"POST /pay HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na",
+            400,
+            "body-cut-short",
+        ),
+        (
+            b"POST /pay HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            400,
+            "body-cut-short",
+        ),
+        (
+            b"POST /pay HTTP/1.1\r\nContent-Length: 1001\r\n\r\n"
+            + b"x" * 1001,
+            413,
+            "body-too-large",
+        ),
+        (
+            b"POST /pay HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3e9\r\n" + b"x" * 1001 + b"\r\n0\r\n\r\n",
+            413,
+            "body-too-large",
+        ),
+        (b"GET http://x/pay HTTP/1.1\r\nHost: x\r\n\r\n", 400, "bad-path"),
+        (b"nonsense\r\n\r\n", 400, "not-run"),
+    ],
+)
+def test_bad_requests_are_typed_and_not_run(
+    entry, request_bytes, status, reason
+):
+    received = entry.send(request_bytes)
+    assert received.split(b" ", 2)[1] == str(status).encode()
+    assert b"X-Verbenanotch-Outcome: not-run" in received
+    assert reason.encode() in received
+    assert entry.peers.calls == []
+
+
+def test_a_body_that_comes_too_late_is_not_run(entry):
+    with socket.create_connection(("127.0.0.1", entry.http.port)) as sock:
+        sock.sendall(
+            b"POST /pay HTTP/1.1\r\nContent-Length: 9\r\n"
+            b"X-Request-Timeout-Ms: 50\r\n\r\nabc"
+        )
+        assert b"body-late" in sock.recv(65536)
+    assert entry.peers.calls == []
+
+
+def test_chunked_bodies_of_callers_are_taken(entry):
+    received = entry.send(
+        b"POST /pay HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    assert received.endswith(b"hello")
+    assert entry.peers.calls[0].body == b"abcde"
+
+
+def test_a_head_answer_keeps_the_targets_length(entry):
+    entry.peers.outcomes = [
+        Answered(status=200, headers=(("Content-Type", "a/b"),), body=b"")
+    ]
+    answer = entry.ask("HEAD")
+    assert answer.outcome == "answered"
+    assert answer.headers.get("Content-Length") is None
+
+
+def test_no_route_and_no_target_are_not_run(entry):
+    assert entry.ask(path="/other").reason == "no-route"
+    entry.holder.apply_targets([])
+    answer = entry.ask()
+    assert (answer.status, answer.reason) == (503, "no-target")
+
+
+def test_a_caller_that_goes_away_cancels_its_call(entry):
+    cancelled = []
+
+    def wait(cancellation):
+        cancellation.on_cancel(lambda: cancelled.append(time.monotonic()))
+        eventlet.sleep(0.5)
+        return Unknown(reason="caller-gone")
+
+    entry.peers.outcomes = [wait, ECHO]
+    sock = socket.create_connection(("127.0.0.1", entry.http.port))
+    sock.sendall(b"GET /pay HTTP/1.1\r\nHost: x\r\n\r\n")
+    eventlet.sleep(0.05)
+    sock.close()
+    eventlet.sleep(0.6)
+    assert cancelled
+    assert len(entry.peers.calls) == 1
+
+
+def test_a_stopping_server_answers_what_is_open_and_closes(entry):
+    release = eventlet.event.Event()
+
+    def wait(cancellation):
+        release.wait()
+        return ECHO
+
+    entry.peers.outcomes = [wait, ECHO]
+    busy = http.client.HTTPConnection("127.0.0.1", entry.http.port)
+    busy.request("GET", "/pay")
+    idle = http.client.HTTPConnection("127.0.0.1", entry.http.port)
+    idle.connect()
+    eventlet.sleep(0.05)
+    assert entry.http.in_flight == 1
+    entry.http.stop_accepting()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", entry.http.port))
+    idle.request("GET", "/pay")
+    response = idle.getresponse()
+    assert response.read() == b"hello"
+    assert response.getheader("Connection") == "close"
+    entry.http.close_idle()
+    release.send()
+    response = busy.getresponse()
+    assert response.read() == b"hello"
+    assert response.getheader("Connection") == "close"
+    eventlet.sleep(0.05)
+    assert entry.http.connection_count == 0
--- /dev/null
+++ b/tests/unit/test_proxy_exchange.py
@@ -0,0 +1,201 @@
+"""What a failure of the exchange with a target proves."""
+
+import socket
+import time
+
+import eventlet
+import pytest
+
+from verbenanotch.proxy._cancellation import Cancellation
+from verbenanotch.proxy._exchange import exchange
+from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
+from verbenanotch.proxy._target_connection import TargetConnections
+
+MAX_BODY_BYTES = 1000
+
+
+def make_call(**fields):
+    values = {
+        "request_id": "r1",
+        "service": "s",
+        "target_id": "t",
+        "method": "POST",
+        "path": "/x?y=1",
+        "headers": (("X-A", "1"), ("X-A", "2"), ("Host", "h")),
+        "body": b"body",
+        "remaining_ms": 1000,
+        "idempotent": False,
+        "depth": 2,
+        "retries_below": 1,
+    }
+    return Call(**(values | fields))
+
+
+class RawTarget:
+    """Answer each connection's requests with given bytes, then close."""
+
+    def __init__(self, answers):
+        """Listen; None among the answers closes the connection instead."""
+        self.answers = list(answers)
+        self.requests = []
+        self.accepted = 0
+        self._socket = eventlet.listen(("127.0.0.1", 0))
+        self.connections = TargetConnections(
+            address="127.0.0.1",
+            port=self._socket.getsockname()[1],
+            max_idle=4,
+        )
+        self._greenthread = eventlet.spawn(self._accept)
+
+    def _accept(self):
+        while True:
+            sock, _ = self._socket.accept()
+            self.accepted += 1
+            eventlet.spawn_n(self._serve, sock)
+
+    def _serve(self, sock):
+        while True:
+            data = sock.recv(65536)
+            if not data:
+                return
+            self.requests.append(data)
+            answer = self.answers.pop(0)
+            if answer is None:
+                sock.close()
+                return
+            sock.sendall(answer)
+            if b"close" in answer:
+                sock.shutdown(socket.SHUT_RDWR)
+                return
+
+    def stop(self):
+        """Listen no more."""
+        self._greenthread.kill()
+        self._socket.close()
+
+
+@pytest.fixture
+def target_with():
+    targets = []
+
+    def make(*answers):
+        targets.append(RawTarget(answers))
+        return targets[-1]
+
+    yield make
+    for target in targets:
+        target.stop()
+
+
+def run(target, *, seconds=1.0, cancellation=None, **fields):
+    return exchange(
+        target.connections,
+        make_call(**fields),
+        deadline=time.monotonic() + seconds,
+        cancellation=cancellation or Cancellation(),
+        max_body_bytes=MAX_BODY_BYTES,
+    )
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CLOSE = b"HTTP/1.1 200 OK\r\nX-A: close\r\n"
+
+
+def test_a_whole_answer_and_what_the_target_gets(target_with):
+    target = target_with(OK, OK)
+    assert run(target).body == b"ok"
+    assert run(target).body == b"ok"
+    assert target.accepted == 1
+    head = b"".join(target.requests).lower()
+    for line in (
+        b"x-request-id: r1",
+        b"x-verbenanotch-depth: 3",
+        b"x-verbenanotch-retries: 1",
+        b"x-a: 1\r\nx-a: 2",
+    ):
+        assert line in head
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        CLOSE + b"Content-Length: 10\r\n\r\nabc",
+        CLOSE + b"Content-Length: 10\r\n\r\n",
+        CLOSE + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        CLOSE + b"Transfer-Encoding: chunked\r\n\r\n3\r\na",
+        CLOSE + b"\r\nno length and no end mark",
+        b"close this, which is no HTTP\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5000,
+        None,
+    ],
+)
+def test_what_is_not_whole_is_unknown_and_sent_once(target_with, answer):
+    target = target_with(answer, OK, OK)
+    assert isinstance(run(target), Unknown)
+    assert len(target.requests) <= 2
+    assert target.accepted == 1
+
+
+def test_chunks_with_their_end_mark_are_whole(target_with):
+    target = target_with(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n0\r\n\r\n"
+    )
+    assert run(target).body == b"abc"
+
+
+def test_a_pooled_connection_that_was_closed_is_not_used(target_with):
+    target = target_with(OK, OK)
+    assert isinstance(run(target), Answered)
+    for connection in target.connections._idle:
+        connection.sock.shutdown(socket.SHUT_RD)
+    assert isinstance(run(target), Answered)
+    assert target.accepted == 2
+
+
+def test_a_stale_connection_that_took_no_byte_is_replaced(target_with):
+    target = target_with(OK, OK)
+    assert isinstance(run(target), Answered)
+    for connection in target.connections._idle:
+        connection.is_fresh = lambda now: True
+        connection.sock.shutdown(socket.SHUT_WR)
+    assert isinstance(run(target), Answered)
+    assert target.accepted == 2
+
+
+def test_an_answer_lost_on_a_pooled_connection_is_unknown(target_with):
+    target = target_with(OK, None, OK)
+    assert isinstance(run(target), Answered)
+    assert isinstance(run(target), Unknown)
+    assert target.accepted == 1
+
+
+def test_a_target_that_does_not_listen_was_not_run(target_with):
+    target = target_with()
+    target.stop()
+    eventlet.sleep(0)
+    assert isinstance(run(target), NotRun)
+
+
+def test_a_silent_target_is_unknown_at_the_deadline(target_with):
+    target = target_with(b"HTTP/1.1 100 Continue\r\n\r\n")
+    assert isinstance(run(target, seconds=0.1), Unknown)
+    assert not target.connections._idle
+
+
+def test_cancelling_closes_the_connection(target_with):
+    target = target_with(b"HTTP/1.1 100 Continue\r\n\r\n")
+    cancellation = Cancellation()
+    eventlet.spawn_after(0.05, cancellation.cancel)
+    outcome = run(target, seconds=5, cancellation=cancellation)
+    assert outcome == Unknown(reason="cancelled")
+    assert not target.connections._idle
+
+
+def test_a_cancelled_call_is_not_sent(target_with):
+    target = target_with(OK)
+    cancellation = Cancellation()
+    cancellation.cancel()
+    outcome = run(target, cancellation=cancellation)
+    assert isinstance(outcome, NotRun)
+    assert target.accepted == 0
--- /dev/null
+++ b/tests/unit/test_proxy_peers.py
@@ -0,0 +1,382 @@
+"""Streams between proxies: matching, flow control, silence, leaving."""
+
+import time
+
+import attrs
+import eventlet
+import pytest
+from eventlet import event
+
+from verbenanotch.conf import HostSettings, ProxySettings, Settings
+from verbenanotch.membership import HostRecord
+from verbenanotch.proxy import PeerPool, PeerServer
+from verbenanotch.proxy._bodies import CHUNK_BYTES
+from verbenanotch.proxy._cancellation import Cancellation
+from verbenanotch.proxy._messages import (
+    BodyChunk,
+    Cancel,
+    Forward,
+    ForwardAnswered,
+    GoAway,
+    Ping,
+)
+from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
+from verbenanotch.telemetry import metrics
+from verbenanotch.wire import Listener, Purpose, WireError
+
+KEY = "0123456789abcdef"
+MAX_BODY_BYTES = 1024 * 1024
+SETTINGS = Settings(
+    host=HostSettings(
+        name="entry",
+        role="proxy",
+        availability_zone="z1",
+        address="127.0.0.1",
+        peer_port=0,
+        peer_key=KEY,
+    ),
+    proxy=ProxySettings(
+        caller_port=0, target_port=0, control_hosts_by_name={}
+    ),
+)
+
+
+def make_call(body=b"", **fields):
+    values = {
+        "request_id": "r1",
+        "service": "s",
+        "target_id": "t",
+        "method": "POST",
+        "path": "/x",
+        "headers": (),
+        "body": body,
+        "remaining_ms": 2000,
+        "idempotent": False,
+    }
+    return Call(**(values | fields))
+
+
+class FakeTargets:
+    """Run calls by a function that the test gives."""
+
+    def __init__(self):
+        """Echo bodies."""
+        self.calls = []
+        self.behave = lambda call: Answered(
+            status=200, headers=(("X-Body", "1"),), body=call.body
+        )
+
+    def run(self, call, *, deadline, cancellation):
+        """Note the call and answer it."""
+        self.calls.append((call, cancellation))
+        return self.behave(call)
+
+
+@attrs.define(kw_only=True)
+class Link:
+    """A pool, and the server that it forwards to."""
+
+    pool: PeerPool
+    server: PeerServer
+    targets: FakeTargets
+    record: HostRecord
+
+    def forward(self, call, *, seconds=2.0, cancellation=None):
+        """Forward one call."""
+        return self.pool.forward(
+            self.record,
+            call,
+            deadline=time.monotonic() + seconds,
+            cancellation=cancellation or Cancellation(),
+        )
+
+
+def listen(handle):
+    listener = Listener(
+        address="127.0.0.1",
+        port=0,
+        key=KEY.encode(),
+        name="peer",
+        handlers_by_purpose={Purpose.REQUEST: handle},
+    )
+    listener.start()
+    return listener
+
+
+def record_of(listener):
+    return HostRecord(
+        host="peer",
+        availability_zone="z1",
+        address="127.0.0.1",
+        peer_port=listener.port,
+        incarnation=1,
+        sequence=1,
+    )
+
+
+@pytest.fixture
+def link():
+    targets = FakeTargets()
+    server = PeerServer(
+        local_targets=targets, max_body_bytes=MAX_BODY_BYTES, max_in_flight=8
+    )
+    listener = listen(server.handle)
+    pool = PeerPool(settings=SETTINGS)
+    yield Link(
+        pool=pool, server=server, targets=targets, record=record_of(listener)
+    )
+    pool.stop()
+    listener.stop()
+
+
+@pytest.fixture
+def scripted():
+    """Forward to a peer that the test plays itself."""
+    started = []
+
+    def start(handle):
+        listener = listen(handle)
+        pool = PeerPool(settings=SETTINGS)
+        started.extend((pool, listener))
+        return Link(
+            pool=pool, server=None, targets=None, record=record_of(listener)
+        )
+
+    yield start
+    for part in started:
+        part.stop()
+
+
+@pytest.mark.parametrize(
+    "size", [0, 1, CHUNK_BYTES, CHUNK_BYTES + 1, MAX_BODY_BYTES]
+)
+def test_bodies_of_all_sizes_come_back_whole(link, size):
+    body = bytes(range(256)) * (size // 256) + b"x" * (size % 256)
+    outcome = link.forward(make_call(body))
+    assert outcome.body == body
+    assert link.targets.calls[0][0].body == body
+
+
+def test_crossed_answers_reach_their_own_calls(link):
+    def answer(call):
+        eventlet.sleep(0.1 if call.request_id == "slow" else 0)
+        return Answered(status=200, headers=(), body=call.request_id.encode())
+
+    link.targets.behave = answer
+    waiting = [
+        eventlet.spawn(link.forward, make_call(request_id=name))
+        for name in ("slow", "a", "b", "c")
+    ]
+    bodies = [greenthread.wait().body for greenthread in waiting]
+    assert bodies == [b"slow", b"a", b"b", b"c"]
+
+
+def test_a_large_body_does_not_hold_up_others(link):
+    big = eventlet.spawn(link.forward, make_call(b"x" * MAX_BODY_BYTES))
+    ends = []
+    big.link(lambda _: ends.append("big"))
+    eventlet.sleep(0)
+    link.forward(make_call(b"small"))
+    ends.append("small")
+    big.wait()
+    eventlet.sleep(0)
+    assert ends == ["small", "big"]
+
+
+def test_concurrent_calls_share_one_dial(link):
+    dials = []
+    original = link.pool._dial
+
+    def dial(**arguments):
+        dials.append(arguments)
+        eventlet.sleep(0.05)
+        return original(**arguments)
+
+    link.pool._dial = dial
+    waiting = [eventlet.spawn(link.forward, make_call()) for _ in range(5)]
+    assert all(isinstance(item.wait(), Answered) for item in waiting)
+    assert len(dials) == 1
+
+
+def test_a_peer_that_cannot_be_dialed_is_not_run_at_once(link):
+    dials = []
+
+    def dial(**arguments):
+        dials.append(arguments)
+        raise WireError("refused")
+
+    link.pool._dial = dial
+    outcomes = [link.forward(make_call()) for _ in range(3)]
+    assert all(isinstance(outcome, NotRun) for outcome in outcomes)
+    assert len(dials) == 1
+
+
+def test_a_dial_that_hangs_ends_at_the_deadline(link):
+    link.pool._dial = lambda **arguments: eventlet.sleep(60)
+    outcome = link.forward(make_call(), seconds=0.1)
+    assert isinstance(outcome, NotRun)
+
+
+def test_a_peer_lost_after_the_call_is_unknown(scripted):
+    link = scripted(lambda connection: connection.receive())
+    assert link.forward(make_call()) == Unknown(reason="peer-lost")
+
+
+def test_a_peer_lost_before_the_whole_call_is_not_run(scripted):
+    link = scripted(lambda connection: connection.receive())
+    outcome = link.forward(make_call(b"x" * MAX_BODY_BYTES))
+    assert isinstance(outcome, NotRun)
+
+
+def test_a_call_that_arrives_in_part_is_never_run(link):
+    peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
+    connection = peer._connection
+    connection.send(
+        Forward(stream_id=1, body_bytes=10, call=make_call(b"abc"))
+    )
+    connection.send(BodyChunk(stream_id=1, data=b"def"))
+    connection.close()
+    eventlet.sleep(0.05)
+    assert link.targets.calls == []
+
+
+def test_more_body_than_declared_ends_the_connection(link):
+    peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
+    connection = peer._connection
+    connection.send(Forward(stream_id=1, body_bytes=5, call=make_call(b"abc")))
+    connection.send(BodyChunk(stream_id=1, data=b"defghi"))
+    eventlet.sleep(0.05)
+    assert peer.closed
+    assert link.targets.calls == []
+
+
+def test_an_answer_cut_short_is_unknown(scripted):
+    def handle(connection):
+        stream_id = connection.receive().stream_id
+        connection.send(
+            ForwardAnswered(
+                stream_id=stream_id,
+                body_bytes=10,
+                status=200,
+                headers=(),
+                body=b"abc",
+            )
+        )
+
+    assert scripted(handle).forward(make_call()) == Unknown(reason="peer-lost")
+
+
+def test_late_and_unasked_answers_are_dropped_and_counted(scripted):
+    finished = event.Event()
+
+    def answer(connection, stream_id, body):
+        connection.send(
+            ForwardAnswered(
+                stream_id=stream_id,
+                body_bytes=len(body),
+                status=200,
+                headers=(),
+                body=body,
+            )
+        )
+
+    def handle(connection):
+        received = [connection.receive() for _ in range(3)]
+        cancelled = [i for i in received if isinstance(i, Cancel)]
+        first, second = (
+            item.stream_id for item in received if isinstance(item, Forward)
+        )
+        assert second != first
+        assert [item.stream_id for item in cancelled] == [first]
+        answer(connection, first, b"late")
+        answer(connection, 999, b"stray")
+        answer(connection, second, b"own")
+        answer(connection, second, b"again")
+        finished.wait()
+
+    link = scripted(handle)
+    dropped = metrics.totals_by_name["proxy.late_reply_dropped"]
+    late = link.forward(make_call(), seconds=0.05)
+    assert late == Unknown(reason="deadline-passed")
+    assert link.forward(make_call()).body == b"own"
+    eventlet.sleep(0.05)
+    assert metrics.totals_by_name["proxy.late_reply_dropped"] == dropped + 3
+    finished.send()
+
+
+def test_a_silent_peer_gets_no_new_calls_until_it_speaks(scripted):
+    thawed = event.Event()
+
+    def handle(connection):
+        connection.receive()
+        thawed.wait()
+        connection.send(GoAway(reason="it lives"))
+        connection.receive()
+
+    link = scripted(handle)
+    waiting = eventlet.spawn(link.forward, make_call(), seconds=0.5)
+    eventlet.sleep(0.01)
+    peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
+    now = time.monotonic()
+    peer.check(now)
+    peer.check(now + 1)
+    assert link.forward(make_call()) == NotRun(reason="peer-silent")
+    thawed.send()
+    eventlet.sleep(0.05)
+    assert not peer.suspect
+    assert isinstance(waiting.wait(), Unknown)
+    peer.check(now + 2)
+    peer.check(now + 8)
+    assert peer.closed
+
+
+def test_pings_are_answered(link):
+    peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
+    peer._outbox.post(Ping(number=1))
+    before = peer._received_at
+    eventlet.sleep(0.05)
+    assert peer._received_at > before
+
+
+def test_a_leaving_host_finishes_calls_and_takes_no_new_ones(link):
+    release = event.Event()
+
+    def answer(call):
+        release.wait()
+        return Answered(status=200, headers=(), body=b"done")
+
+    link.targets.behave = answer
+    waiting = eventlet.spawn(link.forward, make_call())
+    eventlet.sleep(0.05)
+    assert link.server.in_flight == 1
+    link.server.go_away("shutdown")
+    eventlet.sleep(0.05)
+    assert link.forward(make_call()) == NotRun(reason="peer-leaving")
+    release.send()
+    assert waiting.wait().body == b"done"
+    assert len(link.targets.calls) == 1
+
+
+def test_calls_over_the_bound_of_the_host_are_refused_at_once(link):
+    release = event.Event()
+    link.targets.behave = lambda call: release.wait()
+    for _ in range(link.server.max_in_flight):
+        eventlet.spawn(link.forward, make_call(), seconds=0.3)
+    eventlet.sleep(0.05)
+    assert link.forward(make_call()) == NotRun(reason="host-full")
+    release.send(NotRun(reason="test"))
+
+
+def test_a_gone_caller_cancels_the_call_at_the_target(link):
+    release = event.Event()
+    link.targets.behave = lambda call: release.wait()
+    cancellation = Cancellation()
+    waiting = eventlet.spawn(
+        link.forward, make_call(), cancellation=cancellation
+    )
+    eventlet.sleep(0.05)
+    cancellation.cancel()
+    assert waiting.wait() == Unknown(reason="caller-gone")
+    eventlet.sleep(0.05)
+    assert link.targets.calls[0][1].cancelled
+    release.send(Unknown(reason="cancelled"))
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -4,9 +4,12 @@
 
 import eventlet
 
+from verbenanotch.daemon import _shutdown
+from verbenanotch.daemon._caller_protocol import CallerProtocol
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.distribution import SnapshotHolder, Subscriber
 from verbenanotch.proxy import (
+    CallerWatch,
     Dispatcher,
     EntryInterface,
     LocalTargets,
@@ -17,6 +20,7 @@
 from verbenanotch.wire import Listener, Purpose
 
 EXPIRY_SECONDS = 0.5
+WARM_SECONDS = 1.0
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -39,30 +43,25 @@
             announcement=self._local_targets.announcement,
             on_drain=self._local_targets.drain,
         )
-        dispatcher = Dispatcher(
-            settings=settings,
-            holder=self._holder,
+        self._peers = PeerPool(settings=settings)
+        self._peer_server = PeerServer(
             local_targets=self._local_targets,
-            peers=PeerPool(settings=settings),
-        )
-        entry = EntryInterface(
-            settings=settings, holder=self._holder, dispatcher=dispatcher
+            max_body_bytes=proxy.max_body_bytes,
+            max_in_flight=proxy.max_in_flight,
         )
+        self._callers = CallerWatch()
         self._listener = Listener(
             address=host.address,
             port=host.peer_port,
             key=host.peer_key.encode(),
             name=host.name,
-            handlers_by_purpose={
-                Purpose.REQUEST: PeerServer(
-                    local_targets=self._local_targets
-                ).handle
-            },
+            handlers_by_purpose={Purpose.REQUEST: self._peer_server.handle},
         )
         self._caller_http = HttpServer(
             address=host.address,
             port=proxy.caller_port,
-            application=entry.application,
+            application=self._entry(settings).application,
+            protocol=CallerProtocol,
         )
         self._target_http = HttpServer(
             address=host.address,
@@ -71,29 +70,63 @@
                 local_targets=self._local_targets
             ).application,
         )
-        self._expirer = None
+        self._shutdown_grace_seconds = (
+            proxy.shutdown_grace_ms / MILLISECONDS_PER_SECOND
+        )
+        self._greenthreads = []
 
     def start(self):
         """Start serving."""
         self._listener.start()
+        self._peers.start()
+        self._callers.start()
         self._subscriber.start()
         self._target_http.start()
         self._caller_http.start()
-        self._expirer = eventlet.spawn(self._expire_forever)
+        self._greenthreads = [
+            eventlet.spawn(_every, EXPIRY_SECONDS, self._local_targets.expire),
+            eventlet.spawn(_every, WARM_SECONDS, self._local_targets.warm),
+        ]
 
     def stop(self):
-        """Give up the lease and stop serving."""
+        """Finish what is in flight, give up the lease, stop serving."""
+        self._local_targets.leave()
         self._subscriber.release()
-        self._caller_http.stop()
+        self._peer_server.go_away(reason="shutdown")
+        self._caller_http.stop_accepting()
+        _shutdown.wait_until_idle(
+            caller_http=self._caller_http,
+            peer_server=self._peer_server,
+            grace_seconds=self._shutdown_grace_seconds,
+        )
+        self._caller_http.close_idle()
         self._target_http.stop()
         self._subscriber.stop()
         self._listener.stop()
-        self._expirer.kill()
+        self._callers.stop()
+        self._peers.stop()
+        for greenthread in self._greenthreads:
+            greenthread.kill()
+
+    def _entry(self, settings):
+        dispatcher = Dispatcher(
+            settings=settings,
+            holder=self._holder,
+            local_targets=self._local_targets,
+            peers=self._peers,
+        )
+        return EntryInterface(
+            settings=settings,
+            holder=self._holder,
+            dispatcher=dispatcher,
+            callers=self._callers,
+        )
 
     def _announce(self):
         self._subscriber.announce()
 
-    def _expire_forever(self):
-        while True:
-            eventlet.sleep(EXPIRY_SECONDS)
-            self._local_targets.expire()
+
+def _every(seconds, action):
+    while True:
+        eventlet.sleep(seconds)
+        action()
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -7,8 +7,6 @@
 from eventlet import event, hubs
 
 from verbenanotch.daemon import events
-from verbenanotch.daemon._control import ControlHost
-from verbenanotch.daemon._proxy import ProxyHost
 from verbenanotch.telemetry import configure, emit, metrics
 
 
@@ -42,8 +40,13 @@
 
 
 def _role(settings):
+    """Return the role; its code alone is loaded, for the sake of memory."""
     if settings.host.role == "control":
+        from verbenanotch.daemon._control import ControlHost
+
         return ControlHost(settings=settings)
+    from verbenanotch.daemon._proxy import ProxyHost
+
     return ProxyHost(settings=settings)
 
 
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -5,3 +5,10 @@
 STARTED = event(9001, "started", Level.INFO, "the daemon has started")
 STOPPING = event(9002, "stopping", Level.INFO, "the daemon is stopping")
 STOPPED = event(9003, "stopped", Level.INFO, "the daemon has stopped")
+ACCEPT_FAILED = event(
+    9004,
+    "accept-failed",
+    Level.ERROR,
+    "could not accept an HTTP connection",
+    "Raise the limit of open files for the daemon.",
+)
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -1,12 +1,15 @@
 """The process on each target's host: entry, peer streams, target side."""
 
 from verbenanotch.proxy._announcements import TargetInterface
+from verbenanotch.proxy._callers import CallerWatch
+from verbenanotch.proxy._dispatcher import Dispatcher
 from verbenanotch.proxy._entry import EntryInterface
 from verbenanotch.proxy._local import LocalTargets
-from verbenanotch.proxy._mesh import Dispatcher
-from verbenanotch.proxy._peers import PeerPool, PeerServer
+from verbenanotch.proxy._peer_pool import PeerPool
+from verbenanotch.proxy._peer_server import PeerServer
 
 __all__ = [
+    "CallerWatch",
     "Dispatcher",
     "EntryInterface",
     "LocalTargets",
--- /dev/null
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -0,0 +1,219 @@
+"""Send a request to a target and retry where that is safe."""
+
+import random
+import time
+
+import eventlet
+
+from verbenanotch.proxy import _reasons as reasons
+from verbenanotch.proxy import events
+from verbenanotch.proxy._candidates import CandidateCache
+from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
+from verbenanotch.proxy._retries import combined
+from verbenanotch.routing import Call as RoutedCall
+from verbenanotch.routing import (
+    Chosen,
+    GiveUp,
+    NoTarget,
+    OutcomeKind,
+    OutlierDetector,
+    Retry,
+    RetryBudget,
+    choose,
+    decide_retry,
+)
+from verbenanotch.telemetry import emit, metrics
+
+MILLISECONDS_PER_SECOND = 1000
+FIRST_SERVER_ERROR = 500
+MAX_MOVES = 8
+AVOID_SECONDS = 1.0
+
+
+class Dispatcher:
+    """Choose targets for requests and run them there."""
+
+    def __init__(self, *, settings, holder, local_targets, peers):
+        """Take targets from the snapshot of `holder`."""
+        self._settings = settings
+        self._holder = holder
+        self._local_targets = local_targets
+        self._peers = peers
+        self._random = random.Random()
+        self._cache = CandidateCache()
+        self._budgets_by_service = {}
+        self._outliers_by_service = {}
+
+    def run(self, request, *, cancellation):
+        """Return the outcome of a request; at once when it is given up."""
+        # One snapshot serves all attempts, whatever is applied meanwhile.
+        snapshot = self._holder.snapshot
+        budget = self._budget(request.service)
+        budget.requested(time.monotonic())
+        attempt = RoutedCall(
+            attempt=1,
+            attempts_left=request.retries + 1,
+            deadline=request.deadline,
+        )
+        tried = set()
+        outcome = None
+        while True:
+            result = self._attempt(
+                snapshot, request, attempt, tried, cancellation
+            )
+            outcome = combined(outcome, result)
+            if isinstance(result, Answered) or cancellation.cancelled:
+                return outcome
+            if _goes_elsewhere(result) and len(tried) <= MAX_MOVES:
+                continue
+            decision = decide_retry(
+                attempt,
+                may_have_run=isinstance(result, Unknown),
+                idempotent=request.idempotent,
+                exhausted_below=_is_final(result),
+                budget=budget,
+                now=time.monotonic(),
+                random=self._random,
+            )
+            match decision:
+                case GiveUp():
+                    return outcome
+                case Retry(call=attempt, delay_ms=delay_ms):
+                    metrics.increment("proxy.retries")
+                    eventlet.sleep(delay_ms / MILLISECONDS_PER_SECOND)
+
+    def _attempt(self, snapshot, request, attempt, tried, cancellation):
+        """Run the request once at a target that it has not tried yet."""
+        if time.monotonic() >= request.deadline or cancellation.cancelled:
+            return NotRun(reason=reasons.DEADLINE_PASSED)
+        match self._choose(snapshot, request, tried):
+            case NoTarget(reason=reason, retry_after_ms=retry_after_ms):
+                return NotRun(reason=reason, retry_after_ms=retry_after_ms)
+            case Chosen(target_id=target_id):
+                tried.add(target_id)
+        call = _call(request, target_id, attempt)
+        return self._run_call(snapshot, request, call, cancellation)
+
+    def _budget(self, service):
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget()
+            self._budgets_by_service[service] = budget
+        return budget
+
+    def _choose(self, snapshot, request, tried):
+        now = time.monotonic()
+        return choose(
+            self._cache.candidates(snapshot, request.service, now=now),
+            now=now,
+            random=self._random,
+            availability_zone=self._settings.host.availability_zone,
+            exclude=tried,
+        )
+
+    def _run_call(self, snapshot, request, call, cancellation):
+        state = self._cache.states_by_target_id[call.target_id]
+        started = time.monotonic()
+        state.started(started)
+        outcome = Unknown(reason="internal-error")
+        try:
+            outcome = self._send(snapshot, call, request, cancellation)
+        finally:
+            now = time.monotonic()
+            kind = _kind(outcome, cancellation)
+            state.finished(now, now - started, kind)
+            self._judge(snapshot, state, kind, now)
+            if _goes_elsewhere(outcome):
+                state.ejected_until = now + AVOID_SECONDS
+        if call.traced or not isinstance(outcome, Answered):
+            emit(
+                events.CALL_ENDED,
+                request=call.request_id,
+                target=call.target_id,
+                attempt=call.attempt,
+                outcome=type(outcome).__name__,
+                reason=getattr(outcome, "reason", ""),
+                milliseconds=round((now - started) * 1000, 2),
+            )
+        return outcome
+
+    def _judge(self, snapshot, state, kind, now):
+        """Take a target that keeps failing out of the choice."""
+        detector = self._outliers_by_service.get(state.service)
+        if detector is None:
+            detector = OutlierDetector()
+            self._outliers_by_service[state.service] = detector
+        count = len(snapshot.target_ids_by_service.get(state.service, ()))
+        ejected = detector.finished(state, kind, now=now, target_count=count)
+        if ejected is not None:
+            metrics.increment("proxy.targets_ejected")
+            emit(
+                events.TARGET_EJECTED,
+                target=ejected.target_id,
+                seconds=round(ejected.until - now, 1),
+            )
+
+    def _send(self, snapshot, call, request, cancellation):
+        host_name = snapshot.host_names_by_target_id[call.target_id]
+        if host_name == self._settings.host.name:
+            return self._local_targets.run(
+                call, deadline=request.deadline, cancellation=cancellation
+            )
+        return self._peers.forward(
+            snapshot.hosts_by_name[host_name],
+            call,
+            deadline=request.deadline,
+            cancellation=cancellation,
+        )
+
+
+def _call(request, target_id, attempt):
+    remaining = request.deadline - time.monotonic()
+    return Call(
+        request_id=request.request_id,
+        service=request.service,
+        target_id=target_id,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        remaining_ms=max(1, int(remaining * MILLISECONDS_PER_SECOND)),
+        idempotent=request.idempotent,
+        attempt=attempt.attempt,
+        depth=request.depth,
+        retries_below=attempt.below().attempts_left - 1,
+        traced=request.traced,
+    )
+
+
+def _goes_elsewhere(outcome):
+    """Return whether only the place was wrong, so that a move is free."""
+    match outcome:
+        case NotRun(reason=reason):
+            return reason in reasons.ELSEWHERE
+        case _:
+            return False
+
+
+def _is_final(outcome):
+    """Return whether another attempt would end in the same way at once."""
+    match outcome:
+        case NotRun(reason=reason):
+            return reason in reasons.FINAL
+        case _:
+            return False
+
+
+def _kind(outcome, cancellation):
+    """Return what an outcome says about the target."""
+    if cancellation.cancelled:
+        return OutcomeKind.CANCELLED
+    match outcome:
+        case Answered(status=status):
+            failed = status >= FIRST_SERVER_ERROR
+            return OutcomeKind.FAILED if failed else OutcomeKind.ANSWERED
+        case NotRun(reason=reason):
+            unreachable = reason in reasons.UNREACHABLE
+            return OutcomeKind.FAILED if unreachable else OutcomeKind.REFUSED
+        case Unknown():
+            return OutcomeKind.UNKNOWN
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -1,115 +1,100 @@
 """The HTTP interface for callers."""
 
-import json
-import math
 import time
-import uuid
 
-from verbenanotch.proxy import events
-from verbenanotch.proxy._mesh import Request
-from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
-from verbenanotch.telemetry import emit
+import attrs
 
-OUTCOME_HEADER = "X-Verbenanotch-Outcome"
-REQUEST_ID_HEADER = "X-Request-Id"
-TIMEOUT_HEADER = "HTTP_X_REQUEST_TIMEOUT_MS"
-HOP_HEADERS = frozenset(
-    ("HTTP_CONNECTION", "HTTP_KEEP_ALIVE", "HTTP_TRANSFER_ENCODING")
-)
-MILLISECONDS_PER_SECOND = 1000
+from verbenanotch.proxy import _reasons as reasons
+from verbenanotch.proxy import events
+from verbenanotch.proxy._caller_body import read_body
+from verbenanotch.proxy._cancellation import Cancellation
+from verbenanotch.proxy._outcome import Answered, NotRun, Rejected
+from verbenanotch.proxy._request import check_request, request_id_of
+from verbenanotch.proxy._response import respond
+from verbenanotch.proxy._tracing import TraceSampler
+from verbenanotch.telemetry import emit, metrics
 
 
 class EntryInterface:
     """WSGI application that sends callers' requests through the mesh."""
 
-    def __init__(self, *, settings, holder, dispatcher):
-        """Route by the snapshot of `holder`."""
+    def __init__(self, *, settings, holder, dispatcher, callers):
+        """Route by the snapshot of `holder`; watch `callers` for ends."""
         self._settings = settings
         self._holder = holder
         self._dispatcher = dispatcher
+        self._callers = callers
+        self._sampler = TraceSampler(
+            everything=settings.telemetry.log_level == "debug",
+            now=time.monotonic(),
+        )
+        self.in_flight = 0
 
     def application(self, environ, start_response):
         """Answer one request; the WSGI entry point."""
-        request_id = environ.get("HTTP_X_REQUEST_ID") or uuid.uuid4().hex
-        outcome = self._outcome(environ, request_id)
-        emit(
-            events.REQUEST_ENDED,
-            request=request_id,
-            outcome=type(outcome).__name__,
+        started = time.monotonic()
+        request_id = request_id_of(environ)
+        traced = self._sampler.admit(started)
+        self.in_flight += 1
+        try:
+            outcome = self._outcome(environ, request_id, started, traced)
+        finally:
+            self.in_flight -= 1
+        self._record(request_id, outcome, started, traced)
+        return respond(
+            outcome, request_id, environ["REQUEST_METHOD"], start_response
         )
-        return _respond(outcome, request_id, start_response)
 
-    def _outcome(self, environ, request_id):
-        path = environ["PATH_INFO"]
-        match self._holder.snapshot.route_table.match(path):
-            case None:
-                return NotRun(reason="no-route")
-            case (name, route):
-                request = self._request(environ, request_id, name, route)
-                return self._dispatcher.run(request)
-
-    def _request(self, environ, request_id, route_name, route):
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        body = environ["wsgi.input"].read(length) if length else b""
-        timeout_ms = int(environ.get(TIMEOUT_HEADER) or route.timeout_ms)
-        query = environ.get("QUERY_STRING")
-        path = environ["PATH_INFO"] + (f"?{query}" if query else "")
-        method = environ["REQUEST_METHOD"]
-        return Request(
+    def _outcome(self, environ, request_id, started, traced):
+        if self.in_flight > self._settings.proxy.max_in_flight:
+            return NotRun(reason=reasons.HOST_FULL)
+        path = environ["RAW_PATH_INFO"]
+        if not path.startswith("/"):
+            return Rejected(
+                status=400, kind="bad-path", remedy="Send an absolute path."
+            )
+        found = self._holder.snapshot.route_table.match(path)
+        if found is None:
+            return NotRun(reason=reasons.NO_ROUTE)
+        request = check_request(
+            environ,
             request_id=request_id,
-            route_name=route_name,
-            service=route.service,
-            method=method,
-            path=path,
-            headers=_headers(environ, request_id),
-            body=body,
-            deadline=time.monotonic() + timeout_ms / MILLISECONDS_PER_SECOND,
-            idempotent=method in route.idempotent_methods,
-            max_attempts=route.max_attempts,
+            route_name=found[0],
+            route=found[1],
+            now=started,
         )
+        if isinstance(request, Rejected):
+            return request
+        body = read_body(
+            environ,
+            max_body_bytes=self._settings.proxy.max_body_bytes,
+            deadline=request.deadline,
+        )
+        if isinstance(body, Rejected):
+            return body
+        request = attrs.evolve(request, body=body, traced=traced)
+        return self._run(environ, request)
 
+    def _run(self, environ, request):
+        cancellation = Cancellation()
+        self._callers.watch(
+            cancellation, environ["eventlet.input"].get_socket()
+        )
+        try:
+            return self._dispatcher.run(request, cancellation=cancellation)
+        finally:
+            self._callers.forget(cancellation)
 
-def _headers(environ, request_id):
-    headers = [(REQUEST_ID_HEADER, request_id)]
-    if environ.get("CONTENT_TYPE"):
-        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
-    for key, value in environ.items():
-        if key.startswith("HTTP_") and key not in HOP_HEADERS:
-            name = key[5:].replace("_", "-").title()
-            if name != REQUEST_ID_HEADER:
-                headers.append((name, value))
-    return tuple(headers)
-
-
-def _respond(outcome, request_id, start_response):
-    match outcome:
-        case Answered(status=status, headers=headers, body=body):
-            fields = [*headers, (OUTCOME_HEADER, "answered")]
-            line = f"{status} Answered"
-        case NotRun(reason=reason, retry_after_ms=retry_after_ms):
-            seconds = math.ceil(retry_after_ms / MILLISECONDS_PER_SECOND)
-            fields = [
-                ("Content-Type", "application/json"),
-                (OUTCOME_HEADER, "not-run"),
-                ("Retry-After", str(seconds)),
-            ]
-            line = "503 Service Unavailable"
-            body = _body("not-run", reason, request_id)
-        case Unknown(reason=reason):
-            fields = [
-                ("Content-Type", "application/json"),
-                (OUTCOME_HEADER, "unknown"),
-            ]
-            line = "504 Gateway Timeout"
-            body = _body("unknown", reason, request_id)
-    fields = [f for f in fields if f[0].title() != REQUEST_ID_HEADER]
-    fields.append((REQUEST_ID_HEADER, request_id))
-    fields.append(("Content-Length", str(len(body))))
-    start_response(line, fields)
-    return [body]
-
-
-def _body(kind, reason, request_id):
-    return json.dumps(
-        {"outcome": kind, "reason": reason, "request_id": request_id}
-    ).encode()
+    def _record(self, request_id, outcome, started, traced):
+        name = type(outcome).__name__
+        milliseconds = (time.monotonic() - started) * 1000
+        metrics.increment(f"proxy.requests.{name}")
+        metrics.timing("proxy.request_ms", milliseconds)
+        if traced or not isinstance(outcome, Answered):
+            emit(
+                events.REQUEST_ENDED,
+                request=request_id,
+                outcome=name,
+                reason=getattr(outcome, "reason", ""),
+                milliseconds=round(milliseconds, 2),
+            )
--- /dev/null
+++ b/verbenanotch/proxy/_exchange.py
@@ -0,0 +1,146 @@
+"""One HTTP exchange with a target, and what its failure proves."""
+
+import http.client
+import time
+
+import eventlet
+import urllib3
+
+from verbenanotch.proxy import _reasons as reasons
+from verbenanotch.proxy._headers import target_headers, without_hop_headers
+from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
+from verbenanotch.proxy.exceptions import (
+    AnswerTooLargeError,
+    AnswerUnboundedError,
+    ProxyError,
+)
+
+READ_BYTES = 64 * 1024
+_FAILURES = (
+    OSError,
+    EOFError,
+    ValueError,
+    http.client.HTTPException,
+    urllib3.exceptions.HTTPError,
+    ProxyError,
+)
+
+
+def exchange(connections, call, *, deadline, cancellation, max_body_bytes):
+    """Send a call to its target; return the outcome with the whole answer.
+
+    `deadline` is in monotonic seconds. An idle connection that fails before
+    the system took a byte is replaced by the next one; once a byte may have
+    left, every failure is Unknown.
+    """
+    while True:
+        remaining = deadline - time.monotonic()
+        if cancellation.cancelled or remaining <= 0:
+            return NotRun(reason=reasons.DEADLINE_PASSED)
+        connection = connections.take_idle()
+        pooled = connection is not None
+        try:
+            if not pooled:
+                connection = connections.connect(timeout_seconds=remaining)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return NotRun(reason=reasons.TARGET_UNREACHABLE)
+        outcome = _attempt(
+            connections,
+            connection,
+            call,
+            deadline=deadline,
+            cancellation=cancellation,
+            max_body_bytes=max_body_bytes,
+        )
+        stale = pooled and isinstance(outcome, NotRun)
+        if not stale:
+            return outcome
+
+
+def _attempt(
+    connections, connection, call, *, deadline, cancellation, max_body_bytes
+):
+    """Exchange on one connection; give it back if it can be used again."""
+    reusable = False
+    timeout = eventlet.Timeout(max(0, deadline - time.monotonic()))
+    cancellation.on_cancel(connection.abort)
+    try:
+        outcome, reusable = _send_and_read(connection, call, max_body_bytes)
+    except eventlet.Timeout as error:
+        if error is not timeout:
+            raise
+        outcome = _failed(connection, reasons.DEADLINE_PASSED)
+    except _FAILURES as error:
+        outcome = _failed(connection, _reason(error, cancellation))
+    finally:
+        timeout.cancel()
+        cancellation.on_cancel(None)
+        if reusable and not cancellation.cancelled:
+            connections.give_back(connection)
+        else:
+            connection.close()
+    return outcome
+
+
+def _failed(connection, reason):
+    if connection.sent_bytes == 0:
+        return NotRun(reason=reason)
+    return Unknown(reason=reason)
+
+
+def _reason(error, cancellation):
+    if cancellation.cancelled:
+        return reasons.CANCELLED
+    kind = getattr(error, "kind", type(error).__name__)
+    return f"{reasons.TARGET_BROKE_OFF}: {kind}"
+
+
+def _send_and_read(connection, call, max_body_bytes):
+    connection.request(
+        call.method,
+        call.path,
+        body=call.body or None,
+        headers=target_headers(call),
+        preload_content=False,
+        decode_content=False,
+    )
+    response = connection.getresponse()
+    body = _read_whole(response, max_body_bytes)
+    outcome = Answered(
+        status=response.status,
+        headers=without_hop_headers(response.headers.items()),
+        body=body,
+    )
+    return outcome, connection.sock is not None
+
+
+def _read_whole(response, max_body_bytes):
+    """Return the whole body of an answer.
+
+    Raises AnswerTooLargeError, AnswerUnboundedError or, for one that was
+    cut short, an error of urllib3.
+    """
+    declared = response.length_remaining
+    if declared is None and not response.chunked:
+        raise AnswerUnboundedError(
+            "the answer ends with its connection, so that nobody can tell "
+            "whether it is whole; send Content-Length or chunks"
+        )
+    if declared is not None and declared > max_body_bytes:
+        raise AnswerTooLargeError(
+            f"the answer is over {max_body_bytes} bytes; raise "
+            "proxy.max_body_bytes on every host"
+        )
+    chunks = []
+    size = 0
+    while True:
+        data = response.read(READ_BYTES)
+        if not data:
+            return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        size += len(data)
+        if size > max_body_bytes:
+            raise AnswerTooLargeError(
+                f"the answer is over {max_body_bytes} bytes; raise "
+                "proxy.max_body_bytes on every host"
+            )
+        chunks.append(data)
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -3,27 +3,28 @@
 import time
 
 import attrs
-import urllib3
 
 from verbenanotch.membership import HostRecord, TargetRecord
+from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
-from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
-from verbenanotch.telemetry import emit
+from verbenanotch.proxy._exchange import exchange
+from verbenanotch.proxy._outcome import Answered, NotRun
+from verbenanotch.proxy._slots import Slots
+from verbenanotch.proxy._target_connection import TargetConnections
+from verbenanotch.telemetry import emit, metrics
 
 ANNOUNCEMENT_LEASE_SECONDS = 4.0
-HOP_HEADERS = frozenset(
-    ("connection", "keep-alive", "transfer-encoding", "content-length")
-)
+MILLISECONDS_PER_SECOND = 1000
 
 
 @attrs.define(kw_only=True)
 class LocalTarget:
-    """One announced target with its connection pool."""
+    """One announced target with its connections."""
 
     record: TargetRecord
-    pool: urllib3.HTTPConnectionPool
+    connections: TargetConnections
+    slots: Slots
     expires_at: float
-    in_flight: int = 0
 
 
 class LocalTargets:
@@ -35,11 +36,13 @@
         self._incarnation = incarnation
         self._on_change = on_change
         self._sequence = 0
+        self._leaving = False
         self.targets_by_id = {}
 
     def announcement(self):
         """Return the HostRecord that other hosts are to know."""
         host = self._settings.host
+        targets = () if self._leaving else self.targets_by_id.values()
         return HostRecord(
             host=host.name,
             availability_zone=host.availability_zone,
@@ -47,11 +50,14 @@
             peer_port=host.peer_port,
             incarnation=self._incarnation,
             sequence=self._sequence,
-            targets=tuple(
-                target.record for target in self.targets_by_id.values()
-            ),
+            targets=tuple(target.record for target in targets),
         )
 
+    def leave(self):
+        """Announce no targets from now on; their calls go on."""
+        self._leaving = True
+        self._changed()
+
     def announce(self, record):
         """Take or renew the announcement of a target."""
         expires_at = time.monotonic() + ANNOUNCEMENT_LEASE_SECONDS
@@ -59,11 +65,17 @@
         if held is not None and held.record.incarnation == record.incarnation:
             held.expires_at = expires_at
             return
-        pool = urllib3.HTTPConnectionPool(
-            record.address, record.port, maxsize=record.slots, block=False
-        )
+        if held is not None:
+            held.connections.close()
         self.targets_by_id[record.target_id] = LocalTarget(
-            record=record, pool=pool, expires_at=expires_at
+            record=record,
+            connections=TargetConnections(
+                address=record.address,
+                port=record.port,
+                max_idle=record.slots,
+            ),
+            slots=Slots(count=record.slots),
+            expires_at=expires_at,
         )
         emit(events.TARGET_ANNOUNCED, target=record.target_id)
         self._changed()
@@ -81,8 +93,10 @@
 
     def remove(self, target_id):
         """Forget a target; return False if it is not here."""
-        if self.targets_by_id.pop(target_id, None) is None:
+        target = self.targets_by_id.pop(target_id, None)
+        if target is None:
             return False
+        target.connections.close()
         emit(events.TARGET_LEFT, target=target_id)
         self._changed()
         return True
@@ -93,55 +107,75 @@
         for target_id, target in list(self.targets_by_id.items()):
             if target.expires_at <= now:
                 del self.targets_by_id[target_id]
+                target.connections.close()
                 emit(events.TARGET_EXPIRED, target=target_id)
                 self._changed()
 
-    def run(self, call):
-        """Run a call at a local target and return its outcome."""
+    def warm(self):
+        """Keep a few connections to each target open."""
+        for target in list(self.targets_by_id.values()):
+            target.connections.warm()
+
+    def run(self, call, *, deadline, cancellation):
+        """Run a call at a local target and return its outcome.
+
+        `deadline` is in monotonic seconds.
+        """
         target = self.targets_by_id.get(call.target_id)
-        if target is None:
-            return NotRun(reason="target-gone")
-        if target.record.draining:
-            return NotRun(reason="target-draining")
-        if target.in_flight >= target.record.slots:
-            return NotRun(reason="target-full")
-        target.in_flight += 1
+        refusal = _refusal(target) or target.slots.acquire(
+            deadline=deadline, cancellation=cancellation
+        )
+        if refusal is not None:
+            metrics.increment(f"proxy.refused.{refusal.reason}")
+            return refusal
+        started = time.monotonic()
         try:
-            return _exchange(target, call)
+            return self._run(target, call, deadline, cancellation)
         finally:
-            target.in_flight -= 1
+            target.slots.release(time.monotonic() - started)
+
+    def _run(self, target, call, deadline, cancellation):
+        # A drain may have come while the call waited for its slot.
+        refusal = _refusal(target)
+        if refusal is not None:
+            return refusal
+        started = time.monotonic()
+        if call.traced:
+            emit(
+                events.CALL_STARTED,
+                request=call.request_id,
+                target=call.target_id,
+                attempt=call.attempt,
+            )
+        outcome = exchange(
+            target.connections,
+            _at(call, started, deadline),
+            deadline=deadline,
+            cancellation=cancellation,
+            max_body_bytes=self._settings.proxy.max_body_bytes,
+        )
+        if isinstance(outcome, Answered):
+            elapsed = time.monotonic() - started
+            metrics.timing(
+                "proxy.target_ms", elapsed * MILLISECONDS_PER_SECOND
+            )
+        return outcome
 
     def _changed(self):
         self._sequence += 1
         self._on_change()
 
 
-def _exchange(target, call):
-    """Send the request to the target and read the whole answer."""
-    try:
-        response = target.pool.urlopen(
-            call.method,
-            call.path,
-            body=call.body,
-            headers=dict(call.headers),
-            retries=False,
-            redirect=False,
-            timeout=call.remaining_ms / 1000,
-            preload_content=True,
-            decode_content=False,
-        )
-    except (
-        urllib3.exceptions.NewConnectionError,
-        urllib3.exceptions.ConnectTimeoutError,
-    ) as error:
-        return NotRun(reason=f"target-unreachable: {type(error).__name__}")
-    except urllib3.exceptions.HTTPError as error:
-        return Unknown(reason=f"target-broke-off: {type(error).__name__}")
-    headers = tuple(
-        (name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in HOP_HEADERS
-    )
-    return Answered(
-        status=response.status, headers=headers, body=response.data
-    )
+def _refusal(target):
+    """Return NotRun if a target takes no call now, else None."""
+    if target is None:
+        return NotRun(reason=reasons.TARGET_GONE)
+    if target.record.draining:
+        return NotRun(reason=reasons.TARGET_DRAINING)
+    return None
+
+
+def _at(call, now, deadline):
+    """Return the call with the time that is left to it now."""
+    left_ms = int((deadline - now) * MILLISECONDS_PER_SECOND)
+    return attrs.evolve(call, remaining_ms=max(1, left_ms))
--- a/verbenanotch/proxy/_messages.py
+++ b/verbenanotch/proxy/_messages.py
@@ -1,4 +1,9 @@
-"""Messages between proxies."""
+"""Messages between proxies.
+
+A body of up to `CHUNK_BYTES` travels in the frame that opens it. The rest of
+a longer one follows in BodyChunk frames, under the window of its stream, up
+to the length declared by `body_bytes`.
+"""
 
 import attrs
 
@@ -9,9 +14,13 @@
 @message(400)
 @attrs.frozen(kw_only=True)
 class Forward:
-    """Run a call at a target of the receiving host."""
+    """Run a call at a target of the receiving host.
+
+    Stream ids grow by one on a connection and are never used again.
+    """
 
     stream_id: int
+    body_bytes: int
     call: Call
 
 
@@ -21,6 +30,7 @@
     """The target's answer to a forwarded call."""
 
     stream_id: int
+    body_bytes: int
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
@@ -45,12 +55,69 @@
     reason: str
 
 
-def reply_of(stream_id, outcome):
-    """Return the message that carries an outcome."""
+@message(404)
+@attrs.frozen(kw_only=True)
+class BodyChunk:
+    """The next bytes of the body of a stream."""
+
+    stream_id: int
+    data: bytes
+
+
+@message(405)
+@attrs.frozen(kw_only=True)
+class WindowUpdate:
+    """The receiver of a body takes `size` bytes more."""
+
+    stream_id: int
+    size: int
+
+
+@message(406)
+@attrs.frozen(kw_only=True)
+class Cancel:
+    """Nobody waits for the reply of a stream any more."""
+
+    stream_id: int
+
+
+@message(407)
+@attrs.frozen(kw_only=True)
+class GoAway:
+    """The sender stops soon; open no more streams, wait for the open ones."""
+
+    reason: str
+
+
+@message(408)
+@attrs.frozen(kw_only=True)
+class Ping:
+    """Ask for a Pong of the same number."""
+
+    number: int
+
+
+@message(409)
+@attrs.frozen(kw_only=True)
+class Pong:
+    """The process that received a Ping is running."""
+
+    number: int
+
+
+def reply_of(stream_id, outcome, *, inline_bytes):
+    """Return the message that carries an outcome.
+
+    At most `inline_bytes` of an answer's body go into it.
+    """
     match outcome:
         case Answered(status=status, headers=headers, body=body):
             return ForwardAnswered(
-                stream_id=stream_id, status=status, headers=headers, body=body
+                stream_id=stream_id,
+                body_bytes=len(body),
+                status=status,
+                headers=headers,
+                body=body[:inline_bytes],
             )
         case NotRun(reason=reason, retry_after_ms=retry_after_ms):
             return ForwardNotRun(
@@ -63,7 +130,7 @@
 
 
 def outcome_of(reply):
-    """Return the outcome that a message carries."""
+    """Return the outcome that a message carries, with a whole body."""
     match reply:
         case ForwardAnswered(status=status, headers=headers, body=body):
             return Answered(status=status, headers=headers, body=body)
--- a/verbenanotch/proxy/_outcome.py
+++ b/verbenanotch/proxy/_outcome.py
@@ -13,7 +13,8 @@
 
     `remaining_ms` is the time to the caller's deadline when the call was
     sent. `attempt` counts from 1. `depth` is the number of mesh calls above
-    this one.
+    this one. `retries_below` is the number of retries that the target's own
+    calls may use. `traced` asks for events of an ordinary call too.
     """
 
     request_id: str
@@ -27,6 +28,8 @@
     idempotent: bool
     attempt: int = 1
     depth: int = 0
+    retries_below: int = 0
+    traced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -53,4 +56,14 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rejected:
+    """The caller's request is faulty; it was not run."""
+
+    status: int
+    kind: str
+    remedy: str
+
+
 Outcome = Answered | NotRun | Unknown
+EntryOutcome = Answered | NotRun | Unknown | Rejected
--- /dev/null
+++ b/verbenanotch/proxy/_reasons.py
@@ -0,0 +1,34 @@
+"""Why a request was not run, or why nobody can tell."""
+
+NO_ROUTE = "no-route"
+DEADLINE_PASSED = "deadline-passed"
+CALLER_GONE = "caller-gone"
+CANCELLED = "cancelled"
+CRASHES_TARGETS = "crashes-targets"
+
+TARGET_GONE = "target-gone"
+TARGET_DRAINING = "target-draining"
+TARGET_FULL = "target-full"
+TARGET_UNREACHABLE = "target-unreachable"
+TARGET_BROKE_OFF = "target-broke-off"
+
+HOST_LEAVING = "host-leaving"
+HOST_FULL = "host-full"
+
+PEER_UNREACHABLE = "peer-unreachable"
+PEER_SILENT = "peer-silent"
+PEER_LEAVING = "peer-leaving"
+PEER_LOST = "peer-lost"
+
+# Refusals that say that the way to the target is broken, not that it is busy.
+UNREACHABLE = frozenset(
+    (TARGET_GONE, TARGET_UNREACHABLE, PEER_UNREACHABLE, PEER_SILENT)
+)
+
+# Refusals that concern one host or target and cost its target nothing.
+ELSEWHERE = UNREACHABLE | {TARGET_DRAINING, HOST_LEAVING, PEER_LEAVING}
+
+# Refusals of the choice itself, which looked at every target.
+FINAL = frozenset(
+    ("no-target", "draining", "excluded", "unhealthy", "overloaded")
+)
--- /dev/null
+++ b/verbenanotch/proxy/_response.py
@@ -0,0 +1,63 @@
+"""Outcomes as HTTP answers to callers."""
+
+import http
+import json
+import math
+
+from verbenanotch.proxy._headers import OUTCOME_HEADER, REQUEST_ID_HEADER
+from verbenanotch.proxy._outcome import Answered, NotRun, Rejected, Unknown
+
+MILLISECONDS_PER_SECOND = 1000
+OWN_HEADERS = frozenset((OUTCOME_HEADER.lower(), REQUEST_ID_HEADER.lower()))
+BODILESS_STATUSES = frozenset((204, 304))
+
+
+def respond(outcome, request_id, method, start_response):
+    """Start the answer to a caller; return its WSGI body."""
+    match outcome:
+        case Answered(status=status, headers=headers, body=body):
+            name = "answered"
+            fields = [
+                field
+                for field in headers
+                if field[0].lower() not in OWN_HEADERS
+            ]
+            if status not in BODILESS_STATUSES and method != "HEAD":
+                fields.append(("Content-Length", str(len(body))))
+        case _:
+            status, name, fields, body = _own_answer(outcome, request_id)
+    fields.append((OUTCOME_HEADER, name))
+    fields.append((REQUEST_ID_HEADER, request_id))
+    start_response(_status_line(status), fields)
+    return [body]
+
+
+def _own_answer(outcome, request_id):
+    """Return status, outcome name, headers and body of a mesh answer."""
+    document = {"request_id": request_id}
+    fields = [("Content-Type", "application/json")]
+    match outcome:
+        case NotRun(reason=reason, retry_after_ms=retry_after_ms):
+            status, name = 503, "not-run"
+            seconds = math.ceil(retry_after_ms / MILLISECONDS_PER_SECOND)
+            fields.append(("Retry-After", str(max(1, seconds))))
+            document["reason"] = reason
+            document["retry_after_ms"] = retry_after_ms
+        case Unknown(reason=reason):
+            status, name = 504, "unknown"
+            document["reason"] = reason
+        case Rejected(status=status, kind=kind, remedy=remedy):
+            name = "not-run"
+            document["reason"] = kind
+            document["remedy"] = remedy
+    document["outcome"] = name
+    body = json.dumps(document).encode()
+    fields.append(("Content-Length", str(len(body))))
+    return status, name, fields, body
+
+
+def _status_line(status):
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unregistered"
--- /dev/null
+++ b/verbenanotch/proxy/_slots.py
@@ -0,0 +1,76 @@
+"""Slots of one target, and the short queue before them."""
+
+import time
+
+from eventlet import event
+
+from verbenanotch.proxy import _reasons as reasons
+from verbenanotch.proxy._outcome import NotRun
+from verbenanotch.routing import DeadlineQueue, QueueRefused
+
+
+class Slots:
+    """Let as many calls run at a time as the target has slots.
+
+    Further ones wait, the earliest deadline first, as long as they can be
+    expected to end in time; all others are refused at once.
+    """
+
+    def __init__(self, *, count):
+        """Start with `count` free slots."""
+        self._count = count
+        self._queue = DeadlineQueue(max_length=count, slots=count)
+        self.in_flight = 0
+
+    def acquire(self, *, deadline, cancellation):
+        """Take a slot and return None, or return NotRun without one.
+
+        `deadline` is in monotonic seconds.
+        """
+        if self.in_flight < self._count and not len(self._queue):
+            self.in_flight += 1
+            return None
+        waiting = event.Event()
+        queued = self._queue.offer(waiting, deadline, time.monotonic())
+        match queued:
+            case QueueRefused(retry_after_ms=retry_after_ms):
+                return NotRun(
+                    reason=reasons.TARGET_FULL, retry_after_ms=retry_after_ms
+                )
+        return self._wait(waiting, queued.ticket, deadline, cancellation)
+
+    def release(self, service_seconds):
+        """Give a slot back and pass it to the next call in the queue."""
+        self.in_flight -= 1
+        self._queue.served(service_seconds)
+        taken = self._queue.take(time.monotonic())
+        late = NotRun(
+            reason=reasons.TARGET_FULL, retry_after_ms=taken.retry_after_ms
+        )
+        for waiting in taken.late:
+            _finish(waiting, late)
+        if taken.item is not None:
+            self.in_flight += 1
+            _finish(taken.item, None)
+
+    def _wait(self, waiting, ticket, deadline, cancellation):
+        gone = NotRun(reason=reasons.CALLER_GONE)
+        cancellation.on_cancel(lambda: self._give_up(waiting, ticket, gone))
+        late = NotRun(reason=reasons.DEADLINE_PASSED)
+        remaining = max(0, deadline - time.monotonic())
+        waiting.wait(timeout=remaining)
+        cancellation.on_cancel(None)
+        if not waiting.ready():
+            # The wait ended by its timeout, so that the call still waits.
+            self._queue.cancel(ticket)
+            return late
+        return waiting.wait()
+
+    def _give_up(self, waiting, ticket, refusal):
+        if self._queue.cancel(ticket):
+            _finish(waiting, refusal)
+
+
+def _finish(waiting, refusal):
+    if not waiting.ready():
+        waiting.send(refusal)
--- /dev/null
+++ b/verbenanotch/proxy/_target_connection.py
@@ -0,0 +1,130 @@
+"""Pooled connections to one target, and what was sent on them."""
+
+import collections
+import contextlib
+import http.client
+import socket
+import time
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+IDLE_SECONDS = 4.0
+CONNECT_TIMEOUT_SECONDS = 1.0
+WARM_CONNECTIONS = 2
+
+
+class TargetConnection(HTTPConnection):
+    """An HTTP connection that knows whether a request may have left.
+
+    It never opens itself again: a request that fails on a stale connection
+    is sent on another one only by whoever can tell that this is safe.
+    """
+
+    auto_open = 0
+
+    def __init__(self, host, port):
+        """Do not connect yet."""
+        super().__init__(host, port, timeout=CONNECT_TIMEOUT_SECONDS)
+        self.sent_bytes = 0
+        self.idle_since = 0.0
+
+    def send(self, data):
+        """Send bytes; count those that the system took."""
+        if self.sock is None:
+            raise http.client.NotConnected()
+        view = memoryview(data)
+        while view:
+            sent = self.sock.send(view)
+            self.sent_bytes += sent
+            view = view[sent:]
+
+    def is_fresh(self, now):
+        """Return whether an idle connection can take a request.
+
+        One that the target closed, or on which bytes wait that no request
+        asked for, cannot.
+        """
+        if self.sock is None or now - self.idle_since > IDLE_SECONDS:
+            return False
+        descriptor = getattr(self.sock, "fd", self.sock)
+        try:
+            descriptor.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def abort(self):
+        """Wake a greenthread that waits on the socket; it gets an error."""
+        if self.sock is not None:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+
+
+class TargetConnections:
+    """Idle connections to one target, the latest used first."""
+
+    def __init__(self, *, address, port, max_idle):
+        """Keep at most `max_idle` connections."""
+        self._address = address
+        self._port = port
+        self._max_idle = max_idle
+        self._idle = collections.deque()
+
+    def take_idle(self):
+        """Return a fresh idle connection, or None."""
+        now = time.monotonic()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_fresh(now):
+                connection.sent_bytes = 0
+                return connection
+            connection.close()
+        return None
+
+    def connect(self, *, timeout_seconds):
+        """Return a new connection.
+
+        Raises NewConnectionError or ConnectTimeoutError of urllib3.
+        """
+        connection = TargetConnection(self._address, self._port)
+        connection.timeout = min(timeout_seconds, CONNECT_TIMEOUT_SECONDS)
+        connection.connect()
+        connection.timeout = None
+        connection.sock.settimeout(None)
+        return connection
+
+    def give_back(self, connection):
+        """Keep a connection whose last answer was read to its end."""
+        if connection.sock is None:
+            return
+        if len(self._idle) >= self._max_idle:
+            connection.close()
+            return
+        connection.idle_since = time.monotonic()
+        self._idle.append(connection)
+
+    def warm(self):
+        """Replace idle connections that age, so that a few stay open."""
+        now = time.monotonic()
+        fresh = [item for item in self._idle if item.is_fresh(now)]
+        for connection in self._idle:
+            if connection not in fresh:
+                connection.close()
+        self._idle = collections.deque(fresh)
+        while len(self._idle) < min(WARM_CONNECTIONS, self._max_idle):
+            try:
+                connection = self.connect(
+                    timeout_seconds=CONNECT_TIMEOUT_SECONDS
+                )
+            except urllib3.exceptions.HTTPError:
+                return
+            connection.idle_since = time.monotonic()
+            self._idle.appendleft(connection)
+
+    def close(self):
+        """Close every idle connection."""
+        while self._idle:
+            self._idle.pop().close()
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -17,7 +17,48 @@
     5004, "target-draining", Level.INFO, "a target gets no new work"
 )
 TARGET_LEFT = event(5005, "target-left", Level.INFO, "a local target left")
-CALL_DISPATCHED = event(
-    5006, "call-dispatched", Level.DEBUG, "sent a call towards a target"
+CALL_STARTED = event(
+    5006, "call-started", Level.DEBUG, "a call started at a local target"
 )
 CALL_ENDED = event(5007, "call-ended", Level.DEBUG, "a call ended")
+PEER_REFUSED = event(
+    5008,
+    "request-peer-refused",
+    Level.WARNING,
+    "closed the connection of a proxy that broke the protocol",
+    "Run the same release on every host.",
+)
+PEER_SILENT = event(
+    5009,
+    "peer-silent",
+    Level.WARNING,
+    "a peer proxy does not answer; it gets no new calls",
+    "Check the peer's process and the network between the hosts.",
+)
+PEER_GIVEN_UP = event(
+    5010,
+    "peer-given-up",
+    Level.WARNING,
+    "closed the connection to a peer proxy that stayed silent",
+    "Check the peer's process and the network between the hosts.",
+)
+SHUTDOWN_STARTED = event(
+    5011,
+    "shutdown-started",
+    Level.INFO,
+    "no new requests are taken; those in flight are finished",
+)
+SHUTDOWN_CUT = event(
+    5012,
+    "shutdown-cut",
+    Level.ERROR,
+    "requests were still in flight at the end of the shutdown grace",
+    "Raise proxy.shutdown_grace_ms above the longest timeout of a route.",
+)
+TARGET_EJECTED = event(
+    5013,
+    "target-ejected",
+    Level.WARNING,
+    "a target that keeps failing gets no requests for a while",
+    "Look at the target's own log; it is tried again by itself.",
+)
