Close a stream whose send was interrupted

Cause: a timeout or kill that struck while a frame was half written left the connection open. The next frame followed the torn one, and the peer read bytes of one call as the head of another. The test failed before the change.

Keeping the unsent rest for the next sender was ruled out: the interrupted call would then be delivered after its caller was told otherwise.

--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -380,3 +380,16 @@
     eventlet.sleep(0.05)
     assert link.targets.calls[0][1].cancelled
     release.send(Unknown(reason="cancelled"))
+
+
+def test_a_send_that_is_interrupted_ends_its_connection(scripted):
+    stopped = event.Event()
+    link = scripted(lambda connection: stopped.wait())
+    peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
+    large = make_call(b"x" * 3 * MAX_BODY_BYTES)
+    item = Forward(stream_id=1, body_bytes=len(large.body), call=large)
+    with eventlet.Timeout(0.2, False):
+        for _ in range(10):
+            peer._connection.send(item)
+    assert peer.closed
+    stopped.send()
--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -153,6 +153,11 @@
         except (OSError, ValueError, EOFError) as error:
             self.close()
             raise ConnectionClosedError(f"send failed: {error}") from error
+        except BaseException:
+            # A timeout or kill in mid-frame leaves a stream that the peer
+            # would misread.
+            self.close()
+            raise
         self.sent_bytes += len(data)
 
     def _wake_waiting(self):
