--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -56,11 +56,18 @@
                 return self._append(submission, mesh)
 
     def rollback(
-        self, *, submission_id, operator, base, rollback_to, timeout_seconds
+        self,
+        *,
+        submission_id,
+        operator,
+        to,
+        base,
+        submitted_at_ms,
+        timeout_seconds,
     ):
         """Accept an old version's text again."""
         for record in self.records:
-            if record.version == rollback_to:
+            if record.version == to:
                 submission = attrs.evolve(
                     record, submission_id=submission_id, operator=operator
                 )
--- a/verbenanotch/operator/_interface.py
+++ b/verbenanotch/operator/_interface.py
@@ -120,7 +120,8 @@
             submission_id=submission.submission_id,
             operator=submission.operator,
             base=submission.base,
-            rollback_to=rollback_to,
+            to=rollback_to,
+            submitted_at_ms=submission.submitted_at_ms,
             timeout_seconds=request.timeout_seconds(),
         )
         return _answer_submission(outcome, submission)
