--- a/verbenanotch/cli/_status.py
+++ b/verbenanotch/cli/_status.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from verbenanotch.catalog import NO_VERSION, Version
+from verbenanotch.catalog import Version
 from verbenanotch.cli._client import Failure, Reply
 from verbenanotch.cli.exceptions import (
     ToolError,
@@ -25,13 +25,16 @@
 class MeshStatus:
     """What all control hosts that answered say together.
 
-    `versions_by_proxy` are the last acknowledged versions.
+    `versions_by_proxy` are the last acknowledged versions. `suspects` are
+    proxies whose lease has ended: they may be dead, or cut off with what
+    they last acknowledged.
     `unreachable_by_server` holds the reasons of those that did not answer;
     proxies that only they know are missing.
     """
 
     replicas_by_server: dict[str, dict]
     versions_by_proxy: dict[str, Version]
+    suspects: frozenset[str]
     unreachable_by_server: dict[str, str]
 
     def lagging(self, version):
@@ -50,12 +53,15 @@
     """
     replicas_by_server = {}
     versions_by_proxy = {}
+    suspects = set()
     unreachable_by_server = {}
     for server in client.servers:
         match client.ask(server, "GET", "/v1/status"):
             case Reply(status=200, value=value):
                 replicas_by_server[server] = _read_replica(value)
-                _merge(versions_by_proxy, value.get("proxies", {}))
+                proxies = value.get("proxies", ())
+                _merge(versions_by_proxy, proxies)
+                suspects |= {p["name"] for p in proxies if p["suspect"]}
             case Reply(value=value):
                 reason = value.get("reason", "refused")
                 unreachable_by_server[server] = reason
@@ -69,6 +75,7 @@
     return MeshStatus(
         replicas_by_server=replicas_by_server,
         versions_by_proxy=versions_by_proxy,
+        suspects=frozenset(suspects),
         unreachable_by_server=unreachable_by_server,
     )
 
@@ -98,10 +105,11 @@
     return replica
 
 
-def _merge(versions_by_proxy, versions_by_name):
+def _merge(versions_by_proxy, proxies):
     """Keep the greatest version that any control host has of each proxy."""
-    for name, text in versions_by_name.items():
-        version = Version.parse(text) if text else NO_VERSION
+    for proxy in proxies:
+        name = proxy["name"]
+        version = Version.parse(proxy["version"])
         known = versions_by_proxy.get(name, version)
         versions_by_proxy[name] = max(known, version)
 
--- a/verbenanotch/cli/commands/status.py
+++ b/verbenanotch/cli/commands/status.py
@@ -19,6 +19,7 @@
             name: str(version)
             for name, version in sorted(status.versions_by_proxy.items())
         },
+        "suspects": sorted(status.suspects),
         "lagging": status.lagging(newest) if newest else [],
         "unreachable_by_server": status.unreachable_by_server,
     }
@@ -45,7 +46,8 @@
         lines.append(f"control host {server}: no answer ({reason})")
     for name, version in value["versions_by_proxy"].items():
         behind = " (behind)" if name in value["lagging"] else ""
-        lines.append(f"proxy {name}: {version}{behind}")
+        suspect = " (lease ended)" if name in value["suspects"] else ""
+        lines.append(f"proxy {name}: {version}{behind}{suspect}")
     return "\n".join(lines)
 
 
