End the vouching of two control hosts for a dead host

Cause: a host whose lease ended at two control hosts of a zone was kept for ever, as each counted the other's word as a reason to keep its own lease. Seen first by the integration test of a sibling's word, which waited 15 s in vain. A lease that has ended here is now kept on another's word, but is no longer passed on.

--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -133,6 +133,16 @@
     assert table.sequence > before
 
 
+def test_a_host_is_not_vouched_for_after_its_own_lease_has_ended(table):
+    announce(table, 1)
+    table.vouch(host_record("h0"), source="c2", now=1.0)
+    before = table.sequence
+    table.expire(now=4.0)
+    assert "h0" in table.records_by_host
+    assert table.direct_records_by_host == {}
+    assert table.sequence > before
+
+
 def test_release_ends_only_its_own_incarnation(table):
     table.announce(host_record("h0", incarnation=2), now=0.0)
     table.release(host="h0", incarnation=1)
--- a/verbenanotch/membership/_zone_table.py
+++ b/verbenanotch/membership/_zone_table.py
@@ -120,6 +120,7 @@
     def expire(self, *, now):
         """End leases that were not renewed; return what became of them."""
         self._forget_old_ends(now)
+        self._end_direct(now)
         ended = [
             host
             for host, lease in self._leases_by_host.items()
@@ -182,6 +183,16 @@
         self.sequence += 1
         return True
 
+    def _end_direct(self, now):
+        """Stop vouching for hosts whose own lease here has ended.
+
+        Otherwise two control hosts would vouch for a dead host for ever.
+        """
+        for lease in self._leases_by_host.values():
+            if lease.direct and lease.sources and lease.expires_at <= now:
+                lease.direct = False
+                self.sequence += 1
+
     def _forget_old_ends(self, now):
         limit = now - self.lease_seconds
         self._ended_at_by_host = {
