Test distribution and zones over faulty links

These tests run the real streams of control hosts and proxies in one process behind the fault proxy: a stale control host that answers first, a silent, a one-way and a frozen link, a reconnect storm, 300 missed changes, a damaged update, a zone cut off and back.

--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests over real streams and processes."""
--- /dev/null
+++ b/tests/integration/test_distribution_faults.py
@@ -0,0 +1,279 @@
+"""Versions reach proxies over faulty links, and never go back."""
+
+import attrs
+import eventlet
+import pytest
+
+from tests.support.control_side import (
+    ADDRESS,
+    ControlSide,
+    FakeVersions,
+    ProxySide,
+    make_mesh,
+    make_target,
+    wait_until,
+)
+from tests.support.fault_proxy import FaultProxy
+from verbenanotch.catalog import NO_VERSION
+from verbenanotch.conf import Voter
+
+
+class Zone:
+    """Control hosts, each with its versions and a faulty link."""
+
+    def __init__(self):
+        """Start empty; `stop` ends everything that was added."""
+        self.controls_by_name = {}
+        self.links_by_name = {}
+        self.proxies = []
+        self._stoppable = []
+
+    def add_control(self, name, versions, **settings):
+        """Start a control host behind a link of its name."""
+        control = ControlSide(name=name, versions=versions, **settings)
+        link = FaultProxy(
+            listen_address=ADDRESS,
+            address=ADDRESS,
+            port=control.listener.port,
+        )
+        self.controls_by_name[name] = control
+        self.links_by_name[name] = link
+        self._stoppable += [control, link]
+        return control.start()
+
+    def add_proxy(self, name, **settings):
+        """Start a proxy that dials through the links."""
+        proxy = ProxySide(
+            name=name,
+            control_hosts_by_name={
+                name: Voter(address=ADDRESS, peer_port=link.port)
+                for name, link in self.links_by_name.items()
+            },
+            **settings,
+        )
+        self.proxies.append(proxy)
+        self._stoppable.append(proxy)
+        return proxy.start()
+
+    def stop_later(self, item):
+        """Stop the item with the zone."""
+        self._stoppable.append(item)
+
+    def stop(self):
+        """Stop everything, the newest first."""
+        for item in reversed(self._stoppable):
+            item.stop()
+
+
+@pytest.fixture
+def zone():
+    zone = Zone()
+    yield zone
+    zone.stop()
+
+
+@pytest.fixture
+def versions():
+    return FakeVersions()
+
+
+def follow(proxy):
+    """Return the list of versions that the proxy puts into force."""
+    seen = []
+    apply = proxy.holder.apply
+
+    def noting(update, **arguments):
+        outcome = apply(update, **arguments)
+        seen.append(proxy.version)
+        return outcome
+
+    proxy.holder.apply = noting
+    return seen
+
+
+def test_versions_targets_and_drains_reach_all_proxies(zone, versions):
+    zone.add_control("c1", versions)
+    control = zone.add_control("c2", versions)
+    version = versions.accept(make_mesh(3))
+    first = zone.add_proxy("p1", services=["s0"])
+    second = zone.add_proxy("p2", services=["s1"], entry_services=["s0"])
+    wait_until(lambda: first.version == second.version == version)
+    wait_until(lambda: len(first.holder.snapshot.targets_by_id) == 2)
+    wait_until(lambda: "s0/p1:80" in second.holder.snapshot.targets_by_id)
+    assert set(second.holder.snapshot.services_by_name) == {"s0", "s1", "s2"}
+    control.publisher.drain("s0/p1:80")
+    wait_until(lambda: first.drained == ["s0/p1:80"])
+    first.announce([make_target("s0", host="p1", draining=True)])
+    targets = second.holder.snapshot.targets_by_id
+    wait_until(
+        lambda: second.holder.snapshot.targets_by_id["s0/p1:80"].draining
+    )
+    assert not targets["s0/p1:80"].draining
+    wait_until(lambda: control.publisher.summarize().lowest == version)
+    assert control.publisher.summarize().count == 2
+
+
+def test_a_restarted_proxy_refuses_a_stale_control_host(zone, versions):
+    stale_versions = FakeVersions()
+    stale_versions.accept(make_mesh(1))
+    versions.accept(make_mesh(1))
+    newest = versions.accept(make_mesh(2))
+    zone.add_control("c1", stale_versions).confirms = False
+    zone.add_control("c2", versions).confirms = False
+    zone.links_by_name["c2"].set(frozen=True)
+    proxy = zone.add_proxy("p1")
+    seen = follow(proxy)
+    eventlet.sleep(1.5)
+    assert seen == [] and proxy.holder.floor is None
+    zone.links_by_name["c2"].heal()
+    wait_until(lambda: proxy.version == newest)
+    assert set(seen) == {newest}
+
+
+def test_a_quorum_confirms_the_floor_while_a_control_host_is_silent(
+    zone, versions
+):
+    version = versions.accept(make_mesh(1))
+    zone.add_control("c1", versions)
+    zone.add_control("c2", versions)
+    zone.links_by_name["c2"].cut()
+    proxy = zone.add_proxy("p1")
+    wait_until(lambda: proxy.version == version)
+    assert proxy.holder.floor == version
+
+
+def test_a_proxy_of_the_zone_raises_the_floor(zone, versions):
+    versions.accept(make_mesh(1))
+    newest = versions.accept(make_mesh(2))
+    control = zone.add_control("c1", versions)
+    first = zone.add_proxy("p1")
+    wait_until(lambda: first.version == newest)
+    # The control host loses its disk and comes back with an old version.
+    control.stop()
+    old_versions = FakeVersions()
+    old_versions.accept(make_mesh(1))
+    again = ControlSide(
+        name="c1", versions=old_versions, port=control.listener.port
+    )
+    zone.stop_later(again.start())
+    again.confirms = False
+    wait_until(lambda: "p1" in again.table.records_by_host)
+    second = zone.add_proxy("p2")
+    wait_until(lambda: second.holder.floor == newest)
+    assert second.version == NO_VERSION
+    assert first.version == newest
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {"cut_forward": True, "cut_backward": True},
+        {"cut_backward": True},
+        {"cut_forward": True},
+        {"frozen": True},
+    ],
+    ids=["silent", "to-the-proxy", "to-the-control-host", "frozen"],
+)
+def test_a_proxy_fails_over_from_a_cut_control_host(zone, versions, faults):
+    versions.accept(make_mesh(1))
+    zone.add_control("c1", versions)
+    zone.add_control("c2", versions)
+    proxy = zone.add_proxy("p1")
+    wait_until(lambda: proxy.version == versions.current.version)
+    first = proxy.subscriber.subscribed_to
+    zone.links_by_name[first].set(**faults)
+    newest = versions.accept(make_mesh(2))
+    wait_until(lambda: proxy.version == newest)
+    wait_until(lambda: proxy.subscriber.subscribed_to not in (None, first))
+
+
+def test_an_isolated_control_host_is_left(zone, versions):
+    isolated = FakeVersions()
+    isolated.accept(make_mesh(1))
+    versions.accept(make_mesh(1))
+    zone.add_control("c1", isolated)
+    zone.add_control("c2", versions)
+    proxies = [zone.add_proxy(f"p{number}") for number in range(6)]
+    wait_until(lambda: all(p.version.index == 1 for p in proxies))
+    assert {p.subscriber.subscribed_to for p in proxies} == {"c1", "c2"}
+    newest = versions.accept(make_mesh(2))
+    wait_until(lambda: all(p.version == newest for p in proxies))
+
+
+def test_a_proxy_keeps_its_snapshot_without_control_hosts(zone, versions):
+    version = versions.accept(make_mesh(1))
+    control = zone.add_control("c1", versions)
+    proxy = zone.add_proxy("p1", services=["s0"])
+    wait_until(lambda: proxy.holder.snapshot.targets_by_id)
+    held = proxy.holder.snapshot
+    control.stop()
+    wait_until(lambda: proxy.subscriber.subscribed_to is None)
+    assert proxy.holder.snapshot is held
+    assert held.version == version
+    port = control.listener.port
+    again = ControlSide(name="c1", versions=versions, port=port)
+    zone.stop_later(again.start())
+    newest = versions.accept(make_mesh(2))
+    wait_until(lambda: proxy.version == newest)
+
+
+def test_all_proxies_come_back_in_a_reconnect_storm(zone, versions):
+    versions.accept(make_mesh(3))
+    zone.add_control("c1", versions, admission_limit=2)
+    proxies = [
+        zone.add_proxy(f"p{number}", services=["s0"]) for number in range(40)
+    ]
+    wait_until(lambda: all(p.version.index == 1 for p in proxies))
+    seen = [follow(proxy) for proxy in proxies]
+    zone.links_by_name["c1"].reset()
+    newest = versions.accept(make_mesh(4))
+    wait_until(lambda: all(p.version == newest for p in proxies), seconds=30)
+    wait_until(
+        lambda: all(
+            len(p.holder.snapshot.targets_by_id) == 40 for p in proxies
+        )
+    )
+    assert all(held == sorted(held) for held in seen)
+
+
+def test_a_returning_proxy_gets_a_delta_after_many_missed_changes(
+    zone, versions
+):
+    versions.accept(make_mesh(20))
+    zone.add_control("c1", versions)
+    proxy = zone.add_proxy("p1")
+    wait_until(lambda: proxy.version.index == 1)
+    updates = []
+    apply = proxy.holder.apply
+    proxy.holder.apply = lambda update, **arguments: (
+        updates.append(update) or apply(update, **arguments)
+    )
+    zone.links_by_name["c1"].cut()
+    wait_until(lambda: proxy.subscriber.subscribed_to is None)
+    for number in range(300):
+        versions.accept(make_mesh(20 + number % 2))
+    zone.links_by_name["c1"].heal()
+    wait_until(lambda: proxy.version.index == 301)
+    assert [item.whole for u in updates for item in u.mesh] == [False]
+    assert set(updates[0].mesh[0].routes) == {"s20-0"}
+
+
+def test_a_damaged_update_is_asked_for_again(zone, versions):
+    versions.accept(make_mesh(2))
+    zone.add_control("c1", versions)
+    proxy = zone.add_proxy("p1")
+    wait_until(lambda: proxy.version.index == 1)
+    apply = proxy.holder.apply
+    damaged = []
+
+    def damage_once(update, **arguments):
+        if update.mesh and not damaged:
+            damaged.append(update)
+            mesh = attrs.evolve(update.mesh[0], digest=1)
+            update = attrs.evolve(update, mesh=(mesh,))
+        return apply(update, **arguments)
+
+    proxy.holder.apply = damage_once
+    newest = versions.accept(make_mesh(3))
+    wait_until(lambda: proxy.version == newest)
+    assert len(damaged) == 1
