--- a/tests/integration/__init__.py
+++ b/tests/integration/__init__.py
@@ -1,1 +1,1 @@
-"""Tests over real streams and processes."""
+"""Tests of real processes."""
