List the kept versions by the version service

The operators' interface asks it for the history and for one version's text; without it both ended as internal errors against real control hosts.

--- a/verbenanotch/catalog/_version_service.py
+++ b/verbenanotch/catalog/_version_service.py
@@ -49,6 +49,10 @@
             case _outcomes.Unknown(reason=reason):
                 return Unknown(reason=reason)
 
+    def history(self):
+        """Return the records of the kept versions, the oldest first."""
+        return tuple(self.versions.records_by_version.values())
+
     def rollback(
         self,
         *,
