Tell a slower follower of the commit with its own answer

The leader announced a commit as soon as a quorum had answered, but a follower takes over the commit index only as far as the message's entries reach; the slower follower so waited for the next heartbeat.

--- a/bench/replication_submit.py
+++ b/bench/replication_submit.py
@@ -26,6 +26,7 @@
 SUBMISSIONS = 200
 CONCURRENT = (1, 10, 50)
 ROUNDS = 20
+POLL_SECONDS = 0.0005
 MAX_MICROSECONDS = 60_000_000
 
 
@@ -55,12 +56,24 @@
 def measure_submissions(cluster, label, host):
     """Submit one after another."""
     histogram = HdrHistogram(1, MAX_MICROSECONDS, 3)
+    everywhere = HdrHistogram(1, MAX_MICROSECONDS, 3)
     for number in range(SUBMISSIONS):
         began = time.monotonic()
         outcome = host.submit(f"{label}-{number}")
         record(histogram, began)
-        cluster.agree(outcome.version)
+        while not all_hold(cluster, outcome.version):
+            eventlet.sleep(POLL_SECONDS)
+        record(everywhere, began)
     report(f"submissions, {label}", histogram)
+    report("  until all voters apply it", everywhere)
+
+
+def all_hold(cluster, version):
+    """Tell whether every host has applied a version."""
+    return all(
+        host.versions.current_version == version
+        for host in cluster.hosts_by_name.values()
+    )
 
 
 def measure_concurrent(host, count):
--- a/tests/unit/test_replication_core.py
+++ b/tests/unit/test_replication_core.py
@@ -345,3 +345,17 @@
     )
     assert core.log.last_index == 3
     assert core.log.last_term == 9
+
+
+def test_a_slower_follower_learns_the_commit_with_its_own_answer():
+    core = make_core()
+    lead(core)
+    acknowledge(core, B, 1, 3.0)
+    sync(core, 3.0)
+    acknowledge(core, C, 1, 3.01)
+    (outgoing,) = core.take_effects().appends
+    assert outgoing.target == C.id
+    assert outgoing.message.previous_index == 1
+    assert outgoing.message.commit_index == 1
+    acknowledge(core, C, 1, 3.02)
+    assert core.take_effects().is_empty
--- a/verbenanotch/replication/_leader.py
+++ b/verbenanotch/replication/_leader.py
@@ -157,6 +157,14 @@
         )
         return True
 
+    def _send_news(self, member_id, progress, now):
+        """Send what the peer lacks, if only the commit index."""
+        if self._send_missing(member_id, progress, now):
+            return
+        known = min(self.commit_index, progress.match_index)
+        if progress.told_commit < known:
+            self._send_append(member_id, progress.next_index - 1, ())
+
     def _send_append(self, member_id, previous, entries):
         """Send entries that follow `previous`; return the round.
 
@@ -174,6 +182,10 @@
         self._effects.appends.append(
             Outgoing(target=member_id, message=message)
         )
+        # The peer takes over the commit index as far as the message reaches.
+        reach = previous + len(entries)
+        progress = self._leadership.progress_by_id[member_id]
+        progress.told_commit = min(self.commit_index, reach)
         return message.round
 
     def _request_chunk(self, member_id, progress):
@@ -215,7 +227,7 @@
             )
         self._advance_commit(now)
         if self.role == Role.LEADER:
-            self._send_missing(source, progress, now)
+            self._send_news(source, progress, now)
             self._confirm_reads()
 
     def _note_chunk(self, progress, reply):
--- a/verbenanotch/replication/_leadership.py
+++ b/verbenanotch/replication/_leadership.py
@@ -13,7 +13,8 @@
 
     `acked_at` is when the peer last answered, in seconds of the loop's
     clock. `awaited_round` is the round of the entries or the chunk in
-    flight, 0 if none.
+    flight, 0 if none. `told_commit` is the commit index that the peer has
+    from the last message, if that arrived.
     """
 
     next_index: int
@@ -22,6 +23,7 @@
     acked_round: int = 0
     awaited_round: int = 0
     awaited_since: float = 0.0
+    told_commit: int = 0
     snapshot_index: int = 0
     snapshot_offset: int = 0
 
