--- a/tests/unit/test_replication_driver.py
+++ b/tests/unit/test_replication_driver.py
@@ -2,6 +2,7 @@
 
 import errno
 import random
+import zlib
 
 import eventlet
 import pytest
@@ -17,10 +18,11 @@
     Entry,
     EntryKind,
     Member,
+    encode_configuration,
 )
 from verbenanotch.replication._files import Files
 from verbenanotch.replication._log import Log, SnapshotPoint
-from verbenanotch.replication._messages import Append, VoteReply
+from verbenanotch.replication._messages import Append, SnapshotChunk, VoteReply
 
 TIMING = Timing(election_timeout=60.0, heartbeat=20.0)
 A, B = (
@@ -241,3 +243,55 @@
         assert isinstance(outcome, Committed)
     finally:
         cluster.close()
+
+
+def test_applying_yields_and_stops_for_a_snapshot(
+    driver, recorder, monkeypatch
+):
+    monkeypatch.setattr(
+        "verbenanotch.replication._driver.MAX_APPLY_SECONDS", 0.0
+    )
+    recorder.save_snapshot = lambda **_: recorder.calls.append("snapshot")
+    recorder.restore = lambda data: recorder.calls.append("restore")
+    driver.receive(B.id, append(entries=range(1, 10), commit_index=9))
+    driver.wake()
+    while "apply 3" not in recorder.calls:
+        eventlet.sleep(0)
+    driver.receive(B.id, snapshot_chunk(index=20))
+    settle(driver)
+    applied = [call for call in recorder.calls if call.startswith("apply")]
+    assert "apply 9" not in applied
+    assert recorder.calls[-1] == "send SnapshotReply"
+    assert driver.applied_index == 20
+
+
+def snapshot_chunk(*, index):
+    return SnapshotChunk(
+        term=1,
+        index=index,
+        index_term=1,
+        configuration=encode_configuration(Configuration(voters=(A, B))),
+        total_bytes=4,
+        checksum=zlib.crc32(b"data"),
+        offset=0,
+        data=b"data",
+        round=2,
+    )
+
+
+def test_a_snapshot_is_due_when_a_replay_would_take_long(
+    driver, recorder, monkeypatch
+):
+    recorder.save_snapshot = lambda **_: recorder.calls.append("snapshot")
+    recorder.snapshot = lambda: b"state"
+    driver.receive(B.id, append(entries=(1,), commit_index=1))
+    settle(driver)
+    assert "snapshot" not in recorder.calls
+    monkeypatch.setattr(
+        "verbenanotch.replication._driver.MAX_REPLAY_SECONDS", 0.0
+    )
+    driver.receive(B.id, append(entries=(2,), previous=1, commit_index=2))
+    settle(driver)
+    assert recorder.calls[-1] == "snapshot"
+    assert driver.core.log.snapshot.index == 2
+    assert driver.core.log.base_index == 1
--- a/verbenanotch/replication/_driver.py
+++ b/verbenanotch/replication/_driver.py
@@ -25,6 +25,8 @@
 TICKS_PER_HEARTBEAT = 4
 CHUNK_BYTES = 256 * 1024
 KEPT_SHARE = 2
+MAX_APPLY_SECONDS = 0.01
+MAX_REPLAY_SECONDS = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -56,6 +58,7 @@
         self._tick_seconds = timing.heartbeat / TICKS_PER_HEARTBEAT
         self._snapshot_every = snapshot_every
         self._snapshot_data = b""
+        self._replay_seconds = 0.0
         self._waiters_by_index = {}
         self._read_waiters = []
         self._wakened = event.Event()
@@ -219,6 +222,7 @@
         self.restore(effects.snapshot.data)
         self.applied_index = effects.snapshot.point.index
         self._noted_commit = max(self._noted_commit, self.applied_index)
+        self._replay_seconds = 0.0
         self._end_waiting(
             "a snapshot of another leader covers it",
             to_index=self.applied_index,
@@ -228,9 +232,15 @@
 
     def _apply_committed(self):
         self._note_commit()
-        while self.applied_index < self.core.applicable_index:
-            entry = self.core.log.entry_at(self.applied_index + 1)
-            self._apply(entry)
+        yielded_at = time.monotonic()
+        while self.core.log.base_index <= self.applied_index:
+            if self.applied_index >= self._noted_commit:
+                break
+            self._apply(self.core.log.entry_at(self.applied_index + 1))
+            if time.monotonic() - yielded_at >= MAX_APPLY_SECONDS:
+                # Meanwhile a snapshot may replace what is left to apply.
+                eventlet.sleep(0)
+                yielded_at = time.monotonic()
         for index, applied in self._read_waiters:
             if self.applied_index >= index and not applied.ready():
                 applied.send(True)
@@ -258,7 +268,11 @@
         version = Version(epoch=entry.term, index=entry.index)
         result = b""
         if entry.kind == EntryKind.COMMAND:
+            began = time.monotonic()
             result = self._state_machine.apply(version, entry.data)
+            seconds = time.monotonic() - began
+            self._replay_seconds += seconds
+            metrics.timing("replication.apply_ms", seconds * 1000)
         self.applied_index = entry.index
         waiter = self._waiters_by_index.pop(entry.index, None)
         if waiter is None:
@@ -294,8 +308,10 @@
         self._send(request.target, chunk)
 
     def _take_snapshot_if_due(self):
-        log = self.core.log
-        if self.applied_index - log.snapshot.index < self._snapshot_every:
+        """Take a snapshot when a restart would have much to apply again."""
+        count = self.applied_index - self.core.log.snapshot.index
+        slow = count and self._replay_seconds >= MAX_REPLAY_SECONDS
+        if count < self._snapshot_every and not slow:
             return
         if not self.core.is_settled:
             # What the core has changed meanwhile goes to the disk first.
@@ -312,7 +328,9 @@
         )
         began = time.monotonic()
         data = self._state_machine.snapshot()
-        log.compact(point, keep_entries=self._snapshot_every // KEPT_SHARE)
+        count = point.index - log.snapshot.index
+        log.compact(point, keep_entries=count // KEPT_SHARE)
+        self._replay_seconds = 0.0
         self._storage.save_snapshot(
             log=log, term=self.core.term, vote=self.core.vote, data=data
         )
