Check files twice before the log and only their seal when applied

Checking each file again when it is applied made a restart as slow as the files that it missed, and would let two releases with different rules judge the same entry differently. The submitting host and the leader now check the file whole before it is appended; in the log a digest seals the checked text, and an entry without a true seal gets a refusal everywhere.

--- a/tests/unit/test_replication_faults.py
+++ b/tests/unit/test_replication_faults.py
@@ -4,7 +4,8 @@
 import pytest
 
 from tests.support.replicas import Cluster, wait_for
-from verbenanotch.catalog import Accepted, Unavailable, Unknown
+from verbenanotch.catalog import Accepted, Submission, Unavailable, Unknown
+from verbenanotch.catalog._versions import encode_submission
 from verbenanotch.replication import Committed
 from verbenanotch.replication import Unavailable as Refused
 
@@ -174,3 +175,15 @@
     cluster.start("c5")
     eventlet.sleep(1.0)
     assert not cluster.has_vote("c5")
+
+
+def test_the_leader_refuses_a_file_that_another_host_let_pass(make_cluster):
+    cluster = make_cluster()
+    cluster.agree(accept(cluster, 1))
+    follower = cluster.followers()[0]
+    bad = Submission(submission_id="b", operator="ann", text=b"x")
+    refused = follower.replica.propose(
+        command=encode_submission(bad), timeout_seconds=5
+    )
+    assert isinstance(refused, Refused)
+    assert "rejects the file" in refused.reason
--- a/verbenanotch/catalog/_versions.py
+++ b/verbenanotch/catalog/_versions.py
@@ -32,6 +32,7 @@
 MAX_COMMAND_BYTES = 3 * 1024 * 1024
 DIGEST_BYTES = 16
 SNAPSHOT_FORMAT = 1
+UNDECODABLE = (ValueError, TypeError, zlib.error, msgpack.UnpackException)
 
 
 @attrs.frozen(kw_only=True)
@@ -115,11 +116,27 @@
             self._checked = (digest, parse_mesh(text))
         return self._checked[1]
 
+    def refusal(self, command):
+        """Return why the leader must not append a command, or nothing.
+
+        This is the second whole check of a file, after the submitting
+        host's. It comes before the log, so that what is in the log is
+        judged the same by every release and is quick to apply again.
+        """
+        try:
+            submission = decode_submission(command)
+        except UNDECODABLE:
+            return "the command is no submission"
+        result = self.check(submission.text)
+        if isinstance(result, Invalid):
+            return f"the leader rejects the file: {result.problems[0]}"
+        return ""
+
     def apply(self, version, command):
         """Decide on one committed submission; return the encoded outcome."""
         try:
             submission = decode_submission(command)
-        except (ValueError, TypeError, zlib.error, msgpack.UnpackException):
+        except UNDECODABLE:
             # Every replica must get past such an entry in the same way.
             return encode_outcome(_not_a_submission())
         outcome = self.first_answer(submission)
@@ -164,9 +181,6 @@
                 winner=self.current_version,
                 winner_operator=current.operator if current else "",
             )
-        result = self.check(submission.text)
-        if isinstance(result, Invalid):
-            return Rejected(problems=result.problems)
         return Accepted(version=version)
 
     def _accept(self, version, submission):
@@ -225,7 +239,10 @@
 
 
 def encode_submission(submission):
-    """Return the command that the log carries."""
+    """Return the command that the log carries.
+
+    Only for a file that was checked whole: a digest of the text seals it.
+    """
     return msgpack.packb(
         [
             submission.submission_id,
@@ -234,12 +251,13 @@
             str(submission.base),
             str(submission.rollback_to),
             submission.submitted_at_ms,
+            digest_of(submission),
         ]
     )
 
 
 def decode_submission(command):
-    """Return the Submission of a command."""
+    """Return the Submission of a command; ValueError if it is none."""
     match msgpack.unpackb(command):
         case [
             str(submission_id),
@@ -248,11 +266,12 @@
             str(base),
             str(rollback_to),
             int(submitted),
+            bytes(seal),
         ]:
             pass
         case _:
             raise ValueError("the command is no submission")
-    return Submission(
+    submission = Submission(
         submission_id=submission_id,
         operator=operator,
         text=zlib.decompress(packed),
@@ -260,6 +279,9 @@
         rollback_to=Version.parse(rollback_to),
         submitted_at_ms=submitted,
     )
+    if digest_of(submission) != seal:
+        raise ValueError("the text does not fit its seal")
+    return submission
 
 
 def encode_outcome(outcome):
--- a/verbenanotch/replication/_driver.py
+++ b/verbenanotch/replication/_driver.py
@@ -99,6 +99,11 @@
             self.fail(error)
         self.wake()
 
+    def refusal(self, command):
+        """Return why the state machine refuses a command, or nothing."""
+        refuse = getattr(self._state_machine, "refusal", None)
+        return refuse(command) if refuse is not None else ""
+
     def propose(self, kind, data):
         """Append as the leader; return an Event of the outcome, or None."""
         entry = self.core.propose(kind, data, time.monotonic())
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -50,6 +50,8 @@
     `state_machine` has `apply(version, command)` that returns bytes,
     `snapshot()` and `restore(data)`; none of them may block. It is given
     an entry only once that is committed and synced to the local disk.
+    If it has `refusal(command)`, the leader asks it before it appends a
+    command, and answers Unavailable with the reason that it returns.
     `random` is a random.Random; identities come from the system instead,
     since two disks must never have the same one.
     """
--- a/verbenanotch/replication/_requests.py
+++ b/verbenanotch/replication/_requests.py
@@ -117,6 +117,9 @@
     def _propose_here(self, kind, data, deadline):
         if kind == EntryKind.CONFIGURATION:
             return self._change_here(data, deadline)
+        reason = self._driver.refusal(data)
+        if reason:
+            return Unavailable(reason=reason)
         outcome = self._driver.propose(kind, data)
         return self._await_outcome(outcome, deadline)
 
