Dial a peer at once when it shows that it lives

A leader that had backed off kept a returning learner waiting for up to 1.5 s. A Hello from a peer now ends the delay before the next dial.

--- a/verbenanotch/replication/_links.py
+++ b/verbenanotch/replication/_links.py
@@ -9,7 +9,7 @@
 import time
 
 import eventlet
-from eventlet import queue
+from eventlet import event, queue
 
 from verbenanotch import wire
 from verbenanotch.replication import events
@@ -36,6 +36,7 @@
         self._outbox = queue.LightQueue(MAX_QUEUED_MESSAGES)
         self._heard_at = 0.0
         self._was_greeted = False
+        self._nudged = event.Event()
         self._greenthread = None
 
     def start(self):
@@ -56,6 +57,11 @@
             return False
         return True
 
+    def nudge(self):
+        """Dial now if a dial waits: the peer has shown that it lives."""
+        if not self._nudged.ready():
+            self._nudged.send()
+
     def _dial_forever(self):
         delay = MIN_REDIAL_SECONDS
         while True:
@@ -66,7 +72,8 @@
             if self._was_greeted:
                 self._was_greeted = False
                 delay = MIN_REDIAL_SECONDS
-            eventlet.sleep(delay * self._links.jitter())
+            self._nudged.wait(delay * self._links.jitter())
+            self._nudged = event.Event()
             delay = min(2 * delay, MAX_REDIAL_SECONDS)
 
     def _dial(self):
@@ -196,12 +203,19 @@
         finally:
             self._inbound.discard(connection)
 
+    def _nudge(self, name):
+        link = self._links_by_name.get(name)
+        if link is not None:
+            link.nudge()
+
     def _receive_forever(self, connection):
         member_id = ""
         while True:
             message = connection.receive()
             if isinstance(message, Hello):
                 self.accept_hello(message, connection)
+                if message.member.id != member_id:
+                    self._nudge(message.member.name)
                 member_id = message.member.id
                 connection.send(self.make_hello())
             elif member_id:
