--- /dev/null
+++ b/tests/unit/test_replication_bootstrap.py
@@ -0,0 +1,104 @@
+"""Creating a cluster, joining one, and staying out of another."""
+
+import pytest
+
+from tests.support.replicas import Cluster, wait_for
+from verbenanotch.catalog import Accepted
+from verbenanotch.replication._bootstrap import (
+    Bootstrap,
+    Create,
+    Join,
+    Mismatch,
+    Wait,
+)
+from verbenanotch.replication._entries import Member
+from verbenanotch.replication._messages import Hello
+
+VOTERS = ("a", "b", "c")
+
+
+def member(name, disk_id="1"):
+    return Member(name=name, disk_id=disk_id, address="127.0.0.1", peer_port=1)
+
+
+def hello(name, *, disk_id="1", cluster_id=""):
+    return Hello(
+        member=member(name, disk_id), cluster_id=cluster_id, first_voters=()
+    )
+
+
+def bootstrap(name, voters=VOTERS):
+    return Bootstrap(own=member(name), voter_names=voters)
+
+
+def test_the_first_voter_creates_once_all_are_empty():
+    first = bootstrap("a")
+    assert first.begin() == Wait()
+    assert first.consider(hello("b"), own_cluster_id="") == Wait()
+    assert first.consider(hello("x"), own_cluster_id="") == Wait()
+    assert first.consider(
+        hello("c", disk_id="2"), own_cluster_id=""
+    ) == Create(first_voters=(member("a"), member("b"), member("c", "2")))
+
+
+def test_other_voters_and_learners_never_create():
+    for name in ("b", "c", "x"):
+        other = bootstrap(name)
+        for peer in VOTERS:
+            assert other.consider(hello(peer), own_cluster_id="") == Wait()
+
+
+def test_an_empty_voter_joins_what_any_peer_remembers():
+    first = bootstrap("a")
+    first.consider(hello("b"), own_cluster_id="")
+    decision = first.consider(hello("c", cluster_id="k"), own_cluster_id="")
+    assert decision == Join(cluster_id="k", first_voters=())
+
+
+def test_another_cluster_is_a_mismatch_and_an_empty_peer_is_not():
+    first = bootstrap("a")
+    assert first.consider(
+        hello("b", cluster_id="other"), own_cluster_id="k"
+    ) == Mismatch(cluster_id="other")
+    assert first.consider(hello("b"), own_cluster_id="k") == Wait()
+
+
+def test_a_lone_voter_creates_at_once():
+    assert isinstance(bootstrap("a", ("a",)).begin(), Create)
+
+
+@pytest.fixture
+def cluster(tmp_path):
+    cluster = Cluster(path=tmp_path, voters=("c1", "c2", "c3"))
+    yield cluster
+    cluster.close()
+
+
+def test_empty_hosts_join_the_cluster_that_one_of_them_has(cluster, tmp_path):
+    lone = Cluster(path=tmp_path, voters=("c3",))
+    lone.start()
+    first = lone.leader().submit(1)
+    lone.close()
+    cluster.start()
+    cluster.agree(first.version)
+    for name in ("c1", "c2"):
+        assert cluster.hosts_by_name[name].replica.status().role == "learner"
+
+
+def test_a_stranger_with_a_cluster_of_its_own_changes_nothing(
+    cluster, tmp_path
+):
+    cluster.start()
+    first = cluster.leader().submit(1)
+    cluster.agree(first.version)
+    cluster.stop("c3")
+    cluster.wipe("c3")
+    lone = Cluster(path=tmp_path, voters=("c3",))
+    lone.start()
+    wait_for(lone.leader)
+    lone.close()
+    cluster.start("c3")
+    stranger = cluster.hosts_by_name["c3"]
+    assert isinstance(cluster.leader().submit(2), Accepted)
+    assert stranger.versions.current is None
+    assert not cluster.has_vote("c3")
