--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of real processes on loopback."""
--- /dev/null
+++ b/tests/integration/request_load.py
@@ -0,0 +1,168 @@
+"""Callers that load a mesh, and the judgement of what they were told."""
+
+import json
+import random
+
+import attrs
+import eventlet
+import urllib3
+
+from tests.support.ledger import read_ledgers, runs_by_request_id
+
+MESH_TEXT = """
+name = "requests"
+
+[services.pay]
+slots = 8
+cold_start_ms = 0
+
+[routes.pay]
+prefix = "/pay"
+service = "pay"
+timeout_ms = 2000
+"""
+SERVICE = "pay"
+IDEMPOTENT_SHARE = 0.3
+MAX_BODY_BYTES = 100_000
+
+
+@attrs.frozen(kw_only=True)
+class Result:
+    """What one caller was told; `outcome` is `lost` without an answer."""
+
+    request_id: str
+    method: str
+    proxy: str
+    status: int
+    outcome: str
+    retry_after: str
+    detail: str
+    is_own_and_whole: bool
+
+
+@attrs.define(kw_only=True)
+class Load:
+    """Open-loop callers with a fixed seed, each with an id of its own.
+
+    A caller whose connection is refused asks the next proxy, as nothing of
+    its request was sent; no other failure is repeated.
+    """
+
+    mesh: object
+    proxies: list
+    seed: int
+    rate: float = 60.0
+    path: str = "/pay/1"
+    timeout_ms: int = 2000
+    idempotent_share: float = IDEMPOTENT_SHARE
+    results: list = attrs.field(factory=list)
+    _number: int = 0
+    _pool: object = attrs.field(
+        factory=lambda: eventlet.GreenPool(2000), init=False
+    )
+    _random: object = attrs.field(default=None, init=False)
+    _starter: object = attrs.field(default=None, init=False)
+
+    def __enter__(self):
+        """Start to send requests."""
+        self._random = random.Random(self.seed)
+        self._starter = eventlet.spawn(self._start_forever)
+        return self
+
+    def __exit__(self, *_):
+        """Send no more requests and wait for every answer."""
+        self._starter.kill()
+        self._pool.waitall()
+
+    def _start_forever(self):
+        while True:
+            self._number += 1
+            method = "POST"
+            if self._random.random() < self.idempotent_share:
+                method = "GET"
+            size = int(self._random.random() ** 4 * MAX_BODY_BYTES)
+            body = self._random.randbytes(size) if method == "POST" else None
+            proxies = self._random.sample(self.proxies, len(self.proxies))
+            request_id = f"{self.seed}-{self._number}"
+            self._pool.spawn_n(self._ask, request_id, method, body, proxies)
+            eventlet.sleep(1 / self.rate)
+
+    def _ask(self, request_id, method, body, proxies):
+        lost = "no proxy listens"
+        for proxy in proxies:
+            try:
+                answer = self.mesh.call(
+                    method,
+                    self.path,
+                    proxy=proxy,
+                    body=body,
+                    request_id=request_id,
+                    timeout_ms=self.timeout_ms,
+                )
+            except urllib3.exceptions.NewConnectionError:
+                continue
+            except urllib3.exceptions.HTTPError as error:
+                lost = repr(error)
+                break
+            self.results.append(_result(request_id, method, proxy, answer))
+            return
+        self.results.append(
+            Result(
+                request_id=request_id,
+                method=method,
+                proxy=proxy,
+                status=0,
+                outcome="lost",
+                retry_after="",
+                detail=lost,
+                is_own_and_whole=False,
+            )
+        )
+
+    def counts(self):
+        """Return the number of results by outcome."""
+        counts = {"answered": 0, "not-run": 0, "unknown": 0, "lost": 0}
+        for result in self.results:
+            assert result.outcome in counts, result
+            counts[result.outcome] += 1
+        return counts
+
+
+def judge(load, folder):
+    """Hold what callers were told against the ledgers of the targets."""
+    runs = runs_by_request_id(read_ledgers(folder))
+    assert load.results
+    for path in load.mesh.event_paths():
+        assert '"request-failed"' not in path.read_text(encoding="utf-8")
+    for result in load.results:
+        count = runs[result.request_id]
+        if result.method == "POST":
+            assert count <= 1, f"ran {count} times: {result}"
+        if result.outcome == "not-run":
+            assert count == 0, f"ran {count} times: {result}"
+            assert result.retry_after, result
+        if result.outcome == "answered":
+            assert count >= 1, f"answered without a run: {result}"
+            assert result.is_own_and_whole, result
+
+
+def _result(request_id, method, proxy, answer):
+    return Result(
+        request_id=request_id,
+        method=method,
+        proxy=proxy,
+        status=answer.status,
+        outcome=answer.outcome,
+        retry_after=answer.retry_after,
+        detail=answer.body[:300].decode(errors="replace"),
+        is_own_and_whole=_is_own_and_whole(request_id, answer),
+    )
+
+
+def _is_own_and_whole(request_id, answer):
+    if answer.request_id != request_id:
+        return False
+    try:
+        return json.loads(answer.body).get("request_id") == request_id
+    except ValueError:
+        return False
--- /dev/null
+++ b/tests/integration/test_request_faults.py
@@ -0,0 +1,177 @@
+"""Requests through real processes while processes die, freeze and refuse.
+
+The ledgers of the stand-in targets are the judge of what ran.
+"""
+
+import eventlet
+import pytest
+import urllib3
+
+from examples.topology import TARGET_PORT
+from tests.integration.request_load import (
+    MESH_TEXT,
+    SERVICE,
+    Load,
+    judge,
+)
+from tests.support.harness import Mesh
+from tests.support.ledger import read_ledgers, runs_by_request_id
+
+SEED = 1
+PROXIES = ["z1-proxy-1", "z1-proxy-2", "z1-proxy-3"]
+
+
+@pytest.fixture
+def mesh(tmp_path):
+    with Mesh(
+        folder=tmp_path, control_hosts_per_zone=1, proxies_per_zone=3
+    ) as running:
+        running.target_names = [
+            running.start_target(proxy, SERVICE, latency_ms=20)
+            for proxy in PROXIES
+        ]
+        running.accept(MESH_TEXT)
+        running.wait_until(
+            lambda: all(_is_served(running, proxy) for proxy in PROXIES),
+            what="served requests",
+        )
+        yield running
+
+
+def _is_served(mesh, proxy):
+    answer = mesh.call("GET", "/pay/1", proxy=proxy)
+    return answer.outcome == "answered"
+
+
+def _load(mesh, seed=SEED, **options):
+    options.setdefault("proxies", PROXIES)
+    return Load(mesh=mesh, seed=seed, **options)
+
+
+def _drain(mesh, proxy, target_name):
+    host = mesh.topology.hosts_by_name[proxy]
+    response = urllib3.request(
+        "POST",
+        f"http://{host.server(TARGET_PORT)}/v1/targets/"
+        f"{mesh.target_id(target_name)}/drain",
+    )
+    assert response.status == 200
+
+
+def test_a_killed_proxy(mesh, tmp_path):
+    with _load(mesh) as load:
+        eventlet.sleep(1)
+        mesh.kill(PROXIES[1])
+        eventlet.sleep(2)
+        mesh.restart(PROXIES[1])
+        eventlet.sleep(2)
+    judge(load, tmp_path)
+    assert load.results[-1].outcome == "answered"
+
+
+def test_a_killed_target(mesh, tmp_path):
+    with _load(mesh) as load:
+        eventlet.sleep(1)
+        mesh.kill(mesh.target_names[1])
+        eventlet.sleep(2)
+        mesh.restart(mesh.target_names[1])
+        eventlet.sleep(2)
+    judge(load, tmp_path)
+    assert load.counts()["lost"] == 0
+    assert load.results[-1].outcome == "answered"
+
+
+def test_a_frozen_target(mesh, tmp_path):
+    with _load(mesh, timeout_ms=800) as load:
+        eventlet.sleep(1)
+        mesh.freeze(mesh.target_names[1])
+        eventlet.sleep(2)
+        mesh.thaw(mesh.target_names[1])
+        eventlet.sleep(2)
+    judge(load, tmp_path)
+    assert load.counts()["lost"] == 0
+    assert load.results[-1].outcome == "answered"
+
+
+def test_a_frozen_proxy_and_its_late_answers(mesh, tmp_path):
+    others = [PROXIES[0], PROXIES[2]]
+    with _load(mesh, timeout_ms=800, proxies=others) as load:
+        eventlet.sleep(1)
+        mesh.freeze(PROXIES[1])
+        eventlet.sleep(2)
+        mesh.thaw(PROXIES[1])
+        eventlet.sleep(2)
+    judge(load, tmp_path)
+    assert load.counts()["lost"] == 0
+    assert load.results[-1].outcome == "answered"
+
+
+def test_answers_later_than_the_deadline(mesh, tmp_path):
+    for name in mesh.target_names:
+        mesh.control_target(name, latency_ms=150)
+    with _load(mesh, timeout_ms=140, rate=40) as load:
+        eventlet.sleep(3)
+    judge(load, tmp_path)
+    counts = load.counts()
+    assert counts["lost"] == 0
+    assert counts["unknown"] > 0
+
+
+def test_a_target_that_cuts_its_answers_short(mesh, tmp_path):
+    mesh.control_target(
+        mesh.target_names[1], cut_body=True, padding_bytes=100_000
+    )
+    with _load(mesh) as load:
+        eventlet.sleep(3)
+    judge(load, tmp_path)
+    counts = load.counts()
+    assert counts["lost"] == 0
+    assert counts["unknown"] > 0
+    assert counts["answered"] > 0
+
+
+def test_overload_at_three_times_the_slots(mesh, tmp_path):
+    for name in mesh.target_names:
+        mesh.control_target(name, latency_ms=200)
+    # 24 slots of 200 ms serve 120 requests a second.
+    with _load(mesh, rate=360, timeout_ms=1000) as load:
+        eventlet.sleep(4)
+    judge(load, tmp_path)
+    counts = load.counts()
+    assert counts["lost"] == 0
+    assert counts["not-run"] > 0
+    assert counts["answered"] > 0
+
+
+def test_a_draining_target_gets_no_new_work(mesh, tmp_path):
+    with _load(mesh) as load:
+        eventlet.sleep(1)
+        _drain(mesh, PROXIES[1], mesh.target_names[1])
+        eventlet.sleep(5)
+        entries = read_ledgers(tmp_path)
+        eventlet.sleep(2)
+    judge(load, tmp_path)
+    leaving = mesh.target_id(mesh.target_names[1])
+    before = [e for e in entries if e.target == leaving]
+    after = [e for e in read_ledgers(tmp_path) if e.target == leaving]
+    assert before
+    assert after == before
+    assert load.counts()["answered"] == len(load.results)
+
+
+def test_a_caller_that_leaves_stops_its_request(mesh, tmp_path):
+    mesh.control_target(mesh.target_names[0], latency_ms=3000)
+    with pytest.raises(Exception, match="timed out"):
+        mesh.call(
+            "POST",
+            "/pay/1?latency_ms=3000",
+            proxy=PROXIES[1],
+            request_id="left",
+            timeout_ms=5000,
+            timeout_seconds=0.3,
+        )
+    eventlet.sleep(1)
+    entries = read_ledgers(tmp_path)
+    phases = [e.phase for e in entries if e.request_id == "left"]
+    assert phases == ["started", "cancelled"]
+    assert runs_by_request_id(entries)["left"] == 1
--- /dev/null
+++ b/tests/integration/test_shutdown.py
@@ -0,0 +1,75 @@
+"""Proxies that are stopped under load cut no request."""
+
+import eventlet
+import pytest
+
+from tests.integration.request_load import (
+    MESH_TEXT,
+    SERVICE,
+    Load,
+    judge,
+)
+from tests.support.harness import Mesh
+
+SEED = 5
+PROXIES = ["z1-proxy-1", "z1-proxy-2", "z1-proxy-3"]
+
+
+@pytest.fixture
+def mesh(tmp_path):
+    with Mesh(
+        folder=tmp_path, control_hosts_per_zone=1, proxies_per_zone=3
+    ) as running:
+        for proxy in PROXIES:
+            running.start_target(proxy, SERVICE, latency_ms=100)
+        running.accept(MESH_TEXT)
+        running.wait_until(
+            lambda: all(
+                running.call("GET", "/pay/1", proxy=proxy).outcome
+                == "answered"
+                for proxy in PROXIES
+            ),
+            what="served requests",
+        )
+        yield running
+
+
+def test_restart_of_every_proxy_in_turn_loses_nothing(mesh, tmp_path):
+    with Load(mesh=mesh, proxies=PROXIES, seed=SEED) as load:
+        eventlet.sleep(1)
+        for proxy in PROXIES:
+            mesh.terminate(proxy)
+            mesh.wait_until(
+                lambda name=proxy: not mesh.child(name).is_alive,
+                what=f"end of {proxy}",
+            )
+            assert mesh.child(proxy).exit_code == 0
+            mesh.restart(proxy)
+            # Its target announces itself again within a second.
+            eventlet.sleep(2)
+    judge(load, tmp_path)
+    others = [r for r in load.results if r.outcome != "answered"]
+    assert others == []
+
+
+def test_a_long_request_is_finished_before_the_exit(mesh, tmp_path):
+    waiting = eventlet.spawn(
+        mesh.call,
+        "POST",
+        "/pay/1?latency_ms=1500",
+        proxy=PROXIES[0],
+        request_id="long",
+        timeout_ms=5000,
+    )
+    eventlet.sleep(0.5)
+    for proxy in PROXIES:
+        mesh.terminate(proxy)
+    answer = waiting.wait()
+    assert answer.outcome == "answered"
+    assert answer.value["request_id"] == "long"
+    for proxy in PROXIES:
+        mesh.wait_until(
+            lambda name=proxy: not mesh.child(name).is_alive,
+            what=f"end of {proxy}",
+        )
+        assert mesh.child(proxy).exit_code == 0
--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -384,3 +384,13 @@
     assert response.getheader("Connection") == "close"
     eventlet.sleep(0.05)
     assert entry.http.connection_count == 0
+
+
+def test_a_fault_of_the_proxy_is_unknown(entry):
+    def fail(cancellation):
+        raise RuntimeError("a fault")
+
+    entry.peers.outcomes = [fail]
+    answer = entry.ask()
+    assert (answer.status, answer.outcome) == (504, "unknown")
+    assert answer.reason == "internal-error"
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -86,7 +86,8 @@
         connection.
         """
         self.stopping = True
-        self._acceptor.kill()
+        if self._acceptor is not None:
+            self._acceptor.kill()
         self._socket.setblocking(False)
         while True:
             try:
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from verbenanotch.catalog import NO_VERSION
 from verbenanotch.daemon import _shutdown
 from verbenanotch.daemon._caller_protocol import CallerProtocol
 from verbenanotch.daemon._http import HttpServer
@@ -21,6 +22,7 @@
 
 EXPIRY_SECONDS = 0.5
 WARM_SECONDS = 1.0
+POLL_SECONDS = 0.02
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -73,6 +75,9 @@
         self._shutdown_grace_seconds = (
             proxy.shutdown_grace_ms / MILLISECONDS_PER_SECOND
         )
+        self._floor_wait_seconds = (
+            proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
+        )
         self._greenthreads = []
 
     def start(self):
@@ -82,14 +87,16 @@
         self._callers.start()
         self._subscriber.start()
         self._target_http.start()
-        self._caller_http.start()
         self._greenthreads = [
+            eventlet.spawn(self._serve_callers),
             eventlet.spawn(_every, EXPIRY_SECONDS, self._local_targets.expire),
             eventlet.spawn(_every, WARM_SECONDS, self._local_targets.warm),
         ]
 
     def stop(self):
         """Finish what is in flight, give up the lease, stop serving."""
+        for greenthread in self._greenthreads:
+            greenthread.kill()
         self._local_targets.leave()
         self._subscriber.release()
         self._peer_server.go_away(reason="shutdown")
@@ -105,8 +112,6 @@
         self._listener.stop()
         self._callers.stop()
         self._peers.stop()
-        for greenthread in self._greenthreads:
-            greenthread.kill()
 
     def _entry(self, settings):
         dispatcher = Dispatcher(
@@ -122,10 +127,27 @@
             callers=self._callers,
         )
 
+    def _serve_callers(self):
+        """Accept callers once there is a snapshot to route them by.
+
+        Until then their connections wait. Without any control host they are
+        accepted after the bound, and told that nothing was run.
+        """
+        end = time.monotonic() + self._floor_wait_seconds
+        while time.monotonic() < end and not _is_routable(
+            self._holder.snapshot
+        ):
+            eventlet.sleep(POLL_SECONDS)
+        self._caller_http.start()
+
     def _announce(self):
         self._subscriber.announce()
 
 
+def _is_routable(snapshot):
+    return snapshot.version != NO_VERSION and snapshot.hosts_by_name
+
+
 def _every(seconds, action):
     while True:
         eventlet.sleep(seconds)
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -115,7 +115,7 @@
         state = self._cache.states_by_target_id[call.target_id]
         started = time.monotonic()
         state.started(started)
-        outcome = Unknown(reason="internal-error")
+        outcome = Unknown(reason=reasons.INTERNAL_ERROR)
         try:
             outcome = self._send(snapshot, call, request, cancellation)
         finally:
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -1,6 +1,7 @@
 """The HTTP interface for callers."""
 
 import time
+import traceback
 
 import attrs
 
@@ -8,7 +9,12 @@
 from verbenanotch.proxy import events
 from verbenanotch.proxy._caller_body import read_body
 from verbenanotch.proxy._cancellation import Cancellation
-from verbenanotch.proxy._outcome import Answered, NotRun, Rejected
+from verbenanotch.proxy._outcome import (
+    Answered,
+    NotRun,
+    Rejected,
+    Unknown,
+)
 from verbenanotch.proxy._request import check_request, request_id_of
 from verbenanotch.proxy._response import respond
 from verbenanotch.proxy._tracing import TraceSampler
@@ -38,6 +44,16 @@
         self.in_flight += 1
         try:
             outcome = self._outcome(environ, request_id, started, traced)
+        except Exception:
+            # A fault of the proxy itself must not pass for an answer, and
+            # nobody can tell how far the request came.
+            emit(
+                events.REQUEST_FAILED,
+                request=request_id,
+                traceback=traceback.format_exc(),
+            )
+            metrics.increment("proxy.internal_errors")
+            outcome = Unknown(reason=reasons.INTERNAL_ERROR)
         finally:
             self.in_flight -= 1
         self._record(request_id, outcome, started, traced)
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -4,6 +4,7 @@
 DEADLINE_PASSED = "deadline-passed"
 CALLER_GONE = "caller-gone"
 CANCELLED = "cancelled"
+INTERNAL_ERROR = "internal-error"
 CRASHES_TARGETS = "crashes-targets"
 
 TARGET_GONE = "target-gone"
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -62,3 +62,10 @@
     "a target that keeps failing gets no requests for a while",
     "Look at the target's own log; it is tried again by itself.",
 )
+REQUEST_FAILED = event(
+    5014,
+    "request-failed",
+    Level.ERROR,
+    "the proxy failed at a request; its outcome is unknown",
+    "Report the traceback to the project.",
+)
