Let a target without a cold start be chosen after its ejection

Cause: the slow start after an ejection begins in the future, and its share was divided by a cold start of 0 ms. Each choice among targets of which one was ejected then raised ZeroDivisionError. Seen under load with answers later than the deadline; the unit test failed before the change.

Forbidding a cold start of 0 in the operators' files was ruled out, since 0 is how a service says that it has none.

--- /dev/null
+++ b/tests/unit/test_proxy_candidates.py
@@ -0,0 +1,63 @@
+"""Observations of targets over changing snapshots."""
+
+import attrs
+import pytest
+
+from tests.unit.test_proxy_entry import make_record
+from verbenanotch.distribution import SnapshotHolder
+from verbenanotch.proxy._candidates import CandidateCache
+from verbenanotch.routing import OutcomeKind, OutlierDetector
+
+
+@pytest.fixture
+def holder():
+    holder = SnapshotHolder()
+    holder.apply_targets([make_record(1), make_record(2)])
+    return holder
+
+
+def states(cache, holder, now=0.0):
+    found = cache.candidates(holder.snapshot, "pay", now=now).targets
+    return {state.target_id: state for state in found}
+
+
+def test_candidates_are_made_once_for_a_snapshot(holder):
+    cache = CandidateCache()
+    first = cache.candidates(holder.snapshot, "pay", now=0)
+    assert cache.candidates(holder.snapshot, "pay", now=1) is first
+
+
+def test_observations_outlive_the_snapshot_but_not_the_incarnation(holder):
+    cache = CandidateCache()
+    before = states(cache, holder)
+    changed = make_record(2)
+    target = attrs.evolve(changed.targets[0], incarnation=2)
+    changed = attrs.evolve(changed, targets=(target,))
+    holder.apply_targets([make_record(1), changed, make_record(3)])
+    after = states(cache, holder, now=5)
+    assert after["pay/1"] is before["pay/1"]
+    assert after["pay/2"] is not before["pay/2"]
+    assert after["pay/3"].first_seen == 5
+
+
+def test_targets_that_are_gone_are_forgotten(holder):
+    cache = CandidateCache()
+    states(cache, holder)
+    holder.apply_targets([make_record(1)])
+    assert set(states(cache, holder)) == {"pay/1"}
+    assert set(cache.states_by_target_id) == {"pay/1"}
+
+
+def test_an_ejected_target_without_cold_start_can_be_chosen_again(holder):
+    state = states(CandidateCache(), holder)["pay/1"]
+    detector = OutlierDetector()
+    ejected = None
+    for _ in range(20):
+        state.started(0.0)
+        state.finished(0.0, 0.1, OutcomeKind.UNKNOWN)
+        ejected = ejected or detector.finished(
+            state, OutcomeKind.UNKNOWN, now=0.0, target_count=2
+        )
+    assert ejected is not None
+    assert state.cold_start_ms == 0
+    assert state.has_room(0.0)
--- a/verbenanotch/routing/_target.py
+++ b/verbenanotch/routing/_target.py
@@ -127,7 +127,7 @@
     def ramp(self, now):
         """Return the share of the limit allowed by the slow start."""
         age_ms = (now - self.first_seen) * MILLISECONDS_PER_SECOND
-        if age_ms >= self.cold_start_ms:
+        if self.cold_start_ms <= 0 or age_ms >= self.cold_start_ms:
             return 1.0
         return max(MIN_RAMP, age_ms / self.cold_start_ms)
 
