--- a/tests/integration/__init__.py
+++ b/tests/integration/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of real processes on loopback."""
+"""Tests of real processes."""
