Choose the control host only when the others have answered

Cause: a proxy subscribed to whichever control host answered first, so that the first choice went by speed: the spread over a zone's control hosts was left to chance and a stale one that answers first was taken. The test of an isolated control host failed in one of three runs, as all six proxies had chosen the same one.

--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -57,16 +57,18 @@
 RESUBSCRIBE_BASE_SECONDS = 0.2
 RESUBSCRIBE_CAP_SECONDS = 5.0
 CHOICE_SECONDS = 0.25
+# How long the choice waits for the other control hosts to answer.
+LINK_WAIT_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
 
 
 @attrs.define(kw_only=True, eq=False)
 class _Link:
-    """One connected control host."""
+    """One connected control host; `current` is None until it answered."""
 
     name: str
     connection: object
-    current: Version = NO_VERSION
+    current: Version | None = None
     busy_until: float = 0.0
 
 
@@ -88,6 +90,7 @@
         self._subscribed = None
         self._attempts = 0
         self._not_before = 0.0
+        self._answered_at = None
         self._stale_watch = StaleWatch()
         self._search = None
         self._changed = Signal()
@@ -214,7 +217,7 @@
             return
         others = [
             other.current
-            for other in self._links_by_name.values()
+            for other in self._answered_links()
             if other is not link
         ]
         if self._stale_watch.is_stale(
@@ -224,7 +227,33 @@
             self._subscribed = None
             _try_send(link, Unsubscribe())
 
+    def _answered_links(self):
+        return [
+            link
+            for link in self._links_by_name.values()
+            if link.current is not None
+        ]
+
+    def _may_choose(self, links, now):
+        """Return whether enough control hosts have answered to choose.
+
+        The first one to answer may be a stale one, and a choice by speed
+        would not spread the proxies.
+        """
+        if not links:
+            self._answered_at = None
+            return False
+        if self._answered_at is None:
+            self._answered_at = now
+        known = len(self._settings.proxy.control_hosts_by_name)
+        return len(links) >= known or (
+            now - self._answered_at >= LINK_WAIT_SECONDS
+        )
+
     def _subscribe_to_one(self, now):
+        links = self._answered_links()
+        if not self._may_choose(links, now):
+            return
         name = choose_control_host(
             [
                 Candidate(
@@ -232,20 +261,16 @@
                     current=link.current,
                     busy_until=link.busy_until,
                 )
-                for link in self._links_by_name.values()
+                for link in links
             ],
             host=self._settings.host.name,
-            at_least=self._least_wanted(),
+            at_least=max(link.current for link in links),
             now=now,
         )
         if name is not None:
             self._subscribed = self._links_by_name[name]
             self._subscribe()
 
-    def _least_wanted(self):
-        currents = [link.current for link in self._links_by_name.values()]
-        return max(currents, default=NO_VERSION)
-
     def _subscribe(self):
         holder = self._holder
         floor = holder.floor
