Let a proxy tell other proxies of its zone the version it holds

Cause: without a quorum a restarted proxy asks several proxies of its zone for the version that they hold, but nothing answered on the peer port.

--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -7,7 +7,11 @@
 from verbenanotch.daemon import _shutdown
 from verbenanotch.daemon._caller_protocol import CallerProtocol
 from verbenanotch.daemon._http import HttpServer
-from verbenanotch.distribution import SnapshotHolder, Subscriber
+from verbenanotch.distribution import (
+    FloorResponder,
+    SnapshotHolder,
+    Subscriber,
+)
 from verbenanotch.proxy import (
     CallerWatch,
     Dispatcher,
@@ -55,7 +59,12 @@
             port=host.peer_port,
             key=host.peer_key.encode(),
             name=host.name,
-            handlers_by_purpose={Purpose.REQUEST: self._peer_server.handle},
+            handlers_by_purpose={
+                Purpose.REQUEST: self._peer_server.handle,
+                Purpose.DISTRIBUTION: FloorResponder(
+                    holder=self._holder
+                ).handle,
+            },
         )
         self._caller_http = HttpServer(
             address=host.address,
