Measure convergence and control bytes against whole states

Cause: the choice of deltas and of subscription by need rests on bytes and times that nobody had measured.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; they print figures and assert none."""
--- /dev/null
+++ b/bench/convergence.py
@@ -0,0 +1,281 @@
+"""Convergence and control bytes of one zone; prints figures, asserts none.
+
+    python -m bench.convergence --proxies 10,50,100,200
+
+One process runs two control hosts over versions in memory, so that no disk
+and no quorum take part; up to 50 proxies' control sides share a process.
+The modes: `delta` subscribes each proxy to five services and what its
+target calls, `delta-all` to all, and `whole` sends the full state on each
+change. Control bytes are those of the streams' payload, both ways, without
+the headers of TCP and IP.
+"""
+
+import argparse
+import json
+import subprocess
+import sys
+import time
+
+from hdrh.histogram import HdrHistogram
+
+PROXIES_PER_PROCESS = 50
+SERVICES = 50
+ROUTES_PER_SERVICE = 4
+CHANGES = 20
+CHANGE_SECONDS = 0.25
+CHURN_EVENTS = 40
+CHURN_SECONDS = 0.05
+IDLE_SECONDS = 4.0
+MISSED_CHANGES = 300
+DEADLINE_SECONDS = 60.0
+MAX_MICROSECONDS = 120_000_000
+MODES = {
+    "delta": {"need": True, "whole": False},
+    "delta-all": {"need": False, "whole": False},
+    "whole": {"need": False, "whole": True},
+}
+
+
+class Process:
+    """One process of the benchmark."""
+
+    def __init__(self, **request):
+        """Start it in the role of the request's command."""
+        self._child = subprocess.Popen(
+            [
+                sys.executable,
+                "-W",
+                "ignore",
+                "-m",
+                "bench.distribution_process",
+            ],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.ask(**request)
+
+    def tell(self, **request):
+        """Send a command without waiting for its answer."""
+        self._child.stdin.write(json.dumps(request) + "\n")
+        self._child.stdin.flush()
+
+    def answer(self):
+        """Return the answer of the oldest open command."""
+        return json.loads(self._child.stdout.readline())
+
+    def ask(self, **request):
+        """Send a command and return its answer."""
+        self.tell(**request)
+        return self.answer()
+
+    def stop(self):
+        """End the process."""
+        self._child.stdin.close()
+        self._child.wait()
+
+
+class Run:
+    """One mesh of a number of proxies in one mode."""
+
+    def __init__(self, *, proxies, need, whole):
+        """Start all processes and wait for the first version."""
+        self.count = proxies
+        self.control = Process(
+            command="control",
+            services=SERVICES,
+            routes_per_service=ROUTES_PER_SERVICE,
+            whole=whole,
+        )
+        ports = self.control.ask(command="ports")
+        self.processes = [
+            Process(
+                command="proxies",
+                first=first,
+                count=min(PROXIES_PER_PROCESS, proxies - first),
+                services=SERVICES,
+                ports=ports,
+                need=need,
+            )
+            for first in range(0, proxies, PROXIES_PER_PROCESS)
+        ]
+        self.wait_for(1)
+        time.sleep(2.0)
+
+    def wait_for(self, index):
+        """Wait until every proxy holds the version."""
+        end = time.monotonic() + DEADLINE_SECONDS
+        while time.monotonic() < end:
+            held = [p.ask(command="versions") for p in self.processes]
+            if all(item["index"] >= index for item in held):
+                return
+            time.sleep(0.1)
+        print("  not in force everywhere within the deadline")
+
+    def report(self):
+        """Return applied versions, bytes and processor time since before."""
+        reports = [p.ask(command="report") for p in self.processes]
+        applied = [item for report in reports for item in report["applied"]]
+        return applied, sum(report["bytes"] for report in reports)
+
+    def stop(self):
+        """End all processes."""
+        for process in (*self.processes, self.control):
+            process.stop()
+
+
+def histogram_of(seconds):
+    """Return the HDR histogram of durations."""
+    histogram = HdrHistogram(1, MAX_MICROSECONDS, 3)
+    for item in seconds:
+        histogram.record_value(max(1, int(item * 1e6)))
+    return histogram
+
+
+def show(name, histogram, expected):
+    """Print the percentiles of a histogram."""
+    values = [histogram.get_value_at_percentile(p) for p in (50, 99)]
+    values.append(histogram.get_max_value())
+    p50, p99, most = (value / 1000 for value in values)
+    print(
+        f"  {name}: p50 {p50:.1f} ms, p99 {p99:.1f} ms, max {most:.1f} ms, "
+        f"{histogram.get_total_count()} of {expected}"
+    )
+
+
+def measure_idle(run):
+    """Return the bytes of one proxy and second without changes."""
+    _, before = run.report()
+    time.sleep(IDLE_SECONDS)
+    _, after = run.report()
+    rate = (after - before) / run.count / IDLE_SECONDS
+    print(f"  idle: {rate:.0f} B/s a proxy")
+    return rate
+
+
+def measure_changes(run, idle_rate):
+    """Print how long a version takes to be in force, and its bytes."""
+    began = time.monotonic()
+    _, before = run.report()
+    processor = run.control.ask(command="usage")["processor_seconds"]
+    accepted_at = {}
+    for _ in range(CHANGES):
+        answer = run.control.ask(command="change")
+        accepted_at[answer["index"]] = answer["at"]
+        time.sleep(CHANGE_SECONDS)
+    run.wait_for(max(accepted_at))
+    applied, after = run.report()
+    usage = run.control.ask(command="usage")
+    spent = time.monotonic() - began
+    show(
+        "change in force at a proxy",
+        histogram_of(
+            at - accepted_at[index]
+            for _, index, at in applied
+            if index in accepted_at
+        ),
+        CHANGES * run.count,
+    )
+    last = {}
+    for _, index, at in applied:
+        last[index] = max(last.get(index, 0.0), at)
+    show(
+        "change in force everywhere",
+        histogram_of(
+            last[index] - at
+            for index, at in accepted_at.items()
+            if index in last
+        ),
+        CHANGES,
+    )
+    used = (after - before) / run.count - idle_rate * spent
+    print(f"  bytes a change and proxy: {max(0, used) / CHANGES:.0f}")
+    processor = usage["processor_seconds"] - processor
+    print(
+        f"  control process: {processor / CHANGES * 1000:.1f} ms of "
+        f"processor a change, {usage['resident_kb'] / 1024:.0f} MB"
+    )
+
+
+def measure_churn(run, idle_rate):
+    """Print the bytes of one target that starts again."""
+    began = time.monotonic()
+    _, before = run.report()
+    run.processes[0].ask(
+        command="churn", count=CHURN_EVENTS, pause=CHURN_SECONDS
+    )
+    time.sleep(1.0)
+    _, after = run.report()
+    spent = time.monotonic() - began
+    used = (after - before) / run.count - idle_rate * spent
+    print(
+        f"  bytes a churn event and proxy: {max(0, used) / CHURN_EVENTS:.0f}"
+        f" ({1 / CHURN_SECONDS:.0f} events/s)"
+    )
+
+
+def measure_storm(run):
+    """Print how long all proxies take to be back with a new version."""
+    _, before = run.report()
+    at = run.control.ask(command="reset")["at"]
+    index = run.control.ask(command="change")["index"]
+    run.wait_for(index)
+    applied, after = run.report()
+    show(
+        "reconnect storm, new version in force",
+        histogram_of(t - at for _, held, t in applied if held == index),
+        run.count,
+    )
+    print(f"  bytes a proxy: {(after - before) / run.count:.0f}")
+
+
+def measure_return(run, *, newborn):
+    """Print the return of one process's proxies after missed changes."""
+    process = run.processes[0]
+    count = min(run.count, PROXIES_PER_PROCESS)
+    process.ask(command="leave")
+    before = process.ask(command="report")["bytes"]
+    index = run.control.ask(command="change", count=MISSED_CHANGES)["index"]
+    time.sleep(2.0)
+    at = process.ask(command="come_back", newborn=newborn)["at"]
+    run.wait_for(index)
+    report = process.ask(command="report")
+    name = "restarted" if newborn else "returning"
+    show(
+        f"{name} after {MISSED_CHANGES} missed changes",
+        histogram_of(
+            t - at for _, held, t in report["applied"] if held == index
+        ),
+        count,
+    )
+    print(f"  bytes a proxy: {(report['bytes'] - before) / count:.0f}")
+
+
+def main():
+    """Measure each number of proxies in each mode."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--proxies", default="10,50,100,200")
+    parser.add_argument("--modes", default=",".join(MODES))
+    options = parser.parse_args()
+    print(
+        f"{SERVICES} services, {SERVICES * ROUTES_PER_SERVICE} routes, one "
+        f"target a proxy, up to {PROXIES_PER_PROCESS} proxies a process"
+    )
+    for mode in options.modes.split(","):
+        for proxies in map(int, options.proxies.split(",")):
+            print(f"{mode}, {proxies} proxies")
+            run = Run(proxies=proxies, **MODES[mode])
+            try:
+                idle_rate = measure_idle(run)
+                measure_changes(run, idle_rate)
+                measure_churn(run, idle_rate)
+                measure_storm(run)
+                measure_return(run, newborn=False)
+                measure_return(run, newborn=True)
+            finally:
+                run.stop()
+            sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/distribution_process.py
@@ -0,0 +1,229 @@
+"""A process of the convergence benchmark, driven by lines on its input.
+
+As `control` it runs two control hosts of one zone over versions in memory;
+as `proxies` it runs the control sides of several proxies. Each line is a
+JSON object with a `command`; each answer is one, too. Times are those of
+the machine's monotonic clock, which all processes share.
+"""
+
+import os
+
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+import json  # noqa: E402
+import resource  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+
+import attrs  # noqa: E402
+from eventlet import hubs  # noqa: E402
+
+from tests.support.control_side import (  # noqa: E402
+    ADDRESS,
+    ControlSide,
+    FakeVersions,
+    ProxySide,
+    make_mesh,
+)
+from verbenanotch.conf import Voter  # noqa: E402
+from verbenanotch.distribution import SnapshotHolder  # noqa: E402
+from verbenanotch.telemetry import configure  # noqa: E402
+
+READ_BYTES = 65536
+ENTRY_SERVICES = 5
+
+
+class ControlProcess:
+    """Two control hosts that share one list of versions."""
+
+    def __init__(self, *, services, routes_per_service, whole, **_):
+        """Start both with a first version."""
+        self._versions = FakeVersions()
+        self._mesh = make_mesh(services, routes_per_service=routes_per_service)
+        self._versions.accept(self._mesh)
+        self._changes = 0
+        self._controls = [
+            ControlSide(
+                name=name,
+                versions=self._versions,
+                lease_ms=5000,
+                whole_state_updates=whole,
+            )
+            for name in ("c1", "c2")
+        ]
+        peers = {control.name: control.peer for control in self._controls}
+        for control in self._controls:
+            control.start(
+                {n: p for n, p in peers.items() if n != control.name}
+            )
+
+    def ports(self, **_):
+        """Return the peer ports by name."""
+        return {c.name: c.listener.port for c in self._controls}
+
+    def change(self, count=1, **_):
+        """Accept versions with one changed route each."""
+        names = list(self._mesh.routes)
+        for _ in range(count):
+            self._changes += 1
+            name = names[self._changes % len(names)]
+            route = attrs.evolve(
+                self._mesh.routes[name], timeout_ms=1 + self._changes
+            )
+            self._mesh = attrs.evolve(
+                self._mesh, routes={**self._mesh.routes, name: route}
+            )
+            version = self._versions.accept(self._mesh)
+        return {"index": version.index, "at": time.monotonic()}
+
+    def reset(self, **_):
+        """Close every stream to a proxy at once."""
+        at = time.monotonic()
+        for control in self._controls:
+            sessions = list(control.publisher.sessions_by_host.values())
+            for session in sessions:
+                session.connection.close()
+        return {"at": at}
+
+    def usage(self, **_):
+        """Return the processor seconds and the largest resident size."""
+        return _usage()
+
+
+class ProxiesProcess:
+    """The control sides of several proxies."""
+
+    def __init__(self, *, first, count, services, ports, need, **_):
+        """Start them, each with one target."""
+        self._control_hosts = {
+            name: Voter(address=ADDRESS, peer_port=port)
+            for name, port in ports.items()
+        }
+        self._applied = []
+        self._earlier_bytes = 0
+        self._proxies = [
+            self._start(number, services, need)
+            for number in range(first, first + count)
+        ]
+
+    def versions(self, **_):
+        """Return the lowest version and the least targets known."""
+        snapshots = [proxy.holder.snapshot for proxy in self._proxies]
+        return {
+            "index": min(s.version.index for s in snapshots),
+            "hosts": min(len(s.hosts_by_name) for s in snapshots),
+        }
+
+    def report(self, **_):
+        """Return what was applied since the last report, and all bytes."""
+        applied, self._applied = self._applied, []
+        return {
+            "applied": applied,
+            "bytes": self._earlier_bytes
+            + sum(p.subscriber.control_bytes for p in self._proxies),
+            **_usage(),
+        }
+
+    def churn(self, count, pause, **_):
+        """Announce another incarnation of one target at a time."""
+        for number in range(count):
+            proxy = self._proxies[number % len(self._proxies)]
+            proxy.announce(
+                attrs.evolve(target, incarnation=target.incarnation + 1)
+                for target in proxy.record.targets
+            )
+            eventlet.sleep(pause)
+        return {}
+
+    def leave(self, **_):
+        """End every stream."""
+        for proxy in self._proxies:
+            proxy.subscriber.stop()
+        return {}
+
+    def come_back(self, newborn, **_):
+        """Open the streams again, with or without what was held."""
+        at = time.monotonic()
+        for proxy in self._proxies:
+            self._earlier_bytes += proxy.subscriber.control_bytes
+            if newborn:
+                proxy.holder = SnapshotHolder()
+                self._watch(proxy)
+            proxy.restart_streams()
+        return {"at": at}
+
+    def _start(self, number, services, need):
+        entry = [
+            f"s{(number * 7 + step) % services}"
+            for step in range(ENTRY_SERVICES)
+        ]
+        proxy = ProxySide(
+            name=f"p{number}",
+            services=[f"s{number % services}"],
+            entry_services=entry if need else (),
+            control_hosts_by_name=self._control_hosts,
+        )
+        self._watch(proxy)
+        return proxy.start()
+
+    def _watch(self, proxy):
+        apply = proxy.holder.apply
+
+        def noting(update, **arguments):
+            outcome = apply(update, **arguments)
+            if update.mesh:
+                self._applied.append(
+                    (
+                        proxy.name,
+                        proxy.holder.snapshot.version.index,
+                        time.monotonic(),
+                    )
+                )
+            return outcome
+
+        proxy.holder.apply = noting
+
+
+def _usage():
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return {
+        "processor_seconds": usage.ru_utime + usage.ru_stime,
+        "resident_kb": usage.ru_maxrss,
+    }
+
+
+def _read_lines():
+    pending = b""
+    while True:
+        hubs.trampoline(0, read=True)
+        data = os.read(0, READ_BYTES)
+        if not data:
+            return
+        pending += data
+        *lines, pending = pending.split(b"\n")
+        yield from lines
+
+
+def main():
+    """Run until the input ends."""
+    configure(host="bench", level="error")
+    process = None
+    for line in _read_lines():
+        request = json.loads(line)
+        command = request.pop("command")
+        if command == "control":
+            process, answer = ControlProcess(**request), {}
+        elif command == "proxies":
+            process, answer = ProxiesProcess(**request), {}
+        else:
+            answer = getattr(process, command)(**request)
+        sys.stdout.write(json.dumps(answer) + "\n")
+        sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/support/control_side.py
+++ b/tests/support/control_side.py
@@ -242,28 +242,24 @@
             },
         )
         self.record = attrs.evolve(self.record, peer_port=self.listener.port)
-        self.subscriber = Subscriber(
-            settings=Settings(
-                host=HostSettings(
-                    name=name,
-                    role="proxy",
-                    availability_zone=zone,
-                    address=ADDRESS,
-                    peer_port=self.listener.port,
-                    peer_key=PEER_KEY,
-                ),
-                proxy=ProxySettings(
-                    caller_port=1,
-                    target_port=2,
-                    control_hosts_by_name=control_hosts_by_name,
-                    entry_services=tuple(entry_services),
-                    floor_wait_ms=floor_wait_ms,
-                ),
+        self._settings = Settings(
+            host=HostSettings(
+                name=name,
+                role="proxy",
+                availability_zone=zone,
+                address=ADDRESS,
+                peer_port=self.listener.port,
+                peer_key=PEER_KEY,
+            ),
+            proxy=ProxySettings(
+                caller_port=1,
+                target_port=2,
+                control_hosts_by_name=control_hosts_by_name,
+                entry_services=tuple(entry_services),
+                floor_wait_ms=floor_wait_ms,
             ),
-            holder=self.holder,
-            announcement=lambda: self.record,
-            on_drain=self.drained.append,
         )
+        self.subscriber = self._make_subscriber()
 
     def start(self):
         """Start the streams."""
@@ -271,6 +267,11 @@
         self.subscriber.start()
         return self
 
+    def restart_streams(self):
+        """Open new streams over the current `holder`."""
+        self.subscriber = self._make_subscriber()
+        self.subscriber.start()
+
     def stop(self):
         """End the streams without a release, as a crash does."""
         self.subscriber.stop()
@@ -285,6 +286,14 @@
         )
         self.subscriber.announce()
 
+    def _make_subscriber(self):
+        return Subscriber(
+            settings=self._settings,
+            holder=self.holder,
+            announcement=lambda: self.record,
+            on_drain=self.drained.append,
+        )
+
     @property
     def version(self):
         """Return the version in force."""
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -91,6 +91,7 @@
         self._attempts = 0
         self._not_before = 0.0
         self._answered_at = None
+        self._closed_bytes = 0
         self._stale_watch = StaleWatch()
         self._search = None
         self._changed = Signal()
@@ -103,10 +104,9 @@
 
     @property
     def control_bytes(self):
-        """Return the bytes sent and received on the open streams."""
-        return sum(
-            link.connection.sent_bytes + link.connection.received_bytes
-            for link in self._links_by_name.values()
+        """Return the bytes sent and received so far on all streams."""
+        return self._closed_bytes + sum(
+            _bytes_of(link.connection) for link in self._links_by_name.values()
         )
 
     def start(self):
@@ -189,6 +189,7 @@
 
     def _lose(self, link, error):
         emit(events.CONTROL_LOST, peer=link.name, error=str(error))
+        self._closed_bytes += _bytes_of(link.connection)
         link.connection.close()
         if self._subscribed is link:
             self._subscribed = None
@@ -386,5 +387,9 @@
         link.connection.close()
 
 
+def _bytes_of(connection):
+    return connection.sent_bytes + connection.received_bytes
+
+
 def _pause():
     eventlet.sleep(0)
