--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; they print figures and assert nothing."""
+"""Benchmarks; they print figures and assert none."""
