Add the holders' and the coordinator's sides of keyed requests

Cause: a keyed request must run at most once also while its two holders are lost, replaced or cut off one after the other.

A pair of holders serves a slice for one generation, which begins with the view that changes the pair. A request is dispatched only when both have it as started in the same generation. A new holder serves after an earlier one has handed its records over and every other one has moved on, or when their leases are over; then only keys issued later are known never to have run.

Ruled out: going by the newest view alone, as a holder that misses a view and sees the old pair again would serve without the records in between; and matching epochs of the whole zone, which refuses every key while any view spreads.

--- a/verbenanotch/idempotency/__init__.py
+++ b/verbenanotch/idempotency/__init__.py
@@ -1,5 +1,11 @@
 """Records that keep a keyed request from running twice."""
 
+from verbenanotch.idempotency._coordinator import (
+    Coordinator,
+    Dispatch,
+    HolderTable,
+)
+from verbenanotch.idempotency._holder import Holder, push_transfers
 from verbenanotch.idempotency._keys import issued_at_ms, new_key
 from verbenanotch.idempotency._members import (
     Member,
@@ -36,8 +42,12 @@
     "Answer",
     "Begin",
     "Begun",
+    "Coordinator",
+    "Dispatch",
     "Finish",
     "Handover",
+    "Holder",
+    "HolderTable",
     "InProgress",
     "KeyConflict",
     "Look",
@@ -56,5 +66,6 @@
     "issued_at_ms",
     "new_key",
     "next_view",
+    "push_transfers",
     "slice_of",
 ]
--- /dev/null
+++ b/verbenanotch/idempotency/_coordinator.py
@@ -0,0 +1,215 @@
+"""Begin and end a keyed request at its two holders."""
+
+import dataclasses
+
+import attrs
+
+from verbenanotch.idempotency._keys import issued_at_ms
+from verbenanotch.idempotency._members import (
+    Member,
+    holders_for_slice,
+    identities,
+    slice_of,
+)
+from verbenanotch.idempotency._messages import (
+    AlreadyFinished,
+    Begin,
+    Begun,
+    Finish,
+    InProgress,
+    KeyConflict,
+    Look,
+    MarkUnknown,
+    Refused,
+    Release,
+    WasUnknown,
+)
+
+UNREACHABLE_RETRY_AFTER_MS = 1000
+
+
+class HolderTable:
+    """The pairs of holders under the newest known view of a zone."""
+
+    def __init__(self, view):
+        """Work pairs out when they are first asked for."""
+        self._view = view
+        self._pairs_by_slice = {}
+
+    def pair(self, key):
+        """Return the `(first, second)` members that hold a key."""
+        slice_number = slice_of(key)
+        pair = self._pairs_by_slice.get(slice_number)
+        if pair is None:
+            pair = holders_for_slice(slice_number, self._view.members)
+            self._pairs_by_slice[slice_number] = pair
+        return pair
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Dispatch:
+    """Both holders have the key as started: run it, once.
+
+    End it with `finish`, `mark_unknown` or, if the target was provably not
+    touched, `release` of the coordinator.
+    """
+
+    key: str
+    token: str
+    pair: tuple[Member, Member | None]
+
+
+class Coordinator:
+    """Ask the two holders of a key, the first one first.
+
+    `ask(member, message, timeout_seconds)` sends a message and returns the
+    reply, or None if there was none in time; it may switch to other
+    greenthreads. `new_token()` returns a string that no other attempt of any
+    process has.
+    """
+
+    def __init__(self, *, ask, new_token, timeout_seconds):
+        """Bound each message by `timeout_seconds`."""
+        self._ask = ask
+        self._new_token = new_token
+        self._timeout_seconds = timeout_seconds
+
+    def begin(self, *, key, digest, table, timeout_ms):
+        """Return Dispatch, or why the key is not run now.
+
+        `table` is the HolderTable of the key's home zone, `timeout_ms` how
+        long the attempt can take. Other results: AlreadyFinished,
+        InProgress, WasUnknown, KeyConflict, Refused. Only Refused with
+        `not_run` says that no attempt of the key has run.
+        """
+        if issued_at_ms(key) is None:
+            return Refused(reason="key-form", retry_after_ms=0, not_run=True)
+        pair = table.pair(key)
+        if pair[0] is None:
+            return _unreachable(not_run=False)
+        message = Begin(
+            key=key,
+            digest=digest,
+            token=self._new_token(),
+            timeout_ms=timeout_ms,
+            hosts=identities(pair),
+        )
+        reply = self._send(pair[0], message)
+        match reply:
+            case Begun():
+                return self._begin_at_second(pair, message, reply)
+            case None:
+                self._send_release(pair[:1], message)
+                reply = _unreachable(not_run=False)
+                return self._look_at_second(pair, message, reply)
+            case InProgress() | WasUnknown() | Refused(not_run=False):
+                return self._look_at_second(pair, message, reply)
+            case _:
+                return reply
+
+    def finish(self, dispatch, answer, *, table):
+        """Give the answer to the holders, also to those of a newer view."""
+        self._end(
+            dispatch,
+            Finish(key=dispatch.key, token=dispatch.token, answer=answer),
+            table,
+        )
+
+    def mark_unknown(self, dispatch, *, table):
+        """Tell the holders that the attempt ended without an answer."""
+        self._end(
+            dispatch,
+            MarkUnknown(key=dispatch.key, token=dispatch.token),
+            table,
+        )
+
+    def release(self, dispatch, *, table):
+        """Tell the holders that the attempt was provably not run.
+
+        The key may be begun again. The caller may be told that it was not
+        run, whether or not the holders can be reached.
+        """
+        self._end(
+            dispatch,
+            Release(key=dispatch.key, token=dispatch.token),
+            table,
+        )
+
+    def _begin_at_second(self, pair, message, begun):
+        dispatch = Dispatch(key=message.key, token=message.token, pair=pair)
+        if pair[1] is None:
+            return dispatch
+        message = attrs.evolve(message, released=begun.released)
+        reply = self._send(pair[1], message)
+        match reply:
+            case Begun(pair_epoch=epoch) if epoch == begun.pair_epoch:
+                return dispatch
+            case Begun():
+                self._send_release(pair, message)
+                return _unreachable(reason="unsettled", not_run=False)
+            case None:
+                self._send_release(pair, message)
+                return _unreachable(not_run=True)
+            case Refused():
+                self._send_release(pair[:1], message)
+                return attrs.evolve(reply, not_run=True)
+            case AlreadyFinished(answer=answer):
+                self._send(
+                    pair[0],
+                    Finish(
+                        key=message.key, token=message.token, answer=answer
+                    ),
+                )
+            case InProgress() | WasUnknown():
+                self._send(
+                    pair[0],
+                    MarkUnknown(key=message.key, token=message.token),
+                )
+            case KeyConflict():
+                self._send_release(pair[:1], message)
+        return reply
+
+    def _look_at_second(self, pair, message, reply):
+        """Return what the second holder knows for sure, else `reply`."""
+        if pair[1] is None:
+            return reply
+        look = Look(key=message.key, digest=message.digest)
+        found = self._send(pair[1], look)
+        match found:
+            case AlreadyFinished() | KeyConflict():
+                return found
+            case InProgress() | WasUnknown() if isinstance(reply, Refused):
+                return found
+            case _:
+                return reply
+
+    def _end(self, dispatch, message, table):
+        """Send to the second holders first.
+
+        As long as the first one has the key as started, no other attempt
+        gets past it.
+        """
+        members = {}
+        for pair in (dispatch.pair, table.pair(dispatch.key)):
+            for member in reversed(pair):
+                if member is not None:
+                    members.setdefault(member.identity, member)
+        first = members.pop(dispatch.pair[0].identity)
+        for member in (*members.values(), first):
+            self._send(member, message)
+
+    def _send_release(self, pair, message):
+        release = Release(key=message.key, token=message.token)
+        for member in reversed(pair):
+            self._send(member, release)
+
+    def _send(self, member, message):
+        return self._ask(member, message, self._timeout_seconds)
+
+
+def _unreachable(*, not_run, reason="holder-unreachable"):
+    return Refused(
+        reason=reason,
+        retry_after_ms=UNREACHABLE_RETRY_AFTER_MS,
+        not_run=not_run,
+    )
--- /dev/null
+++ b/verbenanotch/idempotency/_holder.py
@@ -0,0 +1,292 @@
+"""A proxy's part as a holder of records."""
+
+import attrs
+
+from verbenanotch.idempotency._custody import Custody, Transfer
+from verbenanotch.idempotency._members import (
+    SLICE_COUNT,
+    identities,
+    slice_of,
+    updated_pairs,
+)
+from verbenanotch.idempotency._messages import (
+    Acknowledged,
+    Begin,
+    Begun,
+    Finish,
+    Handover,
+    Look,
+    MarkUnknown,
+    Refused,
+    Release,
+)
+from verbenanotch.idempotency._records import size_bytes
+
+PART_BYTES = 512 * 1024
+MILLISECONDS_PER_SECOND = 1000
+UNSETTLED_RETRY_AFTER_MS = 1000
+
+
+class Holder:
+    """Answer the messages of coordinators and of other holders.
+
+    Wants every view of its zone in sequence, from the one in which its
+    incarnation joined. After a gap it serves nothing more: the process has
+    to join again with a greater incarnation.
+
+    `now` is in monotonic seconds, `wall_ms` in milliseconds since 1970.
+    """
+
+    def __init__(self, *, identity, store, lease_seconds):
+        """Hold nothing; `identity` is host and incarnation."""
+        self._identity = identity
+        self._store = store
+        self._wait_seconds = (
+            lease_seconds + store.clock_margin_ms / MILLISECONDS_PER_SECOND
+        )
+        self._lease_seconds = lease_seconds
+        self._serving_until = float("-inf")
+        self._view = None
+        self._pairs = [(None, None)] * SLICE_COUNT
+        self._current_by_slice = {}
+        self._open = []
+        self.gap_found = False
+
+    @property
+    def epoch(self):
+        """Return the epoch of the installed view, 0 without one."""
+        return 0 if self._view is None else self._view.epoch
+
+    def install(self, view, *, now, wall_ms):
+        """Take up the next view; return False if views are missing.
+
+        A view that is not newer is ignored.
+        """
+        if self.gap_found:
+            return False
+        if view.epoch <= self.epoch:
+            return True
+        if not self._follows(view):
+            self.gap_found = True
+            return False
+        members = view.by_identity()
+        old_pairs = self._pairs
+        if self._view is None:
+            self._pairs = updated_pairs(
+                old_pairs, attrs.evolve(view, members=()), view
+            )
+        else:
+            self._pairs = updated_pairs(old_pairs, self._view, view)
+        self._view = view
+        for slice_number, pair in enumerate(self._pairs):
+            if identities(pair) != identities(old_pairs[slice_number]):
+                self._change(slice_number, pair, members, now, wall_ms)
+        for custody in self._open:
+            custody.owed = [
+                transfer
+                for transfer in custody.owed
+                if transfer.member.identity in members
+            ]
+        self.tick(now)
+        return True
+
+    def confirm(self, epoch, *, asked_at):
+        """Renew the lease: the publisher says that `epoch` is the newest.
+
+        `asked_at` is when the renewal was asked for, in monotonic seconds.
+        A holder that is behind gets no renewal.
+        """
+        if epoch == self.epoch:
+            self._serving_until = asked_at + self._lease_seconds
+
+    def tick(self, now):
+        """Settle what is due and drop what others hold."""
+        for custody in self._open:
+            custody.settle(self._identity, now)
+        self._open = [item for item in self._open if self._is_open(item)]
+        needed = {item.slice_number for item in self._open}
+        for slice_number in self._store.slices():
+            if (
+                slice_number not in needed
+                and slice_number not in self._current_by_slice
+            ):
+                self._store.drop_slice(slice_number)
+
+    def handle(self, message, *, now, wall_ms):
+        """Return the reply to a message of this package."""
+        match message:
+            case Begin():
+                return self._begin(message, now, wall_ms)
+            case Look(key=key, digest=digest):
+                return self._store.look(key, digest, wall_ms=wall_ms)
+            case Finish(key=key, token=token, answer=answer):
+                applied = self._store.finish(key, token, answer)
+            case MarkUnknown(key=key, token=token):
+                applied = self._store.mark_unknown(key, token)
+            case Release(key=key, token=token):
+                applied = self._store.release(key, token)
+            case Handover():
+                applied = self._receive(message, now)
+        return Acknowledged(applied=applied)
+
+    def due_transfers(self):
+        """Return the transfers that can be sent now."""
+        return tuple(
+            transfer
+            for custody in self._open
+            if custody.settled
+            for transfer in custody.owed
+        )
+
+    def parts(self, transfer):
+        """Return the Handover messages of a transfer, to send in order."""
+        records = self._store.records_in_slice(transfer.slice_number)
+        groups = _grouped(records)
+        return tuple(
+            Handover(
+                slice_number=transfer.slice_number,
+                pair_epoch=transfer.pair_epoch,
+                sender=self._identity,
+                required=transfer.required,
+                complete_since_ms=transfer.custody.complete_since_ms,
+                part=part,
+                part_count=len(groups),
+                records=tuple(group),
+            )
+            for part, group in enumerate(groups)
+        )
+
+    def delivered(self, transfer):
+        """Note that all parts of a transfer were applied."""
+        if transfer in transfer.custody.owed:
+            transfer.custody.owed.remove(transfer)
+
+    def _follows(self, view):
+        if self._view is not None:
+            return view.epoch == self._view.epoch + 1
+        own = view.by_identity().get(self._identity)
+        return own is not None and own.joined_epoch == view.epoch
+
+    def _change(self, slice_number, pair, members, now, wall_ms):
+        """Begin a new generation of one slice."""
+        prior = self._current_by_slice.pop(slice_number, None)
+        required = None
+        if prior is not None:
+            required = tuple(
+                identity for identity in prior.pair if identity in members
+            )
+            prior.owed = [
+                Transfer(
+                    slice_number=slice_number,
+                    pair_epoch=self._view.epoch,
+                    member=member,
+                    required=required,
+                    custody=prior,
+                )
+                for member in pair
+                if member is not None and member.identity != self._identity
+            ]
+        if self._identity not in identities(pair):
+            return
+        wait_ms = int(self._wait_seconds * MILLISECONDS_PER_SECOND)
+        custody = Custody(
+            slice_number=slice_number,
+            pair_epoch=self._view.epoch,
+            pair=identities(pair),
+            deadline=now + self._wait_seconds,
+            lapsed_since_ms=(
+                wall_ms + wait_ms + 2 * self._store.clock_margin_ms
+            ),
+            prior=prior,
+            required=None if required is None else frozenset(required),
+        )
+        self._current_by_slice[slice_number] = custody
+        self._open.append(custody)
+
+    def _is_open(self, custody):
+        """Return whether a generation still has something to do here."""
+        current = self._current_by_slice.get(custody.slice_number)
+        return current is custody or not custody.settled or custody.owed
+
+    def _begin(self, message, now, wall_ms):
+        custody = self._current_by_slice.get(slice_of(message.key))
+        reason = self._obstacle(custody, message, now)
+        if reason:
+            return Refused(
+                reason=reason, retry_after_ms=UNSETTLED_RETRY_AFTER_MS
+            )
+        reply = self._store.begin(
+            message.key,
+            message.digest,
+            token=message.token,
+            timeout_ms=message.timeout_ms,
+            wall_ms=wall_ms,
+            complete_since_ms=custody.complete_since_ms,
+            released=message.released,
+        )
+        if isinstance(reply, Begun):
+            return attrs.evolve(reply, pair_epoch=custody.pair_epoch)
+        return reply
+
+    def _obstacle(self, custody, message, now):
+        """Return why this holder cannot serve the key, or None."""
+        if custody is None or custody.pair != message.hosts:
+            return "not-holder"
+        if self.gap_found or now >= self._serving_until:
+            return "lease-expired"
+        if not custody.settle(self._identity, now):
+            return "unsettled"
+        return None
+
+    def _receive(self, handover, now):
+        """Merge a part; return whether the sender may go on.
+
+        A generation that this holder has not reached yet, or records that
+        do not fit, make the sender repeat it later.
+        """
+        if self.gap_found or handover.pair_epoch > self.epoch:
+            return False
+        for custody in self._open:
+            if (
+                custody.slice_number == handover.slice_number
+                and custody.pair_epoch == handover.pair_epoch
+            ):
+                break
+        else:
+            return True
+        if not self._store.adopt(handover.records):
+            return False
+        received = custody.receive(handover)
+        self.tick(now)
+        return received
+
+
+def push_transfers(holder, ask, *, timeout_seconds):
+    """Send the due transfers through `ask`; return how many are left.
+
+    `ask(member, message, timeout_seconds)` returns the reply, or None if
+    there was none.
+    """
+    left = 0
+    for transfer in holder.due_transfers():
+        for part in holder.parts(transfer):
+            reply = ask(transfer.member, part, timeout_seconds)
+            if reply != Acknowledged(applied=True):
+                left += 1
+                break
+        else:
+            holder.delivered(transfer)
+    return left
+
+
+def _grouped(records):
+    """Return records in groups within the bound of a part; at least one."""
+    groups = [[]]
+    size = 0
+    for record in records:
+        size += size_bytes(record)
+        if size > PART_BYTES and groups[-1]:
+            groups.append([])
+            size = size_bytes(record)
+        groups[-1].append(record)
+    return groups
--- a/verbenanotch/idempotency/_records.py
+++ b/verbenanotch/idempotency/_records.py
@@ -68,9 +68,9 @@
         """Record the key as started, if it is new; return the reply.
 
         `complete_since_ms` tells from which time of issue on every key that
-        was ever used is in this store; an older key without a record is
-        answered WasUnknown. `released` are tokens whose attempts were given
-        up, as the first holder told.
+        was ever used is in this store; an older key is not started, even if
+        its record says that an attempt was given up. `released` are tokens
+        whose attempts were given up, as the first holder told.
         """
         self.expire(wall_ms)
         record = self._records_by_key.get(key)
@@ -82,7 +82,7 @@
             if not _is_void(record, released):
                 return self._reply(record)
         issued_ms = issued_at_ms(key)
-        reply = self._unusable(issued_ms, record, complete_since_ms)
+        reply = self._unusable(issued_ms, complete_since_ms)
         if reply is not None:
             return reply
         return self._start(
@@ -150,6 +150,10 @@
         keys = self._keys_by_slice.get(slice_number, ())
         return tuple(self._records_by_key[key] for key in keys)
 
+    def slices(self):
+        """Return the numbers of the slices that have records."""
+        return tuple(self._keys_by_slice)
+
     def drop_slice(self, slice_number):
         """Forget a slice that others hold now."""
         for key in tuple(self._keys_by_slice.get(slice_number, ())):
@@ -166,13 +170,13 @@
             if key in self._records_by_key:
                 self._remove(key)
 
-    def _unusable(self, issued_ms, record, complete_since_ms):
+    def _unusable(self, issued_ms, complete_since_ms):
         """Return the reply for a key that cannot be started, or None."""
         if issued_ms is None:
             return Refused(reason="key-form", retry_after_ms=0, not_run=True)
         if issued_ms < self._wall_ms - self._max_age_ms:
             return WasUnknown(reason="too-old")
-        if record is None and issued_ms <= complete_since_ms:
+        if issued_ms <= complete_since_ms:
             return WasUnknown(reason="before-records")
         ahead_ms = issued_ms - self._wall_ms - self.clock_margin_ms
         if ahead_ms > 0:
@@ -268,12 +272,14 @@
     high, low = sorted(
         (one, other), key=lambda record: record.state, reverse=True
     )
-    same = one.token == other.token
-    if not same and high.state is not State.FINISHED:
-        if _is_void(high, low.released):
-            high = low
-        elif not _is_void(low, high.released):
-            high = attrs.evolve(high, state=State.UNKNOWN)
+    if one.token != other.token and high.state is not State.FINISHED:
+        if not _is_void(low, high.released):
+            if _is_void(high, low.released):
+                high = low
+            else:
+                high = attrs.evolve(high, state=State.UNKNOWN)
+        elif _is_void(high, low.released):
+            high = attrs.evolve(high, state=State.RELEASED)
     return attrs.evolve(high, released=tokens)
 
 
