--- a/tests/unit/test_idempotency_protocol.py
+++ b/tests/unit/test_idempotency_protocol.py
@@ -15,8 +15,11 @@
 from verbenanotch.idempotency import (
     AlreadyFinished,
     Answer,
+    Begin,
+    Begun,
     Coordinator,
     Dispatch,
+    Handover,
     Holder,
     HolderTable,
     InProgress,
@@ -24,11 +27,13 @@
     Member,
     RecordStore,
     Refused,
+    Release,
     View,
     WasUnknown,
     next_view,
     push_transfers,
 )
+from verbenanotch.idempotency._custody import Custody
 
 LEASE_SECONDS = 3.0
 MARGIN_SECONDS = 1.0
@@ -433,6 +438,84 @@
     assert holder.gap_found
 
 
+def begin_at(mesh, holder, key, *, hosts):
+    message = Begin(
+        key=key, digest=b"d", token="x", timeout_ms=500, hosts=hosts
+    )
+    return holder.handle(message, now=mesh.now, wall_ms=mesh.wall_ms())
+
+
+def test_holder_serves_only_its_own_pair_within_its_lease(mesh):
+    key = new_key(mesh)
+    first, second = mesh.table().pair(key)
+    hosts = (first.identity, second.identity)
+    holder = mesh.holders[first.identity]
+    other = begin_at(mesh, holder, key, hosts=(first.identity, ("q", 1)))
+    assert other.reason == "not-holder"
+    mesh.now += LEASE_SECONDS
+    holder.confirm(holder.epoch + 1, asked_at=mesh.now)
+    assert begin_at(mesh, holder, key, hosts=hosts).reason == "lease-expired"
+    holder.confirm(holder.epoch, asked_at=mesh.now)
+    assert isinstance(begin_at(mesh, holder, key, hosts=hosts), Begun)
+
+
+def test_holders_of_different_generations_do_not_dispatch(mesh):
+    epochs = itertools.count()
+    sent = []
+
+    def ask(member, message, timeout_seconds):
+        sent.append((member.host, type(message)))
+        return Begun(pair_epoch=next(epochs))
+
+    coordinator = Coordinator(
+        ask=ask, new_token=lambda: "t", timeout_seconds=0.1
+    )
+    key = new_key(mesh)
+    outcome = coordinator.begin(
+        key=key, digest=b"d", table=mesh.table(), timeout_ms=500
+    )
+    assert isinstance(outcome, Refused)
+    assert not outcome.not_run
+    first, second = holders_of(mesh, key)
+    assert sent[2:] == [(second, Release), (first, Release)]
+
+
+def test_new_holder_waits_for_every_earlier_one_that_is_left():
+    custody = Custody(
+        slice_number=0,
+        pair_epoch=5,
+        pair=(("c", 1), ("d", 1)),
+        deadline=10.0,
+        lapsed_since_ms=99,
+    )
+    for sender, settled in (("a", False), ("b", True)):
+        custody.receive(
+            Handover(
+                slice_number=0,
+                pair_epoch=5,
+                sender=(sender, 1),
+                required=(("a", 1), ("b", 1)),
+                complete_since_ms=7,
+                part=0,
+                part_count=1,
+                records=(),
+            )
+        )
+        assert custody.settle(("c", 1), 0.0) is settled
+    assert custody.complete_since_ms == 7
+
+
+def test_key_from_ahead_of_the_clock_does_not_run_on_new_holders(mesh):
+    key = f"{mesh.wall_ms() + 999}-ahead"
+    assert isinstance(mesh.attempt(key), Dispatch)
+    for host in holders_of(mesh, key):
+        mesh.start(host, 2)
+    mesh.publish()
+    mesh.settle()
+    mesh.wait(15.0)
+    assert mesh.attempt(key) == WasUnknown(reason="before-records")
+
+
 def test_single_member_serves_alone():
     mesh = Mesh(hosts="a")
     key = new_key(mesh)
--- a/tests/unit/test_idempotency_records.py
+++ b/tests/unit/test_idempotency_records.py
@@ -140,6 +140,13 @@
     assert isinstance(begin(store, complete_since_ms=NOW_MS - 1), Begun)
 
 
+def test_released_key_from_before_the_records_is_unknown(store):
+    begin(store)
+    store.release(KEY, "t1")
+    reply = begin(store, token="t2", complete_since_ms=NOW_MS)
+    assert reply == WasUnknown(reason="before-records")
+
+
 def test_key_ahead_of_the_clock_waits(store):
     match begin(store, wall_ms=NOW_MS - 10_000):
         case Refused(reason="key-ahead", retry_after_ms=8000, not_run=True):
