--- /dev/null
+++ b/verbenanotch/cli/tool.py
@@ -0,0 +1,52 @@
+"""Entry point of the command-line tool, `verbenanotch`."""
+
+import os
+import warnings
+
+# The catalogue of events imports packages that stand on the loop; the tool
+# itself runs no loop, and addresses are IP numbers.
+os.environ["EVENTLET_NO_GREENDNS"] = "yes"
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import click  # noqa: E402
+
+from verbenanotch.cli.commands import (  # noqa: E402
+    check,
+    diff,
+    drain,
+    events,
+    explain,
+    history,
+    rollback,
+    status,
+    submit,
+    targets,
+    timeline,
+)
+
+COMMANDS = (
+    check,
+    submit,
+    diff,
+    history,
+    rollback,
+    status,
+    targets,
+    drain,
+    explain,
+    timeline,
+    events,
+)
+
+
+@click.group()
+def main():
+    """Operate a mesh: check and submit files, watch versions and targets."""
+
+
+for _module in COMMANDS:
+    main.add_command(_module.command)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/verbenanotch/daemon/_proxy.py
@@ -0,0 +1,163 @@
+"""The proxy: callers, other proxies, its own targets, control hosts."""
+
+import time
+
+import eventlet
+
+from verbenanotch.catalog import NO_VERSION
+from verbenanotch.daemon import _shutdown
+from verbenanotch.daemon._caller_protocol import CallerProtocol
+from verbenanotch.daemon._http import HttpServer
+from verbenanotch.distribution import (
+    FloorResponder,
+    SnapshotHolder,
+    Subscriber,
+)
+from verbenanotch.proxy import (
+    CallerWatch,
+    Dispatcher,
+    EntryInterface,
+    LocalTargets,
+    PeerPool,
+    PeerServer,
+    TargetInterface,
+)
+from verbenanotch.wire import Listener, Purpose
+
+EXPIRY_SECONDS = 0.5
+WARM_SECONDS = 1.0
+POLL_SECONDS = 0.02
+MILLISECONDS_PER_SECOND = 1000
+
+
+class ProxyHost:
+    """All parts of a proxy."""
+
+    def __init__(self, *, settings):
+        """Bind every address."""
+        host = settings.host
+        proxy = settings.proxy
+        self._holder = SnapshotHolder()
+        self._local_targets = LocalTargets(
+            settings=settings,
+            incarnation=int(time.time() * MILLISECONDS_PER_SECOND),
+            on_change=self._announce,
+        )
+        self._subscriber = Subscriber(
+            settings=settings,
+            holder=self._holder,
+            announcement=self._local_targets.announcement,
+            on_drain=self._local_targets.drain,
+        )
+        self._peers = PeerPool(settings=settings)
+        self._peer_server = PeerServer(
+            local_targets=self._local_targets,
+            max_body_bytes=proxy.max_body_bytes,
+            max_in_flight=proxy.max_in_flight,
+        )
+        self._callers = CallerWatch()
+        self._listener = Listener(
+            address=host.address,
+            port=host.peer_port,
+            key=host.peer_key.encode(),
+            name=host.name,
+            handlers_by_purpose={
+                Purpose.REQUEST: self._peer_server.handle,
+                Purpose.DISTRIBUTION: FloorResponder(
+                    holder=self._holder
+                ).handle,
+            },
+        )
+        self._caller_http = HttpServer(
+            address=host.address,
+            port=proxy.caller_port,
+            application=self._entry(settings).application,
+            protocol=CallerProtocol,
+        )
+        self._target_http = HttpServer(
+            address=host.address,
+            port=proxy.target_port,
+            application=TargetInterface(
+                local_targets=self._local_targets
+            ).application,
+        )
+        self._shutdown_grace_seconds = (
+            proxy.shutdown_grace_ms / MILLISECONDS_PER_SECOND
+        )
+        self._floor_wait_seconds = (
+            proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
+        )
+        self._greenthreads = []
+
+    def start(self):
+        """Start serving."""
+        self._listener.start()
+        self._peers.start()
+        self._callers.start()
+        self._subscriber.start()
+        self._target_http.start()
+        self._greenthreads = [
+            eventlet.spawn(self._serve_callers),
+            eventlet.spawn(_every, EXPIRY_SECONDS, self._local_targets.expire),
+            eventlet.spawn(_every, WARM_SECONDS, self._local_targets.warm),
+        ]
+
+    def stop(self):
+        """Finish what is in flight, give up the lease, stop serving."""
+        for greenthread in self._greenthreads:
+            greenthread.kill()
+        self._local_targets.leave()
+        self._subscriber.release()
+        self._peer_server.go_away(reason="shutdown")
+        self._caller_http.stop_accepting()
+        _shutdown.wait_until_idle(
+            caller_http=self._caller_http,
+            peer_server=self._peer_server,
+            grace_seconds=self._shutdown_grace_seconds,
+        )
+        self._caller_http.close_idle()
+        self._target_http.stop()
+        self._subscriber.stop()
+        self._listener.stop()
+        self._callers.stop()
+        self._peers.stop()
+
+    def _entry(self, settings):
+        dispatcher = Dispatcher(
+            settings=settings,
+            holder=self._holder,
+            local_targets=self._local_targets,
+            peers=self._peers,
+        )
+        return EntryInterface(
+            settings=settings,
+            holder=self._holder,
+            dispatcher=dispatcher,
+            callers=self._callers,
+        )
+
+    def _serve_callers(self):
+        """Accept callers once there is a snapshot to route them by.
+
+        Until then their connections wait. Without any control host they are
+        accepted after the bound, and told that nothing was run.
+        """
+        end = time.monotonic() + self._floor_wait_seconds
+        while time.monotonic() < end and not _is_routable(
+            self._holder.snapshot
+        ):
+            eventlet.sleep(POLL_SECONDS)
+        self._caller_http.start()
+
+    def _announce(self):
+        self._subscriber.announce()
+
+
+def _is_routable(snapshot):
+    return snapshot.version != NO_VERSION and snapshot.hosts_by_name
+
+
+def _every(seconds, action):
+    while True:
+        eventlet.sleep(seconds)
+        action()
--- /dev/null
+++ b/verbenanotch/distribution/_snapshot.py
@@ -0,0 +1,93 @@
+"""What a proxy serves by: one immutable snapshot."""
+
+import attrs
+
+from verbenanotch.catalog import NO_VERSION, Route, Service, Version
+from verbenanotch.membership import HostRecord, TargetRecord
+from verbenanotch.routing import RouteTable
+
+
+@attrs.frozen(kw_only=True)
+class Snapshot:
+    """One whole version with the targets known when it was made."""
+
+    version: Version = NO_VERSION
+    services_by_name: dict[str, Service] = attrs.field(factory=dict)
+    routes_by_name: dict[str, Route] = attrs.field(factory=dict)
+    hosts_by_name: dict[str, HostRecord] = attrs.field(factory=dict)
+    targets_by_id: dict[str, TargetRecord] = attrs.field(factory=dict)
+    host_names_by_target_id: dict[str, str] = attrs.field(factory=dict)
+    target_ids_by_service: dict[str, tuple[str, ...]] = attrs.field(
+        factory=dict
+    )
+    route_table: RouteTable = attrs.field(
+        factory=lambda: RouteTable(routes_by_name={}), eq=False
+    )
+
+
+def with_mesh(snapshot, *, version, services_by_name, routes_by_name):
+    """Return the snapshot with another version."""
+    return attrs.evolve(
+        snapshot,
+        version=version,
+        services_by_name=services_by_name,
+        routes_by_name=routes_by_name,
+        route_table=RouteTable(routes_by_name=routes_by_name),
+    )
+
+
+def with_targets(snapshot, *, records_by_service, changed_services):
+    """Return the snapshot with the targets of some services replaced.
+
+    `records_by_service` holds the records of every service by host, each
+    with the targets of that service alone.
+    """
+    hosts = dict(snapshot.hosts_by_name)
+    targets = dict(snapshot.targets_by_id)
+    names = dict(snapshot.host_names_by_target_id)
+    ids_by_service = dict(snapshot.target_ids_by_service)
+    touched_hosts = set()
+    for service in changed_services:
+        for target_id in ids_by_service.pop(service, ()):
+            targets.pop(target_id, None)
+            touched_hosts.add(names.pop(target_id, None))
+        records = records_by_service.get(service, {})
+        touched_hosts.update(records)
+        ids = []
+        for record in records.values():
+            for target in record.targets:
+                targets[target.target_id] = target
+                names[target.target_id] = record.host
+                ids.append(target.target_id)
+        if ids:
+            ids_by_service[service] = tuple(sorted(ids))
+    if "" in changed_services:
+        touched_hosts.update(hosts)
+    _replace_hosts(hosts, touched_hosts, records_by_service)
+    return attrs.evolve(
+        snapshot,
+        hosts_by_name=hosts,
+        targets_by_id=targets,
+        host_names_by_target_id=names,
+        target_ids_by_service=ids_by_service,
+    )
+
+
+def _replace_hosts(hosts, touched_hosts, records_by_service):
+    """Put together each touched host's record from its services."""
+    found = {}
+    for records in records_by_service.values():
+        for host in touched_hosts & records.keys():
+            found.setdefault(host, []).append(records[host])
+    for host in touched_hosts:
+        hosts.pop(host, None)
+        if host in found:
+            latest = max(found[host], key=lambda record: record.order)
+            hosts[host] = attrs.evolve(
+                latest,
+                targets=tuple(
+                    target
+                    for record in found[host]
+                    for target in record.targets
+                ),
+            )
--- /dev/null
+++ b/verbenanotch/proxy/_entry.py
@@ -0,0 +1,116 @@
+"""The HTTP interface for callers."""
+
+import time
+import traceback
+
+import attrs
+
+from verbenanotch.proxy import _reasons as reasons
+from verbenanotch.proxy import events
+from verbenanotch.proxy._caller_body import read_body
+from verbenanotch.proxy._cancellation import Cancellation
+from verbenanotch.proxy._outcome import (
+    Answered,
+    NotRun,
+    Rejected,
+    Unknown,
+)
+from verbenanotch.proxy._request import check_request, request_id_of
+from verbenanotch.proxy._response import respond
+from verbenanotch.proxy._tracing import TraceSampler
+from verbenanotch.telemetry import emit, metrics
+
+
+class EntryInterface:
+    """WSGI application that sends callers' requests through the mesh."""
+
+    def __init__(self, *, settings, holder, dispatcher, callers):
+        """Route by the snapshot of `holder`; watch `callers` for ends."""
+        self._settings = settings
+        self._holder = holder
+        self._dispatcher = dispatcher
+        self._callers = callers
+        self._sampler = TraceSampler(
+            everything=settings.telemetry.log_level == "debug",
+            now=time.monotonic(),
+        )
+        self.in_flight = 0
+
+    def application(self, environ, start_response):
+        """Answer one request; the WSGI entry point."""
+        started = time.monotonic()
+        request_id = request_id_of(environ)
+        traced = self._sampler.admit(started)
+        self.in_flight += 1
+        try:
+            outcome = self._outcome(environ, request_id, started, traced)
+        except Exception:
+            # A fault of the proxy itself must not pass for an answer, and
+            # nobody can tell how far the request came.
+            emit(
+                events.REQUEST_FAILED,
+                request=request_id,
+                traceback=traceback.format_exc(),
+            )
+            metrics.increment("proxy.internal_errors")
+            outcome = Unknown(reason=reasons.INTERNAL_ERROR)
+        finally:
+            self.in_flight -= 1
+        self._record(request_id, outcome, started, traced)
+        return respond(
+            outcome, request_id, environ["REQUEST_METHOD"], start_response
+        )
+
+    def _outcome(self, environ, request_id, started, traced):
+        if self.in_flight > self._settings.proxy.max_in_flight:
+            return NotRun(reason=reasons.HOST_FULL)
+        path = environ["RAW_PATH_INFO"]
+        if not path.startswith("/"):
+            return Rejected(
+                status=400, kind="bad-path", remedy="Send an absolute path."
+            )
+        found = self._holder.snapshot.route_table.match(path)
+        if found is None:
+            return NotRun(reason=reasons.NO_ROUTE)
+        request = check_request(
+            environ,
+            request_id=request_id,
+            route_name=found[0],
+            route=found[1],
+            now=started,
+        )
+        if isinstance(request, Rejected):
+            return request
+        body = read_body(
+            environ,
+            max_body_bytes=self._settings.proxy.max_body_bytes,
+            deadline=request.deadline,
+        )
+        if isinstance(body, Rejected):
+            return body
+        request = attrs.evolve(request, body=body, traced=traced)
+        return self._run(environ, request)
+
+    def _run(self, environ, request):
+        cancellation = Cancellation()
+        self._callers.watch(
+            cancellation, environ["eventlet.input"].get_socket()
+        )
+        try:
+            return self._dispatcher.run(request, cancellation=cancellation)
+        finally:
+            self._callers.forget(cancellation)
+
+    def _record(self, request_id, outcome, started, traced):
+        name = type(outcome).__name__
+        milliseconds = (time.monotonic() - started) * 1000
+        metrics.increment(f"proxy.requests.{name}")
+        metrics.timing("proxy.request_ms", milliseconds)
+        if traced or not isinstance(outcome, Answered):
+            emit(
+                events.REQUEST_ENDED,
+                request=request_id,
+                outcome=name,
+                reason=getattr(outcome, "reason", ""),
+                milliseconds=round(milliseconds, 2),
+            )
