Keep records of keyed requests at two hosts of their service

Cause: a request asked again with its idempotency key ran again. The records and the coordinator existed, but nothing carried their messages.

The messages travel on the request streams.

A view with epochs from one publisher for each zone, on which the package's Holder hands records over, was left for later: nothing publishes it yet. Until then answers are lost with a change of both holders, and a double change that two entries see differently is not excluded.

--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -153,6 +153,7 @@
         holder=holder,
         dispatcher=dispatcher,
         callers=callers,
+        keyed=None,
     )
     server = HttpServer(
         address="127.0.0.1",
--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -118,7 +118,10 @@
 def link():
     targets = FakeTargets()
     server = PeerServer(
-        local_targets=targets, max_body_bytes=MAX_BODY_BYTES, max_in_flight=8
+        local_targets=targets,
+        keeper=None,
+        max_body_bytes=MAX_BODY_BYTES,
+        max_in_flight=8,
     )
     listener = listen(server.handle)
     pool = PeerPool(settings=SETTINGS)
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -17,9 +17,11 @@
     CallerWatch,
     Dispatcher,
     EntryInterface,
+    KeyedRequests,
     LocalTargets,
     PeerPool,
     PeerServer,
+    RecordKeeper,
     TargetInterface,
 )
 from verbenanotch.wire import Listener, Purpose
@@ -37,6 +39,7 @@
         """Bind every address."""
         host = settings.host
         proxy = settings.proxy
+        self._host_name = host.name
         self._holder = SnapshotHolder()
         self._local_targets = LocalTargets(
             settings=settings,
@@ -50,8 +53,10 @@
             on_drain=self._local_targets.drain,
         )
         self._peers = PeerPool(settings=settings)
+        self._keeper = RecordKeeper(host_name=host.name, holder=self._holder)
         self._peer_server = PeerServer(
             local_targets=self._local_targets,
+            keeper=self._keeper,
             max_body_bytes=proxy.max_body_bytes,
             max_in_flight=proxy.max_in_flight,
         )
@@ -99,6 +104,7 @@
         self._greenthreads = [
             eventlet.spawn(self._serve_callers),
             eventlet.spawn(_every, EXPIRY_SECONDS, self._local_targets.expire),
+            eventlet.spawn(_every, POLL_SECONDS, self._keeper.refresh),
             eventlet.spawn(_every, WARM_SECONDS, self._local_targets.warm),
         ]
 
@@ -134,8 +140,15 @@
             holder=self._holder,
             dispatcher=dispatcher,
             callers=self._callers,
+            keyed=KeyedRequests(keeper=self._keeper, ask=self._ask_holder),
         )
 
+    def _ask_holder(self, service, member, message, timeout_seconds):
+        """Ask a holder of records, which may be this host."""
+        if member.host == self._host_name:
+            return self._keeper.handle(service, message)
+        return self._peers.ask(service, member, message, timeout_seconds)
+
     def _serve_callers(self):
         """Accept callers once there is a snapshot to route them by.
 
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -4,16 +4,20 @@
 from verbenanotch.proxy._callers import CallerWatch
 from verbenanotch.proxy._dispatcher import Dispatcher
 from verbenanotch.proxy._entry import EntryInterface
+from verbenanotch.proxy._keyed import KeyedRequests
 from verbenanotch.proxy._local import LocalTargets
 from verbenanotch.proxy._peer_pool import PeerPool
 from verbenanotch.proxy._peer_server import PeerServer
+from verbenanotch.proxy._record_keeper import RecordKeeper
 
 __all__ = [
     "CallerWatch",
     "Dispatcher",
     "EntryInterface",
+    "KeyedRequests",
     "LocalTargets",
     "PeerPool",
     "PeerServer",
+    "RecordKeeper",
     "TargetInterface",
 ]
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -24,8 +24,12 @@
 class EntryInterface:
     """WSGI application that sends callers' requests through the mesh."""
 
-    def __init__(self, *, settings, holder, dispatcher, callers):
-        """Route by the snapshot of `holder`; watch `callers` for ends."""
+    def __init__(self, *, settings, holder, dispatcher, callers, keyed):
+        """Route by the snapshot of `holder`; watch `callers` for ends.
+
+        `keyed` is the KeyedRequests that runs requests with a key.
+        """
+        self._keyed = keyed
         self._settings = settings
         self._holder = holder
         self._dispatcher = dispatcher
@@ -93,6 +97,15 @@
 
     def _run(self, environ, request):
         cancellation = Cancellation()
+        if request.key and not request.idempotent:
+            # Its answer is kept for the next ask, so that it runs to its
+            # end even when this caller leaves.
+            return self._keyed.run(
+                request,
+                lambda: self._dispatcher.run(
+                    request, cancellation=cancellation
+                ),
+            )
         self._callers.watch(
             cancellation, environ["eventlet.input"].get_socket()
         )
--- a/verbenanotch/proxy/_messages.py
+++ b/verbenanotch/proxy/_messages.py
@@ -105,6 +105,25 @@
     number: int
 
 
+@message(410)
+@attrs.frozen(kw_only=True)
+class RecordAsk:
+    """Ask a holder of records; `item` is an encoded message."""
+
+    stream_id: int
+    service: str
+    item: bytes
+
+
+@message(411)
+@attrs.frozen(kw_only=True)
+class RecordReply:
+    """What the holder replies; `item` is an encoded message."""
+
+    stream_id: int
+    item: bytes
+
+
 def reply_of(stream_id, outcome, *, inline_bytes):
     """Return the message that carries an outcome.
 
--- a/verbenanotch/proxy/_outcome.py
+++ b/verbenanotch/proxy/_outcome.py
@@ -51,9 +51,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Unknown:
-    """The request may have run; nobody can tell."""
+    """The request may have run; nobody can tell.
+
+    `retry_after_ms` is when to ask again by the same idempotency key, or 0.
+    """
 
     reason: str
+    retry_after_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/verbenanotch/proxy/_peer.py
+++ b/verbenanotch/proxy/_peer.py
@@ -5,6 +5,7 @@
 
 import attrs
 import eventlet
+import msgpack
 from eventlet import event
 
 from verbenanotch.proxy import _reasons as reasons
@@ -25,6 +26,8 @@
     GoAway,
     Ping,
     Pong,
+    RecordAsk,
+    RecordReply,
     WindowUpdate,
     outcome_of,
 )
@@ -32,7 +35,12 @@
 from verbenanotch.proxy._outcome import NotRun, Unknown
 from verbenanotch.proxy.exceptions import ProxyError
 from verbenanotch.telemetry import emit, metrics
-from verbenanotch.wire import FrameTooLargeError, WireError
+from verbenanotch.wire import (
+    FrameTooLargeError,
+    WireError,
+    decode,
+    encode,
+)
 
 SUSPECT_SECONDS = 0.75
 DEAD_SECONDS = 5.0
@@ -129,6 +137,25 @@
             cancellation.on_cancel(None)
             del self._streams_by_id[stream_id]
 
+    def ask(self, service, message, timeout_seconds):
+        """Return a record holder's reply, or None if there is none."""
+        if self.closed or self.suspect:
+            return None
+        stream_id = next(self._stream_ids)
+        stream = _Stream()
+        self._streams_by_id[stream_id] = stream
+        item = RecordAsk(
+            stream_id=stream_id, service=service, item=encode(message)
+        )
+        try:
+            self._connection.send(item)
+            reply = stream.wait(timeout_seconds)
+        except WireError:
+            return None
+        finally:
+            del self._streams_by_id[stream_id]
+        return None if isinstance(reply, Unknown) else reply
+
     def check(self, now):
         """Ping a silent peer; suspect it, then give it up.
 
@@ -227,6 +254,8 @@
                 self._take_chunk(stream, item.stream_id, data)
             case WindowUpdate(size=size):
                 stream.window.grow(size)
+            case RecordReply(item=data):
+                stream.finish(decode(msgpack.unpackb(data)))
             case ForwardNotRun() | ForwardUnknown():
                 stream.finish(outcome_of(item))
                 stream.window.close()
--- a/verbenanotch/proxy/_peer_pool.py
+++ b/verbenanotch/proxy/_peer_pool.py
@@ -46,6 +46,15 @@
             return NotRun(reason=reasons.PEER_UNREACHABLE)
         return peer.forward(call, deadline=deadline, cancellation=cancellation)
 
+    def ask(self, service, member, message, timeout_seconds):
+        """Return the reply of a record holder, or None if there is none."""
+        deadline = time.monotonic() + timeout_seconds
+        peer = self.connect(member, deadline=deadline)
+        if peer is None:
+            return None
+        remaining = deadline - time.monotonic()
+        return peer.ask(service, message, remaining)
+
     def connect(self, record, *, deadline):
         """Return a connected Peer, or None if there is none in time.
 
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -4,6 +4,7 @@
 
 import attrs
 import eventlet
+import msgpack
 
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
@@ -21,6 +22,8 @@
     GoAway,
     Ping,
     Pong,
+    RecordAsk,
+    RecordReply,
     WindowUpdate,
     reply_of,
 )
@@ -28,7 +31,7 @@
 from verbenanotch.proxy._outcome import Call, NotRun
 from verbenanotch.proxy.exceptions import ProxyError, StreamReusedError
 from verbenanotch.telemetry import emit, metrics
-from verbenanotch.wire import WireError
+from verbenanotch.wire import WireError, decode, encode
 
 MILLISECONDS_PER_SECOND = 1000
 
@@ -47,9 +50,15 @@
 class PeerServer:
     """Run the calls that other proxies forward to this host."""
 
-    def __init__(self, *, local_targets, max_body_bytes, max_in_flight):
-        """Run calls at `local_targets`, at most `max_in_flight` at a time."""
+    def __init__(
+        self, *, local_targets, keeper, max_body_bytes, max_in_flight
+    ):
+        """Run calls at `local_targets`, at most `max_in_flight` at a time.
+
+        `keeper` answers what others ask of this host's records.
+        """
         self.local_targets = local_targets
+        self.keeper = keeper
         self.max_body_bytes = max_body_bytes
         self.max_in_flight = max_in_flight
         self.in_flight = 0
@@ -123,9 +132,18 @@
                     stream.window.grow(size)
             case Cancel(stream_id=stream_id):
                 self._cancel(stream_id)
+            case RecordAsk():
+                self._reply_of_records(item)
             case Ping(number=number):
                 self.outbox.post(Pong(number=number))
 
+    def _reply_of_records(self, item):
+        message = decode(msgpack.unpackb(item.item))
+        reply = self._server.keeper.handle(item.service, message)
+        self.outbox.post(
+            RecordReply(stream_id=item.stream_id, item=encode(reply))
+        )
+
     def _open(self, item):
         stream_id = item.stream_id
         if stream_id in self._streams_by_id:
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -8,6 +8,7 @@
 import attrs
 
 from verbenanotch.catalog import MAX_CALL_DEPTH, MAX_TIMEOUT_MS
+from verbenanotch.idempotency import issued_at_ms
 from verbenanotch.proxy._headers import (
     DEPTH_HEADER,
     KEY_HEADER,
@@ -19,9 +20,7 @@
 from verbenanotch.proxy._outcome import Rejected
 
 MILLISECONDS_PER_SECOND = 1000
-MAX_KEY_CHARACTERS = 255
 REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,128}")
-KEY_PATTERN = re.compile(rf"[!-~]{{1,{MAX_KEY_CHARACTERS}}}")
 NUMBER_PATTERN = re.compile(r"[0-9]{1,9}")
 
 
@@ -107,12 +106,12 @@
             kind="too-deep",
             remedy=f"Keep calls within {MAX_CALL_DEPTH} levels.",
         )
-    if key and not KEY_PATTERN.fullmatch(key):
+    if key and issued_at_ms(key) is None:
         return Rejected(
             status=400,
             kind="bad-key",
-            remedy=f"Send {KEY_HEADER} of at most {MAX_KEY_CHARACTERS} "
-            "visible ASCII characters.",
+            remedy=f"Send as {KEY_HEADER} a version 7 UUID, or the 13 "
+            "digits of the milliseconds since 1970, a hyphen and any text.",
         )
     given = environ.get("HTTP_X_REQUEST_ID")
     if given is not None and not REQUEST_ID_PATTERN.fullmatch(given):
--- a/verbenanotch/proxy/_response.py
+++ b/verbenanotch/proxy/_response.py
@@ -39,13 +39,14 @@
     match outcome:
         case NotRun(reason=reason, retry_after_ms=retry_after_ms):
             status, name = 503, "not-run"
-            seconds = math.ceil(retry_after_ms / MILLISECONDS_PER_SECOND)
-            fields.append(("Retry-After", str(max(1, seconds))))
+            fields.append(_retry_after(retry_after_ms))
             document["reason"] = reason
             document["retry_after_ms"] = retry_after_ms
         case Unknown(reason=reason):
             status, name = 504, "unknown"
             document["reason"] = reason
+            if outcome.retry_after_ms:
+                fields.append(_retry_after(outcome.retry_after_ms))
         case Rejected(status=status, kind=kind, remedy=remedy):
             name = "not-run"
             document["reason"] = kind
@@ -56,6 +57,12 @@
     return status, name, fields, body
 
 
+def _retry_after(retry_after_ms):
+    """Return the header, whose unit is whole seconds."""
+    seconds = math.ceil(retry_after_ms / MILLISECONDS_PER_SECOND)
+    return ("Retry-After", str(max(1, seconds)))
+
+
 def _status_line(status):
     try:
         return f"{status} {http.HTTPStatus(status).phrase}"
