--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -133,7 +133,7 @@
                 attempt=call.attempt,
                 outcome=type(outcome).__name__,
                 reason=getattr(outcome, "reason", ""),
-                milliseconds=round((now - started) * 1000, 2),
+                milliseconds=round((now - started) * 1000, 3),
             )
         return outcome
 
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -125,5 +125,5 @@
                 request=request_id,
                 outcome=name,
                 reason=getattr(outcome, "reason", ""),
-                milliseconds=round(milliseconds, 2),
+                milliseconds=round(milliseconds, 3),
             )
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -8,7 +8,7 @@
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
 from verbenanotch.proxy._exchange import exchange
-from verbenanotch.proxy._outcome import Answered, NotRun
+from verbenanotch.proxy._outcome import NotRun
 from verbenanotch.proxy._slots import Slots
 from verbenanotch.proxy._target_connection import TargetConnections
 from verbenanotch.telemetry import emit, metrics
@@ -154,10 +154,16 @@
             cancellation=cancellation,
             max_body_bytes=self._settings.proxy.max_body_bytes,
         )
-        if isinstance(outcome, Answered):
-            elapsed = time.monotonic() - started
-            metrics.timing(
-                "proxy.target_ms", elapsed * MILLISECONDS_PER_SECOND
+        elapsed_ms = (time.monotonic() - started) * MILLISECONDS_PER_SECOND
+        metrics.timing("proxy.target_ms", elapsed_ms)
+        if call.traced:
+            emit(
+                events.CALL_FINISHED,
+                request=call.request_id,
+                target=call.target_id,
+                attempt=call.attempt,
+                outcome=type(outcome).__name__,
+                milliseconds=round(elapsed_ms, 3),
             )
         return outcome
 
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -21,6 +21,12 @@
     5006, "call-started", Level.DEBUG, "a call started at a local target"
 )
 CALL_ENDED = event(5007, "call-ended", Level.DEBUG, "a call ended")
+CALL_FINISHED = event(
+    5015,
+    "call-finished",
+    Level.DEBUG,
+    "a call at a local target has ended",
+)
 PEER_REFUSED = event(
     5008,
     "request-peer-refused",
