--- /dev/null
+++ b/bench/routing_choice.py
@@ -0,0 +1,88 @@
+"""Print the cost of a choice at several numbers of candidates.
+
+Run: `python -m bench.routing_choice`. Prints microseconds per call, the
+median of the rounds.
+"""
+
+import random
+import statistics
+import time
+
+from verbenanotch.catalog import Route
+from verbenanotch.routing import Candidates, RouteTable, TargetState, choose
+
+ROUNDS = 7
+CALLS = 5000
+ZONES = ("rennes", "quimper", "brest")
+
+
+def make_targets(count, *, in_flight):
+    """Return targets spread over three zones."""
+    return tuple(
+        TargetState(
+            target_id=str(number),
+            service="orders",
+            availability_zone=ZONES[number % len(ZONES)],
+            host=str(number),
+            slots=16,
+            first_seen=0.0,
+            in_flight=in_flight,
+        )
+        for number in range(count)
+    )
+
+
+def microseconds(call, *, calls=CALLS):
+    """Return the median cost of one call."""
+    costs = []
+    for _ in range(ROUNDS):
+        started = time.perf_counter()
+        for _ in range(calls):
+            call()
+        costs.append((time.perf_counter() - started) / calls * 1e6)
+    return statistics.median(costs)
+
+
+def measure_choice(count, *, in_flight, calls=CALLS):
+    """Return the cost of one choice among `count` candidates."""
+    candidates = Candidates(targets=make_targets(count, in_flight=in_flight))
+    generator = random.Random(1)
+    return microseconds(
+        lambda: choose(
+            candidates,
+            now=100.0,
+            random=generator,
+            availability_zone="rennes",
+        ),
+        calls=calls,
+    )
+
+
+def measure_match(count):
+    """Return the cost of one match among `count` routes."""
+    table = RouteTable(
+        {
+            str(number): Route(prefix=f"/service-{number}/api", service="s")
+            for number in range(count)
+        }
+    )
+    path = f"/service-{count // 2}/api/orders/17"
+    return microseconds(lambda: table.match(path))
+
+
+def main():
+    """Print all costs."""
+    for count in (10, 100, 1000):
+        idle = measure_choice(count, in_flight=1)
+        spill = measure_choice(count, in_flight=14)
+        full = measure_choice(count, in_flight=16, calls=50)
+        print(
+            f"choice among {count:5}: {idle:8.1f} us with room, "
+            f"{spill:8.1f} us under pressure, {full:8.1f} us all full"
+        )
+    for count in (100, 1000, 10_000):
+        print(f"match among {count:6} routes: {measure_match(count):6.2f} us")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/unit/test_idempotency_protocol.py
+++ b/tests/unit/test_idempotency_protocol.py
@@ -45,10 +45,7 @@
 
 @pytest.fixture(autouse=True)
 def few_slices(monkeypatch):
-    for module in ("_members", "_holder"):
-        monkeypatch.setattr(
-            f"verbenanotch.idempotency.{module}.SLICE_COUNT", 3
-        )
+    monkeypatch.setattr("verbenanotch.idempotency._members.SLICE_COUNT", 3)
 
 
 class Mesh:
@@ -96,7 +93,7 @@
         self.holders[host, incarnation] = Holder(
             identity=(host, incarnation),
             store=RecordStore(
-                max_bytes=40_000,
+                max_bytes=20_000,
                 max_age_seconds=MAX_AGE_SECONDS,
                 clock_margin_seconds=MARGIN_SECONDS,
             ),
--- a/tests/unit/test_idempotency_records.py
+++ b/tests/unit/test_idempotency_records.py
@@ -25,7 +25,13 @@
     new_key,
     next_view,
 )
-from verbenanotch.idempotency._members import all_pairs, updated_pairs
+from verbenanotch.idempotency._members import (
+    SLICE_COUNT,
+    holders_for_slice,
+    identities,
+    slices_held,
+    updated_pairs,
+)
 from verbenanotch.idempotency._records import merge
 from verbenanotch.wire import decode, encode
 
@@ -99,17 +105,17 @@
 
 
 def test_full_store_refuses_and_forgets_nothing():
-    store = RecordStore(max_bytes=4000, max_age_seconds=60.0)
+    store = RecordStore(max_bytes=2000, max_age_seconds=60.0)
     replies = [begin(store, f"{NOW_MS}-{n}", token=f"t{n}") for n in range(4)]
     assert [type(reply) for reply in replies] == [Begun, Begun] + [Refused] * 2
     assert replies[2].not_run
     assert replies[2].retry_after_ms > 0
     assert isinstance(begin(store, f"{NOW_MS}-0", token="x"), InProgress)
-    assert store.used_bytes <= 4000
+    assert store.used_bytes <= 2000
 
 
 def test_answer_without_room_is_unknown_on_the_next_ask():
-    store = RecordStore(max_bytes=2000, max_age_seconds=60.0)
+    store = RecordStore(max_bytes=1500, max_age_seconds=60.0)
     begin(store)
     store.finish(KEY, "t1", Answer(status=200, body=bytes(5000)))
     assert isinstance(begin(store, token="t2"), WasUnknown)
@@ -233,6 +239,13 @@
     assert home_zone(KEY, zones) == home_zone(KEY, zones[::-1])
 
 
+def all_pairs(view):
+    return {
+        slice_number: holders_for_slice(slice_number, view.members)
+        for slice_number in range(SLICE_COUNT)
+    }
+
+
 def test_pairs_are_updated_like_from_scratch():
     generator = random.Random(5)
     view = View(availability_zone="rennes", epoch=0, members=())
@@ -243,3 +256,13 @@
         pairs = updated_pairs(pairs, view, changed)
         assert pairs == all_pairs(changed)
         view = changed
+
+
+def test_slices_held_are_those_whose_pair_names_the_host():
+    view = View(availability_zone="z", epoch=1, members=members(*"abcdefg"))
+    expected = [
+        slice_number
+        for slice_number, pair in all_pairs(view).items()
+        if ("c", 1) in identities(pair)
+    ]
+    assert slices_held("c", view.members) == expected
--- a/verbenanotch/idempotency/_coordinator.py
+++ b/verbenanotch/idempotency/_coordinator.py
@@ -10,6 +10,7 @@
     holders_for_slice,
     identities,
     slice_of,
+    updated_pairs,
 )
 from verbenanotch.idempotency._messages import (
     AlreadyFinished,
@@ -31,10 +32,17 @@
 class HolderTable:
     """The pairs of holders under the newest known view of a zone."""
 
-    def __init__(self, view):
-        """Work pairs out when they are first asked for."""
+    def __init__(self, view, *, previous=None):
+        """Work pairs out when they are first asked for.
+
+        Those that the table of the `previous` view knows are carried over.
+        """
         self._view = view
         self._pairs_by_slice = {}
+        if previous is not None:
+            self._pairs_by_slice = updated_pairs(
+                previous._pairs_by_slice, previous._view, view
+            )
 
     def pair(self, key):
         """Return the `(first, second)` members that hold a key."""
--- a/verbenanotch/idempotency/_holder.py
+++ b/verbenanotch/idempotency/_holder.py
@@ -4,10 +4,10 @@
 
 from verbenanotch.idempotency._custody import Custody, Transfer
 from verbenanotch.idempotency._members import (
-    SLICE_COUNT,
+    holders_for_slice,
     identities,
     slice_of,
-    updated_pairs,
+    slices_held,
 )
 from verbenanotch.idempotency._messages import (
     Acknowledged,
@@ -47,7 +47,6 @@
         self._lease_seconds = lease_seconds
         self._serving_until = float("-inf")
         self._view = None
-        self._pairs = [(None, None)] * SLICE_COUNT
         self._current_by_slice = {}
         self._open = []
         self.gap_found = False
@@ -69,17 +68,15 @@
         if not self._follows(view):
             self.gap_found = True
             return False
-        members = view.by_identity()
-        old_pairs = self._pairs
-        if self._view is None:
-            self._pairs = updated_pairs(
-                old_pairs, attrs.evolve(view, members=()), view
-            )
-        else:
-            self._pairs = updated_pairs(old_pairs, self._view, view)
         self._view = view
-        for slice_number, pair in enumerate(self._pairs):
-            if identities(pair) != identities(old_pairs[slice_number]):
+        members = view.by_identity()
+        held = set()
+        if self._identity in members:
+            held.update(slices_held(self._identity[0], view.members))
+        for slice_number in sorted(held | self._current_by_slice.keys()):
+            pair = holders_for_slice(slice_number, view.members)
+            current = self._current_by_slice.get(slice_number)
+            if current is None or current.pair != identities(pair):
                 self._change(slice_number, pair, members, now, wall_ms)
         for custody in self._open:
             custody.owed = [
--- a/verbenanotch/idempotency/_members.py
+++ b/verbenanotch/idempotency/_members.py
@@ -101,9 +101,9 @@
 def holders_for_slice(slice_number, members):
     """Return the `(first, second)` holders of a slice among `members`."""
     first = second = None
-    first_weight = second_weight = (-1, "")
+    first_weight = second_weight = -1
     for member in members:
-        weight = _weight(member, slice_number)
+        weight = _weight(member.host, slice_number)
         if weight > first_weight:
             second, second_weight = first, first_weight
             first, first_weight = member, weight
@@ -112,41 +112,53 @@
     return first, second
 
 
-def updated_pairs(pairs, old_view, view):
-    """Return the holders of every slice under `view`.
+def slices_held(host, members):
+    """Return the slices that `host`, one of the members, holds.
 
-    `pairs` are those under `old_view`. Only the slices of members that left
-    are worked out from all members; one that joined is compared with the
-    holders of each slice.
+    Gives a slice up at the second member that comes before the host, so
+    that few of the members are looked at for most slices.
+    """
+    others = [member.host for member in members if member.host != host]
+    held = []
+    for slice_number in range(SLICE_COUNT):
+        own_weight = _weight(host, slice_number)
+        before = 0
+        for other in others:
+            if _weight(other, slice_number) > own_weight:
+                before += 1
+                if before == 2:
+                    break
+        else:
+            held.append(slice_number)
+    return held
+
+
+def updated_pairs(pairs_by_slice, old_view, view):
+    """Return the holders under `view` of the slices in `pairs_by_slice`.
+
+    Those are the pairs under `old_view`. Only the slices of members that
+    left are worked out from all members; one that joined is compared with
+    the holders of each slice.
     """
     old = old_view.by_identity()
     new = view.by_identity()
     left = {identity for identity in old if identity not in new}
     joined = [new[identity] for identity in new if identity not in old]
-    result = []
-    for slice_number, pair in enumerate(pairs):
+    result = {}
+    for slice_number, pair in pairs_by_slice.items():
         held = [member for member in pair if member is not None]
         if any(member.identity in left for member in held):
             pair = holders_for_slice(slice_number, view.members)
         elif joined:
             pair = holders_for_slice(slice_number, held + joined)
-        result.append(pair)
+        result[slice_number] = pair
     return result
 
 
-def all_pairs(view):
-    """Return the holders of every slice, as a list by slice number."""
-    return [
-        holders_for_slice(slice_number, view.members)
-        for slice_number in range(SLICE_COUNT)
-    ]
-
-
 def identities(pair):
     """Return the identities of a pair's members."""
     return tuple(member.identity for member in pair if member is not None)
 
 
-def _weight(member, slice_number):
-    digest = xxhash.xxh64_intdigest(member.host.encode(), seed=slice_number)
-    return (digest, member.host)
+def _weight(host, slice_number):
+    return xxhash.xxh64_intdigest(host.encode(), seed=slice_number)
--- a/verbenanotch/routing/_choice.py
+++ b/verbenanotch/routing/_choice.py
@@ -12,6 +12,7 @@
 SPILL_MARGIN = 0.25
 PANIC_HEALTHY_SHARE = 0.5
 SAMPLE_ATTEMPTS = 6
+MAX_SCANNED = 32
 OVERLOAD_RETRY_AFTER_MS = 250
 NO_TARGET_RETRY_AFTER_MS = 1000
 
@@ -129,15 +130,9 @@
 
 
 def _choose_by_scan(near, far, now, random, exclude):
-    """Look at every target, near ones first, with ever weaker demands."""
-    near, far = (
-        [
-            target
-            for target in targets
-            if not target.draining and target.target_id not in exclude
-        ]
-        for targets in (near, far)
-    )
+    """Look at many targets, near ones first, with ever weaker demands."""
+    near = _available(near, random, exclude)
+    far = _available(far, random, exclude)
     everyone = near + far
     if not everyone:
         return NoTarget(
@@ -164,6 +159,21 @@
     return _panic(near, far, healthy, now, random)
 
 
+def _available(targets, random, exclude):
+    """Return the targets that may be used at all, a sample if many.
+
+    A scan is made just when load is high, so its cost has to be bounded.
+    """
+    targets = [
+        target
+        for target in targets
+        if not target.draining and target.target_id not in exclude
+    ]
+    if len(targets) > MAX_SCANNED:
+        return random.sample(targets, MAX_SCANNED)
+    return targets
+
+
 def _panic(near, far, healthy, now, random):
     """Ignore health when most targets look ill and the rest are full.
 
