--- /dev/null
+++ b/tests/integration/test_sessions.py
@@ -0,0 +1,143 @@
+"""Golden files of whole sessions against a mesh of real processes."""
+
+import json
+
+import pytest
+
+from tests.support.harness import Mesh
+from tests.support.ledger import read_ledgers, runs_by_key
+from tests.support.sessions import Session
+
+FIRST = """\
+name = "shop"
+[services.stock]
+slots = 8
+[routes.stock]
+prefix = "/stock"
+service = "stock"
+"""
+SECOND = FIRST + "timeout_ms = 3000\n"
+THIRD = FIRST + "timeout_ms = 4000\n"
+
+
+@pytest.fixture
+def mesh(tmp_path):
+    for number, text in enumerate((FIRST, SECOND, THIRD), start=1):
+        (tmp_path / f"mesh-{number}.toml").write_text(text)
+    with Mesh(folder=tmp_path) as mesh:
+        mesh.start_target("z1-proxy-1", "stock")
+        mesh.start_target("z1-proxy-2", "stock")
+        yield mesh
+
+
+@pytest.fixture
+def session(mesh):
+    return Session(mesh=mesh)
+
+
+def submit(session, number, *arguments, **options):
+    """Submit a file; return the version in the output, or nothing."""
+    path = session.folder / f"mesh-{number}.toml"
+    result = session.tool("submit", path, *arguments, **options)
+    words = result.output.split()
+    return words[words.index("version") + 1] if "version" in words else ""
+
+
+def wait_served(mesh, proxy="z1-proxy-1"):
+    mesh.wait_until(
+        lambda: mesh.call("GET", "/stock", proxy=proxy).status == 200,
+        what="served request",
+    )
+
+
+def test_submit(mesh, session):
+    session.tool("check", mesh.folder / "mesh-1.toml")
+    version = submit(session, 1, "--wait")
+    session.tool("history")
+    session.tool("status", "--wait", version)
+    wait_served(mesh)
+    session.call("GET", "/stock/paper", proxy="z1-proxy-1")
+    session.call("POST", "/stock/paper", proxy="z1-proxy-2", key="k1")
+    session.call("GET", "/nowhere", proxy="z1-proxy-1")
+    assert runs_by_key(read_ledgers(mesh.folder))["k1"] == 1
+    session.check("submit")
+
+
+def test_conflict(mesh, session):
+    first = submit(session, 1, "--wait")
+    submit(session, 2, "--base", first)
+    session.note("bob made his file from the same version")
+    submit(session, 3, "--base", first, operator="bob")
+    session.tool("diff", mesh.folder / "mesh-3.toml", operator="bob")
+    second = session.tool("history", "--json", operator="bob")
+    newest = json.loads(second.output)["versions"][-1]["version"]
+    submit(session, 3, "--base", newest, "--wait", operator="bob")
+    session.check("conflict")
+
+
+def test_resend(mesh, session):
+    submission_id = "0" * 31 + "1"
+    first = submit(session, 1, "--submission-id", submission_id)
+    leader = mesh.leader()
+    mesh.kill(leader)
+    session.note("the answer is taken as lost; the leader has died")
+    mesh.wait_until(
+        lambda: mesh.leader(other_than=leader), what="another leader"
+    )
+    again = submit(session, 1, "--submission-id", submission_id)
+    assert first == again
+    session.note("another file under the same id is refused")
+    submit(session, 2, "--submission-id", submission_id)
+    mesh.restart(leader)
+    session.tool("status", "--wait", first)
+    session.tool("history")
+    session.check("resend")
+
+
+def test_rollback(mesh, session):
+    first = submit(session, 1)
+    second = submit(session, 2, "--base", first, "--wait")
+    session.tool("rollback", first, "--base", first)
+    session.tool("rollback", first, "--base", second, "--wait")
+    session.tool("diff", mesh.folder / "mesh-1.toml")
+    session.tool("rollback", "9.999", "--base", second)
+    session.tool("history")
+    session.check("rollback")
+
+
+def test_drain(mesh, session):
+    submit(session, 1, "--wait")
+    wait_served(mesh)
+    first, second = sorted(mesh.targets())
+    target_id = mesh.target_id(first)
+    session.tool("drain", target_id)
+    mesh.wait_until(
+        lambda: (
+            mesh.served_by("/stock", proxy="z1-proxy-1", calls=10)
+            == {mesh.target_id(second)}
+        ),
+        what="work for the other target alone",
+    )
+    session.note("from now on the other target serves every request")
+    session.call("GET", "/stock", proxy="z1-proxy-1")
+    session.tool("drain", "stock/127.0.0.1:1")
+    session.check("drain")
+
+
+def test_resync(mesh, session):
+    first = submit(session, 1, "--wait")
+    mesh.kill("z1-proxy-2")
+    session.note("z1-proxy-2 has died; two versions pass it by")
+    second = submit(session, 2, "--base", first)
+    third = submit(session, 3, "--base", second)
+    mesh.restart("z1-proxy-2")
+    session.note("z1-proxy-2 has started again")
+    session.tool("status", "--wait", third)
+    mesh.freeze("z1-proxy-2")
+    session.note("z1-proxy-2 is frozen")
+    fourth = submit(session, 1, "--base", third)
+    session.tool("status", "--wait", fourth, "--timeout", "3")
+    mesh.thaw("z1-proxy-2")
+    session.note("z1-proxy-2 goes on")
+    session.tool("status", "--wait", fourth)
+    session.check("resync")
--- a/tests/support/harness.py
+++ b/tests/support/harness.py
@@ -14,7 +14,7 @@
 from examples import topology as plans
 from examples.launcher import Child, stop_all, wait_until
 from verbenanotch.catalog import NO_VERSION, Version
-from verbenanotch.cli._client import OperatorClient
+from verbenanotch.cli._client import OperatorClient, Reply
 from verbenanotch.cli._status import collect, wait_in_force
 from verbenanotch.cli.commands.submit import submit_file
 
@@ -288,6 +288,31 @@
             body=response.data,
         )
 
+    def leader(self, *, other_than=""):
+        """Return the name of the voter that says it leads, or None."""
+        for host in self.topology.control_hosts:
+            if host.name == other_than or not self.child(host.name).is_alive:
+                continue
+            match self.client.ask(
+                host.server(plans.OPERATOR_PORT), "GET", "/v1/status"
+            ):
+                case Reply(value={"replica": {"role": "leader"}}):
+                    return host.name
+        return None
+
+    def targets(self):
+        """Return the names of all started targets."""
+        return list(self._targets_by_name)
+
+    def served_by(self, path, *, proxy, calls):
+        """Return the ids of the targets that answered some calls."""
+        answers = [self.call("GET", path, proxy=proxy) for _ in range(calls)]
+        return {
+            answer.value["target"]
+            for answer in answers
+            if answer.outcome == "answered"
+        }
+
     def settings_path(self, name):
         """Return the path of a host's settings file."""
         return self.folder / f"{name}.toml"
--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -103,6 +103,7 @@
     def __init__(self):
         """Start with one target and no proxies."""
         self.versions_by_proxy = {}
+        self.zones = []
         self.target_ids = ["billing/127.0.0.1:9000"]
         self.drained = []
         self.is_ready = True
@@ -111,7 +112,11 @@
         """Return the replica and its proxies."""
         return {
             "replica": {"name": "z1-c1", "role": "leader"},
-            "proxies": dict(self.versions_by_proxy),
+            "proxies": [
+                {"name": name, "availability_zone": "z1", "version": version}
+                for name, version in self.versions_by_proxy.items()
+            ],
+            "zones": self.zones,
         }
 
     def targets(self):
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -109,7 +109,7 @@
     behind = run("status", "--wait", "1.1", "--timeout", "0")
     assert behind.exit_code == 1
     assert "behind: p2" in behind.stderr
-    assert "proxy p2: 1.0 (behind)" in run("status").stdout
+    assert "proxy p2 in z1: 1.0 (behind)" in run("status").stdout
 
 
 def test_in_force_is_unknown_while_a_host_is_silent(run, host):
@@ -120,6 +120,25 @@
     assert CLOSED_PORT in result.stderr
 
 
+@pytest.mark.parametrize(
+    ("lowest", "live", "code"),
+    [("1.1", True, 0), ("1.0", True, 1), ("1.1", False, 4)],
+)
+def test_other_zones_count_for_being_in_force(run, host, lowest, live, code):
+    host.control.versions_by_proxy = {"p1": Version(epoch=1, index=1)}
+    host.control.zones = [
+        {
+            "availability_zone": "z2",
+            "lowest_in_force": lowest,
+            "proxies": 3,
+            "laggards": [],
+            "live": live,
+        }
+    ]
+    result = run("status", "--wait", "1.1", "--timeout", "0")
+    assert result.exit_code == code, result.output
+
+
 def test_lists_and_drains_targets(run, host):
     target_id = host.control.target_ids[0]
     assert target_id in run("targets").stdout
--- a/verbenanotch/cli/_status.py
+++ b/verbenanotch/cli/_status.py
@@ -21,26 +21,81 @@
     kind = "not-in-force"
 
 
+@attrs.frozen(kw_only=True)
+class ProxyStatus:
+    """A proxy's last acknowledged version, as its zone knows it.
+
+    A `suspect` proxy has not renewed its lease lately.
+    """
+
+    name: str
+    availability_zone: str
+    version: Version
+    suspect: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class ZoneStatus:
+    """What a zone's proxies have acknowledged altogether.
+
+    `lowest` is the least version in force at any of its proxies, and
+    `laggards` names some that are behind. A zone that no control host heard
+    of lately is not `live`; its state is unknown.
+    """
+
+    availability_zone: str
+    lowest: Version
+    proxies: int
+    laggards: tuple[str, ...] = ()
+    live: bool = True
+
+    def merged(self, other):
+        """Return the more cautious of two live views of the zone."""
+        if self.live != other.live:
+            return self if self.live else other
+        return min(self, other, key=lambda zone: zone.lowest)
+
+
 @attrs.frozen(kw_only=True)
 class MeshStatus:
     """What all control hosts that answered say together.
 
-    `versions_by_proxy` are the last acknowledged versions.
     `unreachable_by_server` holds the reasons of those that did not answer;
     proxies that only they know are missing.
     """
 
     replicas_by_server: dict[str, dict]
-    versions_by_proxy: dict[str, Version]
+    proxies_by_name: dict[str, ProxyStatus]
+    zones_by_name: dict[str, ZoneStatus]
     unreachable_by_server: dict[str, str]
 
     def lagging(self, version):
-        """Return the names of known proxies that hold an older version."""
-        return sorted(
+        """Return the names of proxies that hold an older version."""
+        names = {
             name
-            for name, held in self.versions_by_proxy.items()
-            if held < version
+            for name, proxy in self.proxies_by_name.items()
+            if proxy.version < version
+        }
+        for name, zone in self.zones_by_name.items():
+            if zone.live and zone.proxies and zone.lowest < version:
+                names.update(zone.laggards or (f"some in zone {name}",))
+        return sorted(names)
+
+    def unknown(self):
+        """Return the zones and control hosts whose state is not known."""
+        zones = [
+            f"zone {name}"
+            for name, zone in sorted(self.zones_by_name.items())
+            if not zone.live
+        ]
+        return [*zones, *self.unreachable_by_server]
+
+    def is_in_force(self, version):
+        """Return whether every proxy of every zone surely holds it."""
+        known = self.proxies_by_name or any(
+            zone.proxies for zone in self.zones_by_name.values()
         )
+        return bool(known and not self.lagging(version) and not self.unknown())
 
 
 def collect(client):
@@ -49,13 +104,15 @@
     Raises UnavailableError if none answers.
     """
     replicas_by_server = {}
-    versions_by_proxy = {}
+    proxies_by_name = {}
+    zones_by_name = {}
     unreachable_by_server = {}
     for server in client.servers:
         match client.ask(server, "GET", "/v1/status"):
             case Reply(status=200, value=value):
                 replicas_by_server[server] = _read_replica(value)
-                _merge(versions_by_proxy, value.get("proxies", {}))
+                _merge_proxies(proxies_by_name, value.get("proxies", ()))
+                _merge_zones(zones_by_name, value.get("zones", ()))
             case Reply(value=value):
                 reason = value.get("reason", "refused")
                 unreachable_by_server[server] = reason
@@ -68,7 +125,8 @@
         )
     return MeshStatus(
         replicas_by_server=replicas_by_server,
-        versions_by_proxy=versions_by_proxy,
+        proxies_by_name=proxies_by_name,
+        zones_by_name=zones_by_name,
         unreachable_by_server=unreachable_by_server,
     )
 
@@ -77,13 +135,12 @@
     """Return the MeshStatus once every proxy acknowledged the version.
 
     Raises NotInForceError if a known proxy lags at the end of the time, and
-    UnknownOutcomeError if no known one does but a control host is silent.
+    UnknownOutcomeError if none does but a zone or control host is silent.
     """
     end = time.monotonic() + timeout_seconds
     while True:
         status = collect(client)
-        in_force = status.versions_by_proxy and not status.lagging(version)
-        if in_force and not status.unreachable_by_server:
+        if status.is_in_force(version):
             return status
         if time.monotonic() >= end:
             raise _not_in_force(status, version)
@@ -98,24 +155,48 @@
     return replica
 
 
-def _merge(versions_by_proxy, versions_by_name):
+def _merge_proxies(proxies_by_name, entries):
     """Keep the greatest version that any control host has of each proxy."""
-    for name, text in versions_by_name.items():
-        version = Version.parse(text) if text else NO_VERSION
-        known = versions_by_proxy.get(name, version)
-        versions_by_proxy[name] = max(known, version)
+    for entry in entries:
+        proxy = ProxyStatus(
+            name=entry["name"],
+            availability_zone=entry["availability_zone"],
+            version=_parse_version(entry["version"]),
+            suspect=entry.get("suspect", False),
+        )
+        known = proxies_by_name.get(proxy.name)
+        if known is None or known.version < proxy.version:
+            proxies_by_name[proxy.name] = proxy
+
+
+def _merge_zones(zones_by_name, entries):
+    for entry in entries:
+        zone = ZoneStatus(
+            availability_zone=entry["availability_zone"],
+            lowest=_parse_version(entry["lowest_in_force"]),
+            proxies=entry["proxies"],
+            laggards=tuple(entry["laggards"]),
+            live=entry["live"],
+        )
+        known = zones_by_name.get(zone.availability_zone, zone)
+        zones_by_name[zone.availability_zone] = known.merged(zone)
+
+
+def _parse_version(text):
+    return Version.parse(text) if text else NO_VERSION
 
 
 def _not_in_force(status, version):
     lagging = status.lagging(version)
-    if lagging or not status.versions_by_proxy:
+    unknown = status.unknown()
+    if lagging or not unknown:
         names = ", ".join(lagging) or "no proxy is known"
         return NotInForceError(
             f"version {version} is not in force; behind: {names}. "
             "Look for these hosts in the time line"
         )
-    silent = ", ".join(status.unreachable_by_server)
     return UnknownOutcomeError(
-        f"every known proxy holds {version}, but these control hosts did "
-        f"not answer: {silent}. Ask again without them if they are gone"
+        f"no known proxy lacks {version}, but nothing is known of "
+        f"{', '.join(unknown)}. Ask again when they can be reached, or "
+        "without them if they are gone"
     )
--- a/verbenanotch/cli/commands/status.py
+++ b/verbenanotch/cli/commands/status.py
@@ -8,6 +8,8 @@
     parse_version,
 )
 
+SHOWN_FIELDS = ("name", "role", "leader", "term", "version", "error")
+
 
 def to_value(status):
     """Return a MeshStatus as plain JSON values."""
@@ -15,10 +17,24 @@
     return {
         "newest": newest and str(newest),
         "replicas_by_server": status.replicas_by_server,
-        "versions_by_proxy": {
-            name: str(version)
-            for name, version in sorted(status.versions_by_proxy.items())
-        },
+        "proxies": [
+            {
+                "name": proxy.name,
+                "availability_zone": proxy.availability_zone,
+                "version": str(proxy.version),
+                "suspect": proxy.suspect,
+            }
+            for _, proxy in sorted(status.proxies_by_name.items())
+        ],
+        "zones": [
+            {
+                "availability_zone": zone.availability_zone,
+                "lowest_in_force": str(zone.lowest),
+                "proxies": zone.proxies,
+                "live": zone.live,
+            }
+            for _, zone in sorted(status.zones_by_name.items())
+        ],
         "lagging": status.lagging(newest) if newest else [],
         "unreachable_by_server": status.unreachable_by_server,
     }
@@ -26,7 +42,7 @@
 
 def newest_version(status):
     """Return the newest version that a replica or a proxy holds."""
-    versions = list(status.versions_by_proxy.values())
+    versions = [proxy.version for proxy in status.proxies_by_name.values()]
     for replica in status.replicas_by_server.values():
         if replica.get("version"):
             versions.append(parse_version(replica["version"]))
@@ -38,17 +54,35 @@
     lines = [f"newest version: {value['newest'] or 'none'}"]
     for server, replica in value["replicas_by_server"].items():
         details = ", ".join(
-            f"{key} {item}" for key, item in sorted(replica.items())
+            f"{key} {replica.get(key) or 'none'}" for key in SHOWN_FIELDS
         )
         lines.append(f"control host {server}: {details}")
     for server, reason in value["unreachable_by_server"].items():
         lines.append(f"control host {server}: no answer ({reason})")
-    for name, version in value["versions_by_proxy"].items():
-        behind = " (behind)" if name in value["lagging"] else ""
-        lines.append(f"proxy {name}: {version}{behind}")
+    for zone in value["zones"]:
+        state = "" if zone["live"] else " (not heard of lately)"
+        lines.append(
+            f"zone {zone['availability_zone']}: {zone['proxies']} proxies, "
+            f"lowest version {zone['lowest_in_force']}{state}"
+        )
+    for proxy in value["proxies"]:
+        lines.append(_describe_proxy(proxy, value["lagging"]))
     return "\n".join(lines)
 
 
+def _describe_proxy(proxy, lagging):
+    marks = []
+    if proxy["name"] in lagging:
+        marks.append("behind")
+    if proxy["suspect"]:
+        marks.append("lease not renewed")
+    suffix = f" ({', '.join(marks)})" if marks else ""
+    return (
+        f"proxy {proxy['name']} in {proxy['availability_zone']}: "
+        f"{proxy['version']}{suffix}"
+    )
+
+
 @click.command("status")
 @click.option(
     "--wait",
@@ -69,7 +103,7 @@
     Every named control host is asked, since each knows the proxies of its
     availability zone. Exits with 0, with 1 if a proxy is behind at the end
     of --wait, with 3 if no control host answers, and with 4 if all known
-    proxies hold the version but a control host is silent.
+    proxies hold the version but a zone or control host is silent.
     """
     if version:
         status = _status.wait_in_force(
