--- a/verbenanotch/cli/_status.py
+++ b/verbenanotch/cli/_status.py
@@ -49,6 +49,10 @@
     laggards: tuple[str, ...] = ()
     live: bool = True
 
+    def is_behind(self, version):
+        """Return whether a proxy of the zone surely lacks the version."""
+        return self.live and self.proxies and self.lowest < version
+
     def merged(self, other):
         """Return the more cautious of two live views of the zone."""
         if self.live != other.live:
@@ -69,6 +73,13 @@
     zones_by_name: dict[str, ZoneStatus]
     unreachable_by_server: dict[str, str]
 
+    @property
+    def versions_by_proxy(self):
+        """Return the last acknowledged version of each known proxy."""
+        return {
+            name: proxy.version for name, proxy in self.proxies_by_name.items()
+        }
+
     def lagging(self, version):
         """Return the names of proxies that hold an older version."""
         names = {
@@ -76,9 +87,9 @@
             for name, proxy in self.proxies_by_name.items()
             if proxy.version < version
         }
-        for name, zone in self.zones_by_name.items():
-            if zone.live and zone.proxies and zone.lowest < version:
-                names.update(zone.laggards or (f"some in zone {name}",))
+        for zone in self.zones_by_name.values():
+            if zone.is_behind(version):
+                names.update(zone.laggards)
         return sorted(names)
 
     def unknown(self):
@@ -106,13 +117,19 @@
     replicas_by_server = {}
     proxies_by_name = {}
     zones_by_name = {}
+    answering_zones = set()
     unreachable_by_server = {}
     for server in client.servers:
         match client.ask(server, "GET", "/v1/status"):
             case Reply(status=200, value=value):
                 replicas_by_server[server] = _read_replica(value)
                 _merge_proxies(proxies_by_name, value.get("proxies", ()))
-                _merge_zones(zones_by_name, value.get("zones", ()))
+                zones = value.get("zones", ())
+                _merge_zones(zones_by_name, zones)
+                # A control host lists its own zone first.
+                answering_zones.update(
+                    zone["availability_zone"] for zone in zones[:1]
+                )
             case Reply(value=value):
                 reason = value.get("reason", "refused")
                 unreachable_by_server[server] = reason
@@ -123,6 +140,8 @@
             f"no control host answered: {unreachable_by_server}; "
             "check the addresses and the token"
         )
+    for zone in answering_zones:
+        zones_by_name[zone] = _summarize(zone, proxies_by_name)
     return MeshStatus(
         replicas_by_server=replicas_by_server,
         proxies_by_name=proxies_by_name,
@@ -182,15 +201,37 @@
         zones_by_name[zone.availability_zone] = known.merged(zone)
 
 
+def _summarize(zone, proxies_by_name):
+    """Return a zone's state by what its control hosts know together.
+
+    One of them alone may not have heard a proxy's acknowledgement.
+    """
+    versions = [
+        proxy.version
+        for proxy in proxies_by_name.values()
+        if proxy.availability_zone == zone
+    ]
+    return ZoneStatus(
+        availability_zone=zone,
+        lowest=min(versions, default=NO_VERSION),
+        proxies=len(versions),
+    )
+
+
 def _parse_version(text):
     return Version.parse(text) if text else NO_VERSION
 
 
 def _not_in_force(status, version):
     lagging = status.lagging(version)
+    zones = [
+        f"zone {name}"
+        for name, zone in sorted(status.zones_by_name.items())
+        if zone.is_behind(version)
+    ]
     unknown = status.unknown()
-    if lagging or not unknown:
-        names = ", ".join(lagging) or "no proxy is known"
+    if lagging or zones or not unknown:
+        names = ", ".join(lagging or zones) or "no proxy is known"
         return NotInForceError(
             f"version {version} is not in force; behind: {names}. "
             "Look for these hosts in the time line"
--- a/verbenanotch/cli/commands/status.py
+++ b/verbenanotch/cli/commands/status.py
@@ -75,7 +75,7 @@
     if proxy["name"] in lagging:
         marks.append("behind")
     if proxy["suspect"]:
-        marks.append("lease not renewed")
+        marks.append("lease ended")
     suffix = f" ({', '.join(marks)})" if marks else ""
     return (
         f"proxy {proxy['name']} in {proxy['availability_zone']}: "
