--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -20,6 +20,13 @@
 from verbenanotch.telemetry import configure
 
 TOKEN = "token-of-the-tests"
+OWN_ZONE = {
+    "availability_zone": "z1",
+    "lowest_in_force": "",
+    "proxies": 0,
+    "laggards": [],
+    "live": True,
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -116,7 +123,7 @@
                 {"name": name, "availability_zone": "z1", "version": version}
                 for name, version in self.versions_by_proxy.items()
             ],
-            "zones": self.zones,
+            "zones": [OWN_ZONE, *self.zones],
         }
 
     def targets(self):
--- a/verbenanotch/cli/_status.py
+++ b/verbenanotch/cli/_status.py
@@ -106,7 +106,10 @@
         known = self.proxies_by_name or any(
             zone.proxies for zone in self.zones_by_name.values()
         )
-        return bool(known and not self.lagging(version) and not self.unknown())
+        behind = self.lagging(version) or any(
+            zone.is_behind(version) for zone in self.zones_by_name.values()
+        )
+        return bool(known and not behind and not self.unknown())
 
 
 def collect(client):
