--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -20,6 +20,13 @@
 from verbenanotch.telemetry import configure
 
 TOKEN = "token-of-the-tests"
+OWN_ZONE = {
+    "availability_zone": "z1",
+    "lowest_in_force": "",
+    "proxies": 0,
+    "laggards": [],
+    "live": True,
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -103,6 +110,7 @@
     def __init__(self):
         """Start with one target and no proxies."""
         self.versions_by_proxy = {}
+        self.zones = []
         self.target_ids = ["billing/127.0.0.1:9000"]
         self.drained = []
         self.is_ready = True
@@ -112,9 +120,10 @@
         return {
             "replica": {"name": "z1-c1", "role": "leader"},
             "proxies": [
-                {"name": name, "version": str(version), "suspect": False}
+                {"name": name, "availability_zone": "z1", "version": version}
                 for name, version in self.versions_by_proxy.items()
             ],
+            "zones": [OWN_ZONE, *self.zones],
         }
 
     def targets(self):
