--- a/examples/topology.py
+++ b/examples/topology.py
@@ -151,6 +151,9 @@
 
 def _peers(host, peers, relays):
     return {
-        peer.name: relays.get((host.name, peer.name), peer.peer)
+        peer.name: {
+            **relays.get((host.name, peer.name), peer.peer),
+            "availability_zone": peer.availability_zone,
+        }
         for peer in peers
     }
