Do not settle a floor by a control host with a new disk

Cause: without a quorum the floor is the greatest version over all control hosts of the zone. One whose disk was replaced answers that it holds nothing, although its former disk may have held what this proxy had. Such a host now says that it is not sure, until a quorum has confirmed its state once; each control host asks for that by itself after a start. The test of it fails without the check.

--- a/tests/integration/test_distribution_faults.py
+++ b/tests/integration/test_distribution_faults.py
@@ -118,8 +118,8 @@
     stale_versions.accept(make_mesh(1))
     versions.accept(make_mesh(1))
     newest = versions.accept(make_mesh(2))
-    zone.add_control("c1", stale_versions).confirms = False
-    zone.add_control("c2", versions).confirms = False
+    zone.add_control("c1", stale_versions, confirms=False)
+    zone.add_control("c2", versions, confirms=False)
     zone.links_by_name["c2"].set(frozen=True)
     proxy = zone.add_proxy("p1")
     seen = follow(proxy)
@@ -153,10 +153,12 @@
     old_versions = FakeVersions()
     old_versions.accept(make_mesh(1))
     again = ControlSide(
-        name="c1", versions=old_versions, port=control.listener.port
+        name="c1",
+        versions=old_versions,
+        port=control.listener.port,
+        confirms=False,
     )
     zone.stop_later(again.start())
-    again.confirms = False
     wait_until(lambda: "p1" in again.table.records_by_host)
     second = zone.add_proxy("p2")
     wait_until(lambda: second.holder.floor == newest)
@@ -164,6 +166,20 @@
     assert first.version == newest
 
 
+def test_a_control_host_with_a_new_disk_does_not_settle_the_floor(
+    zone, versions
+):
+    versions.accept(make_mesh(1))
+    empty = zone.add_control("c1", FakeVersions(), confirms=False)
+    zone.add_control("c2", versions, confirms=False)
+    proxy = zone.add_proxy("p1")
+    wait_until(lambda: proxy.subscriber.subscribed_to is not None)
+    eventlet.sleep(1.5)
+    assert proxy.holder.floor is None
+    empty.confirms = True
+    wait_until(lambda: proxy.version == versions.current.version)
+
+
 @pytest.mark.parametrize(
     "faults",
     [
--- a/tests/support/control_side.py
+++ b/tests/support/control_side.py
@@ -110,12 +110,13 @@
         zone="z1",
         lease_ms=1000,
         port=0,
+        confirms=True,
         **control_settings,
     ):
         """Bind a port; `confirms` may be set to take the quorum away."""
         self.name = name
         self.zone = zone
-        self.confirms = True
+        self.confirms = confirms
         self.versions = versions
         self._settings = {"lease_ms": lease_ms, **control_settings}
         self.table = ZoneTable(
--- a/verbenanotch/distribution/_floor.py
+++ b/verbenanotch/distribution/_floor.py
@@ -62,7 +62,7 @@
             match connection.receive():
                 case FloorRequest():
                     version = self._holder.snapshot.version
-                    connection.send(FloorReply(version=version))
+                    connection.send(FloorReply(version=version, sure=True))
 
 
 class FloorConfirmer:
@@ -76,6 +76,7 @@
         """Ask nothing yet."""
         self._confirm = confirm
         self._timeout_seconds = timeout_seconds
+        self.ever_confirmed = False
         self._waiting = []
         self._asking = False
 
@@ -95,11 +96,23 @@
                 result = self._confirm(self._timeout_seconds)
             except Exception:
                 result = False
+            self.ever_confirmed = self.ever_confirmed or result
             for answer in waiting:
                 answer.send(result)
         self._asking = False
 
 
+def note_reply(search, *, name, reply):
+    """Take a control host's FloorReply; one that is not sure stays silent.
+
+    Its version still raises the floor.
+    """
+    if reply.sure:
+        search.versions_by_control_host[name] = reply.version
+    else:
+        search.peer_versions.append(reply.version)
+
+
 def ask_peers(*, host, peers_by_host, timeout_seconds):
     """Return the versions that some proxies of the zone hold."""
     others = [name for name in peers_by_host if name != host.name]
--- a/verbenanotch/distribution/_messages.py
+++ b/verbenanotch/distribution/_messages.py
@@ -136,6 +136,11 @@
 @message(310)
 @attrs.frozen(kw_only=True)
 class FloorReply:
-    """The version held; NO_VERSION if none."""
+    """The version held; NO_VERSION if none.
+
+    A control host whose disk was empty at its start is not `sure` until a
+    quorum has confirmed its state once: its former disk may have held more.
+    """
 
     version: Version
+    sure: bool
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -77,20 +77,25 @@
         self._state = MeshState()
         self._states_by_version = collections.OrderedDict()
         self._encoding = Signal()
-        self._encoder = None
+        self._had_history = False
+        self._greenthreads = []
         self.acknowledgements = Acknowledgements()
         self.sessions_by_host = {}
         versions.on_change(lambda record: self._encoding.set())
 
     def start(self):
         """Encode versions in the background."""
+        self._had_history = self._versions.current is not None
         self._encoding.set()
-        self._encoder = eventlet.spawn(self._encode_forever)
+        self._greenthreads = [
+            eventlet.spawn(self._encode_forever),
+            eventlet.spawn(self._confirm_once),
+        ]
 
     def stop(self):
         """End the work in the background."""
-        if self._encoder is not None:
-            self._encoder.kill()
+        for greenthread in self._greenthreads:
+            greenthread.kill()
 
     def handle(self, connection):
         """Serve one proxy until its connection ends."""
@@ -134,6 +139,15 @@
             current=self._current_version(),
         )
 
+    def _floor_reply(self):
+        sure = self._had_history or self._confirmer.ever_confirmed
+        return FloorReply(version=self._current_version(), sure=sure)
+
+    def _confirm_once(self):
+        """Have the quorum confirm the state once after a start."""
+        while not self._confirmer.confirmed():
+            eventlet.sleep(FLOOR_TIMEOUT_SECONDS)
+
     def _current_version(self):
         current = self._versions.current
         return NO_VERSION if current is None else current.version
@@ -153,8 +167,7 @@
                 session.forget(mesh=mesh, services=services)
                 session.signal.set()
             case FloorRequest():
-                reply = FloorReply(version=self._current_version())
-                session.connection.send(reply)
+                session.connection.send(self._floor_reply())
             case Announce() | Renew() | Release():
                 self._receive_lease(session, item)
 
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -18,6 +18,7 @@
     FloorOpen,
     FloorSearch,
     ask_peers,
+    note_reply,
 )
 from verbenanotch.distribution._holder import (
     Applied,
@@ -305,8 +306,8 @@
                 emit(events.FLOOR_CONFIRMED, version=str(version))
             case FloorUnknown(peers_by_host=peers_by_host):
                 self._start_search(link, peers_by_host)
-            case FloorReply(version=version):
-                self._note_floor(link, version)
+            case FloorReply() if self._search is not None:
+                note_reply(self._search, name=link.name, reply=item)
 
     def _postpone(self, link, retry_after_ms):
         wait = retry_after_ms / MILLISECONDS_PER_SECOND
@@ -374,10 +375,6 @@
         self._subscribed = None
         self._changed.set()
 
-    def _note_floor(self, link, version):
-        if self._search is not None:
-            self._search.versions_by_control_host[link.name] = version
-
 
 def _try_send(link, item):
     try:
