Measure the loop's longest stall by a version of many routes

Cause: leases are renewed on the loop that encodes and applies versions, so a long step costs leases.

--- /dev/null
+++ b/bench/distribution_stall.py
@@ -0,0 +1,147 @@
+"""Longest stall of the loop by one version of many routes; prints figures.
+
+    python -m bench.distribution_stall --routes 1000,3000,10000
+
+A greenthread sleeps a millisecond at a time and notes by how much it wakes
+late, while each step of a version's way runs in the same process.
+"""
+
+import os
+
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+import argparse  # noqa: E402
+import time  # noqa: E402
+
+import attrs  # noqa: E402
+import msgpack  # noqa: E402
+
+from tests.support.control_side import make_mesh  # noqa: E402
+from verbenanotch.catalog import NO_VERSION, Version  # noqa: E402
+from verbenanotch.distribution import SnapshotHolder  # noqa: E402
+from verbenanotch.distribution._mesh_state import encode_mesh  # noqa: E402
+from verbenanotch.distribution._messages import Subscribe  # noqa: E402
+from verbenanotch.distribution._session import ProxySession  # noqa: E402
+from verbenanotch.wire import decode, encode  # noqa: E402
+
+SERVICES = 550
+TICK_SECONDS = 0.001
+
+
+class Ticker:
+    """Note the longest time in which the loop ran nothing else."""
+
+    def __init__(self):
+        """Start to tick."""
+        self.longest = 0.0
+        eventlet.spawn(self._run)
+
+    def measure(self, name, function):
+        """Run a function; print its time and the longest stall in it."""
+        eventlet.sleep(0.01)
+        self.longest = 0.0
+        began = time.monotonic()
+        result = function()
+        spent = time.monotonic() - began
+        eventlet.sleep(0.01)
+        print(
+            f"  {name}: {spent * 1000:.1f} ms, "
+            f"longest stall {self.longest * 1000:.1f} ms"
+        )
+        return result
+
+    def _run(self):
+        while True:
+            began = time.monotonic()
+            eventlet.sleep(TICK_SECONDS)
+            late = time.monotonic() - began - TICK_SECONDS
+            self.longest = max(self.longest, late)
+
+
+def pause():
+    """Let other greenthreads run."""
+    eventlet.sleep(0)
+
+
+def make_session(entry_services):
+    """Return the session of a proxy that holds nothing."""
+    return ProxySession(
+        host="p",
+        connection=None,
+        subscription=Subscribe(
+            entry_services=entry_services,
+            held=NO_VERSION,
+            held_digest=0,
+            digests_by_service={},
+            newborn=False,
+            floor=NO_VERSION,
+        ),
+    )
+
+
+def measure(routes):
+    """Measure one number of routes, for a proxy of all and one of some."""
+    ticker = Ticker()
+    mesh = make_mesh(SERVICES, routes_per_service=max(1, routes // SERVICES))
+    print(f"{len(mesh.routes)} routes, {SERVICES} services")
+    name = next(iter(mesh.routes))
+    changed = attrs.evolve(
+        mesh,
+        routes={
+            **mesh.routes,
+            name: attrs.evolve(mesh.routes[name], timeout_ms=1),
+        },
+    )
+    states = [
+        ticker.measure(
+            f"encode version {index}",
+            lambda index=index, item=item: encode_mesh(
+                version=Version(epoch=1, index=index), mesh=item, pause=pause
+            ),
+        )
+        for index, item in ((1, mesh), (2, changed))
+    ]
+    for label, services in (("all", ()), ("2 services", ("s1", "s2"))):
+        measure_proxy(ticker, label, services, states)
+
+
+def measure_proxy(ticker, label, services, states):
+    """Measure the whole state and a delta of one changed route."""
+    session = make_session(services)
+    holder = SnapshotHolder(floor=NO_VERSION)
+    for kind, state in zip(("whole", "delta"), states, strict=True):
+        name = f"{label}, {kind}"
+        update = ticker.measure(
+            f"{name}: make",
+            lambda state=state: session.next_update(
+                state=state, tables_by_service={}
+            ),
+        )
+        data = ticker.measure(
+            f"{name}: to bytes", lambda update=update: encode(update)
+        )
+        received = ticker.measure(
+            f"{name}: from bytes",
+            lambda data=data: decode(msgpack.unpackb(data)),
+        )
+        ticker.measure(
+            f"{name}: apply",
+            lambda received=received: holder.apply(received, pause=pause),
+        )
+        print(f"  {name}: {len(data)} B")
+
+
+def main():
+    """Measure each number of routes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--routes", default="1000,3000,10000")
+    for routes in map(int, parser.parse_args().routes.split(",")):
+        measure(routes)
+
+
+if __name__ == "__main__":
+    main()
