Keep the hosts of small zones and of zones seen by another source

Cause: a zone with two proxies lost both at once, as the damping began at three; a control host that its zone's proxies cannot reach, and that takes over the feed to other zones after a restart, emptied its zone there; a drain waited for a frozen proxy before it reached the next one. Damping now begins at two hosts, a whole table that lacks many known hosts carries them on for 300 s, and drains go out side by side.

--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -167,27 +167,62 @@
     remote.follow({"r0": host_record("r0", zone="z2")})
     base = remote.entries
     assert isinstance(
-        directory.receive(zone_update(remote, sequence=1, base=base)),
+        directory.receive(zone_update(remote, sequence=1, base=base), now=0.0),
         WrongBase,
     )
     whole = zone_update(remote, sequence=1, whole=True)
-    assert directory.receive(whole) == Taken(hosts=frozenset({"r0"}))
-    assert isinstance(directory.receive(whole), Stale)
+    assert directory.receive(whole, now=0.0) == Taken(hosts=frozenset({"r0"}))
+    assert isinstance(directory.receive(whole, now=0.0), Stale)
     remote.follow({"r1": host_record("r1", zone="z2")})
     wrong = zone_update(remote, sequence=2, base=base, digest=7)
-    assert isinstance(directory.receive(wrong), WrongBase)
+    assert isinstance(directory.receive(wrong, now=0.0), WrongBase)
     assert set(directory.records_by_host) == {"r0"}
-    directory.receive(zone_update(remote, sequence=2, base=base))
+    directory.receive(zone_update(remote, sequence=2, base=base), now=0.0)
     assert set(directory.records_by_host) == {"r1"}
 
 
+def test_hosts_that_a_new_source_lacks_are_carried_on_for_a_while(table):
+    directory = Directory(zone_table=table)
+    remote, empty = PublishedTable(), PublishedTable()
+    hosts = {f"r{n}": host_record(f"r{n}", zone="z2") for n in range(4)}
+    remote.follow(hosts)
+    directory.receive(zone_update(remote, sequence=1, whole=True), now=0.0)
+    other = attrs.evolve(
+        zone_update(empty, sequence=1, whole=True), source="c3"
+    )
+    directory.receive(other, now=0.0)
+    assert set(directory.records_by_host) == set(hosts)
+    directory.expire(now=10.0)
+    assert set(directory.records_by_host) == set(hosts)
+    directory.expire(now=1000.0)
+    assert directory.records_by_host == {}
+
+
+def test_one_host_that_a_new_source_lacks_is_dropped(table):
+    directory = Directory(zone_table=table)
+    remote, other = PublishedTable(), PublishedTable()
+    hosts = {f"r{n}": host_record(f"r{n}", zone="z2") for n in range(4)}
+    remote.follow(hosts)
+    directory.receive(zone_update(remote, sequence=1, whole=True), now=0.0)
+    del hosts["r0"]
+    other.follow(hosts)
+    update = zone_update(other, sequence=1, whole=True)
+    directory.receive(attrs.evolve(update, source="c3"), now=0.0)
+    assert set(directory.records_by_host) == {"r1", "r2", "r3"}
+
+
+def test_both_hosts_of_a_small_zone_are_not_dropped_at_once(table):
+    announce(table, 2)
+    assert len(table.expire(now=4.0).suspected) == 2
+
+
 def test_services_hold_the_targets_of_all_zones(table):
     directory = Directory(zone_table=table)
     announce(table, 1)
     directory.refresh_zone()
     remote = PublishedTable()
     remote.follow({"r0": host_record("r0", zone="z2")})
-    directory.receive(zone_update(remote, sequence=1, whole=True))
+    directory.receive(zone_update(remote, sequence=1, whole=True), now=0.0)
     entries = directory.entries_by_service["a"].entries_by_key
     assert set(entries) == {"h0", "r0"}
     assert set(directory.entries_by_service[ALL_HOSTS].entries_by_key) == {
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -174,7 +174,8 @@
     def _expire_forever(self):
         while True:
             eventlet.sleep(EXPIRY_SECONDS)
-            expiry = self._table.expire(now=time.monotonic())
+            now = time.monotonic()
+            expiry = self._table.expire(now=now)
             if expiry.suspected:
                 metrics.increment(
                     "membership.suspected", len(expiry.suspected)
@@ -185,7 +186,9 @@
                 )
             for host in expiry.dropped:
                 emit(membership_events.HOST_EXPIRED, peer=host)
-            if self._directory.refresh(expiry.dropped):
+            changed = list(self._directory.refresh(expiry.dropped))
+            changed += self._directory.expire(now=now)
+            if changed:
                 self._publisher.wake()
             if expiry.dropped or expiry.suspected:
                 self._exchange.wake()
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -1,6 +1,7 @@
 """The control host's side of the streams to proxies."""
 
 import collections
+import contextlib
 import time
 
 import eventlet
@@ -121,11 +122,9 @@
 
     def drain(self, target_id):
         """Tell the proxies of the zone to give a target no new work."""
-        for session in list(self.sessions_by_host.values()):
-            try:
-                session.connection.send(DrainTarget(target_id=target_id))
-            except ConnectionClosedError:
-                continue
+        for session in self.sessions_by_host.values():
+            # A frozen proxy must not delay the others.
+            eventlet.spawn_n(_send_drain, session.connection, target_id)
 
     def summarize(self):
         """Return the ZoneSummary of the own zone."""
@@ -340,3 +339,8 @@
         while len(self._states_by_version) > STATES_KEPT:
             self._states_by_version.popitem(last=False)
         return state
+
+
+def _send_drain(connection, target_id):
+    with contextlib.suppress(ConnectionClosedError):
+        connection.send(DrainTarget(target_id=target_id))
--- a/verbenanotch/membership/_directory.py
+++ b/verbenanotch/membership/_directory.py
@@ -10,6 +10,10 @@
     encode_entry,
 )
 from verbenanotch.membership._records import HostRecord
+from verbenanotch.membership._zone_table import (
+    SUSPECT_HOLD_SECONDS,
+    is_mass,
+)
 
 ALL_HOSTS = ""
 
@@ -41,6 +45,8 @@
     sequence: int
     entries: EntrySet
     records_by_host: dict[str, HostRecord]
+    carried_by_host: dict[str, HostRecord] = attrs.field(factory=dict)
+    carried_until: float = 0.0
 
     def is_after(self, update):
         """Return whether an update of the same source says nothing new.
@@ -70,8 +76,12 @@
         self.records_by_host = {}
         self.entries_by_service = {}
 
-    def receive(self, update):
-        """Take another zone's update; return Taken, Stale or WrongBase."""
+    def receive(self, update, *, now):
+        """Take another zone's update; return Taken, Stale or WrongBase.
+
+        A whole table that lacks many known hosts comes from a control host
+        that they may not reach: they are carried on for a while.
+        """
         held = self.feeds_by_zone.get(update.availability_zone)
         same = held is not None and held.source == update.source
         if same and held.is_after(update):
@@ -94,12 +104,24 @@
             sequence=update.sequence,
             entries=entries,
             records_by_host=records,
+            **_carried(update, held, records, now),
         )
         hosts = set(update.changed) | set(update.removed)
         if update.whole and held is not None:
             hosts |= set(held.records_by_host)
         return Taken(hosts=frozenset(self.refresh(hosts)))
 
+    def expire(self, *, now):
+        """Drop carried hosts whose time is over; return the changed ones."""
+        gone = set()
+        for zone, feed in self.feeds_by_zone.items():
+            if feed.carried_by_host and feed.carried_until <= now:
+                gone |= feed.carried_by_host.keys()
+                self.feeds_by_zone[zone] = attrs.evolve(
+                    feed, carried_by_host={}
+                )
+        return self.refresh(gone)
+
     def refresh(self, hosts):
         """Look at hosts again; return those whose record has changed."""
         changed = {}
@@ -133,6 +155,7 @@
         latest = None
         for feed in self.feeds_by_zone.values():
             record = feed.records_by_host.get(host)
+            record = record or feed.carried_by_host.get(host)
             if record and (latest is None or latest.order < record.order):
                 latest = record
         return latest
@@ -176,6 +199,26 @@
         return entries
 
 
+def _carried(update, held, records, now):
+    """Return which hosts a feed carries on, and until when."""
+    if held is None:
+        return {}
+    if not update.whole:
+        carried = held.carried_by_host
+        until = held.carried_until
+    else:
+        carried = {**held.carried_by_host, **held.records_by_host}
+        until = now + SUSPECT_HOLD_SECONDS
+    missing = {
+        host: record
+        for host, record in carried.items()
+        if host not in records and host not in update.removed
+    }
+    if update.whole and not is_mass(len(missing), len(carried)):
+        return {}
+    return {"carried_by_host": missing, "carried_until": until}
+
+
 def _feed_records(update, held):
     """Return the feed's records; never an older one of the same host."""
     changed = {
--- a/verbenanotch/membership/_exchange.py
+++ b/verbenanotch/membership/_exchange.py
@@ -256,7 +256,7 @@
 
     def _take(self, update, feed):
         if update.availability_zone != self._settings.host.availability_zone:
-            return self._directory.receive(update)
+            return self._directory.receive(update, now=time.monotonic())
         entries = EntrySet() if update.whole else feed.entries
         if not update.whole and entries.digest != update.base_digest:
             return WrongBase()
--- a/verbenanotch/membership/_zone_table.py
+++ b/verbenanotch/membership/_zone_table.py
@@ -5,7 +5,7 @@
 from verbenanotch.membership._records import HostRecord
 
 MASS_EXPIRY_SHARE = 0.3
-MASS_EXPIRY_MIN_HOSTS = 3
+MASS_EXPIRY_MIN_HOSTS = 2
 SUSPECT_HOLD_SECONDS = 300.0
 TRUSTED_LIVE_SHARE = 0.5
 
@@ -33,6 +33,12 @@
     suspected: tuple[str, ...] = ()
 
 
+def is_mass(gone_count, known_count):
+    """Return whether so many hosts are unlikely to be gone at once."""
+    bound = max(MASS_EXPIRY_MIN_HOSTS, MASS_EXPIRY_SHARE * known_count)
+    return gone_count >= bound
+
+
 class ZoneTable:
     """Records of the hosts of one zone; each lives as long as its lease.
 
@@ -204,8 +210,7 @@
     def _is_mass_expiry(self, ended_count):
         recent = len(self._ended_at_by_host)
         known = len(self._leases_by_host.keys() | self._ended_at_by_host)
-        bound = max(MASS_EXPIRY_MIN_HOSTS, MASS_EXPIRY_SHARE * known)
-        return ended_count > 0 and recent >= bound
+        return ended_count > 0 and is_mass(recent, known)
 
     def _overdue_suspects(self, now):
         """Return suspects to drop, if the view of the rest is sound."""
