--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -1,6 +1,7 @@
 """The control host's side of the streams to proxies."""
 
 import collections
+import contextlib
 import time
 
 import eventlet
@@ -77,20 +78,25 @@
         self._state = MeshState()
         self._states_by_version = collections.OrderedDict()
         self._encoding = Signal()
-        self._encoder = None
+        self._had_history = False
+        self._greenthreads = []
         self.acknowledgements = Acknowledgements()
         self.sessions_by_host = {}
         versions.on_change(lambda record: self._encoding.set())
 
     def start(self):
         """Encode versions in the background."""
+        self._had_history = self._versions.current is not None
         self._encoding.set()
-        self._encoder = eventlet.spawn(self._encode_forever)
+        self._greenthreads = [
+            eventlet.spawn(self._encode_forever),
+            eventlet.spawn(self._confirm_once),
+        ]
 
     def stop(self):
         """End the work in the background."""
-        if self._encoder is not None:
-            self._encoder.kill()
+        for greenthread in self._greenthreads:
+            greenthread.kill()
 
     def handle(self, connection):
         """Serve one proxy until its connection ends."""
@@ -116,11 +122,9 @@
 
     def drain(self, target_id):
         """Tell the proxies of the zone to give a target no new work."""
-        for session in list(self.sessions_by_host.values()):
-            try:
-                session.connection.send(DrainTarget(target_id=target_id))
-            except ConnectionClosedError:
-                continue
+        for session in self.sessions_by_host.values():
+            # A frozen proxy must not delay the others.
+            eventlet.spawn_n(_send_drain, session.connection, target_id)
 
     def summarize(self):
         """Return the ZoneSummary of the own zone."""
@@ -134,6 +138,15 @@
             current=self._current_version(),
         )
 
+    def _floor_reply(self):
+        sure = self._had_history or self._confirmer.ever_confirmed
+        return FloorReply(version=self._current_version(), sure=sure)
+
+    def _confirm_once(self):
+        """Have the quorum confirm the state once after a start."""
+        while not self._confirmer.confirmed():
+            eventlet.sleep(FLOOR_TIMEOUT_SECONDS)
+
     def _current_version(self):
         current = self._versions.current
         return NO_VERSION if current is None else current.version
@@ -153,8 +166,7 @@
                 session.forget(mesh=mesh, services=services)
                 session.signal.set()
             case FloorRequest():
-                reply = FloorReply(version=self._current_version())
-                session.connection.send(reply)
+                session.connection.send(self._floor_reply())
             case Announce() | Renew() | Release():
                 self._receive_lease(session, item)
 
@@ -327,3 +339,8 @@
         while len(self._states_by_version) > STATES_KEPT:
             self._states_by_version.popitem(last=False)
         return state
+
+
+def _send_drain(connection, target_id):
+    with contextlib.suppress(ConnectionClosedError):
+        connection.send(DrainTarget(target_id=target_id))
