--- a/examples/demo.py
+++ b/examples/demo.py
@@ -16,7 +16,6 @@
 import subprocess
 import sys
 import time
-import uuid
 
 import urllib3
 
@@ -33,8 +32,10 @@
 START_SECONDS = 60.0
 SERVED_SECONDS = 20.0
 DRAIN_SECONDS = 5.0
+SETTLE_SECONDS = 3.0
 CALL_SECONDS = 15.0
 CALLS_AFTER_DRAIN = 20
+NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
 class DemoError(Exception):
@@ -124,7 +125,10 @@
     def _show_change(self):
         sample = self._deployment.change
         _say("A caller sends a change with a key, twice through two zones")
-        key = f"demo-{uuid.uuid4().hex[:8]}"
+        # Holders of records that have just joined cannot know keys issued
+        # earlier, so that such a key ends as unknown.
+        time.sleep(SETTLE_SECONDS)
+        key = f"{time.time_ns() // NANOSECONDS_PER_MILLISECOND}-demo"
         zones = list(self._deployment.services_by_zone)
         first = self._served(sample, proxy=f"{zones[0]}-proxy-1", key=key)
         self._call(sample, proxy=f"{zones[1]}-proxy-1", key=key)
