Stop requests that crash their targets, in the whole zone

Cause: a request that kills each target that runs it took down one after the other as its caller sent it again.

A target that breaks off and listens no more counts as dead. Its proxy takes it out, counts the death for the request and tells the proxies of its zone before the caller is answered. After the second death the request is refused as not run. An answer clears the count at the proxies that see it.

The integration test sends such a request six times through three proxies: two deaths, then four refusals, while other requests are answered. A false block stays possible when two targets die of something else within the time between two answers of a request that both were running.

--- a/tests/integration/test_request_faults.py
+++ b/tests/integration/test_request_faults.py
@@ -159,6 +159,27 @@
     assert load.counts()["answered"] == len(load.results)
 
 
+def test_a_request_that_crashes_its_targets_is_stopped(mesh, tmp_path):
+    for name in mesh.target_names:
+        mesh.control_target(name, crash_marker="poison")
+    reasons = []
+    for number in range(6):
+        answer = mesh.call(
+            "POST",
+            "/pay/1",
+            proxy=PROXIES[number % 3],
+            request_id=f"poison-{number}",
+            body=b"some poison",
+        )
+        reasons.append(answer.value["reason"])
+        eventlet.sleep(0.2)
+    runs = runs_by_request_id(read_ledgers(tmp_path))
+    deaths = sum(runs[f"poison-{number}"] for number in range(6))
+    assert deaths == 2
+    assert reasons[2:] == ["crashes-targets"] * 4
+    assert mesh.call("GET", "/pay/1", proxy=PROXIES[0]).outcome == "answered"
+
+
 def test_a_caller_that_leaves_stops_its_request(mesh, tmp_path):
     mesh.control_target(mesh.target_names[0], latency_ms=3000)
     with pytest.raises(Exception, match="timed out"):
--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -120,6 +120,7 @@
     server = PeerServer(
         local_targets=targets,
         keeper=None,
+        guard=None,
         max_body_bytes=MAX_BODY_BYTES,
         max_in_flight=8,
     )
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -15,6 +15,7 @@
 )
 from verbenanotch.proxy import (
     CallerWatch,
+    CrashGuard,
     Dispatcher,
     EntryInterface,
     KeyedRequests,
@@ -42,10 +43,19 @@
         proxy = settings.proxy
         self._host_name = host.name
         self._holder = SnapshotHolder()
+        self._peers = PeerPool(settings=settings)
+        incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
+        self._guard = CrashGuard(
+            settings=settings,
+            incarnation=incarnation,
+            holder=self._holder,
+            post=self._peers.post,
+        )
         self._local_targets = LocalTargets(
             settings=settings,
-            incarnation=int(time.time() * MILLISECONDS_PER_SECOND),
+            incarnation=incarnation,
             on_change=self._announce,
+            guard=self._guard,
         )
         self._subscriber = Subscriber(
             settings=settings,
@@ -53,11 +63,11 @@
             announcement=self._local_targets.announcement,
             on_drain=self._local_targets.drain,
         )
-        self._peers = PeerPool(settings=settings)
         self._keeper = RecordKeeper(host_name=host.name, holder=self._holder)
         self._peer_server = PeerServer(
             local_targets=self._local_targets,
             keeper=self._keeper,
+            guard=self._guard,
             max_body_bytes=proxy.max_body_bytes,
             max_in_flight=proxy.max_in_flight,
         )
@@ -135,6 +145,7 @@
             holder=self._holder,
             local_targets=self._local_targets,
             peers=self._peers,
+            guard=self._guard,
         )
         return EntryInterface(
             settings=settings,
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -33,8 +33,12 @@
 class Dispatcher:
     """Choose targets for requests and run them there."""
 
-    def __init__(self, *, settings, holder, local_targets, peers):
-        """Take targets from the snapshot of `holder`."""
+    def __init__(self, *, settings, holder, local_targets, peers, guard=None):
+        """Take targets from the snapshot of `holder`.
+
+        `guard` is the CrashGuard that blocks requests.
+        """
+        self._guard = guard
         self._settings = settings
         self._holder = holder
         self._local_targets = local_targets
@@ -86,6 +90,10 @@
         """Run the request once at a target that it has not tried yet."""
         if time.monotonic() >= request.deadline or cancellation.cancelled:
             return NotRun(reason=reasons.DEADLINE_PASSED)
+        if self._guard is not None:
+            refusal = self._guard.refusal(request)
+            if refusal is not None:
+                return refusal
         match self._choose(snapshot, request, tried):
             case NoTarget(reason=reason, retry_after_ms=retry_after_ms):
                 return NotRun(reason=reason, retry_after_ms=retry_after_ms)
@@ -125,6 +133,8 @@
             self._judge(snapshot, state, kind, now)
             if _goes_elsewhere(outcome):
                 state.ejected_until = now + AVOID_SECONDS
+        if self._guard is not None and isinstance(outcome, Answered):
+            self._guard.answered(call)
         if call.traced or not isinstance(outcome, Answered):
             emit(
                 events.CALL_ENDED,
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -8,7 +8,7 @@
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
 from verbenanotch.proxy._exchange import exchange
-from verbenanotch.proxy._outcome import NotRun
+from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
 from verbenanotch.proxy._slots import Slots
 from verbenanotch.proxy._target_connection import TargetConnections
 from verbenanotch.telemetry import emit, metrics
@@ -30,8 +30,12 @@
 class LocalTargets:
     """Keep the host's targets and run calls at them."""
 
-    def __init__(self, *, settings, incarnation, on_change):
-        """Call `on_change` whenever the announcement changes."""
+    def __init__(self, *, settings, incarnation, on_change, guard=None):
+        """Call `on_change` whenever the announcement changes.
+
+        `guard` is the CrashGuard that learns of deaths.
+        """
+        self._guard = guard
         self._settings = settings
         self._incarnation = incarnation
         self._on_change = on_change
@@ -154,6 +158,7 @@
             cancellation=cancellation,
             max_body_bytes=self._settings.proxy.max_body_bytes,
         )
+        self._learn(target, call, outcome)
         elapsed_ms = (time.monotonic() - started) * MILLISECONDS_PER_SECOND
         metrics.timing("proxy.target_ms", elapsed_ms)
         if call.traced:
@@ -167,6 +172,20 @@
             )
         return outcome
 
+    def _learn(self, target, call, outcome):
+        """Note a target that died of the call."""
+        if self._guard is None:
+            return
+        match outcome:
+            case Answered():
+                self._guard.answered(call)
+            case Unknown(reason=reason) if (
+                reason.startswith(reasons.TARGET_BROKE_OFF)
+                and not target.connections.can_connect()
+            ):
+                self.remove(call.target_id)
+                self._guard.died(call)
+
     def _changed(self):
         self._sequence += 1
         self._on_change()
--- a/verbenanotch/proxy/_messages.py
+++ b/verbenanotch/proxy/_messages.py
@@ -8,6 +8,7 @@
 import attrs
 
 from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
+from verbenanotch.routing import DeathNotice
 from verbenanotch.wire import message
 
 
@@ -124,6 +125,14 @@
     item: bytes
 
 
+@message(412)
+@attrs.frozen(kw_only=True)
+class TargetDied:
+    """A target of the sender died while it ran a request."""
+
+    notice: DeathNotice
+
+
 def reply_of(stream_id, outcome, *, inline_bytes):
     """Return the message that carries an outcome.
 
--- a/verbenanotch/proxy/_peer.py
+++ b/verbenanotch/proxy/_peer.py
@@ -156,6 +156,11 @@
             del self._streams_by_id[stream_id]
         return None if isinstance(reply, Unknown) else reply
 
+    def post(self, message):
+        """Send a message that has no reply."""
+        if not self.closed:
+            self._outbox.post(message)
+
     def check(self, now):
         """Ping a silent peer; suspect it, then give it up.
 
--- a/verbenanotch/proxy/_peer_pool.py
+++ b/verbenanotch/proxy/_peer_pool.py
@@ -55,6 +55,13 @@
         remaining = deadline - time.monotonic()
         return peer.ask(service, message, remaining)
 
+    def post(self, record, message):
+        """Send a message that has no reply, if the peer can be reached."""
+        deadline = time.monotonic() + DIAL_TIMEOUT_SECONDS
+        peer = self.connect(record, deadline=deadline)
+        if peer is not None:
+            peer.post(message)
+
     def connect(self, record, *, deadline):
         """Return a connected Peer, or None if there is none in time.
 
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -24,6 +24,7 @@
     Pong,
     RecordAsk,
     RecordReply,
+    TargetDied,
     WindowUpdate,
     reply_of,
 )
@@ -51,12 +52,20 @@
     """Run the calls that other proxies forward to this host."""
 
     def __init__(
-        self, *, local_targets, keeper, max_body_bytes, max_in_flight
+        self,
+        *,
+        local_targets,
+        keeper,
+        guard,
+        max_body_bytes,
+        max_in_flight,
     ):
         """Run calls at `local_targets`, at most `max_in_flight` at a time.
 
-        `keeper` answers what others ask of this host's records.
+        `keeper` answers what others ask of this host's records, `guard`
+        learns of the deaths of their targets.
         """
+        self.guard = guard
         self.local_targets = local_targets
         self.keeper = keeper
         self.max_body_bytes = max_body_bytes
@@ -134,6 +143,8 @@
                 self._cancel(stream_id)
             case RecordAsk():
                 self._reply_of_records(item)
+            case TargetDied(notice=notice):
+                self._server.guard.noticed(notice)
             case Ping(number=number):
                 self.outbox.post(Pong(number=number))
 
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -31,5 +31,12 @@
 
 # Refusals of the choice itself, which looked at every target.
 FINAL = frozenset(
-    ("no-target", "draining", "excluded", "unhealthy", "overloaded")
+    (
+        "no-target",
+        "draining",
+        "excluded",
+        "unhealthy",
+        "overloaded",
+        CRASHES_TARGETS,
+    )
 )
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -11,6 +11,7 @@
 
 IDLE_SECONDS = 4.0
 CONNECT_TIMEOUT_SECONDS = 1.0
+PROBE_TIMEOUT_SECONDS = 0.2
 WARM_CONNECTIONS = 2
 
 
@@ -96,6 +97,15 @@
         connection.sock.settimeout(None)
         return connection
 
+    def can_connect(self):
+        """Return whether the target still accepts connections."""
+        try:
+            connection = self.connect(timeout_seconds=PROBE_TIMEOUT_SECONDS)
+        except urllib3.exceptions.HTTPError:
+            return False
+        self.give_back(connection)
+        return True
+
     def give_back(self, connection):
         """Keep a connection whose last answer was read to its end."""
         if connection.sock is None:
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -27,6 +27,20 @@
     Level.DEBUG,
     "a call at a local target has ended",
 )
+TARGET_DIED = event(
+    5016,
+    "target-died",
+    Level.ERROR,
+    "a local target broke off a request and listens no more",
+    "Look at the target's log; the event names the request that it ran.",
+)
+REQUEST_BLOCKED = event(
+    5017,
+    "request-blocked",
+    Level.ERROR,
+    "a request that killed several targets is refused for a while",
+    "Find the request by its target-died events and stop its caller.",
+)
 PEER_REFUSED = event(
     5008,
     "request-peer-refused",
