Leave the limit of a lightly used target alone

Single slow answers shrank the adaptive limit, and with few requests in flight it never grew again, until two at a time were over it.

Overload at three times the slots is still refused (its test passes).

A floor under the limit was ruled out, since a target that truly slows under load must be allowed to go down to one request.

--- a/tests/unit/test_proxy_candidates.py
+++ b/tests/unit/test_proxy_candidates.py
@@ -64,3 +64,13 @@
     assert ejected is not None
     assert state.cold_start_ms == 0
     assert state.has_room(0.0)
+
+
+def test_a_lightly_used_target_keeps_its_limit(holder):
+    state = states(CandidateCache(), holder)["pay/1"]
+    before = state.limit.value
+    for number in range(2000):
+        latency = 0.010 if number % 10 == 0 else 0.001
+        state.started(0.0)
+        state.finished(0.0, latency, OutcomeKind.ANSWERED)
+    assert state.limit.value >= before
--- a/verbenanotch/routing/_limit.py
+++ b/verbenanotch/routing/_limit.py
@@ -39,8 +39,8 @@
         """Follow the latency of one answered request.
 
         `in_flight` counts the requests in flight when it ended. The limit
-        grows only while at least half of it is in use, as an idle target
-        tells nothing about its capacity.
+        moves only while at least half of it is in use: otherwise the load
+        is not what makes the target slow, and says nothing about capacity.
         """
         if self.long_term_seconds == 0.0:
             self.short_term_seconds = latency_seconds
@@ -55,7 +55,7 @@
         )
         gradient = self._gradient()
         headroom = self.value**0.5 if in_flight * 2 >= self.value else 0.0
-        if gradient >= 1.0 and headroom == 0.0:
+        if headroom == 0.0:
             return
         self._move_to(self.value * gradient + headroom)
 
