--- /dev/null
+++ b/bench/request_capacity.py
@@ -0,0 +1,117 @@
+"""Highest rate that one proxy holds, and goodput beyond the slots.
+
+    .venv/bin/python -m bench.request_capacity --seconds 6
+
+Each rate runs alone, through the proxy beside the target. A rate holds if at
+least 99% of its requests are answered and p99 stays under the bound.
+"""
+
+import os
+import warnings
+
+os.environ["EVENTLET_NO_GREENDNS"] = "yes"
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+if __name__ == "__main__":
+    eventlet.monkey_patch()
+
+import pathlib  # noqa: E402
+import tempfile  # noqa: E402
+
+import click  # noqa: E402
+
+from bench.request_client import Path, make_request, run_open_loop  # noqa: E402
+from bench.request_latency import (  # noqa: E402
+    MESH_TEXT,
+    NEAR,
+    processor_seconds,
+)
+from examples.topology import CALLER_PORT  # noqa: E402
+from tests.support.harness import Mesh  # noqa: E402
+
+RATES = (100, 200, 300, 400, 500, 600, 700, 800)
+HOLDS_SHARE = 0.99
+SLOTS = 8
+LATENCY_MS = 40
+OVERLOADS = (1, 2, 3)
+
+
+def make_path(mesh, headers=""):
+    """Return the path through the near proxy."""
+    address = mesh.topology.hosts_by_name[NEAR].address
+    return Path(
+        name="one proxy",
+        address=address,
+        port=CALLER_PORT,
+        request=make_request(address=address, headers=headers),
+    )
+
+
+def run_rate(mesh, *, rate, seconds, headers=""):
+    """Run one rate and print what came of it; return whether it held."""
+    path = make_path(mesh, headers)
+    pid = mesh.child(NEAR)._process.pid
+    before = processor_seconds(pid)
+    run_open_loop([path], rate=rate, seconds=seconds)
+    used = processor_seconds(pid) - before
+    asked = path.answered + path.refused + path.failed
+    p50, _, p99 = path.percentiles_ms()
+    print(
+        f"  {rate:5.0f}/s  answered {path.answered / seconds:6.1f}/s  "
+        f"refused {path.refused}  failed {path.failed}  "
+        f"p50 {p50:8.2f}  p99 {p99:8.2f} ms  "
+        f"{used / seconds:6.1%} of a core  {used / asked * 1000:.2f} ms a call"
+    )
+    return path.answered >= HOLDS_SHARE * asked
+
+
+def start_mesh(folder, *, slots, **behaviour):
+    """Return a running mesh with one target that serves."""
+    mesh = Mesh(folder=folder, control_hosts_per_zone=1, proxies_per_zone=1)
+    mesh.__enter__()
+    mesh.start_target(NEAR, "pay", slots=slots, **behaviour)
+    mesh.accept(MESH_TEXT)
+    mesh.wait_until(
+        lambda: mesh.call("GET", "/pay/1", proxy=NEAR).status == 200,
+        what="served requests",
+    )
+    return mesh
+
+
+@click.command()
+@click.option("--seconds", default=6)
+def main(seconds):
+    """Run both parts and print the figures."""
+    with tempfile.TemporaryDirectory() as folder:
+        mesh = start_mesh(pathlib.Path(folder), slots=64)
+        try:
+            print("rates through one proxy, a target without latency")
+            for rate in RATES:
+                if not run_rate(mesh, rate=rate, seconds=seconds):
+                    break
+        finally:
+            mesh.stop()
+    with tempfile.TemporaryDirectory() as folder:
+        mesh = start_mesh(
+            pathlib.Path(folder), slots=SLOTS, latency_ms=LATENCY_MS
+        )
+        try:
+            capacity = SLOTS * 1000 / LATENCY_MS
+            print(
+                f"goodput, {SLOTS} slots of {LATENCY_MS} ms, deadline 500 ms"
+            )
+            for factor in OVERLOADS:
+                run_rate(
+                    mesh,
+                    rate=capacity * factor,
+                    seconds=seconds,
+                    headers="X-Request-Timeout-Ms: 500\r\n",
+                )
+        finally:
+            mesh.stop()
+
+
+if __name__ == "__main__":
+    main()
