Probe local targets and report their health and load as hints

Cause: the choice weighs what targets report, but nothing asked them. The proxy beside a target asks once a second and sends what has changed on the connections that other proxies have to it. A separate stream was ruled out: only proxies with calls to the target need its report.

The integration test has one target that claims to be ill and full while it serves, and one that claims to be well and idle while it fails: all requests are answered, and the failing one gets less than its third.

--- a/tests/integration/test_request_faults.py
+++ b/tests/integration/test_request_faults.py
@@ -180,6 +180,27 @@
     assert mesh.call("GET", "/pay/1", proxy=PROXIES[0]).outcome == "answered"
 
 
+def test_misleading_health_and_load(mesh, tmp_path):
+    mesh.control_target(
+        mesh.target_names[0], reported_health=500, reported_in_flight=8
+    )
+    mesh.control_target(
+        mesh.target_names[1],
+        reported_health=200,
+        reported_in_flight=0,
+        fail_status=500,
+    )
+    with _load(mesh) as load:
+        eventlet.sleep(4)
+    judge(load, tmp_path)
+    counts = load.counts()
+    assert counts["answered"] == len(load.results)
+    started = [e for e in read_ledgers(tmp_path) if e.phase == "started"]
+    failing = mesh.target_id(mesh.target_names[1])
+    share = sum(e.target == failing for e in started) / len(started)
+    assert share < 1 / 3
+
+
 def test_a_caller_that_leaves_stops_its_request(mesh, tmp_path):
     mesh.control_target(mesh.target_names[0], latency_ms=3000)
     with pytest.raises(Exception, match="timed out"):
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -24,11 +24,13 @@
     PeerServer,
     RecordKeeper,
     TargetInterface,
+    TargetProbe,
 )
 from verbenanotch.wire import Listener, Purpose
 
 EXPIRY_SECONDS = 0.5
 WARM_SECONDS = 1.0
+PROBE_SECONDS = 1.0
 POLL_SECONDS = 0.02
 REFRESH_SECONDS = 0.1
 MILLISECONDS_PER_SECOND = 1000
@@ -103,6 +105,11 @@
         self._floor_wait_seconds = (
             proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
         )
+        self._probe = TargetProbe(
+            holder=self._holder,
+            local_targets=self._local_targets,
+            on_report=self._report,
+        )
         self._greenthreads = []
 
     def start(self):
@@ -116,6 +123,7 @@
             eventlet.spawn(self._serve_callers),
             eventlet.spawn(_every, EXPIRY_SECONDS, self._local_targets.expire),
             eventlet.spawn(_every, REFRESH_SECONDS, self._keeper.refresh),
+            eventlet.spawn(_every, PROBE_SECONDS, self._probe.probe_all),
             eventlet.spawn(_every, WARM_SECONDS, self._local_targets.warm),
         ]
 
@@ -147,6 +155,8 @@
             peers=self._peers,
             guard=self._guard,
         )
+        self._dispatcher = dispatcher
+        self._peers.on_report = dispatcher.reported
         return EntryInterface(
             settings=settings,
             holder=self._holder,
@@ -174,6 +184,11 @@
             eventlet.sleep(POLL_SECONDS)
         self._caller_http.start()
 
+    def _report(self, report):
+        """Tell what a local target says of itself."""
+        self._dispatcher.reported(report)
+        self._peer_server.post(report)
+
     def _announce(self):
         self._subscriber.announce()
 
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -9,6 +9,7 @@
 from verbenanotch.proxy._local import LocalTargets
 from verbenanotch.proxy._peer_pool import PeerPool
 from verbenanotch.proxy._peer_server import PeerServer
+from verbenanotch.proxy._probe import TargetProbe
 from verbenanotch.proxy._record_keeper import RecordKeeper
 
 __all__ = [
@@ -22,4 +23,5 @@
     "PeerServer",
     "RecordKeeper",
     "TargetInterface",
+    "TargetProbe",
 ]
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -86,6 +86,14 @@
                     metrics.increment("proxy.retries")
                     eventlet.sleep(delay_ms / MILLISECONDS_PER_SECOND)
 
+    def reported(self, report):
+        """Note what a target says of itself; a hint for the choice."""
+        state = self._cache.states_by_target_id.get(report.target_id)
+        if state is not None:
+            state.reported(
+                time.monotonic(), report.load_percent / 100, report.healthy
+            )
+
     def _attempt(self, snapshot, request, attempt, tried, cancellation):
         """Run the request once at a target that it has not tried yet."""
         if time.monotonic() >= request.deadline or cancellation.cancelled:
--- a/verbenanotch/proxy/_messages.py
+++ b/verbenanotch/proxy/_messages.py
@@ -133,6 +133,19 @@
     notice: DeathNotice
 
 
+@message(413)
+@attrs.frozen(kw_only=True)
+class TargetReport:
+    """What a target of the sender says of itself.
+
+    `load_percent` is the share of its slots in use.
+    """
+
+    target_id: str
+    load_percent: int
+    healthy: bool
+
+
 def reply_of(stream_id, outcome, *, inline_bytes):
     """Return the message that carries an outcome.
 
--- a/verbenanotch/proxy/_peer.py
+++ b/verbenanotch/proxy/_peer.py
@@ -28,6 +28,7 @@
     Pong,
     RecordAsk,
     RecordReply,
+    TargetReport,
     WindowUpdate,
     outcome_of,
 )
@@ -74,8 +75,12 @@
     has one connection, and each call a stream id of its own.
     """
 
-    def __init__(self, *, connection, max_body_bytes):
-        """Start to receive on a dialed connection."""
+    def __init__(self, *, connection, max_body_bytes, on_report):
+        """Start to receive on a dialed connection.
+
+        `on_report` is called with each TargetReport.
+        """
+        self._on_report = on_report
         self._connection = connection
         self._max_body_bytes = max_body_bytes
         self._outbox = Outbox(connection=connection)
@@ -246,7 +251,12 @@
                 return
             case GoAway():
                 self.leaving = True
-                return
+            case TargetReport():
+                self._on_report(item)
+            case _:
+                self._receive_on_stream(item)
+
+    def _receive_on_stream(self, item):
         stream = self._streams_by_id.get(item.stream_id)
         if stream is None:
             if not isinstance(item, WindowUpdate):
--- a/verbenanotch/proxy/_peer_pool.py
+++ b/verbenanotch/proxy/_peer_pool.py
@@ -20,9 +20,13 @@
     """Keep one connection to each peer proxy and forward calls on it."""
 
     def __init__(self, *, settings, dial=dial):
-        """Dial peers as they are needed."""
+        """Dial peers as they are needed.
+
+        `on_report` can be replaced; it gets each peer's TargetReport.
+        """
         self._settings = settings
         self._dial = dial
+        self.on_report = lambda report: None
         self._peers_by_address = {}
         self._dialing_by_address = {}
         self._redial_at_by_address = {}
@@ -110,6 +114,7 @@
         return Peer(
             connection=connection,
             max_body_bytes=self._settings.proxy.max_body_bytes,
+            on_report=lambda report: self.on_report(report),
         )
 
     def _check_forever(self):
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -90,6 +90,11 @@
         for session in self._sessions:
             session.outbox.post(GoAway(reason=reason))
 
+    def post(self, message):
+        """Send a message without a reply to every connected peer."""
+        for session in self._sessions:
+            session.outbox.post(message)
+
     def refusal(self):
         """Return NotRun if a new call cannot be taken, else None."""
         if self.leaving:
--- /dev/null
+++ b/verbenanotch/proxy/_probe.py
@@ -0,0 +1,109 @@
+"""Ask local targets for their health and load, and pass it on."""
+
+import json
+import time
+
+from verbenanotch.proxy._cancellation import Cancellation
+from verbenanotch.proxy._exchange import exchange
+from verbenanotch.proxy._messages import TargetReport
+from verbenanotch.proxy._outcome import Answered, Call
+from verbenanotch.telemetry import metrics
+
+PROBE_TIMEOUT_SECONDS = 0.5
+MAX_ANSWER_BYTES = 16 * 1024
+FIRST_ERROR_STATUS = 400
+REPEAT_SECONDS = 5.0
+LOAD_STEP_PERCENT = 10
+MAX_LOAD_PERCENT = 1000
+
+
+class TargetProbe:
+    """Probe each local target and report what has changed.
+
+    A probe takes no slot, so that a full target can still tell its load.
+    """
+
+    def __init__(self, *, holder, local_targets, on_report):
+        """Take the paths from `holder`; call `on_report` with reports."""
+        self._holder = holder
+        self._local_targets = local_targets
+        self._on_report = on_report
+        self._sent_by_target_id = {}
+
+    def probe_all(self):
+        """Probe every target once."""
+        targets_by_id = dict(self._local_targets.targets_by_id)
+        for target_id in self._sent_by_target_id.keys() - targets_by_id:
+            del self._sent_by_target_id[target_id]
+        services = self._holder.snapshot.services_by_name
+        for target in targets_by_id.values():
+            service = services.get(target.record.service)
+            if service is not None:
+                self._report(self._probed(target, service), time.monotonic())
+
+    def _report(self, report, now):
+        """Report what differs from before, and all now and then."""
+        sent, sent_at = self._sent_by_target_id.get(
+            report.target_id, (None, 0.0)
+        )
+        if (
+            sent is not None
+            and now - sent_at < REPEAT_SECONDS
+            and sent.healthy == report.healthy
+            and abs(sent.load_percent - report.load_percent)
+            < LOAD_STEP_PERCENT
+        ):
+            return
+        self._sent_by_target_id[report.target_id] = (report, now)
+        self._on_report(report)
+
+    def _probed(self, target, service):
+        health = _ask(target, service.health_path)
+        load = _ask(target, service.load_path)
+        healthy = _is_success(health)
+        if not healthy:
+            metrics.increment("proxy.probes_failed")
+        return TargetReport(
+            target_id=target.record.target_id,
+            load_percent=_load_percent(load),
+            healthy=healthy,
+        )
+
+
+def _ask(target, path):
+    call = Call(
+        request_id="probe",
+        service=target.record.service,
+        target_id=target.record.target_id,
+        method="GET",
+        path=path,
+        headers=(),
+        body=b"",
+        remaining_ms=int(PROBE_TIMEOUT_SECONDS * 1000),
+        idempotent=True,
+    )
+    return exchange(
+        target.connections,
+        call,
+        deadline=time.monotonic() + PROBE_TIMEOUT_SECONDS,
+        cancellation=Cancellation(),
+        max_body_bytes=MAX_ANSWER_BYTES,
+    )
+
+
+def _is_success(outcome):
+    return (
+        isinstance(outcome, Answered) and outcome.status < FIRST_ERROR_STATUS
+    )
+
+
+def _load_percent(outcome):
+    """Return the reported load, 0 if the report makes no sense."""
+    if not _is_success(outcome):
+        return 0
+    try:
+        document = json.loads(outcome.body)
+        percent = int(100 * document["in_flight"] / document["slots"])
+    except (ValueError, KeyError, TypeError, ArithmeticError):
+        return 0
+    return min(MAX_LOAD_PERCENT, max(0, percent))
