--- a/verbenanotch/distribution/_floor.py
+++ b/verbenanotch/distribution/_floor.py
@@ -3,7 +3,6 @@
 import dataclasses
 import random
 
-import attrs
 import eventlet
 from eventlet import event
 
@@ -102,17 +101,6 @@
         self._asking = False
 
 
-def note_reply(search, *, name, reply):
-    """Take a control host's FloorReply; one that is not sure stays silent.
-
-    Its version still raises the floor.
-    """
-    if reply.sure:
-        search.versions_by_control_host[name] = reply.version
-    else:
-        search.peer_versions.append(reply.version)
-
-
 def ask_peers(*, host, peers_by_host, timeout_seconds):
     """Return the versions that some proxies of the zone hold."""
     others = [name for name in peers_by_host if name != host.name]
@@ -146,20 +134,3 @@
         return None
     finally:
         connection.close()
-
-
-@attrs.define(kw_only=True)
-class FloorSearch:
-    """Answers of one proxy's search so far."""
-
-    control_hosts: frozenset[str]
-    versions_by_control_host: dict[str, Version] = attrs.field(factory=dict)
-    peer_versions: list[Version] = attrs.field(factory=list)
-
-    def decide(self):
-        """Return FloorFound or FloorOpen by the answers so far."""
-        return decide_floor(
-            control_hosts=self.control_hosts,
-            versions_by_control_host=self.versions_by_control_host,
-            peer_versions=self.peer_versions,
-        )
--- /dev/null
+++ b/verbenanotch/distribution/_floor_search.py
@@ -0,0 +1,93 @@
+"""A restarted proxy's search for its floor without a quorum."""
+
+import time
+
+import attrs
+import eventlet
+
+from verbenanotch.catalog import Version
+from verbenanotch.distribution import events
+from verbenanotch.distribution._floor import (
+    FloorFound,
+    FloorOpen,
+    ask_peers,
+    decide_floor,
+)
+from verbenanotch.distribution._messages import FloorRequest
+from verbenanotch.telemetry import emit
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+@attrs.define(kw_only=True)
+class _Answers:
+    """What came in so far in one search."""
+
+    versions_by_control_host: dict[str, Version] = attrs.field(factory=dict)
+    peer_versions: list[Version] = attrs.field(factory=list)
+
+
+class FloorSearch:
+    """Ask all control hosts of the zone and several of its proxies.
+
+    `send_all` sends a message to every connected control host. `on_end` is
+    called with the outcome of each search; a found floor is raised in
+    `holder` before.
+    """
+
+    def __init__(self, *, settings, holder, send_all, on_end):
+        """Ask nothing yet."""
+        self._settings = settings
+        self._holder = holder
+        self._send_all = send_all
+        self._on_end = on_end
+        self._answers = None
+        self._greenthread = None
+
+    def start(self, peers_by_host):
+        """Search in the background, unless one runs or the floor is known."""
+        if self._answers is None and self._holder.floor is None:
+            self._answers = _Answers()
+            self._greenthread = eventlet.spawn(self._run, peers_by_host)
+
+    def stop(self):
+        """End a search."""
+        if self._greenthread is not None:
+            self._greenthread.kill()
+
+    def note(self, name, reply):
+        """Take a control host's FloorReply.
+
+        One that is not sure counts as silent, but still raises the floor.
+        """
+        if self._answers is None:
+            return
+        if reply.sure:
+            self._answers.versions_by_control_host[name] = reply.version
+        else:
+            self._answers.peer_versions.append(reply.version)
+
+    def _run(self, peers_by_host):
+        proxy = self._settings.proxy
+        wait = proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
+        began = time.monotonic()
+        self._send_all(FloorRequest())
+        versions = ask_peers(
+            host=self._settings.host,
+            peers_by_host=peers_by_host,
+            timeout_seconds=wait,
+        )
+        eventlet.sleep(max(0.0, wait - (time.monotonic() - began)))
+        answers, self._answers = self._answers, None
+        outcome = decide_floor(
+            control_hosts=frozenset(proxy.control_hosts_by_name),
+            versions_by_control_host=answers.versions_by_control_host,
+            peer_versions=[*answers.peer_versions, *versions],
+        )
+        match outcome:
+            case FloorFound(version=version):
+                emit(events.FLOOR_FOUND, version=str(version))
+                self._holder.raise_floor(version)
+            case FloorOpen(silent=silent):
+                emit(events.FLOOR_OPEN, silent=list(silent))
+        self._on_end(outcome)
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -13,13 +13,8 @@
     StaleWatch,
     choose_control_host,
 )
-from verbenanotch.distribution._floor import (
-    FloorFound,
-    FloorOpen,
-    FloorSearch,
-    ask_peers,
-    note_reply,
-)
+from verbenanotch.distribution._floor import FloorOpen
+from verbenanotch.distribution._floor_search import FloorSearch
 from verbenanotch.distribution._holder import (
     Applied,
     BelowFloor,
@@ -33,7 +28,6 @@
     DrainTarget,
     FloorConfirmed,
     FloorReply,
-    FloorRequest,
     FloorUnknown,
     Resync,
     Subscribe,
@@ -94,7 +88,12 @@
         self._answered_at = None
         self._closed_bytes = 0
         self._stale_watch = StaleWatch()
-        self._search = None
+        self._search = FloorSearch(
+            settings=settings,
+            holder=holder,
+            send_all=self._send_all,
+            on_end=self._end_search,
+        )
         self._changed = Signal()
         self._greenthreads = []
 
@@ -133,6 +132,7 @@
 
     def stop(self):
         """End every stream."""
+        self._search.stop()
         for greenthread in self._greenthreads:
             greenthread.kill()
         for link in list(self._links_by_name.values()):
@@ -304,10 +304,10 @@
             case FloorConfirmed(version=version):
                 self._holder.raise_floor(version)
                 emit(events.FLOOR_CONFIRMED, version=str(version))
-            case FloorUnknown(peers_by_host=peers_by_host):
-                self._start_search(link, peers_by_host)
-            case FloorReply() if self._search is not None:
-                note_reply(self._search, name=link.name, reply=item)
+            case FloorUnknown() if link is self._subscribed:
+                self._search.start(item.peers_by_host)
+            case FloorReply():
+                self._search.note(link.name, item)
 
     def _postpone(self, link, retry_after_ms):
         wait = retry_after_ms / MILLISECONDS_PER_SECOND
@@ -340,38 +340,10 @@
             case Outdated() | BelowFloor():
                 emit(events.VERSION_TOO_OLD, peer=link.name)
 
-    def _start_search(self, link, peers_by_host):
-        """Find the floor without a quorum; then subscribe with it."""
-        if link is not self._subscribed or self._holder.floor is not None:
-            return
-        if self._search is None:
-            names = self._settings.proxy.control_hosts_by_name
-            self._search = FloorSearch(control_hosts=frozenset(names))
-            self._greenthreads.append(
-                eventlet.spawn(self._search_floor, peers_by_host)
-            )
-
-    def _search_floor(self, peers_by_host):
-        wait = self._settings.proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
-        self._send_all(FloorRequest())
-        began = time.monotonic()
-        self._search.peer_versions.extend(
-            ask_peers(
-                host=self._settings.host,
-                peers_by_host=peers_by_host,
-                timeout_seconds=wait,
-            )
-        )
-        eventlet.sleep(max(0.0, wait - (time.monotonic() - began)))
-        search, self._search = self._search, None
-        match search.decide():
-            case FloorFound(version=version):
-                emit(events.FLOOR_FOUND, version=str(version))
-                self._holder.raise_floor(version)
-            case FloorOpen(silent=silent):
-                emit(events.FLOOR_OPEN, silent=list(silent))
-                self._delay_choice()
-        # The next subscription carries the floor or asks for it again.
+    def _end_search(self, outcome):
+        """Subscribe again: with the floor, or to ask for it later."""
+        if isinstance(outcome, FloorOpen):
+            self._delay_choice()
         self._subscribed = None
         self._changed.set()
 
