--- a/tests/unit/test_distribution.py
+++ b/tests/unit/test_distribution.py
@@ -1,7 +1,9 @@
 """Parts, deltas, the swap of snapshots, admission and floors."""
 
 import attrs
+import eventlet
 import pytest
+from eventlet import event
 
 from tests.support.control_side import make_mesh, make_target
 from verbenanotch.catalog import NO_VERSION, Version
@@ -26,6 +28,7 @@
     choose_control_host,
 )
 from verbenanotch.distribution._floor import (
+    FloorConfirmer,
     FloorFound,
     FloorOpen,
     decide_floor,
@@ -319,6 +322,36 @@
     ) == FloorFound(version=version(5))
 
 
+def test_one_quorum_read_serves_all_that_wait_for_it():
+    begun, ends = [], event.Event()
+
+    def confirm(timeout_seconds):
+        begun.append(timeout_seconds)
+        return ends.wait()
+
+    confirmer = FloorConfirmer(confirm=confirm, timeout_seconds=1.0)
+    first = eventlet.spawn(confirmer.confirmed)
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+    later = [eventlet.spawn(confirmer.confirmed) for _ in range(5)]
+    eventlet.sleep(0)
+    ends.send(True)
+    assert first.wait() and all(item.wait() for item in later)
+    # Those that came while the first one ran need a read begun later.
+    assert len(begun) == 2
+
+
+def test_a_failed_quorum_read_answers_others_at_once():
+    begun = []
+    confirmer = FloorConfirmer(
+        confirm=lambda timeout_seconds: bool(begun.append(1)),
+        timeout_seconds=1.0,
+    )
+    assert not confirmer.confirmed()
+    assert not confirmer.confirmed()
+    assert len(begun) == 1
+
+
 def test_acknowledgements_tell_the_lowest_and_who_lags():
     acknowledgements = Acknowledgements()
     acknowledgements.note("a", version(2))
--- a/verbenanotch/distribution/_floor.py
+++ b/verbenanotch/distribution/_floor.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import time
 
 import eventlet
 from eventlet import event
@@ -11,6 +12,7 @@
 from verbenanotch.wire import Purpose, WireError, dial
 
 PEERS_ASKED = 3
+FAILURE_KEPT_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -78,9 +80,16 @@
         self.ever_confirmed = False
         self._waiting = []
         self._asking = False
+        self._failed_until = 0.0
 
     def confirmed(self):
-        """Return whether a read that began after this call succeeded."""
+        """Return whether a read that began after this call succeeded.
+
+        A failure answers for a second, so that a herd of newborn proxies in
+        a zone without a quorum does not wait one timeout after another.
+        """
+        if time.monotonic() < self._failed_until:
+            return False
         answer = event.Event()
         self._waiting.append(answer)
         if not self._asking:
@@ -96,6 +105,8 @@
             except Exception:
                 result = False
             self.ever_confirmed = self.ever_confirmed or result
+            if not result:
+                self._failed_until = time.monotonic() + FAILURE_KEPT_SECONDS
             for answer in waiting:
                 answer.send(result)
         self._asking = False
