--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -37,6 +37,7 @@
     ZoneTableUpdate,
 )
 from verbenanotch.membership._entry_set import EntrySet, encode_entry
+from verbenanotch.telemetry import configure
 from verbenanotch.wire import decode, encode
 
 SERVICES = 550
@@ -233,7 +234,9 @@
         text = make_text(count)
         spent = measure_time(lambda _, t=text: parse_mesh(t), 3)
         check[count] = spent * 1000
-        versions, kept = measure_memory(lambda c=count: _accept(c))
+        versions, kept = measure_memory(
+            lambda c=count: accept_versions(c, count=VERSIONS)
+        )
         kept_bytes[count] = kept / VERSIONS / KIB
         snapshot_bytes[count] = len(versions.snapshot()) / VERSIONS / KIB
     report("voter: check one file, by services", "ms", check)
@@ -241,10 +244,11 @@
     report("voter: snapshot of one kept version", "KiB", snapshot_bytes)
 
 
-def _accept(service_count):
+def accept_versions(service_count, *, count):
+    """Return Versions that accepted so many files."""
     versions = Versions()
     base = NO_VERSION
-    for index in range(1, VERSIONS + 1):
+    for index in range(1, count + 1):
         submission = Submission(
             submission_id=f"submission-{index}",
             operator="bench",
@@ -302,6 +306,7 @@
 
 def main():
     """Measure every table."""
+    configure(host="bench", level="error")
     measure_directory()
     measure_leases()
     measure_versions()
