--- a/verbenanotch/distribution/_floor.py
+++ b/verbenanotch/distribution/_floor.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 import random
+import time
 
-import attrs
 import eventlet
 from eventlet import event
 
@@ -12,6 +12,7 @@
 from verbenanotch.wire import Purpose, WireError, dial
 
 PEERS_ASKED = 3
+FAILURE_KEPT_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -79,9 +80,16 @@
         self.ever_confirmed = False
         self._waiting = []
         self._asking = False
+        self._failed_until = 0.0
 
     def confirmed(self):
-        """Return whether a read that began after this call succeeded."""
+        """Return whether a read that began after this call succeeded.
+
+        A failure answers for a second, so that a herd of newborn proxies in
+        a zone without a quorum does not wait one timeout after another.
+        """
+        if time.monotonic() < self._failed_until:
+            return False
         answer = event.Event()
         self._waiting.append(answer)
         if not self._asking:
@@ -97,22 +105,13 @@
             except Exception:
                 result = False
             self.ever_confirmed = self.ever_confirmed or result
+            if not result:
+                self._failed_until = time.monotonic() + FAILURE_KEPT_SECONDS
             for answer in waiting:
                 answer.send(result)
         self._asking = False
 
 
-def note_reply(search, *, name, reply):
-    """Take a control host's FloorReply; one that is not sure stays silent.
-
-    Its version still raises the floor.
-    """
-    if reply.sure:
-        search.versions_by_control_host[name] = reply.version
-    else:
-        search.peer_versions.append(reply.version)
-
-
 def ask_peers(*, host, peers_by_host, timeout_seconds):
     """Return the versions that some proxies of the zone hold."""
     others = [name for name in peers_by_host if name != host.name]
@@ -146,20 +145,3 @@
         return None
     finally:
         connection.close()
-
-
-@attrs.define(kw_only=True)
-class FloorSearch:
-    """Answers of one proxy's search so far."""
-
-    control_hosts: frozenset[str]
-    versions_by_control_host: dict[str, Version] = attrs.field(factory=dict)
-    peer_versions: list[Version] = attrs.field(factory=list)
-
-    def decide(self):
-        """Return FloorFound or FloorOpen by the answers so far."""
-        return decide_floor(
-            control_hosts=self.control_hosts,
-            versions_by_control_host=self.versions_by_control_host,
-            peer_versions=self.peer_versions,
-        )
