Refuse an announcement of deeply nested JSON as malformed

Cause: the JSON reader gives up on 10,000 open brackets with a recursion error, which the targets' interface answered with status 500. Ruled out: a bound on nesting of our own; the body's bound covers the rest.

--- a/verbenanotch/proxy/_announcements.py
+++ b/verbenanotch/proxy/_announcements.py
@@ -49,7 +49,7 @@
             return "413 Content Too Large", {"kind": "too-large"}
         try:
             record = _record(json.loads(environ["wsgi.input"].read(length)))
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             return "400 Bad Request", {
                 "kind": "malformed-announcement",
                 "problem": repr(error),
