--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -4,23 +4,35 @@
 
 import eventlet
 
+from verbenanotch.catalog import NO_VERSION
 from verbenanotch.daemon import _shutdown
 from verbenanotch.daemon._caller_protocol import CallerProtocol
 from verbenanotch.daemon._http import HttpServer
-from verbenanotch.distribution import SnapshotHolder, Subscriber
+from verbenanotch.distribution import (
+    FloorResponder,
+    SnapshotHolder,
+    Subscriber,
+)
 from verbenanotch.proxy import (
     CallerWatch,
+    CrashGuard,
     Dispatcher,
     EntryInterface,
+    KeyedRequests,
     LocalTargets,
     PeerPool,
     PeerServer,
+    RecordKeeper,
     TargetInterface,
+    TargetProbe,
 )
 from verbenanotch.wire import Listener, Purpose
 
 EXPIRY_SECONDS = 0.5
 WARM_SECONDS = 1.0
+PROBE_SECONDS = 1.0
+POLL_SECONDS = 0.02
+REFRESH_SECONDS = 0.1
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -31,11 +43,21 @@
         """Bind every address."""
         host = settings.host
         proxy = settings.proxy
+        self._host_name = host.name
         self._holder = SnapshotHolder()
+        self._peers = PeerPool(settings=settings)
+        incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
+        self._guard = CrashGuard(
+            settings=settings,
+            incarnation=incarnation,
+            holder=self._holder,
+            post=self._peers.post,
+        )
         self._local_targets = LocalTargets(
             settings=settings,
-            incarnation=int(time.time() * MILLISECONDS_PER_SECOND),
+            incarnation=incarnation,
             on_change=self._announce,
+            guard=self._guard,
         )
         self._subscriber = Subscriber(
             settings=settings,
@@ -43,9 +65,11 @@
             announcement=self._local_targets.announcement,
             on_drain=self._local_targets.drain,
         )
-        self._peers = PeerPool(settings=settings)
+        self._keeper = RecordKeeper(host_name=host.name, holder=self._holder)
         self._peer_server = PeerServer(
             local_targets=self._local_targets,
+            keeper=self._keeper,
+            guard=self._guard,
             max_body_bytes=proxy.max_body_bytes,
             max_in_flight=proxy.max_in_flight,
         )
@@ -55,7 +79,12 @@
             port=host.peer_port,
             key=host.peer_key.encode(),
             name=host.name,
-            handlers_by_purpose={Purpose.REQUEST: self._peer_server.handle},
+            handlers_by_purpose={
+                Purpose.REQUEST: self._peer_server.handle,
+                Purpose.DISTRIBUTION: FloorResponder(
+                    holder=self._holder
+                ).handle,
+            },
         )
         self._caller_http = HttpServer(
             address=host.address,
@@ -73,6 +102,14 @@
         self._shutdown_grace_seconds = (
             proxy.shutdown_grace_ms / MILLISECONDS_PER_SECOND
         )
+        self._floor_wait_seconds = (
+            proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
+        )
+        self._probe = TargetProbe(
+            holder=self._holder,
+            local_targets=self._local_targets,
+            on_report=self._report,
+        )
         self._greenthreads = []
 
     def start(self):
@@ -82,14 +119,18 @@
         self._callers.start()
         self._subscriber.start()
         self._target_http.start()
-        self._caller_http.start()
         self._greenthreads = [
+            eventlet.spawn(self._serve_callers),
             eventlet.spawn(_every, EXPIRY_SECONDS, self._local_targets.expire),
+            eventlet.spawn(_every, REFRESH_SECONDS, self._keeper.refresh),
+            eventlet.spawn(_every, PROBE_SECONDS, self._probe.probe_all),
             eventlet.spawn(_every, WARM_SECONDS, self._local_targets.warm),
         ]
 
     def stop(self):
         """Finish what is in flight, give up the lease, stop serving."""
+        for greenthread in self._greenthreads:
+            greenthread.kill()
         self._local_targets.leave()
         self._subscriber.release()
         self._peer_server.go_away(reason="shutdown")
@@ -105,8 +146,6 @@
         self._listener.stop()
         self._callers.stop()
         self._peers.stop()
-        for greenthread in self._greenthreads:
-            greenthread.kill()
 
     def _entry(self, settings):
         dispatcher = Dispatcher(
@@ -114,18 +153,50 @@
             holder=self._holder,
             local_targets=self._local_targets,
             peers=self._peers,
+            guard=self._guard,
         )
+        self._dispatcher = dispatcher
+        self._peers.on_report = dispatcher.reported
         return EntryInterface(
             settings=settings,
             holder=self._holder,
             dispatcher=dispatcher,
             callers=self._callers,
+            keyed=KeyedRequests(keeper=self._keeper, ask=self._ask_holder),
         )
 
+    def _ask_holder(self, service, member, message, timeout_seconds):
+        """Ask a holder of records, which may be this host."""
+        if member.host == self._host_name:
+            return self._keeper.handle(service, message)
+        return self._peers.ask(service, member, message, timeout_seconds)
+
+    def _serve_callers(self):
+        """Accept callers once there is a snapshot to route them by.
+
+        Until then their connections wait. Without any control host they are
+        accepted after the bound, and told that nothing was run.
+        """
+        end = time.monotonic() + self._floor_wait_seconds
+        while time.monotonic() < end and not _is_routable(
+            self._holder.snapshot
+        ):
+            eventlet.sleep(POLL_SECONDS)
+        self._caller_http.start()
+
+    def _report(self, report):
+        """Tell what a local target says of itself."""
+        self._dispatcher.reported(report)
+        self._peer_server.post(report)
+
     def _announce(self):
         self._subscriber.announce()
 
 
+def _is_routable(snapshot):
+    return snapshot.version != NO_VERSION and snapshot.hosts_by_name
+
+
 def _every(seconds, action):
     while True:
         eventlet.sleep(seconds)
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -13,12 +13,8 @@
     StaleWatch,
     choose_control_host,
 )
-from verbenanotch.distribution._floor import (
-    FloorFound,
-    FloorOpen,
-    FloorSearch,
-    ask_peers,
-)
+from verbenanotch.distribution._floor import FloorOpen
+from verbenanotch.distribution._floor_search import FloorSearch
 from verbenanotch.distribution._holder import (
     Applied,
     BelowFloor,
@@ -32,7 +28,6 @@
     DrainTarget,
     FloorConfirmed,
     FloorReply,
-    FloorRequest,
     FloorUnknown,
     Resync,
     Subscribe,
@@ -57,16 +52,18 @@
 RESUBSCRIBE_BASE_SECONDS = 0.2
 RESUBSCRIBE_CAP_SECONDS = 5.0
 CHOICE_SECONDS = 0.25
+# How long the choice waits for the other control hosts to answer.
+LINK_WAIT_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
 
 
 @attrs.define(kw_only=True, eq=False)
 class _Link:
-    """One connected control host."""
+    """One connected control host; `current` is None until it answered."""
 
     name: str
     connection: object
-    current: Version = NO_VERSION
+    current: Version | None = None
     busy_until: float = 0.0
 
 
@@ -88,8 +85,15 @@
         self._subscribed = None
         self._attempts = 0
         self._not_before = 0.0
+        self._answered_at = None
+        self._closed_bytes = 0
         self._stale_watch = StaleWatch()
-        self._search = None
+        self._search = FloorSearch(
+            settings=settings,
+            holder=holder,
+            send_all=self._send_all,
+            on_end=self._end_search,
+        )
         self._changed = Signal()
         self._greenthreads = []
 
@@ -100,10 +104,9 @@
 
     @property
     def control_bytes(self):
-        """Return the bytes sent and received on the open streams."""
-        return sum(
-            link.connection.sent_bytes + link.connection.received_bytes
-            for link in self._links_by_name.values()
+        """Return the bytes sent and received so far on all streams."""
+        return self._closed_bytes + sum(
+            _bytes_of(link.connection) for link in self._links_by_name.values()
         )
 
     def start(self):
@@ -129,6 +132,7 @@
 
     def stop(self):
         """End every stream."""
+        self._search.stop()
         for greenthread in self._greenthreads:
             greenthread.kill()
         for link in list(self._links_by_name.values()):
@@ -186,6 +190,7 @@
 
     def _lose(self, link, error):
         emit(events.CONTROL_LOST, peer=link.name, error=str(error))
+        self._closed_bytes += _bytes_of(link.connection)
         link.connection.close()
         if self._subscribed is link:
             self._subscribed = None
@@ -214,7 +219,7 @@
             return
         others = [
             other.current
-            for other in self._links_by_name.values()
+            for other in self._answered_links()
             if other is not link
         ]
         if self._stale_watch.is_stale(
@@ -224,7 +229,33 @@
             self._subscribed = None
             _try_send(link, Unsubscribe())
 
+    def _answered_links(self):
+        return [
+            link
+            for link in self._links_by_name.values()
+            if link.current is not None
+        ]
+
+    def _may_choose(self, links, now):
+        """Return whether enough control hosts have answered to choose.
+
+        The first one to answer may be a stale one, and a choice by speed
+        would not spread the proxies.
+        """
+        if not links:
+            self._answered_at = None
+            return False
+        if self._answered_at is None:
+            self._answered_at = now
+        known = len(self._settings.proxy.control_hosts_by_name)
+        return len(links) >= known or (
+            now - self._answered_at >= LINK_WAIT_SECONDS
+        )
+
     def _subscribe_to_one(self, now):
+        links = self._answered_links()
+        if not self._may_choose(links, now):
+            return
         name = choose_control_host(
             [
                 Candidate(
@@ -232,20 +263,16 @@
                     current=link.current,
                     busy_until=link.busy_until,
                 )
-                for link in self._links_by_name.values()
+                for link in links
             ],
             host=self._settings.host.name,
-            at_least=self._least_wanted(),
+            at_least=max(link.current for link in links),
             now=now,
         )
         if name is not None:
             self._subscribed = self._links_by_name[name]
             self._subscribe()
 
-    def _least_wanted(self):
-        currents = [link.current for link in self._links_by_name.values()]
-        return max(currents, default=NO_VERSION)
-
     def _subscribe(self):
         holder = self._holder
         floor = holder.floor
@@ -277,10 +304,10 @@
             case FloorConfirmed(version=version):
                 self._holder.raise_floor(version)
                 emit(events.FLOOR_CONFIRMED, version=str(version))
-            case FloorUnknown(peers_by_host=peers_by_host):
-                self._start_search(link, peers_by_host)
-            case FloorReply(version=version):
-                self._note_floor(link, version)
+            case FloorUnknown() if link is self._subscribed:
+                self._search.start(item.peers_by_host)
+            case FloorReply():
+                self._search.note(link.name, item)
 
     def _postpone(self, link, retry_after_ms):
         wait = retry_after_ms / MILLISECONDS_PER_SECOND
@@ -313,45 +340,13 @@
             case Outdated() | BelowFloor():
                 emit(events.VERSION_TOO_OLD, peer=link.name)
 
-    def _start_search(self, link, peers_by_host):
-        """Find the floor without a quorum; then subscribe with it."""
-        if link is not self._subscribed or self._holder.floor is not None:
-            return
-        if self._search is None:
-            names = self._settings.proxy.control_hosts_by_name
-            self._search = FloorSearch(control_hosts=frozenset(names))
-            self._greenthreads.append(
-                eventlet.spawn(self._search_floor, peers_by_host)
-            )
-
-    def _search_floor(self, peers_by_host):
-        wait = self._settings.proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
-        self._send_all(FloorRequest())
-        began = time.monotonic()
-        self._search.peer_versions.extend(
-            ask_peers(
-                host=self._settings.host,
-                peers_by_host=peers_by_host,
-                timeout_seconds=wait,
-            )
-        )
-        eventlet.sleep(max(0.0, wait - (time.monotonic() - began)))
-        search, self._search = self._search, None
-        match search.decide():
-            case FloorFound(version=version):
-                emit(events.FLOOR_FOUND, version=str(version))
-                self._holder.raise_floor(version)
-            case FloorOpen(silent=silent):
-                emit(events.FLOOR_OPEN, silent=list(silent))
-                self._delay_choice()
-        # The next subscription carries the floor or asks for it again.
+    def _end_search(self, outcome):
+        """Subscribe again: with the floor, or to ask for it later."""
+        if isinstance(outcome, FloorOpen):
+            self._delay_choice()
         self._subscribed = None
         self._changed.set()
 
-    def _note_floor(self, link, version):
-        if self._search is not None:
-            self._search.versions_by_control_host[link.name] = version
-
 
 def _try_send(link, item):
     try:
@@ -361,5 +356,9 @@
         link.connection.close()
 
 
+def _bytes_of(connection):
+    return connection.sent_bytes + connection.received_bytes
+
+
 def _pause():
     eventlet.sleep(0)
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -1,14 +1,18 @@
 """The HTTP interface for callers."""
 
 import time
-
-import attrs
+import traceback
 
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
 from verbenanotch.proxy._caller_body import read_body
 from verbenanotch.proxy._cancellation import Cancellation
-from verbenanotch.proxy._outcome import Answered, NotRun, Rejected
+from verbenanotch.proxy._outcome import (
+    Answered,
+    NotRun,
+    Rejected,
+    Unknown,
+)
 from verbenanotch.proxy._request import check_request, request_id_of
 from verbenanotch.proxy._response import respond
 from verbenanotch.proxy._tracing import TraceSampler
@@ -18,8 +22,12 @@
 class EntryInterface:
     """WSGI application that sends callers' requests through the mesh."""
 
-    def __init__(self, *, settings, holder, dispatcher, callers):
-        """Route by the snapshot of `holder`; watch `callers` for ends."""
+    def __init__(self, *, settings, holder, dispatcher, callers, keyed):
+        """Route by the snapshot of `holder`; watch `callers` for ends.
+
+        `keyed` is the KeyedRequests that runs requests with a key.
+        """
+        self._keyed = keyed
         self._settings = settings
         self._holder = holder
         self._dispatcher = dispatcher
@@ -38,6 +46,16 @@
         self.in_flight += 1
         try:
             outcome = self._outcome(environ, request_id, started, traced)
+        except Exception:
+            # A fault of the proxy itself must not pass for an answer, and
+            # nobody can tell how far the request came.
+            emit(
+                events.REQUEST_FAILED,
+                request=request_id,
+                traceback=traceback.format_exc(),
+            )
+            metrics.increment("proxy.internal_errors")
+            outcome = Unknown(reason=reasons.INTERNAL_ERROR)
         finally:
             self.in_flight -= 1
         self._record(request_id, outcome, started, traced)
@@ -62,21 +80,28 @@
             route_name=found[0],
             route=found[1],
             now=started,
+            read_body=lambda deadline: read_body(
+                environ,
+                max_body_bytes=self._settings.proxy.max_body_bytes,
+                deadline=deadline,
+            ),
+            traced=traced,
         )
         if isinstance(request, Rejected):
             return request
-        body = read_body(
-            environ,
-            max_body_bytes=self._settings.proxy.max_body_bytes,
-            deadline=request.deadline,
-        )
-        if isinstance(body, Rejected):
-            return body
-        request = attrs.evolve(request, body=body, traced=traced)
         return self._run(environ, request)
 
     def _run(self, environ, request):
         cancellation = Cancellation()
+        if request.key and not request.idempotent:
+            # Its answer is kept for the next ask, so that it runs to its
+            # end even when this caller leaves.
+            return self._keyed.run(
+                request,
+                lambda: self._dispatcher.run(
+                    request, cancellation=cancellation
+                ),
+            )
         self._callers.watch(
             cancellation, environ["eventlet.input"].get_socket()
         )
@@ -96,5 +121,5 @@
                 request=request_id,
                 outcome=name,
                 reason=getattr(outcome, "reason", ""),
-                milliseconds=round(milliseconds, 2),
+                milliseconds=round(milliseconds, 3),
             )
--- a/verbenanotch/proxy/_peer_pool.py
+++ b/verbenanotch/proxy/_peer_pool.py
@@ -20,9 +20,13 @@
     """Keep one connection to each peer proxy and forward calls on it."""
 
     def __init__(self, *, settings, dial=dial):
-        """Dial peers as they are needed."""
+        """Dial peers as they are needed.
+
+        `on_report` can be replaced; it gets each peer's TargetReport.
+        """
         self._settings = settings
         self._dial = dial
+        self.on_report = lambda report: None
         self._peers_by_address = {}
         self._dialing_by_address = {}
         self._redial_at_by_address = {}
@@ -46,6 +50,22 @@
             return NotRun(reason=reasons.PEER_UNREACHABLE)
         return peer.forward(call, deadline=deadline, cancellation=cancellation)
 
+    def ask(self, service, member, message, timeout_seconds):
+        """Return the reply of a record holder, or None if there is none."""
+        deadline = time.monotonic() + timeout_seconds
+        peer = self.connect(member, deadline=deadline)
+        if peer is None:
+            return None
+        remaining = deadline - time.monotonic()
+        return peer.ask(service, message, remaining)
+
+    def post(self, record, message):
+        """Send a message that has no reply, if the peer can be reached."""
+        deadline = time.monotonic() + DIAL_TIMEOUT_SECONDS
+        peer = self.connect(record, deadline=deadline)
+        if peer is not None:
+            peer.post(message)
+
     def connect(self, record, *, deadline):
         """Return a connected Peer, or None if there is none in time.
 
@@ -94,6 +114,7 @@
         return Peer(
             connection=connection,
             max_body_bytes=self._settings.proxy.max_body_bytes,
+            on_report=lambda report: self.on_report(report),
         )
 
     def _check_forever(self):
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -4,6 +4,7 @@
 DEADLINE_PASSED = "deadline-passed"
 CALLER_GONE = "caller-gone"
 CANCELLED = "cancelled"
+INTERNAL_ERROR = "internal-error"
 CRASHES_TARGETS = "crashes-targets"
 
 TARGET_GONE = "target-gone"
@@ -30,5 +31,12 @@
 
 # Refusals of the choice itself, which looked at every target.
 FINAL = frozenset(
-    ("no-target", "draining", "excluded", "unhealthy", "overloaded")
+    (
+        "no-target",
+        "draining",
+        "excluded",
+        "unhealthy",
+        "overloaded",
+        CRASHES_TARGETS,
+    )
 )
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -2,12 +2,12 @@
 
 import math
 import re
-import time
 import uuid
 
 import attrs
 
 from verbenanotch.catalog import MAX_CALL_DEPTH, MAX_TIMEOUT_MS
+from verbenanotch.idempotency import issued_at_ms
 from verbenanotch.proxy._headers import (
     DEPTH_HEADER,
     KEY_HEADER,
@@ -19,9 +19,7 @@
 from verbenanotch.proxy._outcome import Rejected
 
 MILLISECONDS_PER_SECOND = 1000
-MAX_KEY_CHARACTERS = 255
 REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,128}")
-KEY_PATTERN = re.compile(rf"[!-~]{{1,{MAX_KEY_CHARACTERS}}}")
 NUMBER_PATTERN = re.compile(r"[0-9]{1,9}")
 
 
@@ -56,12 +54,14 @@
     return uuid.uuid4().hex
 
 
-def check_request(environ, *, request_id, route_name, route, now=None):
-    """Return a Request without its body, or Rejected.
+def check_request(
+    environ, *, request_id, route_name, route, now, read_body, traced=False
+):
+    """Return a Request with its body, or Rejected.
 
-    `now` is the time of arrival in monotonic seconds.
+    `now` is the time of arrival in monotonic seconds. `read_body` takes the
+    deadline and returns the body, or Rejected.
     """
-    now = time.monotonic() if now is None else now
     timeout_ms = _number(environ, TIMEOUT_HEADER, route.timeout_ms)
     depth = _number(environ, DEPTH_HEADER, 0)
     retries = _number(environ, RETRIES_HEADER, math.inf)
@@ -69,6 +69,10 @@
     rejected = _rejected(environ, timeout_ms, depth, retries, key)
     if rejected is not None:
         return rejected
+    deadline = now + timeout_ms / MILLISECONDS_PER_SECOND
+    body = read_body(deadline)
+    if isinstance(body, Rejected):
+        return body
     method = environ["REQUEST_METHOD"]
     query = environ.get("QUERY_STRING")
     path = environ["RAW_PATH_INFO"]
@@ -79,12 +83,13 @@
         method=method,
         path=f"{path}?{query}" if query else path,
         headers=caller_headers(environ["headers_raw"]),
-        body=b"",
-        deadline=now + timeout_ms / MILLISECONDS_PER_SECOND,
+        body=body,
+        deadline=deadline,
         idempotent=method in route.idempotent_methods,
         retries=min(retries, route.max_attempts - 1),
         depth=depth,
         key=key,
+        traced=traced,
     )
 
 
@@ -107,12 +112,12 @@
             kind="too-deep",
             remedy=f"Keep calls within {MAX_CALL_DEPTH} levels.",
         )
-    if key and not KEY_PATTERN.fullmatch(key):
+    if key and issued_at_ms(key) is None:
         return Rejected(
             status=400,
             kind="bad-key",
-            remedy=f"Send {KEY_HEADER} of at most {MAX_KEY_CHARACTERS} "
-            "visible ASCII characters.",
+            remedy=f"Send as {KEY_HEADER} a version 7 UUID, or the 13 "
+            "digits of the milliseconds since 1970, a hyphen and any text.",
         )
     given = environ.get("HTTP_X_REQUEST_ID")
     if given is not None and not REQUEST_ID_PATTERN.fullmatch(given):
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -21,6 +21,26 @@
     5006, "call-started", Level.DEBUG, "a call started at a local target"
 )
 CALL_ENDED = event(5007, "call-ended", Level.DEBUG, "a call ended")
+CALL_FINISHED = event(
+    5015,
+    "call-finished",
+    Level.DEBUG,
+    "a call at a local target has ended",
+)
+TARGET_DIED = event(
+    5016,
+    "target-died",
+    Level.ERROR,
+    "a local target broke off a request and listens no more",
+    "Look at the target's log; the event names the request that it ran.",
+)
+REQUEST_BLOCKED = event(
+    5017,
+    "request-blocked",
+    Level.ERROR,
+    "a request that killed several targets is refused for a while",
+    "Find the request by its target-died events and stop its caller.",
+)
 PEER_REFUSED = event(
     5008,
     "request-peer-refused",
@@ -62,3 +82,10 @@
     "a target that keeps failing gets no requests for a while",
     "Look at the target's own log; it is tried again by itself.",
 )
+REQUEST_FAILED = event(
+    5014,
+    "request-failed",
+    Level.ERROR,
+    "the proxy failed at a request; its outcome is unknown",
+    "Report the traceback to the project.",
+)
