Add the publisher of views and harder schedules for the holders

They are calmer and longer now, and also deliver messages late, end coordinators between two messages, ask old keys again and check at the end that new keys run.

The publisher keeps leases and makes views; the tests use it in place of their own. Where its views are stored is left open, with the quorum log as the proposal.

--- a/tests/unit/test_idempotency_protocol.py
+++ b/tests/unit/test_idempotency_protocol.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import itertools
 import os
 import random
@@ -29,17 +30,18 @@
     Refused,
     Release,
     View,
+    ViewPublisher,
     WasUnknown,
-    next_view,
     push_transfers,
 )
 from verbenanotch.idempotency._custody import Custody
 
 LEASE_SECONDS = 3.0
 MARGIN_SECONDS = 1.0
-MAX_AGE_SECONDS = 60.0
+MAX_AGE_SECONDS = 20.0
 START_MS = 1_764_800_000_000
 MAX_NESTING = 3
+SCHEDULE_STEPS = 600
 SEEDS = range(int(os.environ.get("VERBENANOTCH_SEEDS", "60")))
 
 
@@ -48,6 +50,20 @@
     monkeypatch.setattr("verbenanotch.idempotency._members.SLICE_COUNT", 3)
 
 
+class SenderCrashError(Exception):
+    """The process that sends a message ends before it is sent."""
+
+
+def member_of(identity):
+    return Member(
+        host=identity[0],
+        availability_zone="z",
+        address="127.0.0.1",
+        peer_port=1,
+        incarnation=identity[1],
+    )
+
+
 class Mesh:
     """Holders of one zone, a publisher, and callers that ask again."""
 
@@ -60,7 +76,11 @@
         self.skews_ms = {}
         self.isolated = set()
         self.views = [View(availability_zone="z", epoch=0, members=())]
-        self.confirmed = {}
+        self.publisher = ViewPublisher(
+            view=self.views[0], lease_seconds=LEASE_SECONDS, now=0.0
+        )
+        self.incarnations = {}
+        self.late = []
         self.runs = collections.Counter()
         self.granted = collections.Counter()
         self.nesting = 0
@@ -99,7 +119,8 @@
             ),
             lease_seconds=LEASE_SECONDS,
         )
-        self.confirmed[host, incarnation] = self.now
+        self.incarnations[host] = incarnation
+        self.publisher.renew(member_of((host, incarnation)), now=self.now)
 
     def kill(self, host):
         """End a host's process."""
@@ -108,21 +129,7 @@
 
     def publish(self):
         """Publish a view without those whose lease is over."""
-        newest = {}
-        for host, incarnation in self.confirmed:
-            newest[host] = max(incarnation, newest.get(host, 0))
-        members = [
-            Member(
-                host=host,
-                availability_zone="z",
-                address="127.0.0.1",
-                peer_port=1,
-                incarnation=incarnation,
-            )
-            for host, incarnation in newest.items()
-            if self.now - self.confirmed[host, incarnation] < LEASE_SECONDS
-        ]
-        view = next_view(self.views[-1], members)
+        view = self.publisher.publish(now=self.now)
         if view is not self.views[-1]:
             self.views.append(view)
 
@@ -131,17 +138,10 @@
         holder = self.holders.get(identity)
         if holder is None or identity in self.isolated:
             return
-        first = next(
-            (
-                view.epoch
-                for view in self.views
-                if identity in view.by_identity()
-            ),
-            None,
-        )
-        if first is None:
-            return
-        epoch = holder.epoch + 1 if holder.epoch else first
+        epoch = holder.epoch + 1
+        if not holder.epoch:
+            own = self.views[-1].by_identity().get(identity)
+            epoch = own.joined_epoch if own else len(self.views)
         if epoch < len(self.views):
             holder.install(
                 self.views[epoch],
@@ -152,11 +152,10 @@
     def confirm(self, identity):
         """Renew the lease of one holder, unless it is isolated."""
         holder = self.holders.get(identity)
-        known = identity in self.views[-1].by_identity()
-        if holder is None or identity in self.isolated or not known:
+        if holder is None or identity in self.isolated:
             return
-        self.confirmed[identity] = self.now
-        holder.confirm(self.views[-1].epoch, asked_at=self.now)
+        epoch = self.publisher.renew(member_of(identity), now=self.now)
+        holder.confirm(epoch, asked_at=self.now)
 
     def tick(self):
         """Let every holder settle what is due."""
@@ -165,8 +164,9 @@
 
     def settle(self):
         """Deliver all views, confirm and hand over, to the end."""
-        for _ in range(len(self.views)):
-            for identity in list(self.holders):
+        for identity, holder in list(self.holders.items()):
+            behind = len(self.views) - 1 - holder.epoch
+            for _ in range(behind):
                 self.deliver(identity)
         for identity in list(self.holders):
             self.confirm(identity)
@@ -189,18 +189,30 @@
         self.messages += 1
         self.on_message.pop(self.messages, lambda: None)()
         self.disturb()
-        if self.faults and self.random.random() < 0.05:
+        if self.is_hit(0.02):
+            if self.is_hit(0.5):
+                self.late.append((member, message))
+            return None
+        if self.is_hit(0.01):
+            raise SenderCrashError
+        reply = self.receive(member, message)
+        self.disturb()
+        if self.is_hit(0.02):
             return None
+        return reply
+
+    def receive(self, member, message):
+        """Return the reply of a member that is there, else None."""
         holder = self.holders.get(member.identity)
         if holder is None:
             return None
-        reply = holder.handle(
+        return holder.handle(
             message, now=self.now, wall_ms=self.wall_ms(member.host)
         )
-        self.disturb()
-        if self.faults and self.random.random() < 0.05:
-            return None
-        return reply
+
+    def is_hit(self, share):
+        """Return whether a fault is injected now."""
+        return self.faults and self.random.random() < share
 
     def table(self, *, lag=0):
         """Return the holders under a view that is `lag` epochs old."""
@@ -248,40 +260,41 @@
         if not self.faults or self.nesting >= MAX_NESTING:
             return
         self.nesting += 1
-        while self.random.random() < 0.45:
+        while self.random.random() < 0.3:
             self.step()
         self.nesting -= 1
 
     def step(self):
         """Take one random step of the schedule."""
         host = self.random.choice("abcd")
-        identity = max(
-            (item for item in self.confirmed if item[0] == host),
-            key=lambda item: item[1],
-        )
-        choice = self.random.randrange(40)
-        if choice < 6:
-            self.step_failure(choice, identity)
-        elif choice < 10:
+        identity = (host, self.incarnations[host])
+        choice = self.random.randrange(100)
+        if choice < 2:
+            self.step_failure(identity)
+        elif choice < 8:
             self.publish()
-        elif choice < 17:
+        elif choice < 25:
             self.deliver(identity)
-        elif choice < 23:
+        elif choice < 40:
             self.confirm(identity)
-        elif choice < 27:
-            rare = self.random.random() < 0.02
-            self.now += 20.0 if rare else self.random.choice((0.1, 0.3, 1.0))
+        elif choice < 50:
+            rare = self.random.random() < 0.01
+            self.now += 10.0 if rare else self.random.choice((0.1, 0.3, 0.5))
             self.tick()
-        elif choice < 31 and identity in self.holders:
-            push_transfers(
-                self.holders[identity], self.ask, timeout_seconds=0.1
-            )
+        elif choice < 52 and self.late:
+            self.receive(*self.late.pop(self.random.randrange(len(self.late))))
+        elif choice < 70 and identity in self.holders:
+            with contextlib.suppress(SenderCrashError):
+                push_transfers(
+                    self.holders[identity], self.ask, timeout_seconds=0.1
+                )
         else:
-            self.random_attempt()
+            with contextlib.suppress(SenderCrashError):
+                self.random_attempt()
 
-    def step_failure(self, choice, identity):
+    def step_failure(self, identity):
         """End, restart, isolate or reconnect one holder."""
-        match choice:
+        match self.random.randrange(6):
             case 0:
                 self.kill(identity[0])
             case 1 | 2:
@@ -297,7 +310,7 @@
             issued = self.wall_ms() + self.random.randint(-1500, 999)
             self.keys.append(f"{issued}-{len(self.keys)}")
         self.attempt(
-            self.random.choice(self.keys[-4:]),
+            self.random.choice(self.keys[-self.random.choice((4, 4, 40)) :]),
             lag=self.random.choice((0, 0, 0, 1, 2)),
             ending=self.random.choice(
                 ("finish", "finish", "unknown", "crash", "release")
@@ -409,7 +422,7 @@
 def test_expired_key_does_not_run_again(mesh):
     key = new_key(mesh)
     mesh.attempt(key)
-    mesh.wait(70.0)
+    mesh.wait(30.0)
     assert mesh.attempt(key) == WasUnknown(reason="too-old")
 
 
@@ -427,6 +440,20 @@
     assert not outcome.not_run
 
 
+def test_publisher_keeps_who_renews_and_replaces_the_restarted(mesh):
+    publisher, epoch = mesh.publisher, mesh.views[-1].epoch
+    assert publisher.renew(member_of(("a", 0)), now=mesh.now) is None
+    publisher.leave(member_of(("b", 1)))
+    publisher.leave(member_of(("c", 0)))
+    mesh.now += LEASE_SECONDS / 2
+    publisher.renew(member_of(("a", 2)), now=mesh.now)
+    mesh.now += LEASE_SECONDS / 2
+    view = publisher.publish(now=mesh.now)
+    assert view.epoch == epoch + 1
+    assert [member.identity for member in view.members] == [("a", 2)]
+    assert view.members[0].joined_epoch == view.epoch
+
+
 def test_gap_in_views_stops_a_holder(mesh):
     holder = next(iter(mesh.holders.values()))
     view = mesh.views[-1]
@@ -477,29 +504,40 @@
     assert sent[2:] == [(second, Release), (first, Release)]
 
 
-def test_new_holder_waits_for_every_earlier_one_that_is_left():
-    custody = Custody(
+def custody(**fields):
+    fields = {"deadline": 10.0, "lapsed_since_ms": 99, **fields}
+    pair = (("c", 1), ("d", 1))
+    return Custody(slice_number=0, pair_epoch=5, pair=pair, **fields)
+
+
+def handover(sender, *, required):
+    return Handover(
         slice_number=0,
         pair_epoch=5,
-        pair=(("c", 1), ("d", 1)),
-        deadline=10.0,
-        lapsed_since_ms=99,
+        sender=(sender, 1),
+        required=tuple((host, 1) for host in required),
+        complete_since_ms=7,
+        part=0,
+        part_count=1,
+        records=(),
     )
+
+
+def test_new_holder_waits_for_every_earlier_one_that_is_left():
+    new = custody()
     for sender, settled in (("a", False), ("b", True)):
-        custody.receive(
-            Handover(
-                slice_number=0,
-                pair_epoch=5,
-                sender=(sender, 1),
-                required=(("a", 1), ("b", 1)),
-                complete_since_ms=7,
-                part=0,
-                part_count=1,
-                records=(),
-            )
-        )
-        assert custody.settle(("c", 1), 0.0) is settled
-    assert custody.complete_since_ms == 7
+        new.receive(handover(sender, required="ab"))
+        assert new.settle(("c", 1), 0.0) is settled
+    assert new.complete_since_ms == 7
+
+
+def test_holder_waits_for_its_own_part_in_the_generation_before():
+    prior = custody()
+    new = custody(prior=prior, required=frozenset([("b", 1), ("c", 1)]))
+    new.receive(handover("b", required="bc"))
+    assert not new.settle(("c", 1), 0.0)
+    prior.settle(("c", 1), 10.0)
+    assert new.settle(("c", 1), 0.0)
 
 
 def test_key_from_ahead_of_the_clock_does_not_run_on_new_holders(mesh):
@@ -553,13 +591,12 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_random_schedules_run_each_key_at_most_once(seed):
     mesh = Mesh(seed=seed, faults=True)
-    for _ in range(300):
+    for _ in range(SCHEDULE_STEPS):
         mesh.step()
     mesh.faults = False
     mesh.isolated.clear()
-    for host in "abcd":
-        mesh.start(host, 1000)
-    mesh.wait(15.0)
+    mesh.start("a", 1000)
+    mesh.wait(MAX_AGE_SECONDS + 10.0)
     for key in mesh.keys:
         mesh.attempt(key)
     assert isinstance(mesh.attempt(new_key(mesh, "end")), Dispatch)
--- a/verbenanotch/idempotency/__init__.py
+++ b/verbenanotch/idempotency/__init__.py
@@ -34,6 +34,7 @@
     State,
     WasUnknown,
 )
+from verbenanotch.idempotency._publisher import ViewPublisher
 from verbenanotch.idempotency._records import RecordStore
 
 __all__ = [
@@ -60,6 +61,7 @@
     "Release",
     "State",
     "View",
+    "ViewPublisher",
     "WasUnknown",
     "holders_for_key",
     "home_zone",
