--- a/tests/unit/test_routing_limits.py
+++ b/tests/unit/test_routing_limits.py
@@ -197,6 +197,16 @@
     assert retry(budget=budget) == GiveUp(reason="budget")
 
 
+def test_many_proxies_with_few_requests_each_stay_within_the_share():
+    budget = RetryBudget()
+    retried = 0
+    for number in range(1000):
+        now = number * 5.0
+        budget.requested(now)
+        retried += budget.withdraw(now)
+    assert retried <= 205
+
+
 def deaths(*, times, start=0.0):
     fingerprints = Fingerprints(host="h", incarnation=1)
     for number in range(times):
