--- a/tests/integration/test_bad_input.py
+++ b/tests/integration/test_bad_input.py
@@ -187,6 +187,16 @@
         ("DELETE", "/v1/targets/none", None, 404),
         ("GET", "/v1/other", None, 404),
     ],
+    ids=[
+        "cut",
+        "no-object",
+        "missing-fields",
+        "not-utf8",
+        "deeply-nested",
+        "oversized",
+        "unknown-target",
+        "unknown-path",
+    ],
 )
 def test_a_bad_announcement_is_refused(
     mesh, unharmed, method, path, body, status
--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -47,6 +47,7 @@
     def __init__(self):
         """Start with no version."""
         self.records = []
+        self.has_quorum = True
         self.next_outcomes = []
 
     def submit(self, *, submission, timeout_seconds):
@@ -81,6 +82,10 @@
                 return self._append(submission, record.mesh, base=base)
         return Unavailable(reason="no such version")
 
+    def is_current(self, *, timeout_seconds):
+        """Return whether a quorum is said to confirm the history."""
+        return self.has_quorum
+
     def history(self):
         """Return all records, the oldest first."""
         return tuple(self.records)
--- a/tests/support/sessions.py
+++ b/tests/support/sessions.py
@@ -13,6 +13,7 @@
 GOLDEN_FOLDER = pathlib.Path(__file__).parents[1] / "golden"
 UPDATE_VARIABLE = "VERBENANOTCH_UPDATE_GOLDEN"
 REPLACEMENTS = (
+    (r"\b\d{13}-", "<issued>-"),
     (r'("submitted_at_ms": )\d+', r"\1<time>"),
     (r"127\.\d+\.(\d+\.\d+)", r"127.N.\1"),
     (r"\d{4}-\d\d-\d\dT[\d:]+Z", "<time>"),
--- a/tests/unit/test_operator.py
+++ b/tests/unit/test_operator.py
@@ -155,6 +155,15 @@
     assert (response.status, value["kind"]) == (411, "length-required")
 
 
+def test_an_unconfirmed_history_is_told_only_on_demand(ask, host):
+    ask("POST", "submissions", MESH)
+    host.versions.has_quorum = False
+    response, value = ask("GET", "versions")
+    assert (response.status, value["kind"]) == (503, "not-current")
+    assert ask("GET", "versions/1.1")[0].status == 503
+    assert len(ask("GET", "versions?local=1")[1]["versions"]) == 1
+
+
 def test_drains_a_target_and_answers_ready_without_a_token(ask, host):
     response, _ = ask("POST", "targets/billing/127.0.0.1:9000/drain", b"")
     assert response.status == 202
--- a/verbenanotch/catalog/_version_service.py
+++ b/verbenanotch/catalog/_version_service.py
@@ -57,6 +57,11 @@
             case _outcomes.Unknown(reason=reason):
                 return Unknown(reason=reason)
 
+    def is_current(self, *, timeout_seconds):
+        """Return whether a quorum confirmed that no version is missing."""
+        outcome = self.replica.confirm_read(timeout_seconds=timeout_seconds)
+        return isinstance(outcome, _outcomes.ReadConfirmed)
+
     def history(self):
         """Return the records of the kept versions, the oldest first."""
         return tuple(self.versions.records_by_version.values())
--- a/verbenanotch/cli/_options.py
+++ b/verbenanotch/cli/_options.py
@@ -42,6 +42,12 @@
     "--json", "as_json", is_flag=True, help="Print JSON."
 )
 
+local_option = click.option(
+    "--local",
+    is_flag=True,
+    help="Take what a control host holds, also without a quorum.",
+)
+
 
 def server_options(command):
     """Add the options that name control hosts; pass `settings`, `client`."""
--- a/verbenanotch/cli/commands/diff.py
+++ b/verbenanotch/cli/commands/diff.py
@@ -19,47 +19,48 @@
     return "\n".join(lines)
 
 
-def fetch_text(client, version):
+def fetch_text(client, version, *, local=False):
     """Return a version's text; raise ToolError if it is not known."""
-    reply = show_version(client, version)
+    reply = show_version(client, version, local=local)
     if reply.exit_code:
         raise ToolError(_options.describe_refusal(reply.value))
     return reply.value["text"]
 
 
-def newest_version(client):
+def newest_version(client, *, local=False):
     """Return the text form of the newest version; raise ToolError if none."""
-    versions = list_versions(client).value.get("versions", [])
+    versions = list_versions(client, local=local).value.get("versions", [])
     if not versions:
         raise ToolError("no version was accepted yet; submit a file first")
     return versions[-1]["version"]
 
 
-def _read_side(client, side):
+def _read_side(client, side, *, local):
     """Return a side's text: a version's, or a file's."""
     try:
         version = parse_version(side)
     except FaultyInputError:
         return read_file(side).decode("utf-8", errors="replace")
-    return fetch_text(client, version)
+    return fetch_text(client, version, local=local)
 
 
 @click.command("diff")
 @click.argument("new")
 @click.option("--base", default="", help="Version to compare with.")
+@_options.local_option
 @_options.json_option
 @_options.reports_errors
 @_options.server_options
-def command(settings, client, new, base, as_json):
+def command(settings, client, new, base, local, as_json):
     """Show how NEW, a file or a version, differs from the base.
 
     The base is the newest version unless --base names another. Exits with 0
     if they are equal and with 1 if they differ.
     """
-    base = base or newest_version(client)
+    base = base or newest_version(client, local=local)
     difference = diff_texts(
-        fetch_text(client, parse_version(base)),
-        _read_side(client, new),
+        fetch_text(client, parse_version(base), local=local),
+        _read_side(client, new, local=local),
         old_name=base,
         new_name=new,
     )
--- a/verbenanotch/cli/commands/history.py
+++ b/verbenanotch/cli/commands/history.py
@@ -9,14 +9,21 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
-def list_versions(client):
-    """Return the Reply with the versions, the oldest first."""
-    return client.request("GET", "/v1/versions")
+def list_versions(client, *, local=False):
+    """Return the Reply with the versions, the oldest first.
 
+    With `local` a control host answers without a quorum, by what it holds.
+    """
+    return client.request("GET", f"/v1/versions{_query(local)}")
 
-def show_version(client, version):
+
+def show_version(client, version, *, local=False):
     """Return the Reply with one version and its text."""
-    return client.request("GET", f"/v1/versions/{version}")
+    return client.request("GET", f"/v1/versions/{version}{_query(local)}")
+
+
+def _query(local):
+    return "?local=1" if local else ""
 
 
 def describe(value):
@@ -38,14 +45,21 @@
 
 @click.command("history")
 @click.option("--text", "version", default="", help="Print this version.")
+@_options.local_option
 @_options.json_option
 @_options.reports_errors
 @_options.server_options
-def command(settings, client, version, as_json):
-    """List the accepted versions, or print the text of one."""
+def command(settings, client, version, local, as_json):
+    """List the accepted versions, or print the text of one.
+
+    Exits with 1 if the version is not known and with 3 or 4 if no control
+    host with a quorum answers.
+    """
     if version:
-        reply = show_version(client, version)
+        reply = show_version(client, version, local=local)
         _options.finish(
             reply, as_json=as_json, describe=lambda value: value["text"]
         )
-    _options.finish(list_versions(client), as_json=as_json, describe=describe)
+    _options.finish(
+        list_versions(client, local=local), as_json=as_json, describe=describe
+    )
--- a/verbenanotch/operator/_interface.py
+++ b/verbenanotch/operator/_interface.py
@@ -21,6 +21,7 @@
 )
 from verbenanotch.operator.exceptions import (
     MethodNotAllowedError,
+    NotCurrentError,
     NotFoundError,
     OperatorError,
 )
@@ -127,12 +128,12 @@
         return _answer_submission(outcome, submission)
 
     def _list_versions(self, request):
-        entries = [_summary(record) for record in self._versions.history()]
+        entries = [_summary(record) for record in self._history(request)]
         return Answer(status=200, value={"versions": entries})
 
     def _show_version(self, request, text):
         version = parse_version(text)
-        for record in self._versions.history():
+        for record in self._history(request):
             if record.version == version:
                 value = _summary(record) | {"text": to_json(record.text)}
                 return Answer(status=200, value=value)
@@ -141,6 +142,21 @@
             remedy="List the versions; old ones are dropped by snapshots.",
         )
 
+    def _history(self, request):
+        """Return all versions, or with `local=1` those that are held here.
+
+        Without a quorum a version that others accepted could be missing.
+        """
+        is_local = request.query().get("local") == "1"
+        if not is_local and not self._versions.is_current(
+            timeout_seconds=request.timeout_seconds()
+        ):
+            raise NotCurrentError(
+                "no quorum confirmed that this host holds every version",
+                remedy="Ask again, or ask with local=1 for what it holds.",
+            )
+        return self._versions.history()
+
     def _show_status(self, request):
         return Answer(status=200, value=self._control.status())
 
--- a/verbenanotch/operator/exceptions.py
+++ b/verbenanotch/operator/exceptions.py
@@ -59,3 +59,10 @@
     """A header, query or body value cannot be used."""
 
     kind = "invalid-request"
+
+
+class NotCurrentError(OperatorError):
+    """The host may lack versions that were accepted; nothing was changed."""
+
+    kind = "not-current"
+    status = 503
