--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -15,6 +15,7 @@
 )
 from verbenanotch.proxy import (
     CallerWatch,
+    CrashGuard,
     Dispatcher,
     EntryInterface,
     KeyedRequests,
@@ -23,12 +24,15 @@
     PeerServer,
     RecordKeeper,
     TargetInterface,
+    TargetProbe,
 )
 from verbenanotch.wire import Listener, Purpose
 
 EXPIRY_SECONDS = 0.5
 WARM_SECONDS = 1.0
+PROBE_SECONDS = 1.0
 POLL_SECONDS = 0.02
+REFRESH_SECONDS = 0.1
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -41,10 +45,19 @@
         proxy = settings.proxy
         self._host_name = host.name
         self._holder = SnapshotHolder()
+        self._peers = PeerPool(settings=settings)
+        incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
+        self._guard = CrashGuard(
+            settings=settings,
+            incarnation=incarnation,
+            holder=self._holder,
+            post=self._peers.post,
+        )
         self._local_targets = LocalTargets(
             settings=settings,
-            incarnation=int(time.time() * MILLISECONDS_PER_SECOND),
+            incarnation=incarnation,
             on_change=self._announce,
+            guard=self._guard,
         )
         self._subscriber = Subscriber(
             settings=settings,
@@ -52,11 +65,11 @@
             announcement=self._local_targets.announcement,
             on_drain=self._local_targets.drain,
         )
-        self._peers = PeerPool(settings=settings)
         self._keeper = RecordKeeper(host_name=host.name, holder=self._holder)
         self._peer_server = PeerServer(
             local_targets=self._local_targets,
             keeper=self._keeper,
+            guard=self._guard,
             max_body_bytes=proxy.max_body_bytes,
             max_in_flight=proxy.max_in_flight,
         )
@@ -92,6 +105,11 @@
         self._floor_wait_seconds = (
             proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
         )
+        self._probe = TargetProbe(
+            holder=self._holder,
+            local_targets=self._local_targets,
+            on_report=self._report,
+        )
         self._greenthreads = []
 
     def start(self):
@@ -104,7 +122,8 @@
         self._greenthreads = [
             eventlet.spawn(self._serve_callers),
             eventlet.spawn(_every, EXPIRY_SECONDS, self._local_targets.expire),
-            eventlet.spawn(_every, POLL_SECONDS, self._keeper.refresh),
+            eventlet.spawn(_every, REFRESH_SECONDS, self._keeper.refresh),
+            eventlet.spawn(_every, PROBE_SECONDS, self._probe.probe_all),
             eventlet.spawn(_every, WARM_SECONDS, self._local_targets.warm),
         ]
 
@@ -134,7 +153,10 @@
             holder=self._holder,
             local_targets=self._local_targets,
             peers=self._peers,
+            guard=self._guard,
         )
+        self._dispatcher = dispatcher
+        self._peers.on_report = dispatcher.reported
         return EntryInterface(
             settings=settings,
             holder=self._holder,
@@ -162,6 +184,11 @@
             eventlet.sleep(POLL_SECONDS)
         self._caller_http.start()
 
+    def _report(self, report):
+        """Tell what a local target says of itself."""
+        self._dispatcher.reported(report)
+        self._peer_server.post(report)
+
     def _announce(self):
         self._subscriber.announce()
 
