Read the events of refusals as the time line does

A test read an event file while a line was being written and met half of it; the time line skips such a line.

--- a/tests/integration/test_bad_input.py
+++ b/tests/integration/test_bad_input.py
@@ -12,6 +12,7 @@
 from examples import topology as plans
 from examples.launcher import Child
 from tests.support.harness import SECRETS, Mesh
+from verbenanotch.cli._timeline import read_timeline
 from verbenanotch.wire import Purpose, dial
 from verbenanotch.wire._handshake import PROTOCOL_NAME, PROTOCOL_VERSION
 
@@ -271,11 +272,10 @@
 
 def count_refused(mesh, name, kind):
     """Return how often a host has refused a peer for this reason."""
-    path = mesh.folder / f"{name}.events.jsonl"
-    events = [json.loads(line) for line in path.read_text().splitlines()]
+    timeline = read_timeline([mesh.folder / f"{name}.events.jsonl"])
     return sum(
-        event["event"] == PEER_REFUSED_NUMBER and event["kind"] == kind
-        for event in events
+        entry.number == PEER_REFUSED_NUMBER and entry.fields["kind"] == kind
+        for entry in timeline.entries
     )
 
 
