Let operators change the voters of the replicated log

The log could change its voters, but no interface led there, so that a control host lost for good could not be replaced by one of another name. One change at a time goes through the leader; the session kills a voter, replaces it, kills another one and has a rollback accepted by the rest.

--- a/tests/integration/test_sessions.py
+++ b/tests/integration/test_sessions.py
@@ -169,3 +169,28 @@
     session.note("z1-proxy-2 goes on")
     session.tool("status", "--wait", fourth)
     session.check("resync")
+
+
+def test_voters(tmp_path):
+    (tmp_path / "mesh-1.toml").write_text(FIRST)
+    with Mesh(
+        folder=tmp_path, control_hosts_per_zone=4, proxies_per_zone=1
+    ) as mesh:
+        session = Session(mesh=mesh)
+        assert len(mesh.topology.voters) == 3
+        first = submit(session, 1)
+        mesh.kill("z1-control-1")
+        session.note("z1-control-1 has died for good")
+        living = mesh.topology.servers[1:]
+        mesh.wait_until(
+            lambda: mesh.leader(other_than="z1-control-1"), what="leader"
+        )
+        session.tool("voters", "remove", "z1-control-1", servers=living)
+        session.tool("voters", "add", "z1-control-4", servers=living)
+        mesh.kill("z1-control-2")
+        session.note("a second voter dies; the new one makes the quorum")
+        mesh.wait_until(
+            lambda: mesh.leader(other_than="z1-control-1"), what="leader"
+        )
+        session.tool("rollback", first, "--base", first, servers=living[1:])
+        session.check("voters")
--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -6,6 +6,7 @@
 import eventlet
 from eventlet import wsgi
 
+from verbenanotch import replication
 from verbenanotch.catalog import (
     NO_VERSION,
     Accepted,
@@ -86,6 +87,14 @@
         """Return whether a quorum is said to confirm the history."""
         return self.has_quorum
 
+    def change_voters(self, *, add, remove, timeout_seconds):
+        """Take a known host as a voter; refuse any other."""
+        if "z1-c2" not in (add, remove):
+            return replication.Unavailable(reason="not caught up")
+        return replication.Committed(
+            version=Version(epoch=1, index=9), result=b""
+        )
+
     def history(self):
         """Return all records, the oldest first."""
         return tuple(self.records)
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -148,6 +148,13 @@
     assert run("drain", "billing/127.0.0.1:1").exit_code == 1
 
 
+def test_changes_one_voter_at_a_time(run):
+    assert run("voters", "add", "z1-c2").exit_code == 0
+    refused = run("voters", "remove", "z1-c9")
+    assert refused.exit_code == 3
+    assert "not caught up" in refused.stderr
+
+
 def test_a_wrong_token_is_refused(host):
     result = CliRunner().invoke(
         main, ["history", "--server", host.server, "--token", "wrong"]
--- a/tests/unit/test_operator.py
+++ b/tests/unit/test_operator.py
@@ -125,6 +125,15 @@
         ),
         ("POST", "rollbacks", b"[]", {}, "invalid-request"),
         ("POST", "rollbacks", b"[" * 100_000, {}, "invalid-request"),
+        ("POST", "voters", b"{}", {}, "invalid-request"),
+        ("POST", "voters", b'{"add": 1}', {}, "invalid-request"),
+        (
+            "POST",
+            "voters",
+            b'{"add": "a", "remove": "b"}',
+            {},
+            "invalid-request",
+        ),
         ("POST", "targets/x/drain", b"", {}, "not-found"),
     ],
 )
--- a/verbenanotch/catalog/_version_service.py
+++ b/verbenanotch/catalog/_version_service.py
@@ -66,6 +66,12 @@
         """Return the records of the kept versions, the oldest first."""
         return tuple(self.versions.records_by_version.values())
 
+    def change_voters(self, *, add="", remove="", timeout_seconds=5.0):
+        """Add or remove one voter; return the replica's outcome."""
+        return self.replica.change_voters(
+            add=add, remove=remove, timeout_seconds=timeout_seconds
+        )
+
     def rollback(
         self,
         *,
--- a/verbenanotch/cli/commands/status.py
+++ b/verbenanotch/cli/commands/status.py
@@ -56,7 +56,8 @@
         details = ", ".join(
             f"{key} {replica.get(key) or 'none'}" for key in SHOWN_FIELDS
         )
-        lines.append(f"control host {server}: {details}")
+        voters = " ".join(sorted(replica.get("voters_by_name") or ()))
+        lines.append(f"control host {server}: {details}, voters {voters}")
     for server, reason in value["unreachable_by_server"].items():
         lines.append(f"control host {server}: no answer ({reason})")
     for zone in value["zones"]:
--- a/verbenanotch/cli/tool.py
+++ b/verbenanotch/cli/tool.py
@@ -22,6 +22,7 @@
     submit,
     targets,
     timeline,
+    voters,
 )
 
 COMMANDS = (
@@ -36,6 +37,7 @@
     explain,
     timeline,
     events,
+    voters,
 )
 
 
--- a/verbenanotch/operator/_answers.py
+++ b/verbenanotch/operator/_answers.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from verbenanotch import replication
 from verbenanotch.catalog import (
     Accepted,
     Conflict,
@@ -92,6 +93,32 @@
             )
 
 
+def answer_voters(outcome):
+    """Return the Answer that tells the outcome of a change of voters."""
+    match outcome:
+        case replication.Committed(version=version):
+            return Answer(
+                status=200, value={"kind": "changed", "version": version}
+            )
+        case replication.Unavailable(reason=reason):
+            return Answer(
+                status=503,
+                value=_failure(
+                    "unavailable",
+                    reason,
+                    "Look at the voters in the status, then ask again.",
+                ),
+                headers=(("Retry-After", str(RETRY_AFTER_SECONDS)),),
+            )
+        case replication.Unknown(reason=reason):
+            return Answer(
+                status=504,
+                value=_failure(
+                    "unknown", reason, "Look at the voters in the status."
+                ),
+            )
+
+
 def answer_error(error):
     """Return the Answer that tells a refusal."""
     headers = ()
--- a/verbenanotch/operator/_interface.py
+++ b/verbenanotch/operator/_interface.py
@@ -12,6 +12,7 @@
     Answer,
     answer_error,
     answer_outcome,
+    answer_voters,
     to_json,
 )
 from verbenanotch.operator._requests import (
@@ -20,6 +21,7 @@
     parse_version,
 )
 from verbenanotch.operator.exceptions import (
+    InvalidRequestError,
     MethodNotAllowedError,
     NotCurrentError,
     NotFoundError,
@@ -48,6 +50,7 @@
             (r"/v1/rollbacks", {"POST": self._roll_back}),
             (r"/v1/versions", {"GET": self._list_versions}),
             (r"/v1/versions/([^/]+)", {"GET": self._show_version}),
+            (r"/v1/voters", {"POST": self._change_voters}),
             (r"/v1/status", {"GET": self._show_status}),
             (r"/v1/targets", {"GET": self._list_targets}),
             (r"/v1/targets/(.+)/drain", {"POST": self._drain}),
@@ -127,6 +130,30 @@
         )
         return _answer_submission(outcome, submission)
 
+    def _change_voters(self, request):
+        names = request.json_body()
+        add, remove = names.get("add", ""), names.get("remove", "")
+        is_one = bool(add) != bool(remove)
+        if not (is_one and isinstance(add or remove, str)):
+            raise InvalidRequestError(
+                "the body names no voter, or more than one",
+                remedy="Send the name of one host as add or as remove.",
+            )
+        outcome = self._versions.change_voters(
+            add=add,
+            remove=remove,
+            timeout_seconds=request.timeout_seconds(),
+        )
+        answer = answer_voters(outcome)
+        emit(
+            events.VOTERS_ASKED,
+            add=add,
+            remove=remove,
+            operator=request.header("X-Operator"),
+            kind=answer.value["kind"],
+        )
+        return answer
+
     def _list_versions(self, request):
         entries = [_summary(record) for record in self._history(request)]
         return Answer(status=200, value={"versions": entries})
--- a/verbenanotch/operator/events.py
+++ b/verbenanotch/operator/events.py
@@ -28,3 +28,9 @@
     Level.INFO,
     "an operator asked for a target to be drained",
 )
+VOTERS_ASKED = event(
+    8005,
+    "voters-asked",
+    Level.INFO,
+    "an operator asked for a change of voters",
+)
