--- /dev/null
+++ b/tests/support/callers.py
@@ -0,0 +1,57 @@
+"""Requests of callers and what they get."""
+
+import json
+
+import attrs
+
+CALL_TIMEOUT_SECONDS = 15.0
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """What a caller got; `outcome` is empty if the header is missing."""
+
+    status: int
+    outcome: str
+    request_id: str
+    retry_after: str
+    body: bytes
+
+    @property
+    def value(self):
+        """Return the body's JSON value."""
+        return json.loads(self.body)
+
+
+def send(
+    pool,
+    method,
+    server,
+    path,
+    *,
+    key=None,
+    body=None,
+    request_id=None,
+    timeout_ms=None,
+    timeout_seconds=CALL_TIMEOUT_SECONDS,
+):
+    """Send a request to a proxy at `address:port`; return its Answer."""
+    given = {
+        "Idempotency-Key": key,
+        "X-Request-Id": request_id,
+        "X-Request-Timeout-Ms": timeout_ms and str(timeout_ms),
+    }
+    response = pool.request(
+        method,
+        f"http://{server}{path}",
+        body=body,
+        headers={name: value for name, value in given.items() if value},
+        timeout=timeout_seconds,
+    )
+    return Answer(
+        status=response.status,
+        outcome=response.headers.get("X-Verbenanotch-Outcome", ""),
+        request_id=response.headers.get("X-Request-Id", ""),
+        retry_after=response.headers.get("Retry-After", ""),
+        body=response.data,
+    )
--- a/tests/support/harness.py
+++ b/tests/support/harness.py
@@ -1,18 +1,17 @@
 """Run a whole mesh of real processes on loopback for a test."""
 
 import json
-import os
 import shutil
 import signal
-import socket
 import uuid
 
-import attrs
 import tomli_w
 import urllib3
 
 from examples import topology as plans
 from examples.launcher import Child, stop_all, wait_until
+from tests.support.callers import CALL_TIMEOUT_SECONDS, send
+from tests.support.network import accepts, reserve_network
 from verbenanotch.catalog import NO_VERSION, Version
 from verbenanotch.cli._client import OperatorClient, Reply
 from verbenanotch.cli._status import collect, wait_in_force
@@ -21,35 +20,15 @@
 SECRETS = plans.Secrets(
     peer_key="peer-key-of-the-tests", operator_token="token-of-the-tests"
 )
-FIRST_OCTET = 16
-OCTETS = 200
-RESERVATION_PORT = 7099
 READY_SECONDS = 30.0
-CALL_TIMEOUT_SECONDS = 15.0
 SLOTS = 8
 
 
-@attrs.frozen(kw_only=True)
-class Answer:
-    """What a caller got; `outcome` is empty if the header is missing."""
-
-    status: int
-    outcome: str
-    request_id: str
-    retry_after: str
-    body: bytes
-
-    @property
-    def value(self):
-        """Return the body's JSON value."""
-        return json.loads(self.body)
-
-
 class Mesh:
     """Processes of one mesh; use it as a context manager.
 
     `folder` takes settings, data, logs and ledgers. `links` are pairs of
-    host names, dialling host first; `proxy_factory(address, port)` gives
+    host names, dialling host first; `relay_factory` makes
     the relay for one of them, with `address` and `port` to dial.
     """
 
@@ -132,7 +111,7 @@
             )
         else:
             self.wait_until(
-                lambda: _accepts(host.address, plans.CALLER_PORT),
+                lambda: accepts(host.address, plans.CALLER_PORT),
                 what=f"listening {name}",
             )
 
@@ -205,7 +184,7 @@
         self._targets_by_name[name] = child
         child.start()
         self.wait_until(
-            lambda: _accepts(host.address, port), what=f"listening {name}"
+            lambda: accepts(host.address, port), what=f"listening {name}"
         )
         return name
 
@@ -269,25 +248,16 @@
         timeout_seconds=CALL_TIMEOUT_SECONDS,
     ):
         """Send a caller's request to a proxy; return its Answer."""
-        given = {
-            "Idempotency-Key": key,
-            "X-Request-Id": request_id,
-            "X-Request-Timeout-Ms": timeout_ms and str(timeout_ms),
-        }
-        host = self.topology.hosts_by_name[proxy]
-        response = self._pool.request(
+        return send(
+            self._pool,
             method,
-            f"http://{host.server(plans.CALLER_PORT)}{path}",
+            self.topology.hosts_by_name[proxy].server(plans.CALLER_PORT),
+            path,
+            key=key,
             body=body,
-            headers={name: value for name, value in given.items() if value},
-            timeout=timeout_seconds,
-        )
-        return Answer(
-            status=response.status,
-            outcome=response.headers.get("X-Verbenanotch-Outcome", ""),
-            request_id=response.headers.get("X-Request-Id", ""),
-            retry_after=response.headers.get("Retry-After", ""),
-            body=response.data,
+            request_id=request_id,
+            timeout_ms=timeout_ms,
+            timeout_seconds=timeout_seconds,
         )
 
     def leader(self, *, other_than=""):
@@ -396,29 +366,3 @@
                 service, _, port = rest.rpartition("-")
                 return proxy.name, service, int(port)
         raise KeyError(name)
-
-
-def reserve_network():
-    """Return a second octet that no other run uses, and its reservation.
-
-    The network is free again once the returned socket is closed.
-    """
-    for attempt in range(OCTETS):
-        octet = FIRST_OCTET + (os.getpid() + attempt) % OCTETS
-        reservation = socket.socket()
-        try:
-            reservation.bind((f"127.{octet}.255.254", RESERVATION_PORT))
-            reservation.listen()
-        except OSError:
-            reservation.close()
-            continue
-        return octet, reservation
-    raise RuntimeError("no loopback network is free; end other test runs")
-
-
-def _accepts(address, port):
-    try:
-        socket.create_connection((address, port), 1.0).close()
-    except OSError:
-        return False
-    return True
