--- a/verbenanotch/catalog/_version_service.py
+++ b/verbenanotch/catalog/_version_service.py
@@ -57,10 +57,21 @@
             case _outcomes.Unknown(reason=reason):
                 return Unknown(reason=reason)
 
+    def is_current(self, *, timeout_seconds):
+        """Return whether a quorum confirmed that no version is missing."""
+        outcome = self.replica.confirm_read(timeout_seconds=timeout_seconds)
+        return isinstance(outcome, _outcomes.ReadConfirmed)
+
     def history(self):
         """Return the records of the kept versions, the oldest first."""
         return tuple(self.versions.records_by_version.values())
 
+    def change_voters(self, *, add="", remove="", timeout_seconds=5.0):
+        """Add or remove one voter; return the replica's outcome."""
+        return self.replica.change_voters(
+            add=add, remove=remove, timeout_seconds=timeout_seconds
+        )
+
     def rollback(
         self,
         *,
