Wake whoever waits on a connection that this side closes

Cause: a greenthread blocked in a receive slept on for ever when another one of the process closed the connection, since the loop is not told of a closed descriptor; whoever then got the descriptor's number hit 'second simultaneous read'. In tests that was the pipe of a process being started; in a proxy it left calls waiting to their deadline. Ruled out: the loop's own notice of reopened descriptors, which reaches sleepers only when a later socket happens to take the same number.

--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -19,6 +19,7 @@
 )
 
 KEY = b"0123456789abcdef"
+WAKE_SECONDS = 5.0
 
 
 @message(60001)
@@ -90,3 +91,20 @@
 def test_a_message_survives_its_codec():
     item = Echo(text="x", bodies=(b"y",))
     assert decode(msgpack.unpackb(encode(item))) == item
+
+
+def test_closing_wakes_a_greenthread_that_waits_to_receive(listener):
+    connection = connect(listener)
+    waiting = eventlet.spawn(connection.receive)
+    eventlet.sleep(0)
+    connection.close()
+    with eventlet.Timeout(WAKE_SECONDS), pytest.raises(ConnectionClosedError):
+        waiting.wait()
+
+
+def test_a_message_that_does_not_fit_closes_the_connection(listener):
+    connection = connect(listener)
+    connection.send_plain([1, 60001, [5, []]])
+    with pytest.raises(ConnectionClosedError):
+        connection.receive()
+    assert connection.closed
--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -42,6 +42,7 @@
         self._pending_bytes = 0
         self._flushing = False
         self._drained = None
+        self._users = 0
         self.closed = False
         self.peer_name = ""
         self.purpose = ""
@@ -74,7 +75,11 @@
         Raises ConnectionClosedError, FrameTooLargeError or
         MalformedFrameError; the connection is closed after any of them.
         """
-        return decode(self.receive_plain())
+        try:
+            return decode(self.receive_plain())
+        except MalformedFrameError:
+            self.close()
+            raise
 
     def receive_plain(self):
         """Return the next frame's unpacked value; see `receive`."""
@@ -99,9 +104,11 @@
         if self.closed:
             return
         self.closed = True
+        # The loop never wakes a greenthread whose descriptor was closed, so
+        # that the shutdown wakes them and the last one closes it.
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
-        self._socket.close()
+        self._close_when_unused()
         self._wake_waiting()
 
     def set_timeout(self, seconds):
@@ -109,11 +116,15 @@
         self._socket.settimeout(seconds)
 
     def _feed(self):
+        self._users += 1
         try:
             data = self._socket.recv(RECEIVE_BYTES)
         except (OSError, ValueError, EOFError) as error:
             self.close()
             raise ConnectionClosedError(f"receive failed: {error}") from error
+        finally:
+            self._users -= 1
+            self._close_when_unused()
         if not data:
             self.close()
             raise ConnectionClosedError("peer closed the connection")
@@ -148,6 +159,7 @@
             self._flushing = False
 
     def _write(self, data):
+        self._users += 1
         try:
             self._socket.sendall(data)
         except (OSError, ValueError, EOFError) as error:
@@ -158,8 +170,15 @@
             # would misread.
             self.close()
             raise
+        finally:
+            self._users -= 1
+            self._close_when_unused()
         self.sent_bytes += len(data)
 
+    def _close_when_unused(self):
+        if self.closed and not self._users:
+            self._socket.close()
+
     def _wake_waiting(self):
         if self._drained is not None:
             drained, self._drained = self._drained, None
