--- a/tests/integration/request_load.py
+++ b/tests/integration/request_load.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import time
 
 import attrs
 import eventlet
@@ -56,6 +57,7 @@
     timeout_ms: int = 2000
     idempotent_share: float = IDEMPOTENT_SHARE
     results: list = attrs.field(factory=list)
+    asked_at_by_request_id: dict = attrs.field(factory=dict)
     _number: int = 0
     _pool: object = attrs.field(
         factory=lambda: eventlet.GreenPool(2000), init=False
@@ -89,6 +91,7 @@
 
     def _ask(self, request_id, method, body, proxies):
         lost = "no proxy listens"
+        self.asked_at_by_request_id[request_id] = time.time()
         for proxy in proxies:
             try:
                 answer = self.mesh.call(
--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -179,6 +179,12 @@
     assert ("X-Extra", "1") in call.headers
 
 
+def test_request_ids_have_room_for_nine_levels(entry):
+    request_id = ".".join(["0" * 32] + ["interpreter-desk/10.1.2.3:7500"] * 9)
+    assert entry.ask(X_Request_Id=request_id).outcome == "answered"
+    assert entry.ask(X_Request_Id="x" * 513).reason == "bad-request-id"
+
+
 def test_a_target_cannot_claim_another_outcome(entry):
     entry.peers.outcomes = [
         Answered(
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -19,7 +19,8 @@
 from verbenanotch.proxy._outcome import Rejected
 
 MILLISECONDS_PER_SECOND = 1000
-REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,128}")
+MAX_REQUEST_ID_CHARACTERS = 512
+REQUEST_ID_PATTERN = re.compile(rf"[!-~]{{1,{MAX_REQUEST_ID_CHARACTERS}}}")
 NUMBER_PATTERN = re.compile(r"[0-9]{1,9}")
 
 
@@ -124,8 +125,8 @@
         return Rejected(
             status=400,
             kind="bad-request-id",
-            remedy=f"Send {REQUEST_ID_HEADER} of at most 128 visible ASCII "
-            "characters, or none.",
+            remedy=f"Send {REQUEST_ID_HEADER} of at most "
+            f"{MAX_REQUEST_ID_CHARACTERS} visible ASCII characters, or none.",
         )
     return None
 
