--- a/tests/unit/test_proxy_candidates.py
+++ b/tests/unit/test_proxy_candidates.py
@@ -25,13 +25,13 @@
 
 
 def test_candidates_are_made_once_for_a_snapshot(holder):
-    cache = CandidateCache()
+    cache = CandidateCache(holder=holder)
     first = cache.candidates(holder.snapshot, "pay", now=0)
     assert cache.candidates(holder.snapshot, "pay", now=1) is first
 
 
 def test_observations_outlive_the_snapshot_but_not_the_incarnation(holder):
-    cache = CandidateCache()
+    cache = CandidateCache(holder=holder)
     before = states(cache, holder)
     changed = make_record(2)
     target = attrs.evolve(changed.targets[0], incarnation=2)
@@ -43,8 +43,19 @@
     assert after["pay/3"].first_seen == 5
 
 
+def test_an_earlier_snapshot_does_not_cost_the_observations(holder):
+    cache = CandidateCache(holder=holder)
+    earlier = holder.snapshot
+    states(cache, holder)
+    holder.hold([make_record(2), make_record(3)])
+    newer = states(cache, holder)
+    found = cache.candidates(earlier, "pay", now=1).targets
+    assert [state.target_id for state in found] == ["pay/2"]
+    assert states(cache, holder)["pay/3"] is newer["pay/3"]
+
+
 def test_targets_that_are_gone_are_forgotten(holder):
-    cache = CandidateCache()
+    cache = CandidateCache(holder=holder)
     states(cache, holder)
     holder.hold([make_record(1)])
     assert set(states(cache, holder)) == {"pay/1"}
@@ -52,7 +63,7 @@
 
 
 def test_an_ejected_target_without_cold_start_can_be_chosen_again(holder):
-    state = states(CandidateCache(), holder)["pay/1"]
+    state = states(CandidateCache(holder=holder), holder)["pay/1"]
     detector = OutlierDetector()
     ejected = None
     for _ in range(20):
@@ -67,7 +78,7 @@
 
 
 def test_a_lightly_used_target_keeps_its_limit(holder):
-    state = states(CandidateCache(), holder)["pay/1"]
+    state = states(CandidateCache(holder=holder), holder)["pay/1"]
     before = state.limit.value
     for number in range(2000):
         latency = 0.010 if number % 10 == 0 else 0.001
--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -397,3 +397,12 @@
             peer._connection.send(item)
     assert peer.closed
     stopped.send()
+
+
+def test_a_fault_at_the_targets_proxy_is_unknown_at_once(link):
+    def fail(call):
+        raise RuntimeError("a fault")
+
+    link.targets.behave = fail
+    assert link.forward(make_call()) == Unknown(reason="internal-error")
+    assert link.server.in_flight == 0
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -1,11 +1,12 @@
 """The proxy: callers, other proxies, its own targets, control hosts."""
 
 import time
+import traceback
 
 import eventlet
 
 from verbenanotch.catalog import NO_VERSION
-from verbenanotch.daemon import _shutdown
+from verbenanotch.daemon import _shutdown, events
 from verbenanotch.daemon._caller_protocol import CallerProtocol
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.distribution import (
@@ -26,6 +27,7 @@
     TargetInterface,
     TargetProbe,
 )
+from verbenanotch.telemetry import emit
 from verbenanotch.wire import Listener, Purpose
 
 EXPIRY_SECONDS = 0.5
@@ -198,6 +200,10 @@
 
 
 def _every(seconds, action):
+    """Repeat an action until the greenthread is killed; outlive its faults."""
     while True:
         eventlet.sleep(seconds)
-        action()
+        try:
+            action()
+        except Exception:
+            emit(events.BACKGROUND_FAILED, traceback=traceback.format_exc())
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -12,3 +12,10 @@
     "could not accept an HTTP connection",
     "Raise the limit of open files for the daemon.",
 )
+BACKGROUND_FAILED = event(
+    9005,
+    "background-failed",
+    Level.ERROR,
+    "a repeated task failed; it is tried again",
+    "Report the traceback to the project.",
+)
--- a/verbenanotch/proxy/_candidates.py
+++ b/verbenanotch/proxy/_candidates.py
@@ -14,18 +14,30 @@
     incarnation.
     """
 
-    def __init__(self):
-        """Start without a snapshot."""
+    def __init__(self, *, holder):
+        """Follow the snapshot that is in force at `holder`."""
+        self._holder = holder
         self._snapshot = None
         self._candidates_by_service = {}
         self._incarnations_by_target_id = {}
         self.states_by_target_id = {}
 
     def candidates(self, snapshot, service, *, now):
-        """Return the Candidates of a service."""
-        if snapshot is not self._snapshot:
-            self._take(snapshot, now)
-        return self._candidates_by_service.get(service, NO_CANDIDATES)
+        """Return the Candidates of a service in a snapshot.
+
+        A request that began with an earlier snapshot gets those of its
+        targets that are still there.
+        """
+        current = self._holder.snapshot
+        if current is not self._snapshot:
+            self._take(current, now)
+        if snapshot is current:
+            return self._candidates_by_service.get(service, NO_CANDIDATES)
+        states = self.states_by_target_id
+        ids = snapshot.target_ids_by_service.get(service, ())
+        return Candidates(
+            targets=tuple(states[id_] for id_ in ids if id_ in states)
+        )
 
     def _take(self, snapshot, now):
         first = not self.states_by_target_id
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -1,6 +1,7 @@
 """The listening side of the streams between proxies."""
 
 import time
+import traceback
 
 import attrs
 import eventlet
@@ -29,7 +30,7 @@
     reply_of,
 )
 from verbenanotch.proxy._outbox import Outbox
-from verbenanotch.proxy._outcome import Call, NotRun
+from verbenanotch.proxy._outcome import Call, NotRun, Unknown
 from verbenanotch.proxy.exceptions import ProxyError, StreamReusedError
 from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import WireError, decode, encode
@@ -222,6 +223,14 @@
                 self._reply(stream_id, stream, outcome)
         except WireError:
             metrics.increment("proxy.reply_undeliverable")
+        except Exception:
+            emit(
+                events.REQUEST_FAILED,
+                request=stream.call.request_id,
+                traceback=traceback.format_exc(),
+            )
+            failed = Unknown(reason=reasons.INTERNAL_ERROR)
+            self.outbox.post(reply_of(stream_id, failed, inline_bytes=0))
         finally:
             self._streams_by_id.pop(stream_id, None)
             self._server.in_flight -= 1
