Play the sessions of a lost zone and of a replaced disk

A lost zone leaves the version accepted and its being in force unknown; a voter with an empty disk gets its vote back once it has caught up. Found on the way: a control host that has just started counts no proxies yet, and its zone looked in force; the tool now takes over whether the host says that its own zone is live, so that the host can tell it.

--- a/tests/integration/test_sessions.py
+++ b/tests/integration/test_sessions.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from examples import topology as plans
 from tests.support.harness import Mesh
 from tests.support.ledger import read_ledgers, runs_by_key
 from tests.support.sessions import Session
@@ -194,3 +195,70 @@
         )
         session.tool("rollback", first, "--base", first, servers=living[1:])
         session.check("voters")
+
+
+def test_replaced_disk(mesh, session):
+    first = submit(session, 1, "--wait")
+    name = "z1-control-2"
+    mesh.kill(name)
+    mesh.wipe_disk(name)
+    mesh.restart(name)
+    session.note(f"{name} has come back with an empty disk")
+    mesh.wait_until(
+        lambda: has_own_vote(mesh, name), what="vote for the new disk"
+    )
+    session.note("it has caught up and votes again; another voter dies")
+    mesh.kill("z1-control-3")
+    mesh.wait_until(mesh.leader, what="leader")
+    living = mesh.topology.servers[:2]
+    second = submit(session, 2, "--base", first, servers=living)
+    session.tool("status", "--wait", second, servers=living)
+    session.check("replaced-disk")
+
+
+def has_own_vote(mesh, name):
+    """Tell whether the voters include the disk that a host has now."""
+    server = mesh.topology.hosts_by_name[name].server(plans.OPERATOR_PORT)
+    reply = mesh.client.ask(server, "GET", "/v1/status")
+    replica = getattr(reply, "value", {}).get("replica", {})
+    voter = replica.get("voters_by_name", {}).get(name, {})
+    return bool(voter) and voter["disk_id"] == replica["disk_id"]
+
+
+def test_lost_zone(tmp_path):
+    for number, text in enumerate((FIRST, SECOND), start=1):
+        (tmp_path / f"mesh-{number}.toml").write_text(text)
+    with Mesh(
+        folder=tmp_path,
+        zones=("z1", "z2", "z3"),
+        control_hosts_per_zone=1,
+        proxies_per_zone=1,
+    ) as mesh:
+        session = Session(mesh=mesh)
+        for zone in ("z1", "z2", "z3"):
+            mesh.start_target(f"{zone}-proxy-1", "stock")
+        first = submit(session, 1, "--wait")
+        wait_served(mesh, "z1-proxy-1")
+        for name in ("z3-control-1", "z3-proxy-1", *mesh.targets()[2:]):
+            mesh.kill(name)
+        session.note("zone z3 is lost with all of its hosts")
+        mesh.wait_until(mesh.leader, what="leader")
+        living = mesh.topology.servers[:2]
+        second = submit(session, 2, "--base", first, servers=living)
+        mesh.wait_until(
+            lambda: "z3" in mesh.silent_zones(), what="z3 known as silent"
+        )
+        session.tool(
+            "status", "--wait", second, "--timeout", "3", servers=living
+        )
+        wait_served(mesh, "z1-proxy-1")
+        session.call("GET", "/stock", proxy="z1-proxy-1")
+        mesh.restart("z3-control-1")
+        mesh.restart("z3-proxy-1")
+        session.note("zone z3 is back")
+        mesh.wait_until(
+            lambda: "z3-proxy-1" in mesh.status().versions_by_proxy,
+            what="lease of z3-proxy-1",
+        )
+        session.tool("status", "--wait", second)
+        session.check("lost-zone")
--- a/tests/support/harness.py
+++ b/tests/support/harness.py
@@ -272,6 +272,11 @@
                     return host.name
         return None
 
+    def silent_zones(self):
+        """Return the zones that no answering control host hears of."""
+        zones_by_name = self.status().zones_by_name
+        return {name for name, zone in zones_by_name.items() if not zone.live}
+
     def targets(self):
         """Return the names of all started targets."""
         return list(self._targets_by_name)
--- a/verbenanotch/cli/_status.py
+++ b/verbenanotch/cli/_status.py
@@ -117,40 +117,16 @@
 
     Raises UnavailableError if none answers.
     """
-    replicas_by_server = {}
-    proxies_by_name = {}
-    zones_by_name = {}
-    answering_zones = set()
-    unreachable_by_server = {}
+    merger = _Merger()
     for server in client.servers:
         match client.ask(server, "GET", "/v1/status"):
             case Reply(status=200, value=value):
-                replicas_by_server[server] = _read_replica(value)
-                _merge_proxies(proxies_by_name, value.get("proxies", ()))
-                zones = value.get("zones", ())
-                _merge_zones(zones_by_name, zones)
-                # A control host lists its own zone first.
-                answering_zones.update(
-                    zone["availability_zone"] for zone in zones[:1]
-                )
+                merger.add(server, value)
             case Reply(value=value):
-                reason = value.get("reason", "refused")
-                unreachable_by_server[server] = reason
+                merger.add_silent(server, value.get("reason", "refused"))
             case Failure(reason=reason):
-                unreachable_by_server[server] = reason
-    if not replicas_by_server:
-        raise UnavailableError(
-            f"no control host answered: {unreachable_by_server}; "
-            "check the addresses and the token"
-        )
-    for zone in answering_zones:
-        zones_by_name[zone] = _summarize(zone, proxies_by_name)
-    return MeshStatus(
-        replicas_by_server=replicas_by_server,
-        proxies_by_name=proxies_by_name,
-        zones_by_name=zones_by_name,
-        unreachable_by_server=unreachable_by_server,
-    )
+                merger.add_silent(server, reason)
+    return merger.status()
 
 
 def wait_in_force(client, version, *, timeout_seconds):
@@ -169,30 +145,68 @@
         time.sleep(POLL_SECONDS)
 
 
-def _read_replica(value):
-    """Return a replica's state with the version that it holds."""
-    replica = dict(value.get("replica") or {})
-    if value.get("version"):
-        replica["version"] = value["version"]
-    return replica
-
+class _Merger:
+    """Build a MeshStatus from the answers of the control hosts."""
+
+    def __init__(self):
+        self._replicas_by_server = {}
+        self._unreachable_by_server = {}
+        self._proxies_by_name = {}
+        self._zones_by_name = {}
+        self._live_by_own_zone = {}
+
+    def add(self, server, value):
+        """Take one control host's answer."""
+        replica = dict(value.get("replica") or {})
+        if value.get("version"):
+            replica["version"] = value["version"]
+        self._replicas_by_server[server] = replica
+        for entry in value.get("proxies", ()):
+            self._add_proxy(entry)
+        zones = value.get("zones", ())
+        for entry in zones:
+            self._add_zone(entry)
+        # A control host lists its own zone first.
+        for entry in zones[:1]:
+            name = entry["availability_zone"]
+            known = self._live_by_own_zone.get(name, False)
+            self._live_by_own_zone[name] = known or entry["live"]
+
+    def add_silent(self, server, reason):
+        """Note that a control host gave no answer."""
+        self._unreachable_by_server[server] = reason
+
+    def status(self):
+        """Return the MeshStatus; raise UnavailableError if none answered."""
+        if not self._replicas_by_server:
+            raise UnavailableError(
+                f"no control host answered: {self._unreachable_by_server}; "
+                "check the addresses and the token"
+            )
+        own_zones_by_name = {
+            zone: self._summarize(zone, live=live)
+            for zone, live in self._live_by_own_zone.items()
+        }
+        return MeshStatus(
+            replicas_by_server=self._replicas_by_server,
+            proxies_by_name=self._proxies_by_name,
+            zones_by_name=self._zones_by_name | own_zones_by_name,
+            unreachable_by_server=self._unreachable_by_server,
+        )
 
-def _merge_proxies(proxies_by_name, entries):
-    """Keep the greatest version that any control host has of each proxy."""
-    for entry in entries:
+    def _add_proxy(self, entry):
+        """Keep the greatest version that any control host has of a proxy."""
         proxy = ProxyStatus(
             name=entry["name"],
             availability_zone=entry["availability_zone"],
             version=_parse_version(entry["version"]),
             suspect=entry.get("suspect", False),
         )
-        known = proxies_by_name.get(proxy.name)
+        known = self._proxies_by_name.get(proxy.name)
         if known is None or known.version < proxy.version:
-            proxies_by_name[proxy.name] = proxy
-
+            self._proxies_by_name[proxy.name] = proxy
 
-def _merge_zones(zones_by_name, entries):
-    for entry in entries:
+    def _add_zone(self, entry):
         zone = ZoneStatus(
             availability_zone=entry["availability_zone"],
             lowest=_parse_version(entry["lowest_in_force"]),
@@ -200,25 +214,25 @@
             laggards=tuple(entry["laggards"]),
             live=entry["live"],
         )
-        known = zones_by_name.get(zone.availability_zone, zone)
-        zones_by_name[zone.availability_zone] = known.merged(zone)
-
-
-def _summarize(zone, proxies_by_name):
-    """Return a zone's state by what its control hosts know together.
-
-    One of them alone may not have heard a proxy's acknowledgement.
-    """
-    versions = [
-        proxy.version
-        for proxy in proxies_by_name.values()
-        if proxy.availability_zone == zone
-    ]
-    return ZoneStatus(
-        availability_zone=zone,
-        lowest=min(versions, default=NO_VERSION),
-        proxies=len(versions),
-    )
+        known = self._zones_by_name.get(zone.availability_zone, zone)
+        self._zones_by_name[zone.availability_zone] = known.merged(zone)
+
+    def _summarize(self, zone, *, live):
+        """Return a zone's state by what its control hosts know together.
+
+        One of them alone may not have heard a proxy's acknowledgement.
+        """
+        versions = [
+            proxy.version
+            for proxy in self._proxies_by_name.values()
+            if proxy.availability_zone == zone
+        ]
+        return ZoneStatus(
+            availability_zone=zone,
+            lowest=min(versions, default=NO_VERSION),
+            proxies=len(versions),
+            live=live,
+        )
 
 
 def _parse_version(text):
