Call the own zone live only when its proxies can be known

Cause: a control host that has just started counts few or no proxies, so that its zone looked in force.

--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -153,8 +153,9 @@
 
     def _zones(self):
         own = self._publisher.summarize()
-        zones = [_zone(own, live=True)]
         now = time.monotonic()
+        # A control host that has just started counts too few proxies yet.
+        zones = [_zone(own, live=self._table.settles_in(now=now) <= 0)]
         for zone, heard in self._exchange.summaries_by_zone.items():
             if zone != own.availability_zone:
                 age = now - heard.heard_at
