--- a/tests/integration/test_sessions.py
+++ b/tests/integration/test_sessions.py
@@ -1,9 +1,12 @@
 """Golden files of whole sessions against a mesh of real processes."""
 
+import itertools
 import json
+import time
 
 import pytest
 
+from examples import topology as plans
 from tests.support.harness import Mesh
 from tests.support.ledger import read_ledgers, runs_by_key
 from tests.support.sessions import Session
@@ -50,6 +53,28 @@
     )
 
 
+def stamped_key(name):
+    """Return a key with the time of its issue, which the mesh requires."""
+    return f"{time.time_ns() // 1_000_000}-{name}"
+
+
+def wait_for_holders(mesh):
+    """Wait until keyed requests run; new holders cannot vouch for a key."""
+    numbers = itertools.count()
+    mesh.wait_until(
+        lambda: (
+            mesh.call(
+                "POST",
+                "/stock/wait",
+                proxy="z1-proxy-1",
+                key=stamped_key(f"wait-{next(numbers)}"),
+            ).outcome
+            == "answered"
+        ),
+        what="keyed request that ran",
+    )
+
+
 def test_submit(mesh, session):
     session.tool("check", mesh.folder / "mesh-1.toml")
     version = submit(session, 1, "--wait")
@@ -57,9 +82,13 @@
     session.tool("status", "--wait", version)
     wait_served(mesh)
     session.call("GET", "/stock/paper", proxy="z1-proxy-1")
-    session.call("POST", "/stock/paper", proxy="z1-proxy-2", key="k1")
+    wait_for_holders(mesh)
+    key = stamped_key("k1")
+    session.call("POST", "/stock/paper", proxy="z1-proxy-2", key=key)
+    session.note("asked again through the other proxy, it does not run again")
+    session.call("POST", "/stock/paper", proxy="z1-proxy-1", key=key)
     session.call("GET", "/nowhere", proxy="z1-proxy-1")
-    assert runs_by_key(read_ledgers(mesh.folder))["k1"] == 1
+    assert runs_by_key(read_ledgers(mesh.folder))[key] == 1
     session.check("submit")
 
 
@@ -77,7 +106,7 @@
 
 def test_resend(mesh, session):
     submission_id = "0" * 31 + "1"
-    first = submit(session, 1, "--submission-id", submission_id)
+    first = submit(session, 1, "--submission-id", submission_id, "--wait")
     leader = mesh.leader()
     mesh.kill(leader)
     session.note("the answer is taken as lost; the leader has died")
@@ -141,3 +170,95 @@
     session.note("z1-proxy-2 goes on")
     session.tool("status", "--wait", fourth)
     session.check("resync")
+
+
+def test_voters(tmp_path):
+    (tmp_path / "mesh-1.toml").write_text(FIRST)
+    with Mesh(
+        folder=tmp_path, control_hosts_per_zone=4, proxies_per_zone=1
+    ) as mesh:
+        session = Session(mesh=mesh)
+        assert len(mesh.topology.voters) == 3
+        first = submit(session, 1)
+        mesh.kill("z1-control-1")
+        session.note("z1-control-1 has died for good")
+        living = mesh.topology.servers[1:]
+        mesh.wait_until(
+            lambda: mesh.leader(other_than="z1-control-1"), what="leader"
+        )
+        session.tool("voters", "remove", "z1-control-1", servers=living)
+        session.tool("voters", "add", "z1-control-4", servers=living)
+        mesh.kill("z1-control-2")
+        session.note("a second voter dies; the new one makes the quorum")
+        mesh.wait_until(
+            lambda: mesh.leader(other_than="z1-control-1"), what="leader"
+        )
+        session.tool("rollback", first, "--base", first, servers=living[1:])
+        session.check("voters")
+
+
+def test_replaced_disk(mesh, session):
+    first = submit(session, 1, "--wait")
+    name = "z1-control-2"
+    mesh.kill(name)
+    mesh.wipe_disk(name)
+    mesh.restart(name)
+    session.note(f"{name} has come back with an empty disk")
+    mesh.wait_until(
+        lambda: has_own_vote(mesh, name), what="vote for the new disk"
+    )
+    session.note("it has caught up and votes again; another voter dies")
+    mesh.kill("z1-control-3")
+    mesh.wait_until(mesh.leader, what="leader")
+    living = mesh.topology.servers[:2]
+    second = submit(session, 2, "--base", first, servers=living)
+    session.tool("status", "--wait", second, servers=living)
+    session.check("replaced-disk")
+
+
+def has_own_vote(mesh, name):
+    """Tell whether the voters include the disk that a host has now."""
+    server = mesh.topology.hosts_by_name[name].server(plans.OPERATOR_PORT)
+    reply = mesh.client.ask(server, "GET", "/v1/status")
+    replica = getattr(reply, "value", {}).get("replica", {})
+    voter = replica.get("voters_by_name", {}).get(name, {})
+    return bool(voter) and voter["disk_id"] == replica["disk_id"]
+
+
+def test_lost_zone(tmp_path):
+    for number, text in enumerate((FIRST, SECOND), start=1):
+        (tmp_path / f"mesh-{number}.toml").write_text(text)
+    with Mesh(
+        folder=tmp_path,
+        zones=("z1", "z2", "z3"),
+        control_hosts_per_zone=1,
+        proxies_per_zone=1,
+    ) as mesh:
+        session = Session(mesh=mesh)
+        for zone in ("z1", "z2", "z3"):
+            mesh.start_target(f"{zone}-proxy-1", "stock")
+        first = submit(session, 1, "--wait")
+        wait_served(mesh, "z1-proxy-1")
+        for name in ("z3-control-1", "z3-proxy-1", *mesh.targets()[2:]):
+            mesh.kill(name)
+        session.note("zone z3 is lost with all of its hosts")
+        mesh.wait_until(mesh.leader, what="leader")
+        living = mesh.topology.servers[:2]
+        second = submit(session, 2, "--base", first, servers=living)
+        mesh.wait_until(
+            lambda: "z3" in mesh.silent_zones(), what="z3 known as silent"
+        )
+        session.tool(
+            "status", "--wait", second, "--timeout", "3", servers=living
+        )
+        wait_served(mesh, "z1-proxy-1")
+        session.call("GET", "/stock", proxy="z1-proxy-1")
+        mesh.restart("z3-control-1")
+        mesh.restart("z3-proxy-1")
+        session.note("zone z3 is back")
+        mesh.wait_until(
+            lambda: "z3-proxy-1" in mesh.status().versions_by_proxy,
+            what="lease of z3-proxy-1",
+        )
+        session.tool("status", "--wait", second)
+        session.check("lost-zone")
--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -6,6 +6,7 @@
 import eventlet
 from eventlet import wsgi
 
+from verbenanotch import replication
 from verbenanotch.catalog import (
     NO_VERSION,
     Accepted,
@@ -47,6 +48,7 @@
     def __init__(self):
         """Start with no version."""
         self.records = []
+        self.has_quorum = True
         self.next_outcomes = []
 
     def submit(self, *, submission, timeout_seconds):
@@ -81,6 +83,18 @@
                 return self._append(submission, record.mesh, base=base)
         return Unavailable(reason="no such version")
 
+    def is_current(self, *, timeout_seconds):
+        """Return whether a quorum is said to confirm the history."""
+        return self.has_quorum
+
+    def change_voters(self, *, add, remove, timeout_seconds):
+        """Take a known host as a voter; refuse any other."""
+        if "z1-c2" not in (add, remove):
+            return replication.Unavailable(reason="not caught up")
+        return replication.Committed(
+            version=Version(epoch=1, index=9), result=b""
+        )
+
     def history(self):
         """Return all records, the oldest first."""
         return tuple(self.records)
--- a/verbenanotch/cli/commands/status.py
+++ b/verbenanotch/cli/commands/status.py
@@ -56,14 +56,20 @@
         details = ", ".join(
             f"{key} {replica.get(key) or 'none'}" for key in SHOWN_FIELDS
         )
-        lines.append(f"control host {server}: {details}")
+        voters = " ".join(sorted(replica.get("voters_by_name") or ()))
+        lines.append(f"control host {server}: {details}, voters {voters}")
     for server, reason in value["unreachable_by_server"].items():
         lines.append(f"control host {server}: no answer ({reason})")
     for zone in value["zones"]:
         state = "" if zone["live"] else " (not heard of lately)"
+        held = (
+            f", lowest version {zone['lowest_in_force']}"
+            if zone["proxies"]
+            else ""
+        )
         lines.append(
-            f"zone {zone['availability_zone']}: {zone['proxies']} proxies, "
-            f"lowest version {zone['lowest_in_force']}{state}"
+            f"zone {zone['availability_zone']}: {zone['proxies']} proxies"
+            f"{held}{state}"
         )
     for proxy in value["proxies"]:
         lines.append(_describe_proxy(proxy, value["lagging"]))
--- a/verbenanotch/operator/_interface.py
+++ b/verbenanotch/operator/_interface.py
@@ -12,6 +12,7 @@
     Answer,
     answer_error,
     answer_outcome,
+    answer_voters,
     to_json,
 )
 from verbenanotch.operator._requests import (
@@ -20,7 +21,9 @@
     parse_version,
 )
 from verbenanotch.operator.exceptions import (
+    InvalidRequestError,
     MethodNotAllowedError,
+    NotCurrentError,
     NotFoundError,
     OperatorError,
 )
@@ -47,6 +50,7 @@
             (r"/v1/rollbacks", {"POST": self._roll_back}),
             (r"/v1/versions", {"GET": self._list_versions}),
             (r"/v1/versions/([^/]+)", {"GET": self._show_version}),
+            (r"/v1/voters", {"POST": self._change_voters}),
             (r"/v1/status", {"GET": self._show_status}),
             (r"/v1/targets", {"GET": self._list_targets}),
             (r"/v1/targets/(.+)/drain", {"POST": self._drain}),
@@ -126,13 +130,37 @@
         )
         return _answer_submission(outcome, submission)
 
+    def _change_voters(self, request):
+        names = request.json_body()
+        add, remove = names.get("add", ""), names.get("remove", "")
+        is_one = bool(add) != bool(remove)
+        if not (is_one and isinstance(add or remove, str)):
+            raise InvalidRequestError(
+                "the body names no voter, or more than one",
+                remedy="Send the name of one host as add or as remove.",
+            )
+        outcome = self._versions.change_voters(
+            add=add,
+            remove=remove,
+            timeout_seconds=request.timeout_seconds(),
+        )
+        answer = answer_voters(outcome)
+        emit(
+            events.VOTERS_ASKED,
+            add=add,
+            remove=remove,
+            operator=request.header("X-Operator"),
+            kind=answer.value["kind"],
+        )
+        return answer
+
     def _list_versions(self, request):
-        entries = [_summary(record) for record in self._versions.history()]
+        entries = [_summary(record) for record in self._history(request)]
         return Answer(status=200, value={"versions": entries})
 
     def _show_version(self, request, text):
         version = parse_version(text)
-        for record in self._versions.history():
+        for record in self._history(request):
             if record.version == version:
                 value = _summary(record) | {"text": to_json(record.text)}
                 return Answer(status=200, value=value)
@@ -141,6 +169,21 @@
             remedy="List the versions; old ones are dropped by snapshots.",
         )
 
+    def _history(self, request):
+        """Return all versions, or with `local=1` those that are held here.
+
+        Without a quorum a version that others accepted could be missing.
+        """
+        is_local = request.query().get("local") == "1"
+        if not is_local and not self._versions.is_current(
+            timeout_seconds=request.timeout_seconds()
+        ):
+            raise NotCurrentError(
+                "no quorum confirmed that this host holds every version",
+                remedy="Ask again, or ask with local=1 for what it holds.",
+            )
+        return self._versions.history()
+
     def _show_status(self, request):
         return Answer(status=200, value=self._control.status())
 
