Split updates over a megabyte; end a stream that cannot be served

Cause: an update over the bound of a frame ended the sender of a stream while renewals on it were still answered, so that the proxy would have waited for ever.

--- a/tests/unit/test_distribution.py
+++ b/tests/unit/test_distribution.py
@@ -35,7 +35,7 @@
 )
 from verbenanotch.distribution._mesh_state import encode_mesh
 from verbenanotch.distribution._messages import Subscribe, Update
-from verbenanotch.distribution._session import ProxySession
+from verbenanotch.distribution._session import ProxySession, split_update
 from verbenanotch.membership import (
     ALL_HOSTS,
     EntrySet,
@@ -253,6 +253,22 @@
     assert holder.snapshot.version == version(2)
 
 
+def test_a_large_update_is_split_and_closed_at_each_step(holder):
+    session = make_session()
+    names = [f"s{number}" for number in range(6)]
+    tables = {name: table(host_record(f"h-{name}", name)) for name in names}
+    update = session.next_update(
+        state=state(make_mesh(6), 1), tables_by_service=tables
+    )
+    parts = split_update(update, max_bytes=150)
+    assert len(parts) > 2
+    assert [len(part.mesh) for part in parts] == [0] * (len(parts) - 1) + [1]
+    for part in parts:
+        assert isinstance(holder.apply(part), Applied)
+    assert len(holder.snapshot.targets_by_id) == 6
+    assert holder.snapshot.version == version(1)
+
+
 def test_an_empty_update_is_not_sent():
     session = make_session()
     mesh_state = state(make_mesh(1), 1)
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -28,7 +28,11 @@
     Subscribe,
     Unsubscribe,
 )
-from verbenanotch.distribution._session import FloorState, ProxySession
+from verbenanotch.distribution._session import (
+    FloorState,
+    ProxySession,
+    split_update,
+)
 from verbenanotch.membership import (
     Announce,
     AnnounceNeeded,
@@ -38,7 +42,7 @@
     Signal,
 )
 from verbenanotch.telemetry import emit, metrics
-from verbenanotch.wire import ConnectionClosedError
+from verbenanotch.wire import ConnectionClosedError, WireError
 
 STATES_KEPT = 16
 FLOOR_TIMEOUT_SECONDS = 1.0
@@ -245,6 +249,15 @@
                 eventlet.sleep(self._pause)
         except ConnectionClosedError:
             session.connection.close()
+        except WireError as error:
+            # Without this the proxy would wait here for ever.
+            emit(
+                events.UPDATE_NOT_SENT,
+                peer=session.host,
+                kind=error.kind,
+                error=str(error),
+            )
+            session.connection.close()
 
     def _start(self, session):
         """Find the floor and the base of a new subscription."""
@@ -318,8 +331,9 @@
             tables_by_service=self._directory.entries_by_service,
         )
         if update is not None:
-            metrics.increment("distribution.updates")
-            session.connection.send(update)
+            for part in split_update(update):
+                metrics.increment("distribution.updates")
+                session.connection.send(part)
 
     def _encode_forever(self):
         while True:
--- a/verbenanotch/distribution/_session.py
+++ b/verbenanotch/distribution/_session.py
@@ -13,6 +13,8 @@
 )
 from verbenanotch.membership import ALL_HOSTS, EntrySet, Signal
 
+MAX_UPDATE_BYTES = 1024 * 1024
+
 
 class FloorState(enum.Enum):
     """How far a newborn proxy's floor is known."""
@@ -102,6 +104,25 @@
 NO_ENTRIES = EntrySet()
 
 
+def split_update(update, *, max_bytes=MAX_UPDATE_BYTES):
+    """Return updates of bounded size that together do the same.
+
+    Targets go ahead of the version that needs them; the version comes last
+    and is not split itself.
+    """
+    updates = []
+    chunk, chunk_bytes = [], 0
+    for item in update.targets:
+        size = sum(len(data) for data in item.changed.values())
+        if chunk and chunk_bytes + size > max_bytes:
+            updates.append(Update(mesh=(), targets=tuple(chunk)))
+            chunk, chunk_bytes = [], 0
+        chunk.append(item)
+        chunk_bytes += size
+    updates.append(Update(mesh=update.mesh, targets=tuple(chunk)))
+    return updates
+
+
 def _targets_update(service, sent, entries):
     delta = (sent or NO_ENTRIES).delta_to(entries)
     return TargetsUpdate(
--- a/verbenanotch/distribution/events.py
+++ b/verbenanotch/distribution/events.py
@@ -60,3 +60,10 @@
     "no quorum, and a control host of the zone is silent; not serving yet",
     "Bring back a quorum or the silent control host.",
 )
+UPDATE_NOT_SENT = event(
+    4012,
+    "update-not-sent",
+    Level.ERROR,
+    "an update could not be sent; closed the proxy's stream",
+    "Give the proxy fewer entry services, or the mesh fewer routes.",
+)
