--- a/tests/integration/test_sessions.py
+++ b/tests/integration/test_sessions.py
@@ -1,15 +1,21 @@
 """Golden files of whole sessions against a mesh of real processes."""
 
+import collections
 import itertools
 import json
 import time
 
+import eventlet
 import pytest
 
 from examples import topology as plans
-from tests.support.harness import Mesh
+from tests.support.harness import SECRETS, Mesh
 from tests.support.ledger import read_ledgers, runs_by_key
 from tests.support.sessions import Session
+from verbenanotch.catalog import NO_VERSION
+from verbenanotch.cli._client import OperatorClient
+from verbenanotch.cli.commands.history import list_versions
+from verbenanotch.cli.commands.submit import submit_file
 
 FIRST = """\
 name = "shop"
@@ -20,6 +26,7 @@
 service = "stock"
 """
 SECOND = FIRST + "timeout_ms = 3000\n"
+RACING_OPERATORS = 9
 THIRD = FIRST + "timeout_ms = 4000\n"
 
 
@@ -262,3 +269,32 @@
         )
         session.tool("status", "--wait", second)
         session.check("lost-zone")
+
+
+def test_of_racing_operators_just_one_wins(mesh):
+    servers = mesh.topology.servers
+    clients = [
+        OperatorClient(
+            servers=servers[number % 3 :], token=SECRETS.operator_token
+        )
+        for number in range(RACING_OPERATORS)
+    ]
+    threads = [
+        eventlet.spawn(
+            submit_file,
+            client,
+            text=FIRST.encode() + f"# {number}\n".encode(),
+            submission_id=f"race-{number}",
+            operator=f"operator-{number}",
+            base=NO_VERSION,
+        )
+        for number, client in enumerate(clients)
+    ]
+    replies = [thread.wait() for thread in threads]
+    kinds = collections.Counter(reply.kind for reply in replies)
+    assert kinds == {"accepted": 1, "conflict": RACING_OPERATORS - 1}
+    [winner] = [r.value["version"] for r in replies if r.kind == "accepted"]
+    losers = [reply for reply in replies if reply.kind == "conflict"]
+    assert {reply.value["winner"] for reply in losers} == {winner}
+    versions = list_versions(mesh.client).value["versions"]
+    assert [entry["version"] for entry in versions] == [winner]
