Tell the reason of the last target, and key connections by themselves

Cause, found on reading: a request refused by the only target ended with the reason excluded, which says nothing to its caller (the unit test failed before the change). A connection whose address is used again before its greenthread has ended would have taken the entry of the next one with it.

--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -230,6 +230,12 @@
     assert len(entry.peers.calls) == 2
 
 
+def test_the_reason_of_the_last_target_is_told(entry):
+    entry.holder.hold([make_record(1)])
+    entry.peers.outcomes = [NotRun(reason="target-full", retry_after_ms=1500)]
+    assert entry.ask("POST").reason == "target-full"
+
+
 def test_after_an_attempt_that_may_have_run_it_is_never_not_run(entry):
     entry.peers.outcomes = [
         Unknown(reason="peer-lost"),
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -57,7 +57,7 @@
             debug=False,
         )
         self._pool = eventlet.GreenPool(MAX_CONNECTIONS)
-        self._connections_by_address = {}
+        self._connections_by_id = {}
         self._acceptor = None
         self.stopping = False
 
@@ -66,13 +66,13 @@
         """Number of connections on which a request is read or answered."""
         return sum(
             connection[2] == wsgi.STATE_REQUEST
-            for connection in self._connections_by_address.values()
+            for connection in self._connections_by_id.values()
         )
 
     @property
     def connection_count(self):
         """Number of open connections."""
-        return len(self._connections_by_address)
+        return len(self._connections_by_id)
 
     def start(self):
         """Serve in the background."""
@@ -98,7 +98,7 @@
 
     def close_idle(self):
         """Close the connections that wait for a request."""
-        for connection in list(self._connections_by_address.values()):
+        for connection in list(self._connections_by_id.values()):
             if connection[2] == wsgi.STATE_IDLE:
                 connection[2] = wsgi.STATE_CLOSE
                 greenio.shutdown_safe(connection[1])
@@ -120,17 +120,18 @@
 
     def _spawn(self, sock, address):
         connection = [address, sock, wsgi.STATE_IDLE]
-        self._connections_by_address[address] = connection
+        # An address can be used again before its last connection is gone.
+        self._connections_by_id[id(connection)] = connection
         self._pool.spawn_n(self._serve, connection)
 
     def _serve(self, connection):
-        address, sock, _ = connection
+        sock = connection[1]
         try:
             self._server.process_request(connection)
         except OSError:
             # The caller is gone; there is nobody to tell.
             pass
         finally:
-            del self._connections_by_address[address]
+            del self._connections_by_id[id(connection)]
             connection[2] = wsgi.STATE_CLOSE
             sock.close()
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -29,12 +29,14 @@
 # Refusals that concern one host or target and cost its target nothing.
 ELSEWHERE = UNREACHABLE | {TARGET_DRAINING, HOST_LEAVING, PEER_LEAVING}
 
+EXCLUDED = "excluded"
+
 # Refusals of the choice itself, which looked at every target.
 FINAL = frozenset(
     (
         "no-target",
         "draining",
-        "excluded",
+        EXCLUDED,
         "unhealthy",
         "overloaded",
         CRASHES_TARGETS,
