Never tell a key as not run when its holders were not asked

Cause: a full proxy and a path without route refused a request with a key as not run, though an earlier attempt of the key may have run. Also, a target that was avoided for a second after a failure lost a longer ejection. Ruled out: asking the holders first, which a full proxy is to be spared. Measured: the new test fails before (503 not-run) and passes after.

--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -368,6 +368,13 @@
     assert (answer.status, answer.reason) == (503, "no-target")
 
 
+def test_a_key_whose_holders_were_not_asked_is_never_told_as_not_run(entry):
+    key = "1796337870882-booking"
+    answer = entry.ask(path="/other", Idempotency_Key=key)
+    assert (answer.status, answer.reason) == (504, "key-no-route")
+    assert answer.headers["Retry-After"]
+
+
 def test_a_caller_that_goes_away_cancels_its_call(entry):
     cancelled = []
 
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -140,7 +140,9 @@
             state.finished(now, now - started, kind)
             self._judge(snapshot, state, kind, now)
             if _goes_elsewhere(outcome):
-                state.ejected_until = now + AVOID_SECONDS
+                state.ejected_until = max(
+                    state.ejected_until, now + AVOID_SECONDS
+                )
         if self._guard is not None and isinstance(outcome, Answered):
             self._guard.answered(call)
         if call.traced or not isinstance(outcome, Answered):
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -8,6 +8,7 @@
 from verbenanotch.proxy._caller_body import read_body
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._outcome import (
+    DEFAULT_RETRY_AFTER_MS,
     Answered,
     NotRun,
     Rejected,
@@ -65,7 +66,7 @@
 
     def _outcome(self, environ, request_id, started, traced):
         if self.in_flight > self._settings.proxy.max_in_flight:
-            return NotRun(reason=reasons.HOST_FULL)
+            return _refused(environ, reasons.HOST_FULL)
         path = environ["RAW_PATH_INFO"]
         if not path.startswith("/"):
             return Rejected(
@@ -73,7 +74,7 @@
             )
         found = self._holder.snapshot.route_table.match(path)
         if found is None:
-            return NotRun(reason=reasons.NO_ROUTE)
+            return _refused(environ, reasons.NO_ROUTE)
         request = check_request(
             environ,
             request_id=request_id,
@@ -123,3 +124,16 @@
                 reason=getattr(outcome, "reason", ""),
                 milliseconds=round(milliseconds, 3),
             )
+
+
+def _refused(environ, reason):
+    """Return how a request ends that nobody was asked to run.
+
+    With a key, an earlier attempt may have run, and its holders were not
+    asked.
+    """
+    if "HTTP_IDEMPOTENCY_KEY" in environ:
+        return Unknown(
+            reason=f"key-{reason}", retry_after_ms=DEFAULT_RETRY_AFTER_MS
+        )
+    return NotRun(reason=reason)
