--- a/examples/stand_in_target.py
+++ b/examples/stand_in_target.py
@@ -29,8 +29,9 @@
 import urllib3  # noqa: E402
 from eventlet import semaphore, wsgi  # noqa: E402
 
-RENEWAL_SECONDS = 1.0
-ANNOUNCE_TIMEOUT_SECONDS = 2.0
+from examples.announcer import Announcer  # noqa: E402
+from examples.behaviour import Behaviour, Ledger  # noqa: E402
+
 CANCELLATION_POLL_SECONDS = 0.02
 DRAIN_SECONDS = 10.0
 MILLISECONDS_PER_SECOND = 1000
@@ -39,66 +40,6 @@
 DEFAULT_CALL_TIMEOUT_MS = 2000
 
 
-@attrs.frozen(kw_only=True)
-class Behaviour:
-    """How the target treats requests; all of it can change at run time.
-
-    `crash_marker` is a text in a body that kills the process once the run
-    is in the ledger. `reported_health` and `reported_in_flight` replace the
-    true reports when set. `shed_over` refuses work when more requests are
-    in flight; 0 never does. `call_on` is a path that each run asks for
-    through the mesh before it answers.
-    """
-
-    latency_ms: int = 0
-    fail_status: int = 0
-    crash_marker: str = ""
-    reported_health: int = 0
-    reported_in_flight: int = -1
-    padding_bytes: int = 0
-    cut_body: bool = False
-    honour_cancellation: bool = True
-    shed_over: int = 0
-    call_on: str = ""
-
-    def changed(self, values):
-        """Return a copy with `values`, texts included; ignore the rest."""
-        changes = {}
-        for field in attrs.fields(type(self)):
-            if field.name in values:
-                changes[field.name] = _convert(
-                    values[field.name], field.default
-                )
-        return attrs.evolve(self, **changes)
-
-
-def _convert(value, default):
-    if isinstance(default, bool):
-        return value in (True, 1, "1", "true")
-    return type(default)(value)
-
-
-class Ledger:
-    """Append-only file of runs, one JSON object a line."""
-
-    def __init__(self, *, path, target):
-        """Open the file at `path` for appending."""
-        self._file = open(  # noqa: SIM115 (open until the process exits)
-            path, "a", encoding="utf-8", buffering=1
-        )
-        self._target = target
-
-    def write(self, phase, request):
-        """Record that a run has `started`, `finished` or was `cancelled`."""
-        record = {
-            "phase": phase,
-            "target": self._target,
-            "time": time.time(),
-            **attrs.asdict(request),
-        }
-        self._file.write(json.dumps(record) + "\n")
-
-
 @attrs.frozen(kw_only=True)
 class RunRequest:
     """What identifies one request in the ledger and in its answer."""
@@ -266,55 +207,6 @@
     environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
 
 
-class Announcer:
-    """Keep the target announced at its local proxy."""
-
-    def __init__(self, *, proxy, service, address, port, slots, incarnation):
-        """Announce `address:port` at the proxy's target interface."""
-        self._url = f"http://{proxy}/v1/targets"
-        self._target_id = f"{service}/{address}:{port}"
-        self._body = json.dumps(
-            {
-                "service": service,
-                "address": address,
-                "port": port,
-                "slots": slots,
-                "incarnation": incarnation,
-            }
-        )
-        self._pool = urllib3.PoolManager(
-            retries=False, timeout=ANNOUNCE_TIMEOUT_SECONDS
-        )
-
-    def run_forever(self):
-        """Announce and renew once a second, whether the proxy is up or not."""
-        while True:
-            self._ask("POST", self._url, self._body)
-            eventlet.sleep(RENEWAL_SECONDS)
-
-    def drain(self):
-        """Ask for no new work."""
-        self._ask("POST", f"{self._url}/{self._target_id}/drain", "{}")
-
-    def leave(self):
-        """Withdraw the target."""
-        self._ask("DELETE", f"{self._url}/{self._target_id}", None)
-
-    def _ask(self, method, url, body):
-        try:
-            response = self._pool.request(
-                method,
-                url,
-                body=body,
-                headers={"Content-Type": "application/json"},
-            )
-        except urllib3.exceptions.HTTPError as error:
-            print(f"{method} {url}: {error}", flush=True)
-            return
-        if response.status >= 400:
-            print(f"{method} {url}: {response.status}", flush=True)
-
-
 @click.command()
 @click.option("--service", required=True)
 @click.option("--address", required=True)
