--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -112,6 +112,16 @@
     assert "proxy p2 in z1: 1.0 (behind)" in run("status").stdout
 
 
+def test_an_accepted_version_that_lags_is_told_as_both(mesh_file, run, host):
+    host.control.versions_by_proxy = {"p1": Version(epoch=1, index=0)}
+    arguments = ("submit", mesh_file, "--wait", "--timeout", "0", "--json")
+    result = run(*arguments)
+    assert result.exit_code == 1
+    value = json.loads(result.stdout)
+    assert (value["kind"], value["in_force"]) == ("accepted", False)
+    assert "behind: p1" in value["reason"]
+
+
 def test_in_force_is_unknown_while_a_host_is_silent(run, host):
     host.control.versions_by_proxy = {"p1": Version(epoch=1, index=1)}
     arguments = ("status", "--wait", "1.1", "--timeout", "0")
