Change voters only once the operator's name is known

Without the header the change was made and then answered as an invalid request; the test for it failed first, on the list of changes.

--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -49,6 +49,7 @@
         """Start with no version."""
         self.records = []
         self.has_quorum = True
+        self.voter_changes = []
         self.next_outcomes = []
 
     def submit(self, *, submission, timeout_seconds):
@@ -89,6 +90,7 @@
 
     def change_voters(self, *, add, remove, timeout_seconds):
         """Take a known host as a voter; refuse any other."""
+        self.voter_changes.append((add, remove))
         if "z1-c2" not in (add, remove):
             return replication.Unavailable(reason="not caught up")
         return replication.Committed(
--- a/tests/unit/test_operator.py
+++ b/tests/unit/test_operator.py
@@ -164,6 +164,15 @@
     assert (response.status, value["kind"]) == (411, "length-required")
 
 
+def test_voters_change_only_under_an_operator_s_name(ask, host):
+    body = b'{"add": "z1-c2"}'
+    response, value = ask("POST", "voters", body, X_Operator="")
+    assert (response.status, value["kind"]) == (400, "invalid-request")
+    assert host.versions.voter_changes == []
+    assert ask("POST", "voters", body)[0].status == 200
+    assert host.versions.voter_changes == [("z1-c2", "")]
+
+
 def test_an_unconfirmed_history_is_told_only_on_demand(ask, host):
     ask("POST", "submissions", MESH)
     host.versions.has_quorum = False
--- a/verbenanotch/operator/_interface.py
+++ b/verbenanotch/operator/_interface.py
@@ -131,6 +131,7 @@
         return _answer_submission(outcome, submission)
 
     def _change_voters(self, request):
+        operator = request.header("X-Operator")
         names = request.json_body()
         add, remove = names.get("add", ""), names.get("remove", "")
         is_one = bool(add) != bool(remove)
@@ -149,7 +150,7 @@
             events.VOTERS_ASKED,
             add=add,
             remove=remove,
-            operator=request.header("X-Operator"),
+            operator=operator,
             kind=answer.value["kind"],
         )
         return answer
