--- /dev/null
+++ b/verbenanotch/replication/_log_file.py
@@ -0,0 +1,77 @@
+"""The records of a log file, and reading them back."""
+
+from verbenanotch.replication import _records
+from verbenanotch.replication._entries import Entry
+from verbenanotch.replication.exceptions import DamagedFileError
+
+HEADER_RECORD = 0
+STATE_RECORD = 1
+ENTRY_RECORD = 2
+COMMIT_RECORD = 3
+REJOIN = (
+    "Stop this host, check its disk, empty the data folder and start it "
+    "again: it rejoins and copies the state from the leader"
+)
+
+
+def header_record(log):
+    """Return the first record: where the log begins, on which snapshot."""
+    return _records.pack(
+        [HEADER_RECORD, log.base_index, log.base_term, log.snapshot.index]
+    )
+
+
+def state_record(term, vote):
+    """Return the record of a term and a vote."""
+    return _records.pack([STATE_RECORD, term, vote])
+
+
+def commit_record(index):
+    """Return the record of how far entries are committed."""
+    return _records.pack([COMMIT_RECORD, index])
+
+
+def entry_record(entry):
+    """Return the record of an entry."""
+    return _records.pack(
+        [ENTRY_RECORD, entry.term, entry.index, entry.kind, entry.data]
+    )
+
+
+def replay(found, log, log_name):
+    """Fill the log from a file's records; return term, vote and commit."""
+    term, vote, commit_index = 0, "", log.snapshot.index
+    for offset, record in zip(found.offsets, found.values, strict=True):
+        match record:
+            case [int(kind), int(new_term), str(new_vote)] if (
+                kind == STATE_RECORD
+            ):
+                term, vote = new_term, new_vote
+            case [int(kind), int(index)] if kind == COMMIT_RECORD:
+                commit_index = max(commit_index, index)
+            case [int(kind), *_] if kind == ENTRY_RECORD:
+                _replay_entry(record, log, commit_index, log_name, offset)
+    if log.last_index < commit_index:
+        raise DamagedFileError(
+            file=log_name,
+            offset=found.sound_bytes,
+            text=f"the log ends before committed entry {commit_index}",
+            remedy=REJOIN,
+        )
+    return term, vote, commit_index
+
+
+def _replay_entry(record, log, commit_index, log_name, offset):
+    _, term, index, kind, data = record
+    follows = log.base_index < index <= log.last_index + 1
+    if not follows or (
+        index <= commit_index and log.term_at(index) not in (None, term)
+    ):
+        raise DamagedFileError(
+            file=log_name,
+            offset=offset,
+            text=f"entry {index} does not follow what comes before",
+            remedy=REJOIN,
+        )
+    entry = Entry(term=term, index=index, kind=kind, data=data)
+    log.merge((entry,), commit_index=commit_index)
--- a/verbenanotch/replication/_storage.py
+++ b/verbenanotch/replication/_storage.py
@@ -13,13 +13,20 @@
 from verbenanotch.replication import _records
 from verbenanotch.replication._entries import (
     Configuration,
-    Entry,
     Member,
     configuration_from_plain,
     configuration_to_plain,
 )
 from verbenanotch.replication._files import TEMPORARY_SUFFIX
 from verbenanotch.replication._log import Log, SnapshotPoint
+from verbenanotch.replication._log_file import (
+    REJOIN,
+    commit_record,
+    entry_record,
+    header_record,
+    replay,
+    state_record,
+)
 from verbenanotch.replication.exceptions import (
     DamagedFileError,
     DiskFailedError,
@@ -31,14 +38,6 @@
 MARK = "mark"
 LOG_PREFIX = "log-"
 SNAPSHOT_PREFIX = "snapshot-"
-HEADER_RECORD = 0
-STATE_RECORD = 1
-ENTRY_RECORD = 2
-COMMIT_RECORD = 3
-REJOIN = (
-    "Stop this host, check its disk, empty the data folder and start it "
-    "again: it rejoins and copies the state from the leader"
-)
 
 
 @attrs.frozen(kw_only=True)
@@ -176,7 +175,7 @@
         header = found.values[0]
         point, snapshot_data = self._read_snapshot(header, log_name, identity)
         log = Log(snapshot=point, base_index=header[1], base_term=header[2])
-        term, vote, commit_index = _replay(found, log, log_name)
+        term, vote, commit_index = replay(found, log, log_name)
         self._commit_index = commit_index
         self._write_mark()
         self._remove_others(keep=(log_name, _snapshot_name(point.index)))
@@ -272,13 +271,13 @@
     def append(self, *, term, vote, state_changed, entries):
         """Queue a change of state and entries for the next sync."""
         if state_changed:
-            self._pending.append(_state_record(term, vote))
-        self._pending.extend(_entry_record(entry) for entry in entries)
+            self._pending.append(state_record(term, vote))
+        self._pending.extend(entry_record(entry) for entry in entries)
 
     def append_commit(self, index):
         """Queue that the entries up to `index` are committed."""
         self._commit_index = index
-        self._pending.append(_commit_record(index))
+        self._pending.append(commit_record(index))
 
     def sync(self):
         """Write and sync all that is queued, with one sync."""
@@ -312,17 +311,11 @@
 
     def _start_log(self, log, *, term, vote):
         sequence = self._sequence + 1
-        header = [
-            HEADER_RECORD,
-            log.base_index,
-            log.base_term,
-            log.snapshot.index,
-        ]
-        records = [_records.pack(header), _state_record(term, vote)]
+        records = [header_record(log), state_record(term, vote)]
         if self._commit_index > log.snapshot.index:
-            records.append(_commit_record(self._commit_index))
+            records.append(commit_record(self._commit_index))
         entries = log.entries_from(log.base_index + 1)
-        records.extend(_entry_record(entry) for entry in entries)
+        records.extend(entry_record(entry) for entry in entries)
         data = b"".join(records)
         self._files.replace(f"{LOG_PREFIX}{sequence}", data)
         self._sequence = sequence
@@ -352,45 +345,6 @@
             ) from error
 
 
-def _replay(found, log, log_name):
-    """Fill the log from a file's records; return term, vote and commit."""
-    term, vote, commit_index = 0, "", log.snapshot.index
-    for offset, record in zip(found.offsets, found.values, strict=True):
-        match record:
-            case [int(kind), int(new_term), str(new_vote)] if (
-                kind == STATE_RECORD
-            ):
-                term, vote = new_term, new_vote
-            case [int(kind), int(index)] if kind == COMMIT_RECORD:
-                commit_index = max(commit_index, index)
-            case [int(kind), *_] if kind == ENTRY_RECORD:
-                _replay_entry(record, log, commit_index, log_name, offset)
-    if log.last_index < commit_index:
-        raise DamagedFileError(
-            file=log_name,
-            offset=found.sound_bytes,
-            text=f"the log ends before committed entry {commit_index}",
-            remedy=REJOIN,
-        )
-    return term, vote, commit_index
-
-
-def _replay_entry(record, log, commit_index, log_name, offset):
-    _, term, index, kind, data = record
-    follows = log.base_index < index <= log.last_index + 1
-    if not follows or (
-        index <= commit_index and log.term_at(index) not in (None, term)
-    ):
-        raise DamagedFileError(
-            file=log_name,
-            offset=offset,
-            text=f"entry {index} does not follow what comes before",
-            remedy=REJOIN,
-        )
-    entry = Entry(term=term, index=index, kind=kind, data=data)
-    log.merge((entry,), commit_index=commit_index)
-
-
 def _missing(name):
     return MissingFileError(
         file=name, offset=0, text="the file is missing", remedy=REJOIN
@@ -406,17 +360,3 @@
     return _records.pack(
         [sequence.to_bytes(8, "big"), size.to_bytes(8, "big")]
     )
-
-
-def _state_record(term, vote):
-    return _records.pack([STATE_RECORD, term, vote])
-
-
-def _commit_record(index):
-    return _records.pack([COMMIT_RECORD, index])
-
-
-def _entry_record(entry):
-    return _records.pack(
-        [ENTRY_RECORD, entry.term, entry.index, entry.kind, entry.data]
-    )
