--- a/tests/unit/test_replication_driver.py
+++ b/tests/unit/test_replication_driver.py
@@ -10,7 +10,12 @@
 from tests.support.replicas import Cluster, wait_for
 from verbenanotch.catalog import Accepted, Submission
 from verbenanotch.catalog._versions import encode_submission
-from verbenanotch.replication import Committed, Unavailable, Unknown
+from verbenanotch.replication import (
+    Committed,
+    DiskFailedError,
+    Unavailable,
+    Unknown,
+)
 from verbenanotch.replication._core import Core
 from verbenanotch.replication._driver import Driver
 from verbenanotch.replication._effects import Timing
@@ -299,3 +304,10 @@
     assert recorder.calls[-1] == "snapshot"
     assert driver.core.log.snapshot.index == 2
     assert driver.core.log.base_index == 1
+
+
+def test_a_data_folder_that_cannot_be_used_is_named(tmp_path):
+    (tmp_path / "c1").write_text("a file, not a folder")
+    cluster = Cluster(path=tmp_path, voters=("c1",))
+    with pytest.raises(DiskFailedError, match="c1.*data_folder"):
+        cluster.start()
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -35,7 +35,10 @@
 from verbenanotch.replication._outcomes import ReplicaStatus
 from verbenanotch.replication._requests import Requests
 from verbenanotch.replication._storage import Storage
-from verbenanotch.replication.exceptions import ReplicationError
+from verbenanotch.replication.exceptions import (
+    DiskFailedError,
+    ReplicationError,
+)
 from verbenanotch.telemetry import emit
 
 DISK_ID_BYTES = 8
@@ -76,14 +79,7 @@
 
         Raises StorageError if the folder is damaged or another host's.
         """
-        control = self._settings.control
-        if self._files is None:
-            self._files = Files(folder=control.data_folder)
-        self._storage = Storage(files=self._files)
-        recovered = self._storage.open(
-            name=self._settings.host.name,
-            new_disk_id=secrets.token_hex(DISK_ID_BYTES),
-        )
+        recovered = self._open_storage()
         if recovered.cut_bytes:
             emit(events.TAIL_CUT, bytes=recovered.cut_bytes)
         self._identity = recovered.identity
@@ -183,6 +179,23 @@
                 if self._identity.cluster_id:
                     self._driver.receive(member_id, message)
 
+    def _open_storage(self):
+        folder = self._settings.control.data_folder
+        try:
+            files = self._files or Files(folder=folder)
+            self._storage = Storage(files=files)
+            return self._storage.open(
+                name=self._settings.host.name,
+                new_disk_id=secrets.token_hex(DISK_ID_BYTES),
+            )
+        except OSError as error:
+            raise DiskFailedError(
+                file=folder,
+                offset=0,
+                text=f"the folder cannot be used: {error.strerror}",
+                remedy="Check control.data_folder, its rights and its disk",
+            ) from error
+
     def _assemble(self, recovered):
         host = self._settings.host
         control = self._settings.control
