Keep a later subscription apart from the search of the first one's floor

Cause: the publisher waited for the quorum on behalf of one subscription and then wrote the result over the floor state of a later one, and ended its admission; a proxy that started while the leader died could wait for a version without end. Ruled out: refusing a second subscription while the first is looked into, which would hold up a proxy that has found its floor itself.

--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -243,6 +243,10 @@
                 if session.subscription is not started:
                     started = session.subscription
                     self._start(session)
+                if session.subscription is not started:
+                    # A later one came while the quorum was asked.
+                    session.signal.set()
+                    continue
                 self._send(session)
                 self._finish_start(session)
                 # Changes that come meanwhile go out together.
@@ -273,7 +277,11 @@
             self._find_floor(session)
 
     def _find_floor(self, session):
-        if self._confirmer.confirmed():
+        item = session.subscription
+        confirmed = self._confirmer.confirmed()
+        if session.subscription is not item:
+            return
+        if confirmed:
             session.floor = self._current_version()
             session.floor_state = FloorState.KNOWN
             session.connection.send(FloorConfirmed(version=session.floor))
