Prove that a leaving target gets nothing while control is gone

Cause: with the target's own refusal taken out, the test of draining still passed, since the push through control hosts hid it; nothing showed the case in which no control host can tell anybody. Ruled out: a longer run of the former test. Measured: the new test fails with the refusal taken out and passes with it.

--- /dev/null
+++ b/tests/integration/test_request_drain.py
@@ -0,0 +1,49 @@
+"""A target leaves while no control host can tell anybody."""
+
+import pytest
+import urllib3
+
+from examples import topology as plans
+from tests.integration.request_load import MESH_TEXT, SERVICE
+from tests.support.harness import Mesh
+from tests.support.ledger import read_ledgers, runs_by_request_id
+
+ZONE = "z1"
+CALLS = 30
+
+
+@pytest.fixture
+def mesh(tmp_path):
+    with Mesh(
+        folder=tmp_path, control_hosts_per_zone=1, proxies_per_zone=3
+    ) as running:
+        for number in (1, 2):
+            running.start_target(f"{ZONE}-proxy-{number}", SERVICE)
+        running.accept(MESH_TEXT)
+        running.wait_until(
+            lambda: get(running).outcome == "answered", what="served"
+        )
+        yield running
+
+
+def get(mesh):
+    return mesh.call("GET", "/pay/1", proxy=f"{ZONE}-proxy-3")
+
+
+def test_a_draining_target_gets_nothing_while_control_is_gone(mesh, tmp_path):
+    mesh.kill(f"{ZONE}-control-1")
+    leaving = f"{ZONE}-proxy-1"
+    host = mesh.topology.hosts_by_name[leaving]
+    target_id = f"{SERVICE}/{host.server(plans.TARGET_SERVICE_PORT)}"
+    response = urllib3.PoolManager().request(
+        "POST",
+        f"http://{host.server(plans.TARGET_PORT)}"
+        f"/v1/targets/{target_id}/drain",
+    )
+    assert response.status == 200
+    answers = [get(mesh) for _ in range(CALLS)]
+    assert {answer.outcome for answer in answers} == {"answered"}
+    after = {answer.request_id for answer in answers}
+    entries = [e for e in read_ledgers(tmp_path) if e.request_id in after]
+    assert runs_by_request_id(entries) == dict.fromkeys(after, 1)
+    assert target_id not in {entry.target for entry in entries}
