--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -230,6 +230,12 @@
     assert len(entry.peers.calls) == 2
 
 
+def test_the_reason_of_the_last_target_is_told(entry):
+    entry.holder.hold([make_record(1)])
+    entry.peers.outcomes = [NotRun(reason="target-full", retry_after_ms=1500)]
+    assert entry.ask("POST").reason == "target-full"
+
+
 def test_after_an_attempt_that_may_have_run_it_is_never_not_run(entry):
     entry.peers.outcomes = [
         Unknown(reason="peer-lost"),
@@ -362,6 +368,13 @@
     assert (answer.status, answer.reason) == (503, "no-target")
 
 
+def test_a_key_whose_holders_were_not_asked_is_never_told_as_not_run(entry):
+    key = "1796337870882-booking"
+    answer = entry.ask(path="/other", Idempotency_Key=key)
+    assert (answer.status, answer.reason) == (504, "key-no-route")
+    assert answer.headers["Retry-After"]
+
+
 def test_a_caller_that_goes_away_cancels_its_call(entry):
     cancelled = []
 
