Let a proxy announce another address for its peer port

A proxy announced the address and port on which it listens, so that it could not be reached through a relay or a translation of addresses, and tests could not put faults between two proxies. `host.advertised_address` and `host.advertised_peer_port` replace them in the announcement alone; listening and dialling stay as they were.

A relay named in the settings of each dialler, as for control hosts, was ruled out: proxies learn of each other from announcements only.

Conclusion: without the settings nothing changes.

--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -16,16 +16,33 @@
 
 @attrs.frozen(kw_only=True)
 class HostSettings:
-    """Who this process is and where peers reach it."""
+    """Who this process is and where peers reach it.
+
+    A proxy announces `advertised_address` and `advertised_peer_port` to
+    the proxies that call it, for hosts behind a translation of addresses;
+    an empty or zero value stands for `address` or `peer_port`.
+    """
 
     name: str
     role: str
     availability_zone: str
     address: str
     peer_port: int
+    advertised_address: str = ""
+    advertised_peer_port: int = 0
     region: str = "local"
     peer_key: str = attrs.field(repr=False)
 
+    @property
+    def announced_address(self):
+        """Return the address that other proxies dial."""
+        return self.advertised_address or self.address
+
+    @property
+    def announced_peer_port(self):
+        """Return the port that other proxies dial."""
+        return self.advertised_peer_port or self.peer_port
+
 
 @attrs.frozen(kw_only=True)
 class Voter:
@@ -199,6 +216,8 @@
 
 def _ports(settings):
     yield "host.peer_port", settings.host.peer_port
+    if settings.host.advertised_peer_port:
+        yield "host.advertised_peer_port", settings.host.advertised_peer_port
     if settings.control:
         yield "control.operator_port", settings.control.operator_port
     if settings.proxy:
@@ -210,6 +229,8 @@
 
 def _addresses(settings):
     yield "host.address", settings.host.address
+    if settings.host.advertised_address:
+        yield "host.advertised_address", settings.host.advertised_address
     for key, peer in _peers(settings):
         yield f"{key}.address", peer.address
 
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -50,8 +50,8 @@
         return HostRecord(
             host=host.name,
             availability_zone=host.availability_zone,
-            address=host.address,
-            peer_port=host.peer_port,
+            address=host.announced_address,
+            peer_port=host.announced_peer_port,
             incarnation=self._incarnation,
             sequence=self._sequence,
             targets=tuple(target.record for target in targets),
