--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -7,7 +7,7 @@
 STOPPED = event(9003, "stopped", Level.INFO, "the daemon has stopped")
 ACCEPT_FAILED = event(
     9004,
-    "accept-failed",
+    "http-accept-failed",
     Level.ERROR,
     "could not accept an HTTP connection",
     "Raise the limit of open files for the daemon.",
