Give each host of the replication tests its own loopback address

A port that was free a moment ago was taken by an outgoing connection in one of several runs ("Address already in use"). Hosts now listen on a fixed port of an address of their own, from which no connection leaves.

--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -1,5 +1,7 @@
 """Replicas of one process that talk over real connections, for tests."""
 
+import itertools
+import os
 import random
 import shutil
 import time
@@ -12,9 +14,13 @@
 from verbenanotch.replication import Replica
 
 KEY = "0123456789abcdef"
+PEER_PORT = 7100
 MESH = 'name = "m{}"\n[services.a]\n[routes.r]\nprefix = "/"\nservice = "a"\n'
 
 
+_address_numbers = itertools.count()
+
+
 def wait_for(condition, seconds=15.0):
     """Block until the condition holds; fail loudly if it never does."""
     deadline = time.monotonic() + seconds
@@ -23,12 +29,14 @@
         eventlet.sleep(0.01)
 
 
-def free_port():
-    """Return a port that was free a moment ago."""
-    sock = eventlet.listen(("127.0.0.1", 0))
-    port = sock.getsockname()[1]
-    sock.close()
-    return port
+def own_address():
+    """Return a loopback address that no other host of a test has.
+
+    Connections leave from other addresses, so the port cannot be taken.
+    """
+    process = os.getpid()
+    high, low = 64 + process % 150, process // 150 % 250
+    return f"127.{high}.{low}.{1 + next(_address_numbers) % 250}"
 
 
 class Host:
@@ -93,7 +101,7 @@
             **control,
         }
         names = (*voters, *learners)
-        self.ports_by_name = {name: free_port() for name in names}
+        self.addresses_by_name = {name: own_address() for name in names}
         self.relays_by_pair = {}
         self.voter_names = voters
 
@@ -101,10 +109,10 @@
         """Return the settings of one host."""
         peers = {
             peer: conf.Voter(
-                address="127.0.0.1",
-                peer_port=self._dialled_port(name, peer),
+                address=self._dialled(name, peer)[0],
+                peer_port=self._dialled(name, peer)[1],
             )
-            for peer in self.ports_by_name
+            for peer in self.addresses_by_name
         }
         voters = {peer: peers[peer] for peer in self.voter_names}
         return conf.Settings(
@@ -112,8 +120,8 @@
                 name=name,
                 role="control",
                 availability_zone="zone-a",
-                address="127.0.0.1",
-                peer_port=self.ports_by_name[name],
+                address=self.addresses_by_name[name],
+                peer_port=PEER_PORT,
                 peer_key=KEY,
             ),
             control=conf.ControlSettings(
@@ -128,13 +136,13 @@
 
     def add_relays(self):
         """Put a relay on every link, by (dialler, peer), before a start."""
-        for peer, port in self.ports_by_name.items():
-            for name in self.ports_by_name:
+        for peer, address in self.addresses_by_name.items():
+            for name in self.addresses_by_name:
                 if name != peer:
                     self.relays_by_pair[name, peer] = FaultProxy(
                         listen_address="127.0.0.1",
-                        address="127.0.0.1",
-                        port=port,
+                        address=address,
+                        port=PEER_PORT,
                     )
 
     def isolate(self, name):
@@ -162,13 +170,15 @@
                 return False
         return True
 
-    def _dialled_port(self, name, peer):
+    def _dialled(self, name, peer):
         relay = self.relays_by_pair.get((name, peer))
-        return relay.port if relay else self.ports_by_name[peer]
+        if relay is not None:
+            return relay.listen_address, relay.port
+        return self.addresses_by_name[peer], PEER_PORT
 
     def start(self, *names, files=None):
         """Start hosts, all that are planned by default."""
-        for name in names or self.ports_by_name:
+        for name in names or self.addresses_by_name:
             self.hosts_by_name[name] = Host(
                 settings=self.settings(name), files=files
             )
