End with a code and a remedy when the data folder cannot be used

Cause: a damaged data folder, or an address in use, ended the daemon in a traceback and code 1, though the storage's error names file, byte and remedy. Ruled out: catching every error at the start, which would hide faults of the code. Measured: the new test fails before (code 1) and passes after (code 3, event 9006, no traceback).

--- a/tests/integration/test_bad_input.py
+++ b/tests/integration/test_bad_input.py
@@ -291,3 +291,20 @@
         connection.send_plain(value)
     except Exception as error:
         assert "send failed" in str(error)
+
+
+def test_a_damaged_data_folder_is_told_with_its_remedy(tmp_path):
+    with Mesh(folder=tmp_path, control_hosts_per_zone=1) as mesh:
+        mesh.accept(GOOD)
+        host = "z1-control-1"
+        mesh.kill(host)
+        log = tmp_path / f"{host}.data" / "log-1"
+        data = bytearray(log.read_bytes())
+        data[len(data) // 2] ^= 1
+        log.write_bytes(data)
+        mesh.start_host(host)
+        assert mesh.child(host).wait() == 3
+        tail = mesh.child(host).tail()
+    assert "start-failed" in tail
+    assert "log-1, byte" in tail
+    assert "Traceback" not in tail
--- a/verbenanotch/cli/daemon.py
+++ b/verbenanotch/cli/daemon.py
@@ -56,7 +56,7 @@
     """Import the roles late, so that a check loads none of them."""
     from verbenanotch import daemon
 
-    daemon.run(settings)
+    sys.exit(daemon.run(settings))
 
 
 if __name__ == "__main__":
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -8,11 +8,12 @@
 
 from verbenanotch.catalog import Versions, VersionService
 from verbenanotch.daemon._http import HttpServer
+from verbenanotch.daemon.exceptions import StartError
 from verbenanotch.distribution import Publisher
 from verbenanotch.membership import Directory, ZoneExchange, ZoneTable
 from verbenanotch.membership import events as membership_events
 from verbenanotch.operator import OperatorInterface
-from verbenanotch.replication import ReadConfirmed, Replica
+from verbenanotch.replication import ReadConfirmed, Replica, StorageError
 from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import Listener, Purpose
 
@@ -79,8 +80,14 @@
         self._expirer = None
 
     def start(self):
-        """Start serving."""
-        self._replica.start()
+        """Start serving.
+
+        Raises StartError if the data folder cannot be used.
+        """
+        try:
+            self._replica.start()
+        except StorageError as error:
+            raise StartError(kind=error.kind, text=str(error)) from error
         self._publisher.start()
         self._listener.start()
         self._exchange.start()
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -7,15 +7,20 @@
 from eventlet import event, hubs
 
 from verbenanotch.daemon import events
+from verbenanotch.daemon.exceptions import StartError
 from verbenanotch.telemetry import configure, emit, metrics
 
+EXIT_START_FAILED = 3
 # Requests free almost all of their objects by reference counts; collections
 # of the young generations would find little and cost latency.
 GC_THRESHOLDS = (20_000, 20, 20)
 
 
 def run(settings):
-    """Run the daemon until SIGTERM or SIGINT; return its exit code."""
+    """Run the daemon until SIGTERM or SIGINT; return its exit code.
+
+    The code is 0, or 3 if an address or the data folder cannot be used.
+    """
     telemetry = settings.telemetry
     configure(
         host=settings.host.name,
@@ -30,8 +35,16 @@
             prefix=f"verbenanotch.{settings.host.name}",
         )
     hubs.get_hub().debug_exceptions = False
-    role = _role(settings)
-    role.start()
+    try:
+        role = _role(settings)
+        role.start()
+    except (StartError, OSError) as error:
+        emit(
+            events.START_FAILED,
+            kind=getattr(error, "kind", "address"),
+            error=str(error),
+        )
+        return EXIT_START_FAILED
     # What start-up made lives until exit; the collector need not visit it.
     gc.collect()
     gc.freeze()
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -19,3 +19,11 @@
     "a repeated task failed; it is tried again",
     "Report the traceback to the project.",
 )
+START_FAILED = event(
+    9006,
+    "start-failed",
+    Level.ERROR,
+    "the daemon could not start",
+    "Do as the error says; for an address, end what uses it or correct "
+    "the settings.",
+)
