Let tests cut single links between proxies

A relay before a proxy's peer port carries the connections of every other proxy, so that cutting it isolates the proxy within its own zone too. PeerRelay reads the dialler's name from the greeting, which goes in plain, and hands the connection to a FaultProxy of that dialler. The harness places one before each proxy on wish and can plan hosts that join later.

One announced address for each dialler was ruled out: there is one announcement for all.

--- a/examples/topology.py
+++ b/examples/topology.py
@@ -100,11 +100,20 @@
     return Topology(hosts_by_name=hosts_by_name)
 
 
-def make_settings(host, topology, *, secrets, folder, peers_by_link=None):
+def make_settings(
+    host,
+    topology,
+    *,
+    secrets,
+    folder,
+    peers_by_link=None,
+    advertised_by_name=None,
+):
     """Return the settings of one host as plain values for TOML.
 
     `folder` is where its data and event file lie. `peers_by_link` maps
-    (from host, to host) to the address and port of a relay between them.
+    (from host, to host) to the address and port of a relay between them,
+    `advertised_by_name` a proxy to those of a relay before its peer port.
     """
     settings = {
         "host": {
@@ -113,6 +122,7 @@
             "availability_zone": host.availability_zone,
             "peer_key": secrets.peer_key,
             **host.peer,
+            **(advertised_by_name or {}).get(host.name, {}),
         },
         "telemetry": {"event_file": f"{folder}/{host.name}.events.jsonl"},
     }
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -99,9 +99,13 @@
                 dialler, _ = self._listener.accept()
             except OSError:
                 return
-            self.connections += 1
-            self._sockets.add(dialler)
-            self._spawn(self._relay, dialler)
+            self.take(dialler)
+
+    def take(self, dialler):
+        """Relay a connection, also one that another listener accepted."""
+        self.connections += 1
+        self._sockets.add(dialler)
+        self._spawn(self._relay, dialler)
 
     def _spawn(self, function, *arguments):
         greenthread = eventlet.spawn(function, *arguments)
--- a/tests/support/harness.py
+++ b/tests/support/harness.py
@@ -30,6 +30,8 @@
     `folder` takes settings, data, logs and ledgers. `links` are pairs of
     host names, dialling host first; `relay_factory` makes
     the relay for one of them, with `address` and `port` to dial.
+    `proxy_relay_factory` makes one before the peer port of each proxy.
+    Hosts named in `later` are planned but not started with the rest.
     """
 
     def __init__(
@@ -41,6 +43,8 @@
         proxies_per_zone=2,
         links=(),
         relay_factory=None,
+        proxy_relay_factory=None,
+        later=(),
         overrides=None,
     ):
         """Plan the hosts and write their settings; start nothing.
@@ -57,12 +61,16 @@
             second_octet=octet,
         )
         self.relays_by_link = {}
+        self.relays_by_proxy = {}
+        self._later = frozenset(later)
         self._children_by_name = {}
         self._targets_by_name = {}
         self._next_port_by_proxy = {}
         self._pool = urllib3.PoolManager(retries=False, maxsize=64)
         for link in links:
             self._place_relay(link, relay_factory)
+        if proxy_relay_factory is not None:
+            self._place_proxy_relays(proxy_relay_factory)
         for host in self.topology.hosts_by_name.values():
             self._write_settings(host, overrides or {})
         self.client = OperatorClient(
@@ -84,10 +92,15 @@
 
     def start(self):
         """Start all daemons; wait until they are ready."""
-        for host in self.topology.hosts_by_name.values():
-            self.start_host(host.name)
-        for host in self.topology.hosts_by_name.values():
-            self.wait_ready(host.name)
+        names = [
+            name
+            for name in self.topology.hosts_by_name
+            if name not in self._later
+        ]
+        for name in names:
+            self.start_host(name)
+        for name in names:
+            self.wait_ready(name)
 
     def start_host(self, name):
         """Start one daemon without waiting."""
@@ -302,8 +315,9 @@
         """End every process that this mesh started, and its relays."""
         stop_all(list(self._targets_by_name.values()))
         stop_all(list(self._children_by_name.values()))
-        for relay in self.relays_by_link.values():
-            relay.stop()
+        for relays in (self.relays_by_link, self.relays_by_proxy):
+            for relay in relays.values():
+                relay.stop()
         self._reservation.close()
 
     def _all_children(self):
@@ -322,6 +336,14 @@
             port=plans.PEER_PORT,
         )
 
+    def _place_proxy_relays(self, relay_factory):
+        for proxy in self.topology.proxies:
+            self.relays_by_proxy[proxy.name] = relay_factory(
+                listen_address=proxy.address,
+                address=proxy.address,
+                port=plans.PEER_PORT,
+            )
+
     def _write_settings(self, host, overrides):
         peers_by_link = {
             link: {"address": relay.listen_address, "peer_port": relay.port}
@@ -333,6 +355,13 @@
             secrets=SECRETS,
             folder=str(self.folder),
             peers_by_link=peers_by_link,
+            advertised_by_name={
+                name: {
+                    "advertised_address": relay.listen_address,
+                    "advertised_peer_port": relay.port,
+                }
+                for name, relay in self.relays_by_proxy.items()
+            },
         )
         for section, values in overrides.items():
             if section in settings:
--- /dev/null
+++ b/tests/support/peer_relay.py
@@ -0,0 +1,75 @@
+"""Relay before a peer port, with faults of its own for each dialler."""
+
+import contextlib
+import socket
+
+import eventlet
+import msgpack
+
+from tests.support.fault_proxy import CHUNK_BYTES, POLL_SECONDS, FaultProxy
+
+GREETING_SECONDS = 5.0
+NAME_INDEX = 2
+
+
+class PeerRelay:
+    """Hand each connection to the FaultProxy of the host that dialled it.
+
+    The dialler's name is read from its greeting, which goes in plain.
+    """
+
+    def __init__(self, *, listen_address, address, port):
+        """Listen on a free port of `listen_address` and relay at once."""
+        self._destination = {"address": address, "port": port}
+        self._listener = eventlet.listen((listen_address, 0))
+        self.listen_address, self.port = self._listener.getsockname()
+        self._links_by_name = {}
+        self._greenthreads = [eventlet.spawn(self._accept_forever)]
+
+    def link(self, name):
+        """Return the FaultProxy for connections from a host."""
+        if name not in self._links_by_name:
+            self._links_by_name[name] = FaultProxy(
+                listen_address=self.listen_address, **self._destination
+            )
+        return self._links_by_name[name]
+
+    def stop(self):
+        """Stop listening and close every connection."""
+        for greenthread in self._greenthreads:
+            greenthread.kill()
+        self._listener.close()
+        for link in self._links_by_name.values():
+            link.stop()
+
+    def _accept_forever(self):
+        while True:
+            try:
+                dialler, _ = self._listener.accept()
+            except OSError:
+                return
+            self._greenthreads.append(eventlet.spawn(self._hand_on, dialler))
+
+    def _hand_on(self, dialler):
+        name = None
+        with contextlib.suppress(OSError):
+            name = eventlet.with_timeout(
+                GREETING_SECONDS, _greeted_name, dialler, timeout_value=None
+            )
+        if name is None:
+            dialler.close()
+        else:
+            self.link(name).take(dialler)
+
+
+def _greeted_name(sock):
+    """Return the name in a greeting that stays unread, or None."""
+    while True:
+        data = sock.recv(CHUNK_BYTES, socket.MSG_PEEK)
+        if not data:
+            return None
+        unpacker = msgpack.Unpacker()
+        unpacker.feed(data)
+        for greeting in unpacker:
+            return greeting[NAME_INDEX]
+        eventlet.sleep(POLL_SECONDS)
