Keep test meshes off networks where a process still listens

Targets that outlived an interrupted run still listened on loopback. The log of the target of the run says "Address already in use"; a fault of the request path was ruled out by that.

The plan now takes the next network while anything accepts at one of its addresses.

--- a/tests/support/harness.py
+++ b/tests/support/harness.py
@@ -22,6 +22,13 @@
 )
 READY_SECONDS = 30.0
 SLOTS = 8
+PORTS = (
+    plans.PEER_PORT,
+    plans.OPERATOR_PORT,
+    plans.CALLER_PORT,
+    plans.TARGET_PORT,
+    plans.TARGET_SERVICE_PORT,
+)
 
 
 class Mesh:
@@ -53,12 +60,11 @@
         replace the planned ones on every host that has the section.
         """
         self.folder = folder
-        octet, self._reservation = reserve_network()
-        self.topology = plans.plan(
+        self._reservations = []
+        self.topology = self._plan(
             zones=zones,
             control_hosts_per_zone=control_hosts_per_zone,
             proxies_per_zone=proxies_per_zone,
-            second_octet=octet,
         )
         self.relays_by_link = {}
         self.relays_by_proxy = {}
@@ -318,7 +324,24 @@
         for relays in (self.relays_by_link, self.relays_by_proxy):
             for relay in relays.values():
                 relay.stop()
-        self._reservation.close()
+        for reservation in self._reservations:
+            reservation.close()
+
+    def _plan(self, **hosts):
+        """Return a Topology on a network where no process listens.
+
+        A process that outlived its run would answer in place of ours.
+        """
+        while True:
+            octet, reservation = reserve_network()
+            self._reservations.append(reservation)
+            topology = plans.plan(second_octet=octet, **hosts)
+            if not any(
+                accepts(host.address, port)
+                for host in topology.hosts_by_name.values()
+                for port in PORTS
+            ):
+                return topology
 
     def _all_children(self):
         return [
