Take the heads of HTTP messages to the library again

The users want no further parsers, and a well-kept library is to be preferred even where it is slower. Ruled out: keeping them for their figures.

--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -1,22 +1,17 @@
 """Serve a WSGI application on the loop, and stop without cutting it."""
 
 import functools
-import io
-import re
 
 import eventlet
 from eventlet import greenio, wsgi
 
 from verbenanotch.daemon import events
 from verbenanotch.telemetry import emit
-from verbenanotch.wire import plain_fields, read_field_lines
 
 LISTEN_BACKLOG = 1024
 MAX_CONNECTIONS = 4096
 KEEP_ALIVE_SECONDS = 75.0
 ACCEPT_PAUSE_SECONDS = 0.1
-# A path that starts with two slashes is for the library to rewrite.
-_PLAIN_REQUEST_LINE = re.compile(rb"([A-Z]++) (/(?!/)[!-~]*+) HTTP/1\.1\r\n")
 
 
 class HttpProtocol(wsgi.HttpProtocol):
@@ -41,32 +36,6 @@
     def close_connection(self, value):
         self._close_connection = value
 
-    def parse_request(self):
-        """Read the request's head; return False after refusing it.
-
-        A head of the plain form is taken apart here, any other by the
-        library.
-        """
-        found = _PLAIN_REQUEST_LINE.fullmatch(self.raw_requestline)
-        if found is None:
-            return super().parse_request()
-        lines = read_field_lines(self.rfile)
-        headers = plain_fields(lines)
-        if headers is None or "Expect" in headers:
-            # The caller of this method puts the stream back.
-            self.rfile = io.BytesIO(b"".join(lines))
-            return super().parse_request()
-        self.headers = headers
-        self.requestline = self.raw_requestline[:-2].decode("ascii")
-        self.request_version = "HTTP/1.1"
-        self.command, self.path = (
-            part.decode("ascii") for part in found.groups()
-        )
-        self.close_connection = (
-            headers.get("Connection", "").lower() == "close"
-        )
-        return True
-
 
 class HttpServer:
     """Serve one WSGI application on one address.
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -9,60 +9,10 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
-from verbenanotch.wire import parse_field_lines, read_field_lines
-
 IDLE_SECONDS = 4.0
 CONNECT_TIMEOUT_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 0.2
 WARM_CONNECTIONS = 2
-BODILESS_STATUSES = frozenset((204, 304))
-
-
-class TargetResponse(http.client.HTTPResponse):
-    """An answer whose plain head is not read by the e-mail parser."""
-
-    def begin(self):
-        """Read the head; the rules are those of the standard library."""
-        if self.headers is not None:
-            return
-        version, self.status, reason = self._read_status()
-        while self.status == http.client.CONTINUE:
-            http.client.parse_headers(self.fp)
-            version, self.status, reason = self._read_status()
-        self.code = self.status
-        self.reason = reason.strip()
-        self.version = _version_number(version)
-        self.headers = parse_field_lines(read_field_lines(self.fp))
-        self.msg = self.headers
-        encoding = self.headers.get("transfer-encoding", "")
-        self.chunked = encoding.lower() == "chunked"
-        if self.chunked:
-            self.chunk_left = None
-        self.will_close = self._check_close()
-        self.length = self._declared_length()
-        if self.length is None and not self.chunked:
-            self.will_close = True
-
-    def _declared_length(self):
-        bodiless = self.status in BODILESS_STATUSES or self.status < 200
-        if bodiless or self._method == "HEAD":
-            return 0
-        text = self.headers.get("content-length")
-        if not text or self.chunked:
-            return None
-        try:
-            length = int(text)
-        except ValueError:
-            return None
-        return length if length >= 0 else None
-
-
-def _version_number(version):
-    if version in ("HTTP/1.0", "HTTP/0.9"):
-        return 10
-    if version.startswith("HTTP/1."):
-        return 11
-    raise http.client.UnknownProtocol(version)
 
 
 class TargetConnection(HTTPConnection):
@@ -73,7 +23,6 @@
     """
 
     auto_open = 0
-    response_class = TargetResponse
 
     def __init__(self, host, port):
         """Do not connect yet."""
--- a/verbenanotch/wire/__init__.py
+++ b/verbenanotch/wire/__init__.py
@@ -9,11 +9,6 @@
 )
 from verbenanotch.wire._connection import Connection
 from verbenanotch.wire._handshake import PROTOCOL_VERSION, Purpose
-from verbenanotch.wire._http_head import (
-    parse_field_lines,
-    plain_fields,
-    read_field_lines,
-)
 from verbenanotch.wire._listener import Listener, dial
 from verbenanotch.wire.exceptions import (
     AuthenticationFailedError,
@@ -40,8 +35,5 @@
     "encode",
     "from_plain",
     "message",
-    "parse_field_lines",
-    "plain_fields",
-    "read_field_lines",
     "to_plain",
 ]
