Wait and dial alike everywhere

Ruled out: a class that dials for ever, since what is done between two attempts differs in each place.

--- a/verbenanotch/distribution/_floor.py
+++ b/verbenanotch/distribution/_floor.py
@@ -9,7 +9,7 @@
 
 from verbenanotch.catalog import NO_VERSION, Version
 from verbenanotch.distribution._messages import FloorReply, FloorRequest
-from verbenanotch.wire import Purpose, WireError, dial
+from verbenanotch.wire import Purpose, WireError, dial_as
 
 PEERS_ASKED = 3
 FAILURE_KEPT_SECONDS = 1.0
@@ -127,11 +127,10 @@
 def _ask_peer(host, endpoint, timeout_seconds):
     address, _, port = endpoint.rpartition(":")
     try:
-        connection = dial(
+        connection = dial_as(
+            host,
             address=address,
             port=int(port),
-            key=host.peer_key.encode(),
-            name=host.name,
             purpose=Purpose.DISTRIBUTION,
             timeout_seconds=timeout_seconds,
         )
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -44,7 +44,7 @@
     Signal,
 )
 from verbenanotch.telemetry import emit, metrics
-from verbenanotch.wire import Purpose, WireError, dial
+from verbenanotch.wire import Purpose, WireError, dial_as, full_jitter
 
 RENEW_SECONDS = 1.0
 SILENCE_SECONDS = 3.0
@@ -183,19 +183,20 @@
                 if link is not None:
                     failures = 0
                     self._lose(link, error)
-            bound = min(
-                RECONNECT_CAP_SECONDS, RECONNECT_BASE_SECONDS * 2**failures
+            wait = full_jitter(
+                failures,
+                base_seconds=RECONNECT_BASE_SECONDS,
+                cap_seconds=RECONNECT_CAP_SECONDS,
+                random=random,
             )
-            failures = min(failures + 1, 10)
-            eventlet.sleep(random.uniform(0, bound))
+            failures += 1
+            eventlet.sleep(wait)
 
     def _run(self, name, peer):
-        host = self._settings.host
-        connection = dial(
+        connection = dial_as(
+            self._settings.host,
             address=peer.address,
             port=peer.peer_port,
-            key=host.peer_key.encode(),
-            name=host.name,
             purpose=Purpose.DISTRIBUTION,
         )
         # Each renewal is answered; silence is a cut network.
@@ -216,12 +217,14 @@
 
     def _delay_choice(self):
         """Wait at random, so that a zone does not come back at once."""
-        bound = min(
-            RESUBSCRIBE_CAP_SECONDS,
-            RESUBSCRIBE_BASE_SECONDS * 2 ** min(self._attempts, 10),
+        wait = full_jitter(
+            self._attempts,
+            base_seconds=RESUBSCRIBE_BASE_SECONDS,
+            cap_seconds=RESUBSCRIBE_CAP_SECONDS,
+            random=random,
         )
         self._attempts += 1
-        self._not_before = time.monotonic() + random.uniform(0, bound)
+        self._not_before = time.monotonic() + wait
 
     def _choose_forever(self):
         while True:
--- a/verbenanotch/membership/_exchange.py
+++ b/verbenanotch/membership/_exchange.py
@@ -24,7 +24,8 @@
     ConnectionClosedError,
     Purpose,
     WireError,
-    dial,
+    dial_as,
+    full_jitter,
 )
 
 SUMMARY_SECONDS = 1.0
@@ -202,18 +203,20 @@
             self._lose(feed)
             names = [*names[1:], name]
             failures += 1
-            bound = RECONNECT_BASE_SECONDS * 2 ** min(failures, 10)
-            eventlet.sleep(
-                random.uniform(0, min(RECONNECT_CAP_SECONDS, bound))
+            wait = full_jitter(
+                failures,
+                base_seconds=RECONNECT_BASE_SECONDS,
+                cap_seconds=RECONNECT_CAP_SECONDS,
+                random=random,
             )
+            eventlet.sleep(wait)
 
     def _run(self, peer, feed):
         host = self._settings.host
-        connection = dial(
+        connection = dial_as(
+            host,
             address=peer.address,
             port=peer.peer_port,
-            key=host.peer_key.encode(),
-            name=host.name,
             purpose=Purpose.ZONE,
         )
         # The peer's summaries are its heartbeat; silence is a cut network.
--- a/verbenanotch/wire/__init__.py
+++ b/verbenanotch/wire/__init__.py
@@ -1,5 +1,6 @@
 """Authenticated msgpack streams between the system's processes."""
 
+from verbenanotch.wire._backoff import full_jitter
 from verbenanotch.wire._codec import (
     decode,
     encode,
@@ -9,7 +10,7 @@
 )
 from verbenanotch.wire._connection import Connection
 from verbenanotch.wire._handshake import PROTOCOL_VERSION, Purpose
-from verbenanotch.wire._listener import Listener, dial
+from verbenanotch.wire._listener import Listener, dial, dial_as
 from verbenanotch.wire.exceptions import (
     AuthenticationFailedError,
     ConnectionClosedError,
@@ -32,8 +33,10 @@
     "WireError",
     "decode",
     "dial",
+    "dial_as",
     "encode",
     "from_plain",
+    "full_jitter",
     "message",
     "to_plain",
 ]
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -117,3 +117,15 @@
     connection.purpose = purpose
     connection.set_timeout(None)
     return connection
+
+
+def dial_as(host, *, address, port, purpose, timeout_seconds=2.0):
+    """Dial with the name and the key of the HostSettings `host`."""
+    return dial(
+        address=address,
+        port=port,
+        key=host.peer_key.encode(),
+        name=host.name,
+        purpose=purpose,
+        timeout_seconds=timeout_seconds,
+    )
