Submit and roll back by one function

Cause: both commands made a submission id, told it with an unknown outcome and printed the end in the same twenty lines. Ruled out: none.

--- a/verbenanotch/cli/commands/rollback.py
+++ b/verbenanotch/cli/commands/rollback.py
@@ -1,18 +1,17 @@
 """Make a new version with the text of an old one."""
 
+import functools
 import json
-import uuid
 
 import click
 
 from verbenanotch.cli import _options
 from verbenanotch.cli.commands.submit import (
     DEFAULT_WAIT_SECONDS,
-    finish_submission,
     parse_version,
+    run_submission,
     submission_headers,
 )
-from verbenanotch.cli.exceptions import UnknownOutcomeError
 
 
 def roll_back(client, *, to, submission_id, operator, base):
@@ -50,21 +49,15 @@
 
     Exits as `submit` does.
     """
-    submission_id = submission_id or uuid.uuid4().hex
-    try:
-        reply = roll_back(
-            client,
-            to=parse_version(version),
-            submission_id=submission_id,
-            operator=settings.operator,
-            base=parse_version(base),
-        )
-    except UnknownOutcomeError as error:
-        raise UnknownOutcomeError(
-            f"{error} The submission id is {submission_id}"
-        ) from error
-    finish_submission(
-        reply,
+    send = functools.partial(
+        roll_back,
+        client,
+        to=parse_version(version),
+        operator=settings.operator,
+        base=parse_version(base),
+    )
+    run_submission(
+        send,
         submission_id=submission_id,
         as_json=as_json,
         client=client,
--- a/verbenanotch/cli/commands/submit.py
+++ b/verbenanotch/cli/commands/submit.py
@@ -1,5 +1,6 @@
 """Submit an operator's file as a new version."""
 
+import functools
 import pathlib
 import sys
 import uuid
@@ -60,6 +61,23 @@
         ) from error
 
 
+def run_submission(send, *, submission_id, **finishing):
+    """Send a submission and print its outcome.
+
+    `send` takes the `submission_id`, which is made here if none is given,
+    and returns the Reply. `finishing` are the arguments of
+    `finish_submission`.
+    """
+    submission_id = submission_id or uuid.uuid4().hex
+    try:
+        reply = send(submission_id=submission_id)
+    except UnknownOutcomeError as error:
+        raise UnknownOutcomeError(
+            f"{error} The submission id is {submission_id}"
+        ) from error
+    finish_submission(reply, submission_id=submission_id, **finishing)
+
+
 def finish_submission(reply, *, submission_id, as_json, client, wait, timeout):
     """Print the outcome; with `wait`, wait until the version is in force."""
     reply.value["submission_id"] = submission_id
@@ -126,21 +144,15 @@
     file has faults, 3 if it was not accepted for want of a quorum, and 4 if
     the outcome is unknown; send it again with the printed submission id.
     """
-    submission_id = submission_id or uuid.uuid4().hex
-    try:
-        reply = submit_file(
-            client,
-            text=read_file(file),
-            submission_id=submission_id,
-            operator=settings.operator,
-            base=parse_version(base),
-        )
-    except UnknownOutcomeError as error:
-        raise UnknownOutcomeError(
-            f"{error} The submission id is {submission_id}"
-        ) from error
-    finish_submission(
-        reply,
+    send = functools.partial(
+        submit_file,
+        client,
+        text=read_file(file),
+        operator=settings.operator,
+        base=parse_version(base),
+    )
+    run_submission(
+        send,
         submission_id=submission_id,
         as_json=as_json,
         client=client,
