Call a proxy without state a starting one

Cause: the read-through found words of our own, newborn and sibling, where plain ones do: a starting proxy, a control host of the same zone. Ruled out: none.

--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -290,7 +290,7 @@
         held=NO_VERSION,
         held_digest=0,
         digests_by_service={},
-        newborn=True,
+        starting=True,
         floor=NO_VERSION,
     )
     return session.next_update(
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -254,7 +254,7 @@
     print(f"  bytes a proxy: {(after - before) / run.count:.0f}")
 
 
-def measure_return(run, *, newborn):
+def measure_return(run, *, starting):
     """Print the return of one process's proxies after missed changes."""
     process = run.processes[0]
     count = min(run.count, PROXIES_PER_PROCESS)
@@ -262,10 +262,10 @@
     before = process.ask(command="report")["bytes"]
     index = run.control.ask(command="change", count=MISSED_CHANGES)["index"]
     time.sleep(2.0)
-    at = process.ask(command="come_back", newborn=newborn)["at"]
+    at = process.ask(command="come_back", starting=starting)["at"]
     run.wait_for(index)
     report = process.ask(command="report")
-    name = "restarted" if newborn else "returning"
+    name = "restarted" if starting else "returning"
     show(
         f"{name} after {MISSED_CHANGES} missed changes",
         histogram_of(
@@ -295,8 +295,8 @@
                 measure_changes(run, idle_rate)
                 measure_churn(run, idle_rate)
                 measure_storm(run)
-                measure_return(run, newborn=False)
-                measure_return(run, newborn=True)
+                measure_return(run, starting=False)
+                measure_return(run, starting=True)
             finally:
                 run.stop()
             sys.stdout.flush()
--- a/bench/distribution_process.py
+++ b/bench/distribution_process.py
@@ -148,12 +148,12 @@
             proxy.subscriber.stop()
         return {}
 
-    def come_back(self, newborn, **_):
+    def come_back(self, starting, **_):
         """Open the streams again, with or without what was held."""
         at = time.monotonic()
         for proxy in self._proxies:
             self._earlier_bytes += proxy.subscriber.control_bytes
-            if newborn:
+            if starting:
                 proxy.holder = SnapshotHolder()
                 self._watch(proxy)
             proxy.restart_streams()
--- a/bench/distribution_stall.py
+++ b/bench/distribution_stall.py
@@ -77,7 +77,7 @@
             held=NO_VERSION,
             held_digest=0,
             digests_by_service={},
-            newborn=False,
+            starting=False,
             floor=NO_VERSION,
         ),
     )
--- a/tests/integration/test_membership_zones.py
+++ b/tests/integration/test_membership_zones.py
@@ -120,7 +120,7 @@
     wait_until(lambda: zones.targets("z1") == {*BOTH, new})
 
 
-def test_a_sibling_vouches_for_a_proxy_until_it_is_gone(zones):
+def test_another_control_host_vouches_for_a_proxy_until_it_is_gone(zones):
     wait_until(lambda: zones.targets("z1") == zones.targets("z2") == BOTH)
     table = zones.controls_by_name["z1-a"].table
     # Its own lease ends while the other control host holds one.
--- a/tests/integration/test_sessions_resubscribe.py
+++ b/tests/integration/test_sessions_resubscribe.py
@@ -40,13 +40,13 @@
     side.stop()
 
 
-def make_subscription(*, newborn):
+def make_subscription(*, starting):
     return Subscribe(
         entry_services=(),
         held=NO_VERSION,
         held_digest=0,
         digests_by_service={},
-        newborn=newborn,
+        starting=starting,
         floor=NO_VERSION,
     )
 
@@ -62,9 +62,9 @@
         purpose=Purpose.DISTRIBUTION,
     )
     connection.set_timeout(RECEIVE_SECONDS)
-    connection.send(make_subscription(newborn=True))
+    connection.send(make_subscription(starting=True))
     eventlet.sleep(0.1)
-    connection.send(make_subscription(newborn=False))
+    connection.send(make_subscription(starting=False))
     eventlet.sleep(0.1)
     quorum_answer.send(False)
     item = connection.receive()
--- a/tests/unit/test_distribution.py
+++ b/tests/unit/test_distribution.py
@@ -79,7 +79,7 @@
             held=NO_VERSION,
             held_digest=0,
             digests_by_service={},
-            newborn=False,
+            starting=False,
             floor=NO_VERSION,
         ),
         local_services=frozenset(local_services),
--- a/verbenanotch/distribution/_floor.py
+++ b/verbenanotch/distribution/_floor.py
@@ -85,8 +85,8 @@
     def confirmed(self):
         """Return whether a read that began after this call succeeded.
 
-        A failure answers for a second, so that a herd of newborn proxies in
-        a zone without a quorum does not wait one timeout after another.
+        A failure answers for a second, so that many starting proxies in
+        a zone without a quorum do not wait one timeout after another.
         """
         if time.monotonic() < self._failed_until:
             return False
--- a/verbenanotch/distribution/_messages.py
+++ b/verbenanotch/distribution/_messages.py
@@ -13,7 +13,7 @@
 
     `entry_services` are those that callers reach through it; empty means
     all. `held` and `held_digest` name the version that it holds and the
-    content of its part, `digests_by_service` its targets. A `newborn` proxy
+    content of its part, `digests_by_service` its targets. A `starting` proxy
     holds nothing and needs a floor; `floor` is one that it has found.
     """
 
@@ -21,7 +21,7 @@
     held: Version
     held_digest: int
     digests_by_service: dict[str, int]
-    newborn: bool
+    starting: bool
     floor: Version
 
 
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -213,7 +213,7 @@
         session.subscription = item
         session.floor = item.floor
         session.floor_state = FloorState.KNOWN
-        if item.newborn:
+        if item.starting:
             session.floor_state = FloorState.ASKED
         match self._admission.request(session, held=item.held):
             case Admitted():
--- a/verbenanotch/distribution/_session.py
+++ b/verbenanotch/distribution/_session.py
@@ -17,7 +17,7 @@
 
 
 class FloorState(enum.Enum):
-    """How far a newborn proxy's floor is known."""
+    """How far a starting proxy's floor is known."""
 
     ASKED = "asked"
     UNKNOWN = "unknown"
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -304,7 +304,7 @@
                 held=holder.snapshot.version,
                 held_digest=holder.mesh_digest,
                 digests_by_service=holder.digests_by_service,
-                newborn=floor is None,
+                starting=floor is None,
                 floor=NO_VERSION if floor is None else floor,
             ),
         )
--- a/verbenanotch/membership/_exchange.py
+++ b/verbenanotch/membership/_exchange.py
@@ -101,13 +101,13 @@
         """Serve the own zone's table to a control host."""
         hello = connection.receive()
         own_zone = self._settings.host.availability_zone
-        sibling = hello.availability_zone == own_zone
-        table = self._direct if sibling else self._whole
+        same_zone = hello.availability_zone == own_zone
+        table = self._direct if same_zone else self._whole
         session = _Session(
             connection=connection,
             table=table,
             sent_digest=hello.held_digest or None,
-            sibling=sibling,
+            same_zone=same_zone,
         )
         self._signals.add(session.signal)
         sender = eventlet.spawn(self._send_forever, session)
@@ -148,7 +148,7 @@
     def _send_table(self, session):
         table = self._directory.zone_table
         settles_in = table.settles_in(now=time.monotonic())
-        if not session.sibling and settles_in > 0:
+        if not session.same_zone and settles_in > 0:
             # A control host that has just started knows too few hosts yet.
             return
         entries = session.table.entries
@@ -284,7 +284,7 @@
         return Taken(hosts=frozenset(hosts)) if hosts else Stale()
 
     def _lose(self, feed):
-        """Let the leases that a lost sibling held go on for a lease time."""
+        """Let the leases held by a lost control host go on for a while."""
         table = self._directory.zone_table
         for host in feed.entries.entries_by_key:
             table.withdraw(
@@ -302,7 +302,7 @@
     connection: object
     table: PublishedTable
     sent_digest: int | None
-    sibling: bool
+    same_zone: bool
     signal: Signal = attrs.field(factory=Signal)
 
 
