Measure goodput with and without the adaptive limit

Cause: nothing showed what the adaptive limit is worth; it can be switched to a fixed one now, and a stand-in target can overstate its slots. Ruled out: a comparison by arithmetic. Measured: bench.request_capacity, 8 slots of 40 ms, deadline 500 ms, three times the capacity of 200 a second.

--- a/bench/request_capacity.py
+++ b/bench/request_capacity.py
@@ -34,6 +34,7 @@
 RATES = (100, 200, 300, 400, 500, 600, 700, 800)
 HOLDS_SHARE = 0.99
 SLOTS = 8
+OVERSTATED_SLOTS = 256
 LATENCY_MS = 40
 OVERLOADS = (1, 2, 3)
 
@@ -67,9 +68,14 @@
     return path.answered >= HOLDS_SHARE * asked
 
 
-def start_mesh(folder, *, slots, **behaviour):
+def start_mesh(folder, *, slots, adaptive_limits=True, **behaviour):
     """Return a running mesh with one target that serves."""
-    mesh = Mesh(folder=folder, control_hosts_per_zone=1, proxies_per_zone=1)
+    mesh = Mesh(
+        folder=folder,
+        control_hosts_per_zone=1,
+        proxies_per_zone=1,
+        overrides={"proxy": {"adaptive_limits": adaptive_limits}},
+    )
     mesh.__enter__()
     mesh.start_target(NEAR, "pay", slots=slots, **behaviour)
     mesh.accept(MESH_TEXT)
@@ -93,15 +99,27 @@
                     break
         finally:
             mesh.stop()
+    for announced in (SLOTS, OVERSTATED_SLOTS):
+        for adaptive in (True, False):
+            run_overload(seconds, announced=announced, adaptive=adaptive)
+
+
+def run_overload(seconds, *, announced, adaptive):
+    """Print the goodput beyond the true slots of a target."""
+    print(
+        f"goodput, {SLOTS} slots of {LATENCY_MS} ms, {announced} announced, "
+        f"deadline 500 ms, adaptive limits: {adaptive}"
+    )
     with tempfile.TemporaryDirectory() as folder:
         mesh = start_mesh(
-            pathlib.Path(folder), slots=SLOTS, latency_ms=LATENCY_MS
+            pathlib.Path(folder),
+            slots=SLOTS,
+            adaptive_limits=adaptive,
+            latency_ms=LATENCY_MS,
+            announced_slots=announced,
         )
         try:
             capacity = SLOTS * 1000 / LATENCY_MS
-            print(
-                f"goodput, {SLOTS} slots of {LATENCY_MS} ms, deadline 500 ms"
-            )
             for factor in OVERLOADS:
                 run_rate(
                     mesh,
--- a/examples/behaviour.py
+++ b/examples/behaviour.py
@@ -14,7 +14,8 @@
     is in the ledger. `reported_health` and `reported_in_flight` replace the
     true reports when set. `shed_over` refuses work when more requests are
     in flight; 0 never does. `call_on` is a path that each run asks for
-    through the mesh before it answers.
+    through the mesh before it answers. `announced_slots` replaces the true
+    number of slots in the announcement.
     """
 
     latency_ms: int = 0
@@ -27,6 +28,7 @@
     honour_cancellation: bool = True
     shed_over: int = 0
     call_on: str = ""
+    announced_slots: int = 0
 
     def changed(self, values):
         """Return a copy with `values`, texts included; ignore the rest."""
--- a/examples/stand_in_target.py
+++ b/examples/stand_in_target.py
@@ -242,7 +242,7 @@
         service=service,
         address=address,
         port=announced_port or port,
-        slots=slots,
+        slots=target.behaviour.announced_slots or slots,
         incarnation=time.time_ns() // 1_000_000,
     )
     renewal = eventlet.spawn(announcer.run_forever)
--- a/tests/unit/test_routing_limits.py
+++ b/tests/unit/test_routing_limits.py
@@ -258,3 +258,11 @@
     assert of() == of()
     assert len({of(), of(path="/b"), of(body=b"x"), of(key="k")}) == 4
     assert of(key="k") == of(key="k", body=b"x")
+
+
+def test_a_fixed_limit_stays_at_the_slots():
+    limit = AdaptiveLimit(slots=8, is_fixed=True)
+    for _ in range(50):
+        limit.observe(1.0, 8)
+        limit.refused()
+    assert limit.value == 8
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -88,7 +88,8 @@
 
     `control_hosts_by_name` are the control hosts of the proxy's
     availability zone. `entry_services` are the services that callers reach
-    through this proxy; empty means all services.
+    through this proxy; empty means all services. Without
+    `adaptive_limits` a target's limit stays at the slots that it announces.
     """
 
     caller_port: int
@@ -97,6 +98,7 @@
     entry_services: tuple[str, ...] = ()
     max_body_bytes: int = 1024 * 1024
     max_in_flight: int = 1024
+    adaptive_limits: bool = True
     shutdown_grace_ms: int = 10_000
     floor_wait_ms: int = 1500
 
--- a/verbenanotch/proxy/_candidates.py
+++ b/verbenanotch/proxy/_candidates.py
@@ -14,9 +14,10 @@
     incarnation.
     """
 
-    def __init__(self, *, holder):
+    def __init__(self, *, holder, adaptive_limits=True):
         """Follow the snapshot that is in force at `holder`."""
         self._holder = holder
+        self._adaptive_limits = adaptive_limits
         self._snapshot = None
         self._candidates_by_service = {}
         self._incarnations_by_target_id = {}
@@ -62,6 +63,7 @@
         held = self._incarnations_by_target_id.get(target_id)
         if state is None or held != record.incarnation:
             state = _new_state(snapshot, record, now, first)
+            state.limit.is_fixed = not self._adaptive_limits
         state.draining = record.draining
         return state
 
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -44,7 +44,9 @@
         self._local_targets = local_targets
         self._peers = peers
         self._random = random.Random()
-        self._cache = CandidateCache(holder=holder)
+        self._cache = CandidateCache(
+            holder=holder, adaptive_limits=settings.proxy.adaptive_limits
+        )
         self._budgets_by_service = {}
         self._outliers_by_service = {}
 
--- a/verbenanotch/routing/_limit.py
+++ b/verbenanotch/routing/_limit.py
@@ -19,11 +19,13 @@
 class AdaptiveLimit:
     """Limit between 1 and `LIMIT_SLOT_FACTOR` times the target's slots.
 
-    Latencies are in seconds. The long-term latency follows slowly, and at
-    once downwards, so that a slowdown is compared with better times.
+    A fixed one stays at the slots. Latencies are in seconds. The long-term
+    latency follows slowly, and at once downwards, so that a slowdown is
+    compared with better times.
     """
 
     slots: int
+    is_fixed: bool = False
     value: float = attrs.field(
         default=attrs.Factory(lambda self: float(self.slots), takes_self=True)
     )
@@ -42,6 +44,8 @@
         moves only while at least half of it is in use: otherwise the load
         is not what makes the target slow, and says nothing about capacity.
         """
+        if self.is_fixed:
+            return
         if self.long_term_seconds == 0.0:
             self.short_term_seconds = latency_seconds
             self.long_term_seconds = latency_seconds
@@ -61,6 +65,8 @@
 
     def refused(self):
         """Shrink after the target, or its proxy, shed a request."""
+        if self.is_fixed:
+            return
         self.value = max(1.0, self.value * REFUSAL_FACTOR)
 
     def _gradient(self):
