--- a/verbenanotch/catalog/__init__.py
+++ b/verbenanotch/catalog/__init__.py
@@ -1,11 +1,15 @@
 """Operators' files: services, routes, versions and their rules."""
 
 from verbenanotch.catalog._mesh import (
+    ANY_HOST,
     MAX_CALL_DEPTH,
     MAX_TIMEOUT_MS,
+    METHODS,
     Mesh,
     Route,
     Service,
+    WeightedService,
+    check_mesh,
     parse_mesh,
 )
 from verbenanotch.catalog._submission import (
@@ -21,8 +25,10 @@
 from verbenanotch.catalog._versions import VersionRecord, Versions
 
 __all__ = [
+    "ANY_HOST",
     "MAX_CALL_DEPTH",
     "MAX_TIMEOUT_MS",
+    "METHODS",
     "NO_VERSION",
     "Accepted",
     "Conflict",
@@ -37,5 +43,7 @@
     "VersionRecord",
     "VersionService",
     "Versions",
+    "WeightedService",
+    "check_mesh",
     "parse_mesh",
 ]
--- a/verbenanotch/catalog/_mesh.py
+++ b/verbenanotch/catalog/_mesh.py
@@ -8,6 +8,7 @@
 
 MAX_CALL_DEPTH = 9
 MAX_TIMEOUT_MS = 600_000
+ANY_HOST = "*"
 NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 METHODS = frozenset(
     ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
@@ -32,27 +33,53 @@
     cold_start_ms: int = 2000
 
 
+@attrs.frozen(kw_only=True)
+class WeightedService:
+    """One part of a split; `weight` is its share of the sum of weights."""
+
+    service: str
+    weight: int
+
+
 @attrs.frozen(kw_only=True)
 class Route:
     """Which requests go to which service.
 
-    A request matches the route with the longest `prefix` of its path, cut
-    at a slash. Methods in `idempotent_methods` may be retried, at most
-    `max_attempts` runs in all. `timeout_ms` is the default deadline.
+    A request matches the routes of its `host` first, then those of
+    ANY_HOST, and among them the one with the longest `prefix` of its path,
+    cut at a slash. A prefix that ends with one covers the path without it
+    too, unless `needs_slash`. It goes to `service`, or with a `split` to
+    one of its parts, chosen by weight; `service` is one of them. Methods in
+    `idempotent_methods` may be retried, at most `max_attempts` runs in all.
+    `timeout_ms` bounds every request's deadline. `objective_ms` is the time
+    within which answers are wanted, 0 if none is set. Requests of a lower
+    `priority` number go first.
     """
 
     prefix: str
     service: str
+    host: str = ANY_HOST
+    split: tuple[WeightedService, ...] = ()
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
     timeout_ms: int = 2000
     max_attempts: int = 3
+    needs_slash: bool = False
+    objective_ms: int = 0
+    priority: int = 0
+
+    @property
+    def services(self):
+        """Return the names of all services that the route leads to."""
+        if self.split:
+            return tuple(part.service for part in self.split)
+        return (self.service,)
 
 
 @attrs.frozen(kw_only=True)
 class Mesh:
     """One whole configuration, as an operator submits it."""
 
-    name: str
+    name: str = ""
     services: dict[str, Service] = attrs.field(factory=dict)
     routes: dict[str, Route] = attrs.field(factory=dict)
 
@@ -75,12 +102,22 @@
     result = parse(data, Mesh)
     match result:
         case Valid(value=mesh, document=document):
-            problems = tuple(_problems(mesh, document))
-            return Invalid(problems=problems) if problems else result
+            return check_mesh(mesh, document=document)
         case Invalid():
             return result
 
 
+def check_mesh(mesh, *, document):
+    """Return Valid with a Mesh, or Invalid with every rule it breaks.
+
+    `document` is the Document that the problems' lines refer to.
+    """
+    problems = tuple(_problems(mesh, document))
+    if problems:
+        return Invalid(problems=problems)
+    return Valid(value=mesh, document=document)
+
+
 def _problems(mesh, document):
     """Yield every broken rule of a well-formed file."""
     for name, service in mesh.services.items():
@@ -133,11 +170,10 @@
         yield document.problem(
             f"{key}.prefix", "is no path", "Start it with a slash."
         )
-    if route.service not in mesh.services:
+    yield from _destination_problems(key, route, mesh, document)
+    if not route.host:
         yield document.problem(
-            f"{key}.service",
-            f"service {route.service!r} does not exist",
-            f"Add [services.{route.service}] or remove the route.",
+            f"{key}.host", "is empty", f"Use a host name, or {ANY_HOST!r}."
         )
     if not 0 < route.timeout_ms <= MAX_TIMEOUT_MS:
         yield document.problem(
@@ -158,10 +194,34 @@
             )
 
 
+def _destination_problems(key, route, mesh, document):
+    if route.service not in route.services:
+        yield document.problem(
+            f"{key}.service",
+            f"{route.service!r} is no part of the split",
+            "Name a part of the split, or remove the split.",
+        )
+    for service in {route.service, *route.services}:
+        if service not in mesh.services:
+            yield document.problem(
+                f"{key}.service",
+                f"service {service!r} does not exist",
+                f"Add [services.{service}] or remove the route.",
+            )
+    weights = [part.weight for part in route.split]
+    if weights and (min(weights) < 0 or not sum(weights)):
+        yield document.problem(
+            f"{key}.split",
+            "the weights give no share",
+            "Use weights of at least 0, one of them positive.",
+        )
+
+
 def _duplicate_prefix_problems(mesh, document):
     names_by_prefix = {}
     for name, route in mesh.routes.items():
-        first = names_by_prefix.setdefault(route.prefix.rstrip("/"), name)
+        place = (route.host, route.prefix.rstrip("/"))
+        first = names_by_prefix.setdefault(place, name)
         if first != name:
             yield document.problem(
                 f"routes.{name}.prefix",
--- a/verbenanotch/catalog/_submission.py
+++ b/verbenanotch/catalog/_submission.py
@@ -7,6 +7,9 @@
 from verbenanotch.catalog._version import NO_VERSION, Version
 from verbenanotch.documents import Problem
 
+# Of a file that its operator has not numbered; labels start from 0.
+NO_LABEL = -1
+
 
 @attrs.frozen(kw_only=True)
 class Submission:
@@ -16,6 +19,9 @@
     is sent again. `base` is the version that the file was made from;
     NO_VERSION skips the comparison only while nothing was accepted yet.
     `rollback_to` names the old version whose text this one repeats.
+    An operator who numbers files gives this one's number as `label` and
+    that of the file it was made from as `base_label`; the labels then take
+    the place of `base`, and each accepted one is greater than the last.
     """
 
     submission_id: str
@@ -24,6 +30,8 @@
     base: Version = NO_VERSION
     rollback_to: Version = NO_VERSION
     submitted_at_ms: int = 0
+    label: int = NO_LABEL
+    base_label: int = NO_LABEL
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/verbenanotch/catalog/_versions.py
+++ b/verbenanotch/catalog/_versions.py
@@ -17,6 +17,7 @@
 from verbenanotch.catalog import events
 from verbenanotch.catalog._mesh import parse_mesh
 from verbenanotch.catalog._submission import (
+    NO_LABEL,
     Accepted,
     Conflict,
     Rejected,
@@ -31,7 +32,7 @@
 MAX_ANSWERS = 4096
 MAX_COMMAND_BYTES = 3 * 1024 * 1024
 DIGEST_BYTES = 16
-SNAPSHOT_FORMAT = 1
+SNAPSHOT_FORMAT = 2
 UNDECODABLE = (ValueError, TypeError, zlib.error, msgpack.UnpackException)
 
 
@@ -45,6 +46,8 @@
     submission_id: str
     submitted_at_ms: int
     rollback_to: Version = NO_VERSION
+    label: int = NO_LABEL
+    parse: object = attrs.field(default=parse_mesh, repr=False, eq=False)
 
     @property
     def text(self):
@@ -54,7 +57,7 @@
     @functools.cached_property
     def mesh(self):
         """Return the Mesh of the text."""
-        return parse_mesh(self.text).value
+        return self.parse(self.text).value
 
 
 @attrs.frozen(kw_only=True)
@@ -68,8 +71,12 @@
 class Versions:
     """The accepted versions, in the order of the log."""
 
-    def __init__(self):
-        """Begin without any version."""
+    def __init__(self, *, parse=parse_mesh):
+        """Begin without any version.
+
+        `parse` returns Valid with the Mesh of a file's bytes, or Invalid.
+        """
+        self._parse = parse
         self.records_by_version = {}
         self._answers_by_id = collections.OrderedDict()
         self._history_bytes = 0
@@ -89,6 +96,12 @@
         record = self.current
         return record.version if record else NO_VERSION
 
+    @property
+    def current_label(self):
+        """Return the label of the newest version; 0 before the first."""
+        record = self.current
+        return record.label if record else 0
+
     def on_change(self, callback):
         """Call `callback(record)` after each accepted version or restore.
 
@@ -113,7 +126,7 @@
         """Return the result of `parse_mesh`; the last one is kept."""
         digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
         if self._checked[0] != digest:
-            self._checked = (digest, parse_mesh(text))
+            self._checked = (digest, self._parse(text))
         return self._checked[1]
 
     def refusal(self, command):
@@ -167,7 +180,7 @@
         self.records_by_version.clear()
         self._history_bytes = 0
         for values in records:
-            self._keep(_record_from_plain(values))
+            self._keep(_record_from_plain(values, self._parse))
         self._answers_by_id = collections.OrderedDict(
             (submission_id, Answer(digest=digest, result=result))
             for submission_id, digest, result in answers
@@ -176,13 +189,27 @@
 
     def _decide(self, version, submission):
         current = self.current
-        if submission.base != self.current_version:
+        if not self._is_based_on_current(submission):
             return Conflict(
                 winner=self.current_version,
                 winner_operator=current.operator if current else "",
             )
+        if submission.label != NO_LABEL and submission.label <= (
+            self.current_label
+        ):
+            return rejected(
+                "label",
+                f"{submission.label} is not above {self.current_label}, "
+                "the label in force",
+                "Number the file above the one that it is based on.",
+            )
         return Accepted(version=version)
 
+    def _is_based_on_current(self, submission):
+        if submission.base_label != NO_LABEL:
+            return submission.base_label == self.current_label
+        return submission.base == self.current_version
+
     def _accept(self, version, submission):
         record = VersionRecord(
             version=version,
@@ -191,6 +218,8 @@
             submission_id=submission.submission_id,
             submitted_at_ms=submission.submitted_at_ms,
             rollback_to=submission.rollback_to,
+            label=submission.label,
+            parse=self._parse,
         )
         self._keep(record)
         emit(
@@ -251,6 +280,8 @@
             str(submission.base),
             str(submission.rollback_to),
             submission.submitted_at_ms,
+            submission.label,
+            submission.base_label,
             digest_of(submission),
         ]
     )
@@ -266,6 +297,8 @@
             str(base),
             str(rollback_to),
             int(submitted),
+            int(label),
+            int(base_label),
             bytes(seal),
         ]:
             pass
@@ -278,6 +311,8 @@
         base=Version.parse(base),
         rollback_to=Version.parse(rollback_to),
         submitted_at_ms=submitted,
+        label=label,
+        base_label=base_label,
     )
     if digest_of(submission) != seal:
         raise ValueError("the text does not fit its seal")
@@ -343,16 +378,21 @@
         record.submission_id,
         record.submitted_at_ms,
         str(record.rollback_to),
+        record.label,
     ]
 
 
-def _record_from_plain(values):
-    version, packed, operator, submission_id, submitted, rollback_to = values
+def _record_from_plain(values, parse):
+    version, packed, operator, submission_id, submitted, rollback, label = (
+        values
+    )
     return VersionRecord(
         version=Version.parse(version),
         packed_text=packed,
         operator=operator,
         submission_id=submission_id,
         submitted_at_ms=submitted,
-        rollback_to=Version.parse(rollback_to),
+        rollback_to=Version.parse(rollback),
+        label=label,
+        parse=parse,
     )
--- a/verbenanotch/cli/daemon.py
+++ b/verbenanotch/cli/daemon.py
@@ -14,6 +14,7 @@
 
 eventlet.monkey_patch()
 
+import importlib  # noqa: E402
 import sys  # noqa: E402
 
 import click  # noqa: E402
@@ -38,7 +39,14 @@
     is_flag=True,
     help="Check the settings and exit without starting.",
 )
-def main(settings_path, check_only):
+@click.option(
+    "--interfaces",
+    "interfaces_module",
+    default="verbenanotch.daemon",
+    show_default=True,
+    help="Module with the `interfaces` for operators and targets.",
+)
+def main(settings_path, check_only, interfaces_module):
     """Run one process of the mesh by its settings file."""
     match conf.load(settings_path):
         case Invalid(problems=problems):
@@ -49,14 +57,20 @@
             if check_only:
                 click.echo(f"{settings_path}: the settings are valid")
                 return
-            _run(settings)
+            _run(settings, settings_path, interfaces_module)
 
 
-def _run(settings):
+def _run(settings, settings_path, interfaces_module):
     """Import the roles late, so that a check loads none of them."""
     from verbenanotch import daemon
 
-    sys.exit(daemon.run(settings))
+    interfaces = importlib.import_module(interfaces_module).interfaces
+    code = daemon.run(
+        settings,
+        interfaces=interfaces,
+        reload=lambda: conf.load(settings_path),
+    )
+    sys.exit(code)
 
 
 if __name__ == "__main__":
--- a/verbenanotch/conf/__init__.py
+++ b/verbenanotch/conf/__init__.py
@@ -2,20 +2,26 @@
 
 from verbenanotch.conf._settings import (
     ControlSettings,
+    DiscoverySettings,
+    HeaderNames,
     HostSettings,
     ProxySettings,
     Settings,
     TelemetrySettings,
     Voter,
+    endpoint,
     load,
 )
 
 __all__ = [
     "ControlSettings",
+    "DiscoverySettings",
+    "HeaderNames",
     "HostSettings",
     "ProxySettings",
     "Settings",
     "TelemetrySettings",
     "Voter",
+    "endpoint",
     "load",
 ]
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -20,7 +20,9 @@
 
     A proxy announces `advertised_address` and `advertised_peer_port` to
     the proxies that call it, for hosts behind a translation of addresses;
-    an empty or zero value stands for `address` or `peer_port`.
+    an empty or zero value stands for `address` or `peer_port`. Hosts of
+    several small availability zones that share their control hosts name
+    the same `control_zone`; an empty one is the availability zone.
     """
 
     name: str
@@ -31,8 +33,14 @@
     advertised_address: str = ""
     advertised_peer_port: int = 0
     region: str = "local"
+    control_zone: str = ""
     peer_key: str = attrs.field(repr=False)
 
+    @property
+    def lease_zone(self):
+        """Return the zone whose control hosts hold this host's lease."""
+        return self.control_zone or self.availability_zone
+
     @property
     def announced_address(self):
         """Return the address that other proxies dial."""
@@ -63,15 +71,22 @@
 
     `voters_by_name` are the first voters of the replicated log.
     `control_hosts_by_name` are all control hosts, voters included.
+    `operator_listen` is `IP:PORT` and takes the place of `operator_port` at
+    the host's address.
     Changes within `coalesce_ms` of the last update go out together.
     `admission_limit` bounds the subscriptions that start at a time.
-    `whole_state_updates` sends whole states in place of deltas.
+    `whole_state_updates` sends whole states in place of deltas. A host that
+    `may_create_cluster` is one of the first start; a later one only joins.
+    With `tolerated_losses` above 0 the leader keeps twice that number plus
+    one voters by itself: it replaces voters that are lost for
+    `voter_patience_ms` by control hosts that have caught up.
     """
 
     data_folder: str
-    operator_port: int
-    operator_token: str = attrs.field(repr=False)
-    voters_by_name: dict[str, Voter]
+    operator_port: int = 0
+    operator_token: str = attrs.field(repr=False, default="")
+    operator_listen: str = ""
+    voters_by_name: dict[str, Voter] = attrs.field(factory=dict)
     control_hosts_by_name: dict[str, Voter] = attrs.field(factory=dict)
     election_timeout_ms: int = 1000
     heartbeat_ms: int = 200
@@ -80,6 +95,62 @@
     coalesce_ms: int = 50
     admission_limit: int = 32
     whole_state_updates: bool = False
+    may_create_cluster: bool = True
+    tolerated_losses: int = 0
+    voter_patience_ms: int = 1500
+
+
+def endpoint(listen, *, address, port):
+    """Return address and port of a setting `IP:PORT`, or else the given."""
+    if not listen:
+        return address, port
+    host, _, number = listen.rpartition(":")
+    return host, int(number)
+
+
+@attrs.frozen(kw_only=True)
+class DiscoverySettings:
+    """Where control hosts are found that no other setting names.
+
+    `seeds` are IP numbers of some control hosts, each alone or with a port,
+    which is ignored: all listen for peers on `peer_port`. Discovered
+    control hosts are named by their address.
+    """
+
+    seeds: tuple[str, ...] = ()
+    peer_port: int = 0
+
+    @property
+    def control_hosts_by_name(self):
+        """Return the seeds as peers, keyed by name."""
+        addresses = [seed.partition(":")[0] for seed in self.seeds]
+        return {
+            address: Voter(address=address, peer_port=self.peer_port)
+            for address in addresses
+        }
+
+
+@attrs.frozen(kw_only=True)
+class HeaderNames:
+    """Names of the headers that callers, proxies and targets exchange.
+
+    An empty name leaves the header out. `timeout` is the caller's deadline
+    in milliseconds from now. `target` tells a target which one is meant,
+    and is checked by targets that know it. `caller` names the service
+    beside the proxy that took the request. An answer of a target with
+    `not_run` says that the request was not run. `load` is a target's load:
+    running, waiting and slots, separated by commas.
+    """
+
+    request_id: str = "X-Request-Id"
+    timeout: str = "X-Request-Timeout-Ms"
+    outcome: str = "X-Verbenanotch-Outcome"
+    depth: str = "X-Verbenanotch-Depth"
+    retries: str = "X-Verbenanotch-Retries"
+    target: str = ""
+    caller: str = ""
+    not_run: str = ""
+    load: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -90,11 +161,35 @@
     availability zone. `entry_services` are the services that callers reach
     through this proxy; empty means all services. Without
     `adaptive_limits` a target's limit stays at the slots that it announces.
+    `caller_listen` and `target_listen` are `IP:PORT` and take the place of
+    `caller_port` and `target_port` at the host's address; `ready_listen`
+    answers whether callers are served, an empty one turns that off.
+    `local_service` is the service of the host's targets as long as none has
+    announced itself. A target is taken for gone `announcement_lease_ms`
+    after its last announcement. With `targets_echo_request_id`, an answer
+    with another request id is not an answer to the request. With
+    `fractional_retry_after`, Retry-After may have a fraction of a second,
+    for callers whose deadlines are shorter than one. Once told to stop,
+    the proxy takes callers for `leave_ms` more, so that they can learn of
+    it. `retry_burst` bounds the retries to one service that all
+    proxies together make beyond their share of its requests. With
+    `probe_targets` off, targets are judged by their answers alone.
     """
 
-    caller_port: int
-    target_port: int
-    control_hosts_by_name: dict[str, Voter]
+    caller_port: int = 0
+    target_port: int = 0
+    control_hosts_by_name: dict[str, Voter] = attrs.field(factory=dict)
+    caller_listen: str = ""
+    target_listen: str = ""
+    ready_listen: str = ""
+    local_service: str = ""
+    announcement_lease_ms: int = 4000
+    targets_echo_request_id: bool = False
+    fractional_retry_after: bool = False
+    leave_ms: int = 0
+    retry_burst: int = 50
+    probe_targets: bool = True
+    headers: HeaderNames = attrs.field(factory=HeaderNames)
     entry_services: tuple[str, ...] = ()
     max_body_bytes: int = 1024 * 1024
     max_in_flight: int = 1024
@@ -122,6 +217,7 @@
     control: ControlSettings | None = None
     proxy: ProxySettings | None = None
     telemetry: TelemetrySettings = attrs.field(factory=TelemetrySettings)
+    discovery: DiscoverySettings = attrs.field(factory=DiscoverySettings)
 
 
 def load(path):
@@ -140,11 +236,24 @@
     match result:
         case Valid(value=settings, document=document):
             problems = tuple(_problems(settings, document))
-            return Invalid(problems=problems) if problems else result
+            if problems:
+                return Invalid(problems=problems)
+            return Valid(value=_with_seeds(settings), document=document)
         case Invalid():
             return result
 
 
+def _with_seeds(settings):
+    """Return the settings with the seeds where no control host is named."""
+    found = settings.discovery.control_hosts_by_name
+    control, proxy = settings.control, settings.proxy
+    if control and not control.voters_by_name:
+        control = attrs.evolve(control, voters_by_name=found)
+    if proxy and not proxy.control_hosts_by_name:
+        proxy = attrs.evolve(proxy, control_hosts_by_name=found)
+    return attrs.evolve(settings, control=control, proxy=proxy)
+
+
 def _problems(settings, document):
     """Yield every broken rule of otherwise well-formed settings."""
     yield from _host_problems(settings.host, document)
@@ -186,6 +295,7 @@
         yield document.problem(
             "proxy", "the section is missing", "Add [proxy]."
         )
+    yield from _discovery_problems(settings, document)
     control = settings.control
     if control and control.lease_ms < MIN_LEASE_MS:
         yield document.problem(
@@ -201,6 +311,39 @@
         )
 
 
+def _discovery_problems(settings, document):
+    found = settings.discovery.control_hosts_by_name
+    for address in found:
+        if not _is_ip(address):
+            yield document.problem(
+                "discovery.seeds",
+                f"{address!r} is no IP number",
+                "List IP numbers, each alone or with a port.",
+            )
+    if found and not 0 < settings.discovery.peer_port < 65536:
+        yield document.problem(
+            "discovery.peer_port",
+            f"{settings.discovery.peer_port} is no port",
+            "Give the peer port of the control hosts.",
+        )
+    section = settings.control or settings.proxy
+    named = settings.control and settings.control.voters_by_name
+    named = named or (settings.proxy and settings.proxy.control_hosts_by_name)
+    if section and not found and not named:
+        yield document.problem(
+            "discovery.seeds",
+            "no control host is named or can be discovered",
+            "List seeds, or name the control hosts.",
+        )
+    host = settings.host
+    if found and host.role == "control" and host.name != host.address:
+        yield document.problem(
+            "host.name",
+            "a discovered control host is named by its address",
+            f"Use {host.address!r}.",
+        )
+
+
 def _telemetry_problems(telemetry, document):
     if telemetry.log_format not in LOG_FORMATS:
         yield document.problem(
@@ -220,11 +363,16 @@
     yield "host.peer_port", settings.host.peer_port
     if settings.host.advertised_peer_port:
         yield "host.advertised_peer_port", settings.host.advertised_peer_port
-    if settings.control:
-        yield "control.operator_port", settings.control.operator_port
-    if settings.proxy:
-        yield "proxy.caller_port", settings.proxy.caller_port
-        yield "proxy.target_port", settings.proxy.target_port
+    control, proxy = settings.control, settings.proxy
+    if control and not control.operator_listen:
+        yield "control.operator_port", control.operator_port
+    if proxy and not proxy.caller_listen:
+        yield "proxy.caller_port", proxy.caller_port
+    if proxy and not proxy.target_listen:
+        yield "proxy.target_port", proxy.target_port
+    for key, text in _listened(settings):
+        port = text.rpartition(":")[2]
+        yield key, int(port) if port.isdecimal() else 0
     for key, peer in _peers(settings):
         yield f"{key}.peer_port", peer.peer_port
 
@@ -233,10 +381,25 @@
     yield "host.address", settings.host.address
     if settings.host.advertised_address:
         yield "host.advertised_address", settings.host.advertised_address
+    for key, text in _listened(settings):
+        yield key, text.rpartition(":")[0]
     for key, peer in _peers(settings):
         yield f"{key}.address", peer.address
 
 
+def _listened(settings):
+    """Yield the settings of the form `IP:PORT` that are given."""
+    for section, field in (
+        ("control", "operator_listen"),
+        ("proxy", "caller_listen"),
+        ("proxy", "target_listen"),
+        ("proxy", "ready_listen"),
+    ):
+        text = getattr(getattr(settings, section), field, "")
+        if text:
+            yield f"{section}.{field}", text
+
+
 def _peers(settings):
     if settings.control:
         for name, peer in settings.control.voters_by_name.items():
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -7,17 +7,19 @@
 import eventlet
 
 from verbenanotch.catalog import Versions, VersionService
+from verbenanotch.conf import endpoint
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon.exceptions import StartError
 from verbenanotch.distribution import Publisher
 from verbenanotch.membership import Directory, ZoneExchange, ZoneTable
 from verbenanotch.membership import events as membership_events
-from verbenanotch.operator import OperatorInterface
 from verbenanotch.replication import ReadConfirmed, Replica, StorageError
 from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import Listener, Purpose
 
 EXPIRY_SECONDS = 0.5
+# A control host that joins is known to all proxies within about this time.
+MEMBERS_SECONDS = 0.5
 ZONE_LIVE_SECONDS = 5.0
 MILLISECONDS_PER_SECOND = 1000
 
@@ -25,18 +27,18 @@
 class ControlHost:
     """All parts of a control host; the operators' interface reads it."""
 
-    def __init__(self, *, settings):
+    def __init__(self, *, settings, interfaces):
         """Bind every address and recover the data folder."""
         host = settings.host
         control = settings.control
-        self._versions = Versions()
+        self._versions = Versions(parse=interfaces.parse)
         self._replica = Replica(
             settings=settings,
             state_machine=self._versions,
             random=random.Random(),
         )
         self._table = ZoneTable(
-            availability_zone=host.availability_zone,
+            availability_zone=host.lease_zone,
             lease_seconds=control.lease_ms / MILLISECONDS_PER_SECOND,
             started_at=time.monotonic(),
         )
@@ -69,15 +71,19 @@
         service = VersionService(
             replica=self._replica, versions=self._versions
         )
-        interface = OperatorInterface(
-            token=control.operator_token, versions=service, control=self
-        )
-        self._http = HttpServer(
+        address, port = endpoint(
+            control.operator_listen,
             address=host.address,
             port=control.operator_port,
-            application=interface.application,
         )
-        self._expirer = None
+        self._http = HttpServer(
+            address=address,
+            port=port,
+            application=interfaces.make_operator(
+                token=control.operator_token, versions=service, control=self
+            ),
+        )
+        self._greenthreads = []
 
     def start(self):
         """Start serving.
@@ -92,17 +98,25 @@
         self._listener.start()
         self._exchange.start()
         self._http.start()
-        self._expirer = eventlet.spawn(self._expire_forever)
+        self._greenthreads = [
+            eventlet.spawn(self._expire_forever),
+            eventlet.spawn(self._follow_members_forever),
+        ]
 
     def stop(self):
         """Stop serving; what is committed is on disk already."""
-        self._expirer.kill()
+        for greenthread in self._greenthreads:
+            greenthread.kill()
         self._http.stop()
         self._exchange.stop()
         self._publisher.stop()
         self._replica.stop()
         self._listener.stop()
 
+    def reconfigure(self, settings):
+        """Take over changed settings: the control hosts to look for."""
+        self._replica.add_peers(settings.control.voters_by_name)
+
     def ready(self):
         """Return whether the control host can serve operators."""
         return bool(self._replica.status().leader)
@@ -179,6 +193,14 @@
     def _zone_changed(self):
         self._exchange.wake()
 
+    def _follow_members_forever(self):
+        """Exchange tables with, and tell proxies of, all control hosts."""
+        while True:
+            eventlet.sleep(MEMBERS_SECONDS)
+            members_by_name = self._replica.members_by_name()
+            self._exchange.follow(members_by_name)
+            self._publisher.publish_control_hosts(members_by_name)
+
     def _expire_forever(self):
         while True:
             eventlet.sleep(EXPIRY_SECONDS)
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -1,6 +1,7 @@
 """Serve a WSGI application on the loop, and stop without cutting it."""
 
 import functools
+import socket
 
 import eventlet
 from eventlet import greenio, wsgi
@@ -78,6 +79,10 @@
         """Serve in the background."""
         self._acceptor = eventlet.spawn(self._accept_forever)
 
+    def close_after_answers(self):
+        """Take connections on, but close each after its next answer."""
+        self.stopping = True
+
     def stop_accepting(self):
         """Take no more connections; go on answering on the open ones.
 
@@ -119,6 +124,7 @@
             self._spawn(sock, address)
 
     def _spawn(self, sock, address):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = [address, sock, wsgi.STATE_IDLE]
         # An address can be used again before its last connection is gone.
         self._connections_by_id[id(connection)] = connection
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -6,6 +6,7 @@
 import eventlet
 
 from verbenanotch.catalog import NO_VERSION
+from verbenanotch.conf import endpoint
 from verbenanotch.daemon import _shutdown, events
 from verbenanotch.daemon._caller_protocol import CallerProtocol
 from verbenanotch.daemon._http import HttpServer
@@ -24,8 +25,8 @@
     LocalTargets,
     PeerPool,
     PeerServer,
+    ReadinessInterface,
     RecordKeeper,
-    TargetInterface,
     TargetProbe,
 )
 from verbenanotch.telemetry import emit
@@ -42,7 +43,7 @@
 class ProxyHost:
     """All parts of a proxy."""
 
-    def __init__(self, *, settings):
+    def __init__(self, *, settings, interfaces):
         """Bind every address."""
         host = settings.host
         proxy = settings.proxy
@@ -61,6 +62,7 @@
             incarnation=incarnation,
             on_change=self._announce,
             guard=self._guard,
+            known_services=lambda: self._holder.snapshot.services_by_name,
         )
         contact = ControlContact()
         self._subscriber = Subscriber(
@@ -93,19 +95,37 @@
                 ).handle,
             },
         )
+        address, port = endpoint(
+            proxy.caller_listen, address=host.address, port=proxy.caller_port
+        )
         self._caller_http = HttpServer(
-            address=host.address,
-            port=proxy.caller_port,
+            address=address,
+            port=port,
             application=self._entry(settings).application,
             protocol=CallerProtocol,
         )
+        address, port = endpoint(
+            proxy.target_listen, address=host.address, port=proxy.target_port
+        )
         self._target_http = HttpServer(
-            address=host.address,
-            port=proxy.target_port,
-            application=TargetInterface(
+            address=address,
+            port=port,
+            application=interfaces.make_targets(
                 local_targets=self._local_targets
-            ).application,
+            ),
         )
+        self._ready_http = None
+        if proxy.ready_listen:
+            address, port = endpoint(proxy.ready_listen, address="", port=0)
+            self._ready_http = HttpServer(
+                address=address,
+                port=port,
+                application=ReadinessInterface(
+                    is_ready=self._is_ready
+                ).application,
+            )
+        self._leaving = False
+        self._leave_seconds = proxy.leave_ms / MILLISECONDS_PER_SECOND
         self._shutdown_grace_seconds = (
             proxy.shutdown_grace_ms / MILLISECONDS_PER_SECOND
         )
@@ -117,6 +137,7 @@
             local_targets=self._local_targets,
             on_report=self._report,
         )
+        self._probes = proxy.probe_targets
         self._greenthreads = []
 
     def start(self):
@@ -126,21 +147,38 @@
         self._callers.start()
         self._subscriber.start()
         self._target_http.start()
+        if self._ready_http is not None:
+            self._ready_http.start()
         self._greenthreads = [
             eventlet.spawn(self._serve_callers),
             eventlet.spawn(_every, EXPIRY_SECONDS, self._local_targets.expire),
             eventlet.spawn(_every, SETTLE_SECONDS, self._settle_records),
-            eventlet.spawn(_every, PROBE_SECONDS, self._probe.probe_all),
-            eventlet.spawn(_every, WARM_SECONDS, self._local_targets.warm),
         ]
+        if self._probes:
+            self._greenthreads += [
+                eventlet.spawn(_every, PROBE_SECONDS, self._probe.probe_all),
+                eventlet.spawn(_every, WARM_SECONDS, self._local_targets.warm),
+            ]
+
+    def reconfigure(self, settings):
+        """Take over changed settings: control hosts, the local service."""
+        self._local_targets.expect_service(settings.proxy.local_service)
+        self._subscriber.follow(settings.proxy.control_hosts_by_name)
 
     def stop(self):
-        """Finish what is in flight, give up the lease, stop serving."""
+        """Finish what is in flight, give up the lease, stop serving.
+
+        Callers are taken for `leave_ms` more: they may not have learnt yet
+        that this proxy leaves.
+        """
+        self._leaving = True
         for greenthread in self._greenthreads:
             greenthread.kill()
         self._local_targets.leave()
         self._subscriber.release()
         self._peer_server.go_away(reason="shutdown")
+        self._caller_http.close_after_answers()
+        eventlet.sleep(self._leave_seconds)
         self._caller_http.stop_accepting()
         _shutdown.wait_until_idle(
             caller_http=self._caller_http,
@@ -149,6 +187,8 @@
         )
         self._caller_http.close_idle()
         self._target_http.stop()
+        if self._ready_http is not None:
+            self._ready_http.stop()
         self._subscriber.stop()
         self._listener.stop()
         self._callers.stop()
@@ -170,8 +210,12 @@
             dispatcher=dispatcher,
             callers=self._callers,
             keyed=KeyedRequests(keeper=self._keeper, ask=self._ask_holder),
+            caller_service=lambda: self._local_targets.service,
         )
 
+    def _is_ready(self):
+        return not self._leaving and _is_routable(self._holder.snapshot)
+
     def _ask_holder(self, service, member, message, timeout_seconds):
         """Ask a holder of records, which may be this host."""
         if member.host == self._host_name:
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -7,6 +7,8 @@
 from eventlet import event, hubs
 
 from verbenanotch.daemon import events
+from verbenanotch.daemon._interfaces import Interfaces
+from verbenanotch.daemon._reload import watch_settings
 from verbenanotch.daemon.exceptions import StartError
 from verbenanotch.telemetry import configure, emit, metrics
 
@@ -16,10 +18,13 @@
 GC_THRESHOLDS = (20_000, 20, 20)
 
 
-def run(settings):
+def run(settings, *, interfaces=None, reload=None):
     """Run the daemon until SIGTERM or SIGINT; return its exit code.
 
     The code is 0, or 3 if an address or the data folder cannot be used.
+    `interfaces` replace those of the project. `reload` returns the result
+    of loading the settings again; it is called on SIGHUP and when the
+    settings file may have changed.
     """
     telemetry = settings.telemetry
     configure(
@@ -36,7 +41,7 @@
         )
     hubs.get_hub().debug_exceptions = False
     try:
-        role = _role(settings)
+        role = _role(settings, interfaces or Interfaces())
         role.start()
     except (StartError, OSError) as error:
         emit(
@@ -50,6 +55,8 @@
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     emit(events.STARTED, role=settings.host.role)
+    if reload is not None:
+        watch_settings(role=role, reload=reload, settings=settings)
     _wait_for_signal()
     emit(events.STOPPING)
     role.stop()
@@ -57,15 +64,15 @@
     return 0
 
 
-def _role(settings):
+def _role(settings, interfaces):
     """Return the role; its code alone is loaded, for the sake of memory."""
     if settings.host.role == "control":
         from verbenanotch.daemon._control import ControlHost
 
-        return ControlHost(settings=settings)
+        return ControlHost(settings=settings, interfaces=interfaces)
     from verbenanotch.daemon._proxy import ProxyHost
 
-    return ProxyHost(settings=settings)
+    return ProxyHost(settings=settings, interfaces=interfaces)
 
 
 def _wait_for_signal():
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -19,6 +19,14 @@
     "a repeated task failed; it is tried again",
     "Report the traceback to the project.",
 )
+RELOADED = event(9007, "reloaded", Level.INFO, "changed settings are in force")
+RELOAD_REFUSED = event(
+    9008,
+    "reload-refused",
+    Level.WARNING,
+    "the settings file has faults; the old settings stay in force",
+    "Correct every problem that is listed.",
+)
 START_FAILED = event(
     9006,
     "start-failed",
--- a/verbenanotch/distribution/_floor_search.py
+++ b/verbenanotch/distribution/_floor_search.py
@@ -32,11 +32,13 @@
 
     `send_all` sends a message to every connected control host. `on_end` is
     called with the outcome of each search; a found floor is raised in
-    `holder` before.
+    `holder` before. `control_hosts` returns the names of all that may have
+    given out a version.
     """
 
-    def __init__(self, *, settings, holder, send_all, on_end):
+    def __init__(self, *, settings, holder, send_all, on_end, control_hosts):
         """Ask nothing yet."""
+        self._control_hosts = control_hosts
         self._settings = settings
         self._holder = holder
         self._send_all = send_all
@@ -80,7 +82,7 @@
         eventlet.sleep(max(0.0, wait - (time.monotonic() - began)))
         answers, self._answers = self._answers, None
         outcome = decide_floor(
-            control_hosts=frozenset(proxy.control_hosts_by_name),
+            control_hosts=self._control_hosts(),
             versions_by_control_host=answers.versions_by_control_host,
             peer_versions=[*answers.peer_versions, *versions],
         )
--- a/verbenanotch/distribution/_holder.py
+++ b/verbenanotch/distribution/_holder.py
@@ -281,6 +281,7 @@
 
 def _unclosed(services, routes, tables):
     for name, route in routes.items():
-        if route.service not in services or route.service not in tables:
-            return Unclosed(route=name, service=route.service)
+        for service in route.services:
+            if service not in services or service not in tables:
+                return Unclosed(route=name, service=service)
     return None
--- a/verbenanotch/distribution/_mesh_state.py
+++ b/verbenanotch/distribution/_mesh_state.py
@@ -30,7 +30,7 @@
 class MeshState:
     """A whole version, encoded once for all proxies.
 
-    `service_by_route` and `calls_by_service` decide what a proxy needs.
+    `routes_by_service` names the routes that lead to each service.
     """
 
     version: Version = NO_VERSION
@@ -52,18 +52,29 @@
         for name in local_services:
             if name in services:
                 needed.update(services[name].calls)
-        return frozenset(needed)
+        return frozenset(self._with_other_parts(needed))
+
+    def _with_other_parts(self, needed):
+        """Return the services with those that share a split with one."""
+        routes = self.mesh.routes_by_name if self.mesh else {}
+        pending = list(needed)
+        while pending:
+            for name in self.routes_by_service.get(pending.pop(), ()):
+                parts = set(routes[name].services) - needed
+                needed |= parts
+                pending.extend(parts)
+        return needed
 
     def part(self, need):
         """Return the part with the needed services and their routes."""
         if need is None:
             return self.whole
         if need not in self._parts_by_need:
-            routes = [
+            routes = {
                 route
                 for service in need
                 for route in self.routes_by_service.get(service, ())
-            ]
+            }
             self._parts_by_need[need] = MeshPart(
                 version=self.version,
                 services=self.whole.services.subset(need),
@@ -79,7 +90,8 @@
     """
     routes_by_service = {}
     for name, route in mesh.routes_by_name.items():
-        routes_by_service.setdefault(route.service, []).append(name)
+        for service in set(route.services):
+            routes_by_service.setdefault(service, []).append(name)
     whole = MeshPart(
         version=version,
         services=_encode(mesh.services_by_name, pause),
--- a/verbenanotch/distribution/_messages.py
+++ b/verbenanotch/distribution/_messages.py
@@ -127,6 +127,23 @@
     peers_by_host: dict[str, str]
 
 
+@attrs.frozen(kw_only=True)
+class ControlHost:
+    """A control host and where its peers reach it."""
+
+    name: str
+    address: str
+    peer_port: int
+
+
+@message(311)
+@attrs.frozen(kw_only=True)
+class ControlHosts:
+    """All control hosts that the sender knows at present."""
+
+    hosts: tuple[ControlHost, ...]
+
+
 @message(309)
 @attrs.frozen(kw_only=True)
 class FloorRequest:
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -19,6 +19,8 @@
 from verbenanotch.distribution._messages import (
     Acknowledge,
     Busy,
+    ControlHost,
+    ControlHosts,
     DrainTarget,
     FloorConfirmed,
     FloorReply,
@@ -128,7 +130,28 @@
         """Tell the proxies of the zone to give a target no new work."""
         for session in self.sessions_by_host.values():
             # A frozen proxy must not delay the others.
-            eventlet.spawn_n(_send_drain, session.connection, target_id)
+            eventlet.spawn_n(
+                _send_quietly,
+                session.connection,
+                DrainTarget(target_id=target_id),
+            )
+
+    def publish_control_hosts(self, members_by_name):
+        """Tell the proxies which control hosts there are, if that changed."""
+        message = ControlHosts(
+            hosts=tuple(
+                ControlHost(
+                    name=name,
+                    address=member.address,
+                    peer_port=member.peer_port,
+                )
+                for name, member in sorted(members_by_name.items())
+            )
+        )
+        for session in list(self.sessions_by_host.values()):
+            if session.sent_control_hosts != message:
+                session.sent_control_hosts = message
+                eventlet.spawn_n(_send_quietly, session.connection, message)
 
     def summarize(self):
         """Return the ZoneSummary of the own zone."""
@@ -137,7 +160,7 @@
         self.acknowledgements.retain(hosts)
         return self.acknowledgements.summary(
             hosts=hosts,
-            availability_zone=host.availability_zone,
+            availability_zone=host.lease_zone,
             source=host.name,
             current=self._current_version(),
         )
@@ -363,6 +386,7 @@
         return state
 
 
-def _send_drain(connection, target_id):
+def _send_quietly(connection, item):
+    """Send to a proxy; one that is gone asks again when it is back."""
     with contextlib.suppress(ConnectionClosedError):
-        connection.send(DrainTarget(target_id=target_id))
+        connection.send(item)
--- a/verbenanotch/distribution/_session.py
+++ b/verbenanotch/distribution/_session.py
@@ -39,6 +39,7 @@
     floor_state: FloorState = FloorState.KNOWN
     floor: Version = NO_VERSION
     admitted: bool = False
+    sent_control_hosts: object = None
     sent_part: MeshPart | None = None
     sent_tables_by_service: dict[str, EntrySet] = attrs.field(factory=dict)
     signal: Signal = attrs.field(factory=Signal)
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from verbenanotch.catalog import NO_VERSION, Version
+from verbenanotch.conf import Voter
 from verbenanotch.distribution import events
 from verbenanotch.distribution._choice import (
     Candidate,
@@ -26,6 +27,7 @@
 from verbenanotch.distribution._messages import (
     Acknowledge,
     Busy,
+    ControlHosts,
     DrainTarget,
     FloorConfirmed,
     FloorReply,
@@ -70,6 +72,7 @@
     connection: object
     current: Version | None = None
     busy_until: float = 0.0
+    control_hosts: tuple = ()
     sent_at: collections.deque = attrs.field(factory=collections.deque)
 
 
@@ -98,6 +101,9 @@
         self._on_drain = on_drain
         self._on_renewed = on_renewed
         self._links_by_name = {}
+        self._named_peers = dict(settings.proxy.control_hosts_by_name)
+        self._peers_by_name = {}
+        self._dialers_by_name = {}
         self._subscribed = None
         self._attempts = 0
         self._not_before = 0.0
@@ -108,6 +114,7 @@
             settings=settings,
             holder=holder,
             send_all=self._send_all,
+            control_hosts=lambda: frozenset(self._peers_by_name),
             on_end=self._end_search,
         )
         self._changed = Signal()
@@ -127,14 +134,47 @@
 
     def start(self):
         """Dial every control host in the background."""
-        proxy = self._settings.proxy
-        for name, peer in proxy.control_hosts_by_name.items():
-            self._greenthreads.append(
-                eventlet.spawn(self._run_forever, name, peer)
-            )
+        self.follow(self._named_peers)
         self._greenthreads.append(eventlet.spawn(self._renew_forever))
         self._greenthreads.append(eventlet.spawn(self._choose_forever))
 
+    def follow(self, named_peers):
+        """Dial the control hosts that the settings name, beside the known."""
+        self._named_peers = dict(named_peers)
+        self._follow({**self._peers_by_name, **self._named_peers})
+
+    def _follow(self, peers_by_name):
+        """Dial exactly these control hosts from now on."""
+        for name in self._peers_by_name.keys() - peers_by_name.keys():
+            self._dialers_by_name.pop(name).kill()
+            link = self._links_by_name.pop(name, None)
+            if link is not None:
+                self._lose(link, "the control host left")
+        for name, peer in peers_by_name.items():
+            if self._peers_by_name.get(name) == peer:
+                continue
+            dialer = self._dialers_by_name.pop(name, None)
+            if dialer is not None:
+                dialer.kill()
+            self._dialers_by_name[name] = eventlet.spawn(
+                self._run_forever, name, peer
+            )
+        self._peers_by_name = dict(peers_by_name)
+
+    def _learn_control_hosts(self, link):
+        """Take the list of the control host that sends the updates.
+
+        Those that the settings name are dialled even if they are not on
+        it: the list may come from a control host that sees too few.
+        """
+        if link is not self._subscribed or not link.control_hosts:
+            return
+        known = {
+            host.name: Voter(address=host.address, peer_port=host.peer_port)
+            for host in link.control_hosts
+        }
+        self._follow({**self._named_peers, **known})
+
     def announce(self):
         """Send the current announcement to every control host."""
         record = self._announcement()
@@ -153,6 +193,8 @@
         self._search.stop()
         for greenthread in self._greenthreads:
             greenthread.kill()
+        for dialer in self._dialers_by_name.values():
+            dialer.kill()
         for link in list(self._links_by_name.values()):
             link.connection.close()
 
@@ -268,7 +310,7 @@
             return False
         if self._answered_at is None:
             self._answered_at = now
-        known = len(self._settings.proxy.control_hosts_by_name)
+        known = len(self._peers_by_name)
         return len(links) >= known or (
             now - self._answered_at >= LINK_WAIT_SECONDS
         )
@@ -293,6 +335,7 @@
         if name is not None:
             self._subscribed = self._links_by_name[name]
             self._subscribe()
+            self._learn_control_hosts(self._subscribed)
 
     def _subscribe(self):
         holder = self._holder
@@ -315,6 +358,9 @@
                 self._apply(link, item)
             case Renewed() | AnnounceNeeded():
                 self._receive_lease(link, item)
+            case ControlHosts(hosts=hosts):
+                link.control_hosts = hosts
+                self._learn_control_hosts(link)
             case DrainTarget(target_id=target_id):
                 self._on_drain(target_id)
             case Busy(retry_after_ms=retry_after_ms):
--- a/verbenanotch/membership/_directory.py
+++ b/verbenanotch/membership/_directory.py
@@ -144,7 +144,7 @@
         own = {
             host
             for host, record in self.records_by_host.items()
-            if record.availability_zone == table.availability_zone
+            if record.lease_zone == table.availability_zone
         }
         return self.refresh(own | set(table.records_by_host))
 
@@ -193,7 +193,7 @@
             )
             for service in services
         }
-        if record.availability_zone == self.zone_table.availability_zone:
+        if record.lease_zone == self.zone_table.availability_zone:
             bare = attrs.evolve(record, sequence=0, targets=())
             entries[ALL_HOSTS] = encode_entry(bare)
         return entries
--- a/verbenanotch/membership/_exchange.py
+++ b/verbenanotch/membership/_exchange.py
@@ -6,6 +6,7 @@
 import attrs
 import eventlet
 
+from verbenanotch.conf import Voter
 from verbenanotch.membership import events
 from verbenanotch.membership._directory import Stale, Taken, WrongBase
 from verbenanotch.membership._entry_set import EntrySet, decode_entry
@@ -64,18 +65,32 @@
         self._followed_sequence = None
         self._signals = set()
         self._greenthreads = []
+        self._followed_names = {settings.host.name}
         self._connections_by_zone = {}
         self.summaries_by_zone = {}
 
     def start(self):
         """Dial the own zone's control hosts and one of each other zone."""
         for zone, peers_by_name in self._peers_by_zone().items():
-            if zone == self._settings.host.availability_zone:
+            self._followed_names.update(peers_by_name)
+            if zone == self._settings.host.lease_zone:
                 for name, peer in peers_by_name.items():
                     self._spawn(zone, {name: peer})
             else:
                 self._spawn(zone, peers_by_name)
 
+    def follow(self, members_by_name):
+        """Exchange with control hosts that were found since the start.
+
+        One whose zone the settings don't tell is dialled by itself.
+        """
+        for name, member in members_by_name.items():
+            if name in self._followed_names:
+                continue
+            self._followed_names.add(name)
+            peer = Voter(address=member.address, peer_port=member.peer_port)
+            self._spawn("", {name: peer})
+
     def stop(self):
         """End every exchange."""
         for greenthread in self._greenthreads:
@@ -100,7 +115,7 @@
     def handle(self, connection):
         """Serve the own zone's table to a control host."""
         hello = connection.receive()
-        own_zone = self._settings.host.availability_zone
+        own_zone = self._settings.host.lease_zone
         same_zone = hello.availability_zone == own_zone
         table = self._direct if same_zone else self._whole
         session = _Session(
@@ -223,7 +238,7 @@
         connection.set_timeout(SILENCE_SECONDS)
         connection.send(
             ZoneHello(
-                availability_zone=host.availability_zone,
+                availability_zone=host.lease_zone,
                 held_digest=self._held_digest(peer, feed.name),
             )
         )
@@ -258,7 +273,7 @@
                     self._on_change()
 
     def _take(self, update, feed):
-        if update.availability_zone != self._settings.host.availability_zone:
+        if update.availability_zone != self._settings.host.lease_zone:
             return self._directory.receive(update, now=time.monotonic())
         entries = EntrySet() if update.whole else feed.entries
         if not update.whole and entries.digest != update.base_digest:
--- a/verbenanotch/membership/_records.py
+++ b/verbenanotch/membership/_records.py
@@ -7,8 +7,8 @@
 class TargetRecord:
     """One target as its proxy announces it.
 
-    `target_id` is `service/address:port`. `incarnation` grows each time the
-    target starts again.
+    `target_id` is `service/address:port` unless the target has a name of
+    its own. `incarnation` grows each time the target starts again.
     """
 
     target_id: str
@@ -26,7 +26,8 @@
 
     `incarnation` grows each time the proxy starts again, `sequence` with
     each change of its targets; together they order the records of a host.
-    `address` and `peer_port` are where other proxies reach it.
+    `address` and `peer_port` are where other proxies reach it. An empty
+    `control_zone` stands for the availability zone.
     """
 
     host: str
@@ -36,6 +37,12 @@
     incarnation: int
     sequence: int
     targets: tuple[TargetRecord, ...] = ()
+    control_zone: str = ""
+
+    @property
+    def lease_zone(self):
+        """Return the zone whose control hosts hold the host's lease."""
+        return self.control_zone or self.availability_zone
 
     @property
     def order(self):
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -11,6 +11,7 @@
 from verbenanotch.proxy._peer_pool import PeerPool
 from verbenanotch.proxy._peer_server import PeerServer
 from verbenanotch.proxy._probe import TargetProbe
+from verbenanotch.proxy._readiness import ReadinessInterface
 from verbenanotch.proxy._record_keeper import RecordKeeper
 
 __all__ = [
@@ -23,6 +24,7 @@
     "LocalTargets",
     "PeerPool",
     "PeerServer",
+    "ReadinessInterface",
     "RecordKeeper",
     "TargetInterface",
     "TargetProbe",
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -205,6 +205,8 @@
         depth=request.depth,
         retries_below=attempt.below().attempts_left - 1,
         traced=request.traced,
+        caller=request.caller,
+        priority=request.priority,
     )
 
 
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -1,12 +1,15 @@
 """The HTTP interface for callers."""
 
+import random
 import time
 import traceback
 
+from verbenanotch.catalog import NO_VERSION
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
 from verbenanotch.proxy._caller_body import read_body
 from verbenanotch.proxy._cancellation import Cancellation
+from verbenanotch.proxy._headers import KEY_HEADER, environ_key
 from verbenanotch.proxy._outcome import (
     DEFAULT_RETRY_AFTER_MS,
     Answered,
@@ -14,20 +17,37 @@
     Rejected,
     Unknown,
 )
-from verbenanotch.proxy._request import check_request, request_id_of
+from verbenanotch.proxy._request import RequestReader
 from verbenanotch.proxy._response import respond
 from verbenanotch.proxy._tracing import TraceSampler
+from verbenanotch.routing import choose_service
 from verbenanotch.telemetry import emit, metrics
 
+KEY_FIELD = environ_key(KEY_HEADER)
+
 
 class EntryInterface:
     """WSGI application that sends callers' requests through the mesh."""
 
-    def __init__(self, *, settings, holder, dispatcher, callers, keyed):
+    def __init__(
+        self,
+        *,
+        settings,
+        holder,
+        dispatcher,
+        callers,
+        keyed,
+        caller_service=lambda: "",
+    ):
         """Route by the snapshot of `holder`; watch `callers` for ends.
 
         `keyed` is the KeyedRequests that runs requests with a key.
+        `caller_service` returns the service of the host's own targets.
         """
+        self._caller_service = caller_service
+        self._names = settings.proxy.headers
+        self._reader = RequestReader(names=self._names)
+        self._random = random.Random()
         self._keyed = keyed
         self._settings = settings
         self._holder = holder
@@ -42,7 +62,7 @@
     def application(self, environ, start_response):
         """Answer one request; the WSGI entry point."""
         started = time.monotonic()
-        request_id = request_id_of(environ)
+        request_id = self._reader.request_id_of(environ)
         traced = self._sampler.admit(started)
         self.in_flight += 1
         try:
@@ -61,7 +81,12 @@
             self.in_flight -= 1
         self._record(request_id, outcome, started, traced)
         return respond(
-            outcome, request_id, environ["REQUEST_METHOD"], start_response
+            outcome,
+            request_id,
+            environ["REQUEST_METHOD"],
+            start_response,
+            self._names,
+            fractional=self._settings.proxy.fractional_retry_after,
         )
 
     def _outcome(self, environ, request_id, started, traced):
@@ -72,14 +97,18 @@
             return Rejected(
                 status=400, kind="bad-path", remedy="Send an absolute path."
             )
-        found = self._holder.snapshot.route_table.match(path)
+        snapshot = self._holder.snapshot
+        found = snapshot.route_table.match(path, environ.get("HTTP_HOST", ""))
         if found is None:
-            return _refused(environ, reasons.NO_ROUTE)
-        request = check_request(
+            return self._unrouted(environ, snapshot)
+        route_name, route = found
+        request = self._reader.read(
             environ,
             request_id=request_id,
-            route_name=found[0],
-            route=found[1],
+            route_name=route_name,
+            route=route,
+            service=choose_service(route, self._random),
+            caller=self._caller_service(),
             now=started,
             read_body=lambda deadline: read_body(
                 environ,
@@ -92,6 +121,16 @@
             return request
         return self._run(environ, request)
 
+    def _unrouted(self, environ, snapshot):
+        """Return how a request ends that no route matches."""
+        if snapshot.version == NO_VERSION or KEY_FIELD in environ:
+            return _refused(environ, reasons.NO_ROUTE)
+        return Rejected(
+            status=404,
+            kind=reasons.NO_ROUTE,
+            remedy="Send a host and a path that a route of the mesh covers.",
+        )
+
     def _run(self, environ, request):
         cancellation = Cancellation()
         if request.key and not request.idempotent:
@@ -132,7 +171,7 @@
     With a key, an earlier attempt may have run, and its holders were not
     asked.
     """
-    if "HTTP_IDEMPOTENCY_KEY" in environ:
+    if KEY_FIELD in environ:
         return Unknown(
             reason=f"key-{reason}", retry_after_ms=DEFAULT_RETRY_AFTER_MS
         )
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -6,16 +6,23 @@
 import eventlet
 import urllib3
 
+from verbenanotch.conf import HeaderNames
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy._headers import target_headers, without_hop_headers
 from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
 from verbenanotch.proxy.exceptions import (
+    AnswerForeignError,
     AnswerTooLargeError,
     AnswerUnboundedError,
     ProxyError,
 )
+from verbenanotch.telemetry import metrics
 
 READ_BYTES = 64 * 1024
+MISDIRECTED = 421
+# Answers to earlier requests that a target may send late on a connection.
+MAX_FOREIGN_ANSWERS = 3
+DEFAULT_NAMES = HeaderNames()
 MILLISECONDS_PER_SECOND = 1000
 _FAILURES = (
     OSError,
@@ -27,12 +34,23 @@
 )
 
 
-def exchange(connections, call, *, deadline, cancellation, max_body_bytes):
+def exchange(
+    connections,
+    call,
+    *,
+    deadline,
+    cancellation,
+    max_body_bytes,
+    names=DEFAULT_NAMES,
+    echoes_id=False,
+):
     """Send a call to its target; return the outcome with the whole answer.
 
     `deadline` is in monotonic seconds. An idle connection that fails before
     the system took a byte is replaced by the next one; once a byte may have
-    left, every failure is Unknown.
+    left, every failure is Unknown. `names` is a HeaderNames. Where targets
+    echo the request's id, an answer with another id belongs to an earlier
+    request and is dropped.
     """
     while True:
         remaining = deadline - time.monotonic()
@@ -51,7 +69,14 @@
             call,
             deadline=deadline,
             cancellation=cancellation,
-            max_body_bytes=max_body_bytes,
+            read_answer=lambda connection: _read_answer(
+                connection,
+                call,
+                max_body_bytes=max_body_bytes,
+                names=names,
+                echoes_id=echoes_id,
+            ),
+            names=names,
         )
         stale = pooled and isinstance(outcome, NotRun)
         if not stale:
@@ -59,16 +84,22 @@
 
 
 def _attempt(
-    connections, connection, call, *, deadline, cancellation, max_body_bytes
+    connections,
+    connection,
+    call,
+    *,
+    deadline,
+    cancellation,
+    read_answer,
+    names,
 ):
     """Exchange on one connection; give it back if it can be used again."""
     reusable = False
     timeout = eventlet.Timeout(max(0, deadline - time.monotonic()))
     cancellation.on_cancel(connection.abort)
     try:
-        outcome, reusable = _send_and_read(
-            connection, call, deadline, max_body_bytes
-        )
+        _send(connection, call, deadline, names)
+        outcome, reusable = read_answer(connection)
     except eventlet.Timeout as error:
         if error is not timeout:
             raise
@@ -98,24 +129,50 @@
     return f"{reasons.TARGET_BROKE_OFF}: {kind}"
 
 
-def _send_and_read(connection, call, deadline, max_body_bytes):
+def _send(connection, call, deadline, names):
     left_ms = int((deadline - time.monotonic()) * MILLISECONDS_PER_SECOND)
     connection.request(
         call.method,
         call.path,
         body=call.body or None,
-        headers=target_headers(call, max(1, left_ms)),
+        headers=target_headers(call, max(1, left_ms), names),
         preload_content=False,
         decode_content=False,
     )
-    response = connection.getresponse()
-    body = _read_whole(response, max_body_bytes)
+
+
+def _read_answer(connection, call, *, max_body_bytes, names, echoes_id):
+    """Return the outcome, and whether the connection can be used again."""
+    for _ in range(MAX_FOREIGN_ANSWERS):
+        response = connection.getresponse()
+        body = _read_whole(response, max_body_bytes)
+        echoed = response.headers.get(names.request_id)
+        if not echoes_id or echoed == call.request_id:
+            break
+        metrics.increment("proxy.foreign_answer_dropped")
+        if connection.sock is None:
+            raise AnswerForeignError(
+                "the target answered another request and closed"
+            )
+        connection.expect_answer(call.method)
+    else:
+        raise AnswerForeignError("the target answered other requests only")
+    reusable = connection.sock is not None
+    if _was_not_run(response, names):
+        return NotRun(reason=reasons.TARGET_REFUSED), reusable
     outcome = Answered(
         status=response.status,
         headers=without_hop_headers(response.headers.items()),
         body=body,
     )
-    return outcome, connection.sock is not None
+    return outcome, reusable
+
+
+def _was_not_run(response, names):
+    """Return whether the target itself says that it ran nothing."""
+    if names.not_run and names.not_run in response.headers:
+        return True
+    return bool(names.target) and response.status == MISDIRECTED
 
 
 def _read_whole(response, max_body_bytes):
--- a/verbenanotch/proxy/_headers.py
+++ b/verbenanotch/proxy/_headers.py
@@ -1,10 +1,5 @@
 """Headers of the request path: names, rules, what travels on."""
 
-OUTCOME_HEADER = "X-Verbenanotch-Outcome"
-REQUEST_ID_HEADER = "X-Request-Id"
-TIMEOUT_HEADER = "X-Request-Timeout-Ms"
-DEPTH_HEADER = "X-Verbenanotch-Depth"
-RETRIES_HEADER = "X-Verbenanotch-Retries"
 KEY_HEADER = "Idempotency-Key"
 
 HOP_HEADERS = frozenset(
@@ -22,16 +17,31 @@
         "upgrade",
     )
 )
-CALL_HEADERS = frozenset(
-    name.lower()
-    for name in (
-        OUTCOME_HEADER,
-        REQUEST_ID_HEADER,
-        TIMEOUT_HEADER,
-        DEPTH_HEADER,
-        RETRIES_HEADER,
+
+
+def own_headers(names):
+    """Return the headers that only proxies set, in lower case.
+
+    `names` is a HeaderNames.
+    """
+    return frozenset(
+        name.lower()
+        for name in (
+            names.request_id,
+            names.timeout,
+            names.outcome,
+            names.depth,
+            names.retries,
+            names.target,
+            names.caller,
+        )
+        if name
     )
-)
+
+
+def environ_key(name):
+    """Return the WSGI key of a request header."""
+    return "HTTP_" + name.upper().replace("-", "_")
 
 
 def without_hop_headers(items):
@@ -53,12 +63,15 @@
     )
 
 
-def caller_headers(items):
-    """Return what a caller's headers contribute to a call."""
+def caller_headers(items, own):
+    """Return what a caller's headers contribute to a call.
+
+    `own` are the `own_headers`.
+    """
     return tuple(
         (name, value)
         for name, value in without_hop_headers(items)
-        if name.lower() not in CALL_HEADERS
+        if name.lower() not in own
     )
 
 
@@ -83,18 +96,18 @@
         return self._pairs
 
 
-def target_headers(call, remaining_ms):
+def target_headers(call, remaining_ms, names):
     """Return the headers that a target gets.
 
     A target that calls on passes the request id, timeout, depth and retries
     to its own proxy.
     """
-    return HeaderPairs(
-        (
-            *call.headers,
-            (REQUEST_ID_HEADER, call.request_id),
-            (TIMEOUT_HEADER, str(remaining_ms)),
-            (DEPTH_HEADER, str(call.depth + 1)),
-            (RETRIES_HEADER, str(call.retries_below)),
-        )
+    own = (
+        (names.request_id, call.request_id),
+        (names.timeout, str(remaining_ms)),
+        (names.depth, str(call.depth + 1)),
+        (names.retries, str(call.retries_below)),
+        (names.target, call.target_id),
+        (names.caller, call.caller),
     )
+    return HeaderPairs((*call.headers, *(item for item in own if item[0])))
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -13,28 +13,50 @@
 from verbenanotch.proxy._target_connection import TargetConnections
 from verbenanotch.telemetry import emit, metrics
 
-ANNOUNCEMENT_LEASE_SECONDS = 4.0
 MILLISECONDS_PER_SECOND = 1000
+# Ends of targets that are remembered against announcements that come late.
+MAX_ENDED_TARGETS = 64
 
 
 @attrs.define(kw_only=True)
 class LocalTarget:
-    """One announced target with its connections."""
+    """One announced target with its connections.
+
+    `sequence` is that of its latest announcement.
+    """
 
     record: TargetRecord
     connections: TargetConnections
     slots: Slots
     expires_at: float
+    sequence: int = 0
+
+    @property
+    def order(self):
+        """Key by which a later announcement of the target is greater."""
+        return (self.record.incarnation, self.sequence)
 
 
 class LocalTargets:
     """Keep the host's targets and run calls at them."""
 
-    def __init__(self, *, settings, incarnation, on_change, guard=None):
+    def __init__(
+        self,
+        *,
+        settings,
+        incarnation,
+        on_change,
+        guard=None,
+        known_services=frozenset,
+    ):
         """Call `on_change` whenever the announcement changes.
 
-        `guard` is the CrashGuard that learns of deaths.
+        `guard` is the CrashGuard that learns of deaths. `known_services`
+        returns the names of the services of the mesh.
         """
+        self._known_services = known_services
+        self._ended_orders_by_id = {}
+        self._service = settings.proxy.local_service
         self._guard = guard
         self._settings = settings
         self._incarnation = incarnation
@@ -55,20 +77,80 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             targets=tuple(target.record for target in targets),
+            control_zone=host.control_zone,
         )
 
+    @property
+    def service(self):
+        """Return the service of the target that announced itself last."""
+        return self._service
+
+    def expect_service(self, service):
+        """Note which service the host's targets have from now on."""
+        if service and not self.targets_by_id:
+            self._service = service
+
     def leave(self):
         """Announce no targets from now on; their calls go on."""
         self._leaving = True
         self._changed()
 
-    def announce(self, record):
-        """Take or renew the announcement of a target."""
-        expires_at = time.monotonic() + ANNOUNCEMENT_LEASE_SECONDS
+    def announce(self, record, *, sequence=0):
+        """Take or renew the announcement of a target.
+
+        Return False for one that is not to be used: of an unknown service,
+        or sent before what is known of its target or of its address.
+        """
+        if not self._is_current(record, sequence):
+            metrics.increment("proxy.announcements_outdated")
+            return False
+        expires_at = time.monotonic() + (
+            self._settings.proxy.announcement_lease_ms
+            / MILLISECONDS_PER_SECOND
+        )
+        self._service = record.service
+        held = self.targets_by_id.get(record.target_id)
+        if held is None or held.record.incarnation != record.incarnation:
+            self._replace(record, expires_at)
+            held = self.targets_by_id[record.target_id]
+        held.expires_at = expires_at
+        held.sequence = sequence
+        if record.draining:
+            self.drain(record.target_id)
+        return True
+
+    def _is_current(self, record, sequence):
+        """Return whether an announcement is the latest of its target."""
+        known = self._known_services()
+        if known and record.service not in known:
+            return False
+        order = (record.incarnation, sequence)
+        ended = self._ended_orders_by_id.get(record.target_id)
+        if ended is not None and order <= ended:
+            return False
+        held = self.targets_by_id.get(record.target_id)
+        if held is not None and order < held.order:
+            return False
+        return all(
+            other.record.incarnation <= record.incarnation
+            for other in self._others_at(record)
+        )
+
+    def _others_at(self, record):
+        """Return the other targets at the address of a record."""
+        return [
+            other
+            for other in self.targets_by_id.values()
+            if other.record.target_id != record.target_id
+            and (other.record.address, other.record.port)
+            == (record.address, record.port)
+        ]
+
+    def _replace(self, record, expires_at):
+        """Hold a new target, and no other one at its address."""
+        for other in self._others_at(record):
+            self.remove(other.record.target_id)
         held = self.targets_by_id.get(record.target_id)
-        if held is not None and held.record.incarnation == record.incarnation:
-            held.expires_at = expires_at
-            return
         if held is not None:
             held.connections.close()
         self.targets_by_id[record.target_id] = LocalTarget(
@@ -81,7 +163,12 @@
             slots=Slots(count=record.slots),
             expires_at=expires_at,
         )
-        emit(events.TARGET_ANNOUNCED, target=record.target_id)
+        emit(
+            events.TARGET_ANNOUNCED,
+            target=record.target_id,
+            service=record.service,
+            incarnation=record.incarnation,
+        )
         self._changed()
 
     def drain(self, target_id):
@@ -101,6 +188,10 @@
         if target is None:
             return False
         target.connections.close()
+        self._ended_orders_by_id[target_id] = target.order
+        if len(self._ended_orders_by_id) > MAX_ENDED_TARGETS:
+            oldest = next(iter(self._ended_orders_by_id))
+            del self._ended_orders_by_id[oldest]
         emit(events.TARGET_LEFT, target=target_id)
         self._changed()
         return True
@@ -157,6 +248,8 @@
             deadline=deadline,
             cancellation=cancellation,
             max_body_bytes=self._settings.proxy.max_body_bytes,
+            names=self._settings.proxy.headers,
+            echoes_id=self._settings.proxy.targets_echo_request_id,
         )
         self._learn(target, call, outcome)
         elapsed_ms = (time.monotonic() - started) * MILLISECONDS_PER_SECOND
--- a/verbenanotch/proxy/_outcome.py
+++ b/verbenanotch/proxy/_outcome.py
@@ -15,6 +15,8 @@
     sent. `attempt` counts from 1. `depth` is the number of mesh calls above
     this one. `retries_below` is the number of retries that the target's own
     calls may use. `traced` asks for events of an ordinary call too.
+    `caller` is the service beside the proxy that took the request.
+    `priority` ranks the request, the lowest first.
     """
 
     request_id: str
@@ -30,6 +32,8 @@
     depth: int = 0
     retries_below: int = 0
     traced: bool = False
+    caller: str = ""
+    priority: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -10,6 +10,7 @@
 TARGET_GONE = "target-gone"
 TARGET_DRAINING = "target-draining"
 TARGET_FULL = "target-full"
+TARGET_REFUSED = "target-refused"
 TARGET_UNREACHABLE = "target-unreachable"
 TARGET_BROKE_OFF = "target-broke-off"
 
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -9,12 +9,10 @@
 from verbenanotch.catalog import MAX_CALL_DEPTH, MAX_TIMEOUT_MS
 from verbenanotch.idempotency import issued_at_ms
 from verbenanotch.proxy._headers import (
-    DEPTH_HEADER,
     KEY_HEADER,
-    REQUEST_ID_HEADER,
-    RETRIES_HEADER,
-    TIMEOUT_HEADER,
     caller_headers,
+    environ_key,
+    own_headers,
 )
 from verbenanotch.proxy._outcome import Rejected
 
@@ -45,31 +43,65 @@
     depth: int = 0
     key: str = ""
     traced: bool = False
-
-
-def request_id_of(environ):
-    """Return the request id that the caller gave, or a new one."""
-    given = environ.get("HTTP_X_REQUEST_ID", "")
-    if REQUEST_ID_PATTERN.fullmatch(given):
-        return given
-    return uuid.uuid4().hex
+    caller: str = ""
+    priority: int = 0
+
+
+class RequestReader:
+    """Check callers' requests, by the names of headers in the settings."""
+
+    def __init__(self, *, names):
+        """Take a HeaderNames."""
+        self._names = names
+        self._own_headers = own_headers(names)
+        self._id_key = environ_key(names.request_id)
+
+    def request_id_of(self, environ):
+        """Return the request id that the caller gave, or a new one."""
+        given = environ.get(self._id_key, "")
+        if REQUEST_ID_PATTERN.fullmatch(given):
+            return given
+        return uuid.uuid4().hex
+
+    def read(self, environ, **values):
+        """Return a Request or Rejected; see `check_request`."""
+        return check_request(
+            environ,
+            names=self._names,
+            own=self._own_headers,
+            **values,
+        )
 
 
 def check_request(
-    environ, *, request_id, route_name, route, now, read_body, traced=False
+    environ,
+    *,
+    names,
+    own,
+    request_id,
+    route_name,
+    route,
+    service,
+    now,
+    read_body,
+    traced=False,
+    caller="",
 ):
     """Return a Request with its body, or Rejected.
 
-    `now` is the time of arrival in monotonic seconds. `read_body` takes the
-    deadline and returns the body, or Rejected.
+    `names` is a HeaderNames and `own` its `own_headers`. `service` is the
+    one of the route's services that the request goes to. `now` is the time
+    of arrival in monotonic seconds. `read_body` takes the deadline and
+    returns the body, or Rejected. The route's timeout bounds the caller's.
     """
-    timeout_ms = _number(environ, TIMEOUT_HEADER, route.timeout_ms)
-    depth = _number(environ, DEPTH_HEADER, 0)
-    retries = _number(environ, RETRIES_HEADER, math.inf)
+    timeout_ms = _number(environ, names.timeout, route.timeout_ms)
+    depth = _number(environ, names.depth, 0)
+    retries = _number(environ, names.retries, math.inf)
     key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
-    rejected = _rejected(environ, timeout_ms, depth, retries, key)
+    rejected = _rejected(environ, names, timeout_ms, depth, retries, key)
     if rejected is not None:
         return rejected
+    timeout_ms = min(timeout_ms, route.timeout_ms)
     deadline = now + timeout_ms / MILLISECONDS_PER_SECOND
     body = read_body(deadline)
     if isinstance(body, Rejected):
@@ -80,10 +112,10 @@
     return Request(
         request_id=request_id,
         route_name=route_name,
-        service=route.service,
+        service=service,
         method=method,
         path=f"{path}?{query}" if query else path,
-        headers=caller_headers(environ["headers_raw"]),
+        headers=caller_headers(environ["headers_raw"], own),
         body=body,
         deadline=deadline,
         idempotent=method in route.idempotent_methods,
@@ -91,21 +123,23 @@
         depth=depth,
         key=key,
         traced=traced,
+        caller=caller,
+        priority=route.priority,
     )
 
 
-def _rejected(environ, timeout_ms, depth, retries, key):
+def _rejected(environ, names, timeout_ms, depth, retries, key):
     if timeout_ms is None or not 0 < timeout_ms <= MAX_TIMEOUT_MS:
         return Rejected(
             status=400,
             kind="bad-timeout",
-            remedy=f"Send {TIMEOUT_HEADER} of 1 to {MAX_TIMEOUT_MS}.",
+            remedy=f"Send {names.timeout} of 1 to {MAX_TIMEOUT_MS}.",
         )
     if depth is None or retries is None:
         return Rejected(
             status=400,
             kind="bad-call-headers",
-            remedy=f"Pass {DEPTH_HEADER} and {RETRIES_HEADER} on unchanged.",
+            remedy=f"Pass {names.depth} and {names.retries} on unchanged.",
         )
     if depth >= MAX_CALL_DEPTH:
         return Rejected(
@@ -120,12 +154,12 @@
             remedy=f"Send as {KEY_HEADER} a version 7 UUID, or the 13 "
             "digits of the milliseconds since 1970, a hyphen and any text.",
         )
-    given = environ.get("HTTP_X_REQUEST_ID")
+    given = environ.get(environ_key(names.request_id))
     if given is not None and not REQUEST_ID_PATTERN.fullmatch(given):
         return Rejected(
             status=400,
             kind="bad-request-id",
-            remedy=f"Send {REQUEST_ID_HEADER} of at most "
+            remedy=f"Send {names.request_id} of at most "
             f"{MAX_REQUEST_ID_CHARACTERS} visible ASCII characters, or none.",
         )
     return None
@@ -133,7 +167,7 @@
 
 def _number(environ, header, default):
     """Return a header's number, None if it is none, or the default."""
-    text = environ.get("HTTP_" + header.upper().replace("-", "_"))
+    text = environ.get(environ_key(header)) if header else None
     if text is None:
         return default
     if not NUMBER_PATTERN.fullmatch(text):
--- a/verbenanotch/proxy/_response.py
+++ b/verbenanotch/proxy/_response.py
@@ -4,49 +4,55 @@
 import json
 import math
 
-from verbenanotch.proxy._headers import OUTCOME_HEADER, REQUEST_ID_HEADER
 from verbenanotch.proxy._outcome import Answered, NotRun, Rejected, Unknown
 
 MILLISECONDS_PER_SECOND = 1000
-OWN_HEADERS = frozenset((OUTCOME_HEADER.lower(), REQUEST_ID_HEADER.lower()))
 BODILESS_STATUSES = frozenset((204, 304))
 
 
-def respond(outcome, request_id, method, start_response):
-    """Start the answer to a caller; return its WSGI body."""
+def respond(
+    outcome, request_id, method, start_response, names, *, fractional=False
+):
+    """Start the answer to a caller; return its WSGI body.
+
+    `names` is a HeaderNames. Retry-After is `fractional` or in whole
+    seconds, as the standard has it.
+    """
+    own = {names.outcome.lower(), names.request_id.lower()}
     match outcome:
         case Answered(status=status, headers=headers, body=body):
             name = "answered"
             fields = [
-                field
-                for field in headers
-                if field[0].lower() not in OWN_HEADERS
+                field for field in headers if field[0].lower() not in own
             ]
             if status not in BODILESS_STATUSES and method != "HEAD":
                 fields.append(("Content-Length", str(len(body))))
         case _:
-            status, name, fields, body = _own_answer(outcome, request_id)
-    fields.append((OUTCOME_HEADER, name))
-    fields.append((REQUEST_ID_HEADER, request_id))
+            status, name, fields, body = _own_answer(
+                outcome, request_id, fractional
+            )
+    if names.outcome:
+        fields.append((names.outcome, name))
+    fields.append((names.request_id, request_id))
     start_response(_status_line(status), fields)
     return [body]
 
 
-def _own_answer(outcome, request_id):
+def _own_answer(outcome, request_id, fractional):
     """Return status, outcome name, headers and body of a mesh answer."""
     document = {"request_id": request_id}
     fields = [("Content-Type", "application/json")]
     match outcome:
         case NotRun(reason=reason, retry_after_ms=retry_after_ms):
             status, name = 503, "not-run"
-            fields.append(_retry_after(retry_after_ms))
+            fields.append(_retry_after(retry_after_ms, fractional))
             document["reason"] = reason
             document["retry_after_ms"] = retry_after_ms
         case Unknown(reason=reason):
             status, name = 504, "unknown"
             document["reason"] = reason
             if outcome.retry_after_ms:
-                fields.append(_retry_after(outcome.retry_after_ms))
+                fields.append(_retry_after(outcome.retry_after_ms, fractional))
         case Rejected(status=status, kind=kind, remedy=remedy):
             name = "not-run"
             document["reason"] = kind
@@ -57,8 +63,11 @@
     return status, name, fields, body
 
 
-def _retry_after(retry_after_ms):
-    """Return the header, whose unit is whole seconds."""
+def _retry_after(retry_after_ms, fractional):
+    """Return the header, whose unit is seconds."""
+    if fractional:
+        seconds = retry_after_ms / MILLISECONDS_PER_SECOND
+        return ("Retry-After", f"{seconds:.3f}")
     seconds = math.ceil(retry_after_ms / MILLISECONDS_PER_SECOND)
     return ("Retry-After", str(max(1, seconds)))
 
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -57,6 +57,12 @@
             return False
         return False
 
+    def expect_answer(self, method):
+        """Read one more answer, after one that was not to the request."""
+        self._HTTPConnection__state = "Request-sent"
+        self._HTTPConnection__response = None
+        self._method = method
+
     def abort(self):
         """Wake a greenthread that waits on the socket; it gets an error."""
         if self.sock is not None:
@@ -73,6 +79,7 @@
         self._port = port
         self._max_idle = max_idle
         self._idle = collections.deque()
+        self._closed = False
 
     def take_idle(self):
         """Return a fresh idle connection, or None."""
@@ -110,6 +117,9 @@
         """Keep a connection whose last answer was read to its end."""
         if connection.sock is None:
             return
+        if self._closed:
+            connection.close()
+            return
         if len(self._idle) >= self._max_idle:
             connection.close()
             return
@@ -135,6 +145,7 @@
             self._idle.appendleft(connection)
 
     def close(self):
-        """Close every idle connection."""
+        """Close every idle connection, and others when they come back."""
+        self._closed = True
         while self._idle:
             self._idle.pop().close()
--- a/verbenanotch/proxy/exceptions.py
+++ b/verbenanotch/proxy/exceptions.py
@@ -19,6 +19,12 @@
     kind = "stream-reused"
 
 
+class AnswerForeignError(ProxyError):
+    """A target answered another request than the one in flight."""
+
+    kind = "answer-foreign"
+
+
 class AnswerTooLargeError(ProxyError):
     """A target's answer is over the bound for bodies."""
 
--- a/verbenanotch/replication/_effects.py
+++ b/verbenanotch/replication/_effects.py
@@ -8,10 +8,16 @@
 
 @attrs.frozen(kw_only=True)
 class Timing:
-    """Delays in seconds."""
+    """Delays in seconds.
+
+    A leader keeps `wanted_voters` by itself, 0 turns that off; it gives up
+    a voter that was silent for `voter_patience`.
+    """
 
     election_timeout: float
     heartbeat: float
+    wanted_voters: int = 0
+    voter_patience: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/verbenanotch/replication/_leader.py
+++ b/verbenanotch/replication/_leader.py
@@ -13,6 +13,7 @@
 from verbenanotch.replication._leadership import Leadership, PendingRead
 from verbenanotch.replication._messages import Append, SnapshotReply
 from verbenanotch.replication._roles import NOBODY, Role
+from verbenanotch.replication._voters import decide_voters
 
 MAX_APPEND_BYTES = 1024 * 1024
 LEARNER_PATIENCE_TIMEOUTS = 10
@@ -127,6 +128,7 @@
             patience=LEARNER_PATIENCE_TIMEOUTS * timeout,
         )
         self._readmit(now)
+        self._replace_lost_voters(now)
         self._heartbeat(now)
 
     def _heartbeat(self, now):
@@ -302,6 +304,30 @@
                 )
                 return
 
+    def _replace_lost_voters(self, now):
+        """Keep as many live voters as the settings want."""
+        wanted = self._timing.wanted_voters
+        if not wanted or not self.may_change_voters():
+            return
+        changed = decide_voters(
+            self.log.configuration,
+            caught_up_by_name={
+                name: member
+                for name, member in self.members_by_name.items()
+                if self._is_caught_up(member.id, now)
+            },
+            silent_seconds_by_id={
+                member_id: now - progress.acked_at
+                for member_id, progress in (
+                    self._leadership.progress_by_id.items()
+                )
+            },
+            wanted=wanted,
+            patience=self._timing.voter_patience,
+        )
+        if changed is not None:
+            self.change_configuration(changed, now)
+
     def _is_caught_up(self, member_id, now):
         """Tell whether a peer answers and holds all that is committed."""
         progress = self._leadership.progress_by_id.get(member_id)
--- a/verbenanotch/replication/_links.py
+++ b/verbenanotch/replication/_links.py
@@ -32,6 +32,7 @@
         self.address = address
         self.port = port
         self.remote_id = ""
+        self.member = None
         self._links = links
         self._outbox = queue.LightQueue(MAX_QUEUED_MESSAGES)
         self._heard_at = 0.0
@@ -126,6 +127,7 @@
                 self._heard_at = time.monotonic()
                 if isinstance(message, Hello):
                     self._links.accept_hello(message, connection)
+                    self.member = message.member
                     self.remote_id = message.member.id
                     self._was_greeted = True
         except wire.WireError:
@@ -174,6 +176,14 @@
             return False
         return link.send(message)
 
+    def connected_members_by_name(self):
+        """Return the members to which there is a link."""
+        return {
+            name: link.member
+            for name, link in self._links_by_name.items()
+            if link.remote_id
+        }
+
     def stop(self):
         """Close all connections."""
         for link in self._links_by_name.values():
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -73,6 +73,22 @@
         self._links = None
         self._requests = None
         self._running = False
+        self._added_peers_by_name = {}
+
+    def add_peers(self, peers_by_name):
+        """Dial these control hosts too; each is a Voter of the settings."""
+        self._added_peers_by_name.update(peers_by_name)
+
+    def members_by_name(self):
+        """Return the voters and the other connected control hosts.
+
+        Each is a Member; this host is among them once it has a cluster.
+        """
+        members = self._driver.core.log.configuration.voters_by_name
+        members.update(self._links.connected_members_by_name())
+        if self._identity.cluster_id:
+            members[self._own.name] = self._own
+        return members
 
     def start(self):
         """Read the data folder and take part.
@@ -208,6 +224,12 @@
         timing = Timing(
             election_timeout=control.election_timeout_ms / MILLISECONDS,
             heartbeat=control.heartbeat_ms / MILLISECONDS,
+            wanted_voters=(
+                2 * control.tolerated_losses + 1
+                if control.tolerated_losses
+                else 0
+            ),
+            voter_patience=control.voter_patience_ms / MILLISECONDS,
         )
         core = Core(
             own_id=self._own.id,
@@ -240,7 +262,10 @@
             driver=self._driver, send=self._links.send, own_id=self._own.id
         )
         self._bootstrap = Bootstrap(
-            own=self._own, voter_names=control.voters_by_name
+            own=self._own,
+            voter_names=(
+                control.voters_by_name if control.may_create_cluster else ()
+            ),
         )
 
     def _make_hello(self):
@@ -283,6 +308,7 @@
             if core.leader_id:
                 alone_seconds = 0.0
             peers_by_name = dict(control.voters_by_name)
+            peers_by_name.update(self._added_peers_by_name)
             if alone_seconds > MAX_ALONE_SECONDS:
                 peers_by_name.update(control.control_hosts_by_name)
             for name, peer in peers_by_name.items():
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -22,7 +22,7 @@
     RetryBudget,
     decide_retry,
 )
-from verbenanotch.routing._routes import RouteTable
+from verbenanotch.routing._routes import RouteTable, choose_service
 from verbenanotch.routing._target import OutcomeKind, TargetState
 
 __all__ = [
@@ -47,6 +47,7 @@
     "Taken",
     "TargetState",
     "choose",
+    "choose_service",
     "decide_retry",
     "fingerprint",
 ]
