Bound the log, outlive clocks that are set back, follow discovered hosts

Cause: the log went to standard error and could block on a stalled reader; a proxy that restarted after its clock was set back announced itself under a lower incarnation and was not heard until its lease ended; the list of control hosts restarted the streams of proxies whose settings name a zone with each peer (seen as a version that never came into force in test_whole_path).

Change: one bounded writer on standard output; AnnounceOutdated raises the host's incarnation; the list is sent only where control hosts are discovered and a stream is dialled again only when its address changes.

Ruled out: a non-blocking descriptor (it would be shared with the shell that started the daemon).

--- a/tests/unit/test_local_targets.py
+++ b/tests/unit/test_local_targets.py
@@ -84,3 +84,14 @@
     connection = Connection()
     connections.give_back(connection)
     assert connection.closed
+
+
+def test_a_clock_that_was_set_back_does_not_hide_the_host(targets):
+    targets.announce(OLD, sequence=1)
+    before = targets.announcement()
+    targets.exceed_incarnation(before.incarnation + 500)
+    after = targets.announcement()
+    assert after.incarnation == before.incarnation + 501
+    assert after.order > before.order
+    targets.exceed_incarnation(7)
+    assert targets.announcement() == after
--- /dev/null
+++ b/tests/unit/test_log_writer.py
@@ -0,0 +1,54 @@
+"""The log neither blocks nor outgrows its budget."""
+
+import os
+
+import pytest
+
+from verbenanotch.telemetry._writer import MAX_BURST_LINES, BoundedWriter
+
+
+class Clock:
+    """Seconds that a test moves."""
+
+    def __init__(self):
+        """Start at zero."""
+        self.seconds = 0.0
+
+    def __call__(self):
+        """Return the seconds."""
+        return self.seconds
+
+
+@pytest.fixture
+def pipe():
+    descriptors = os.pipe()
+    yield descriptors
+    for descriptor in descriptors:
+        os.close(descriptor)
+
+
+def test_lines_over_the_budget_are_dropped_and_counted(pipe):
+    reader, descriptor = pipe
+    clock = Clock()
+    writer = BoundedWriter(descriptor=descriptor, now=clock)
+    for _ in range(MAX_BURST_LINES + 7):
+        writer.write("x\n")
+    assert writer.dropped == 7
+    clock.seconds = 2.0
+    writer.write("y\n")
+    lines = os.read(reader, 65536).decode().splitlines()
+    assert lines[-2:] == [
+        '{"event": "log lines were dropped", "lines": 7}',
+        "y",
+    ]
+    assert writer.dropped == 0
+
+
+def test_a_reader_that_stalls_does_not_block_the_writer(pipe):
+    _, descriptor = pipe
+    clock = Clock()
+    writer = BoundedWriter(descriptor=descriptor, now=clock)
+    for _ in range(1000):
+        clock.seconds += 1.0
+        writer.write("x" * 2000 + "\n")
+    assert writer.dropped > 0
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -31,6 +31,7 @@
         """Bind every address and recover the data folder."""
         host = settings.host
         control = settings.control
+        self._is_discovered = bool(settings.discovery.seeds)
         self._versions = Versions(parse=interfaces.parse)
         self._replica = Replica(
             settings=settings,
@@ -194,12 +195,17 @@
         self._exchange.wake()
 
     def _follow_members_forever(self):
-        """Exchange tables with, and tell proxies of, all control hosts."""
+        """Exchange tables with all control hosts.
+
+        Proxies are told of them where control hosts are discovered; else
+        the settings name those of each zone.
+        """
         while True:
             eventlet.sleep(MEMBERS_SECONDS)
             members_by_name = self._replica.members_by_name()
             self._exchange.follow(members_by_name)
-            self._publisher.publish_control_hosts(members_by_name)
+            if self._is_discovered:
+                self._publisher.publish_control_hosts(members_by_name)
 
     def _expire_forever(self):
         while True:
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -38,6 +38,7 @@
 from verbenanotch.membership import (
     Announce,
     AnnounceNeeded,
+    AnnounceOutdated,
     Release,
     Renew,
     Renewed,
@@ -205,6 +206,10 @@
                     target.service for target in record.targets
                 )
                 table.announce(record, now=time.monotonic())
+                held = table.get(record.host).incarnation
+                if held > record.incarnation:
+                    session.connection.send(AnnounceOutdated(incarnation=held))
+                    return
                 self._renewed(session)
                 self._zone_changed(record.host)
                 session.signal.set()
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -40,6 +40,7 @@
 from verbenanotch.membership import (
     Announce,
     AnnounceNeeded,
+    AnnounceOutdated,
     Release,
     Renew,
     Renewed,
@@ -83,6 +84,8 @@
     HostRecord to announce. `on_drain` is called with the id of a target
     that is to get no new work. `on_renewed` is called with the time, in
     monotonic seconds, at which a renewal was sent that has been answered.
+    `on_outdated` is called with the incarnation that the own one must
+    exceed.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         announcement,
         on_drain,
         on_renewed=lambda sent_at: None,
+        on_outdated=lambda incarnation: None,
     ):
         """Do nothing until `start`."""
         self._settings = settings
@@ -100,6 +104,7 @@
         self._announcement = announcement
         self._on_drain = on_drain
         self._on_renewed = on_renewed
+        self._on_outdated = on_outdated
         self._links_by_name = {}
         self._named_peers = dict(settings.proxy.control_hosts_by_name)
         self._peers_by_name = {}
@@ -145,21 +150,22 @@
 
     def _follow(self, peers_by_name):
         """Dial exactly these control hosts from now on."""
-        for name in self._peers_by_name.keys() - peers_by_name.keys():
-            self._dialers_by_name.pop(name).kill()
-            link = self._links_by_name.pop(name, None)
-            if link is not None:
-                self._lose(link, "the control host left")
-        for name, peer in peers_by_name.items():
-            if self._peers_by_name.get(name) == peer:
-                continue
-            dialer = self._dialers_by_name.pop(name, None)
-            if dialer is not None:
-                dialer.kill()
-            self._dialers_by_name[name] = eventlet.spawn(
-                self._run_forever, name, peer
-            )
+        held = self._peers_by_name
         self._peers_by_name = dict(peers_by_name)
+        for name, peer in held.items():
+            if _endpoint(peers_by_name.get(name)) != _endpoint(peer):
+                self._stop_dialing(name)
+        for name, peer in peers_by_name.items():
+            if name not in self._dialers_by_name:
+                self._dialers_by_name[name] = eventlet.spawn(
+                    self._run_forever, name, peer
+                )
+
+    def _stop_dialing(self, name):
+        self._dialers_by_name.pop(name).kill()
+        link = self._links_by_name.pop(name, None)
+        if link is not None:
+            self._lose(link, "the control host left or has moved")
 
     def _learn_control_hosts(self, link):
         """Take the list of the control host that sends the updates.
@@ -173,7 +179,7 @@
             host.name: Voter(address=host.address, peer_port=host.peer_port)
             for host in link.control_hosts
         }
-        self._follow({**self._named_peers, **known})
+        self._follow({**known, **self._named_peers})
 
     def announce(self):
         """Send the current announcement to every control host."""
@@ -356,7 +362,7 @@
         match item:
             case Update() if link is self._subscribed:
                 self._apply(link, item)
-            case Renewed() | AnnounceNeeded():
+            case Renewed() | AnnounceNeeded() | AnnounceOutdated():
                 self._receive_lease(link, item)
             case ControlHosts(hosts=hosts):
                 link.control_hosts = hosts
@@ -391,6 +397,8 @@
                 self._changed.set()
             case AnnounceNeeded():
                 _send_lease(link, Announce(record=self._announcement()))
+            case AnnounceOutdated(incarnation=incarnation):
+                self._on_outdated(incarnation)
 
     def _apply(self, link, update):
         outcome = self._holder.apply(update, pause=_pause)
@@ -423,6 +431,10 @@
         self._changed.set()
 
 
+def _endpoint(peer):
+    return None if peer is None else (peer.address, peer.peer_port)
+
+
 def _send_lease(link, item):
     link.sent_at.append(time.monotonic())
     _try_send(link, item)
--- a/verbenanotch/membership/__init__.py
+++ b/verbenanotch/membership/__init__.py
@@ -18,6 +18,7 @@
 from verbenanotch.membership._messages import (
     Announce,
     AnnounceNeeded,
+    AnnounceOutdated,
     Release,
     Renew,
     Renewed,
@@ -36,6 +37,7 @@
     "ALL_HOSTS",
     "Announce",
     "AnnounceNeeded",
+    "AnnounceOutdated",
     "Directory",
     "EntryDelta",
     "EntrySet",
--- a/verbenanotch/membership/_messages.py
+++ b/verbenanotch/membership/_messages.py
@@ -52,6 +52,18 @@
     current: Version
 
 
+@message(205)
+@attrs.frozen(kw_only=True)
+class AnnounceOutdated:
+    """A record of a greater incarnation of the host is held.
+
+    The host's clock has been set back between two starts: its records count
+    again once their incarnation is above this one.
+    """
+
+    incarnation: int
+
+
 @message(210)
 @attrs.frozen(kw_only=True)
 class ZoneHello:
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -86,6 +86,13 @@
         """Return the service of the target that announced itself last."""
         return self._service
 
+    def exceed_incarnation(self, incarnation):
+        """Announce under a greater incarnation than this one."""
+        if self._incarnation <= incarnation:
+            self._incarnation = incarnation + 1
+            emit(events.INCARNATION_RAISED, incarnation=self._incarnation)
+            self._changed()
+
     def expect_service(self, service):
         """Note which service the host's targets have from now on."""
         if service and not self.targets_by_id:
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -95,3 +95,11 @@
     Level.INFO,
     "the holders of a service's records agreed on themselves",
 )
+INCARNATION_RAISED = event(
+    5021,
+    "incarnation-raised",
+    Level.WARNING,
+    "control hosts know a greater incarnation of this host; its own is "
+    "raised above it",
+    "Check the host's clock, which was set back between two starts.",
+)
--- a/verbenanotch/telemetry/_events.py
+++ b/verbenanotch/telemetry/_events.py
@@ -2,12 +2,14 @@
 
 import enum
 import json
-import sys
 
 import attrs
 import structlog
 
 from verbenanotch.telemetry._clock import clock
+from verbenanotch.telemetry._writer import BoundedWriter
+
+STANDARD_OUTPUT = 1
 
 
 class Level(enum.StrEnum):
@@ -37,6 +39,7 @@
         self.logger = structlog.get_logger()
         self.host = ""
         self.file = None
+        self.writer = BoundedWriter(descriptor=STANDARD_OUTPUT)
         self.minimum = Level.INFO
 
 
@@ -60,7 +63,9 @@
 
 
 def configure(*, host, log_format="console", event_file=None, level="info"):
-    """Direct events to the standard error log and to an event file.
+    """Direct events to the log on standard output and to an event file.
+
+    The log is bounded: see BoundedWriter.
 
     `log_format` is `console` or `json`. `event_file` is a path to which one
     JSON object a line is appended, at every level.
@@ -71,7 +76,7 @@
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     structlog.configure(
         processors=[structlog.processors.add_log_level, renderer],
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=_output.writer),
     )
     _output.logger = structlog.get_logger()
     _output.host = host
