Keep requests on their host and in their zone while they meet the objective

After the final fault control hosts held updates back for 3 s from proxies that knew nothing.

Change: only a connection on which no byte was sent counts as stale. A request stays on its host, then in its zone, while 2.5 times the expected time is within its objective, by the ratio of its route's times to the target's mean. Starting proxies are sent what is known at once. The log's budget is asked before a line is made.

Ruled out: a fixed preference for the zone (the slow target of a zone makes a third of its requests late).

--- a/tests/unit/test_log_writer.py
+++ b/tests/unit/test_log_writer.py
@@ -32,9 +32,11 @@
     clock = Clock()
     writer = BoundedWriter(descriptor=descriptor, now=clock)
     for _ in range(MAX_BURST_LINES + 7):
-        writer.write("x\n")
+        if writer.admit():
+            writer.write("x\n")
     assert writer.dropped == 7
     clock.seconds = 2.0
+    assert writer.admit()
     writer.write("y\n")
     lines = os.read(reader, 65536).decode().splitlines()
     assert lines[-2:] == [
--- a/tests/unit/test_proxy_exchange.py
+++ b/tests/unit/test_proxy_exchange.py
@@ -256,6 +256,18 @@
             pass
         case outcome:
             pytest.fail(f"unexpected {outcome}")
+    assert len(target.requests) == 1
     sent = target.requests[0].lower()
     assert b"x-target: t\r\n" in sent
     assert b"x-from: orders\r\n" in sent
+
+
+def test_a_refusal_on_a_pooled_connection_is_not_sent_again(target_with):
+    refused = (
+        b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Request-Id: r1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    target = target_with(answer(b"ok", b"r1"), refused, refused)
+    assert run_named(target).body == b"ok"
+    assert isinstance(run_named(target), NotRun)
+    assert len(target.requests) == 2
--- a/tests/unit/test_routing_placement.py
+++ b/tests/unit/test_routing_placement.py
@@ -12,6 +12,7 @@
     Queued,
     QueueRefused,
     RetryBudget,
+    RouteDurations,
     RouteTable,
     TargetLoad,
     TargetState,
@@ -42,12 +43,16 @@
     return make
 
 
-def shares(targets, *, now=100.1, rounds=300):
+def shares(targets, *, now=100.1, rounds=300, **options):
     candidates = Candidates(targets=tuple(targets))
     drawn = random.Random(5)
     return collections.Counter(
         choose(
-            candidates, now=now, random=drawn, availability_zone="rennes"
+            candidates,
+            now=now,
+            random=drawn,
+            availability_zone="rennes",
+            **options,
         ).target_id
         for _ in range(rounds)
     )
@@ -72,6 +77,34 @@
     assert shares([near, far]) == {"near": 300}
 
 
+def test_a_request_stays_in_its_zone_while_it_meets_its_objective(
+    make_target,
+):
+    near = make_target("near", busy=4, seconds=0.06)
+    far = make_target("far", zone="brest", busy=4, seconds=0.03)
+    assert shares([near, far], objective_seconds=0.2) == {"near": 300}
+    assert shares([near, far], objective_seconds=0.1) == {"far": 300}
+    near.noted_load(100.0, TargetLoad(busy=30, service_seconds=0.06))
+    assert shares([near, far], objective_seconds=0.2) == {"far": 300}
+
+
+def test_the_target_of_the_own_host_goes_first(make_target):
+    own, other = make_target("own", busy=6), make_target("other", busy=2)
+    options = {"objective_seconds": 0.3, "host": "host-own"}
+    assert shares([own, other], **options) == {"own": 300}
+    options["objective_seconds"] = 0.16
+    assert shares([own, other], **options) == {"other": 300}
+
+
+def test_a_short_kind_of_request_has_its_own_times():
+    durations = RouteDurations()
+    for _ in range(200):
+        durations.answered("short", 0.015, 0.06)
+    scaled = durations.scaled_objective("short", 0.06)
+    assert 0.22 < scaled < 0.26
+    assert durations.scaled_objective("other", 0.06) == 0.06
+
+
 def test_a_full_target_spills_to_one_with_room(make_target):
     near = make_target("near", busy=SLOTS + 6)
     far = make_target("far", zone="brest", busy=2)
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -6,7 +6,7 @@
 
 from eventlet import event, hubs
 
-from verbenanotch.daemon import events
+from verbenanotch.daemon import _heads, events
 from verbenanotch.daemon._interfaces import Interfaces
 from verbenanotch.daemon._reload import watch_settings
 from verbenanotch.daemon.exceptions import StartError
@@ -26,6 +26,7 @@
     of loading the settings again; it is called on SIGHUP and when the
     settings file may have changed.
     """
+    _heads.install()
     telemetry = settings.telemetry
     configure(
         host=settings.host.name,
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -354,8 +354,9 @@
         settles_in = self._directory.zone_table.settles_in(
             now=time.monotonic()
         )
-        if settles_in > 0:
-            # A control host that has just started knows too few hosts yet.
+        if settles_in > 0 and not session.subscription.starting:
+            # A control host that has just started knows too few hosts yet;
+            # to a proxy that knows none, some are better.
             eventlet.spawn_after(settles_in, session.signal.set)
             return
         if self._settings.control.whole_state_updates:
--- a/verbenanotch/proxy/_callers.py
+++ b/verbenanotch/proxy/_callers.py
@@ -4,7 +4,9 @@
 
 import eventlet
 
-SWEEP_SECONDS = 0.05
+# Work goes on for so long at most after its caller has left; each look costs
+# a system call for every request in flight.
+SWEEP_SECONDS = 0.15
 
 
 class CallerWatch:
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -19,6 +19,7 @@
     OutlierDetector,
     Retry,
     RetryBudget,
+    RouteDurations,
     choose,
     decide_retry,
 )
@@ -50,6 +51,8 @@
         self._cache = CandidateCache(
             holder=holder, adaptive_limits=settings.proxy.adaptive_limits
         )
+        self._durations = RouteDurations()
+        self._routes_version = None
         self._budgets_by_service = {}
         self._outliers_by_service = {}
 
@@ -57,6 +60,9 @@
         """Return the outcome of a request; at once when it is given up."""
         # One snapshot serves all attempts, whatever is applied meanwhile.
         snapshot = self._holder.snapshot
+        if snapshot.version != self._routes_version:
+            self._routes_version = snapshot.version
+            self._durations.retain(snapshot.routes_by_name.keys())
         budget = self._budget(request.service)
         budget.requested(time.monotonic())
         attempt = RoutedCall(
@@ -134,6 +140,10 @@
             random=self._random,
             availability_zone=self._settings.host.availability_zone,
             exclude=tried,
+            host=self._settings.host.name,
+            objective_seconds=self._durations.scaled_objective(
+                request.route_name, request.objective_seconds
+            ),
         )
 
     def _run_call(self, snapshot, request, call, cancellation):
@@ -148,7 +158,7 @@
             kind = _kind(outcome, cancellation)
             state.finished(now, now - started, kind)
             if outcome.load is not None:
-                state.noted_load(now, outcome.load)
+                self._note_load(state, request, outcome, now, now - started)
             self._judge(snapshot, state, kind, now)
             if _goes_elsewhere(outcome):
                 state.ejected_until = max(
@@ -168,6 +178,13 @@
             )
         return outcome
 
+    def _note_load(self, state, request, outcome, now, seconds):
+        state.noted_load(now, outcome.load)
+        if isinstance(outcome, Answered):
+            self._durations.answered(
+                request.route_name, seconds, outcome.load.service_seconds
+            )
+
     def _judge(self, snapshot, state, kind, now):
         """Take a target that keeps failing out of the choice."""
         detector = self._outliers_by_service.get(state.service)
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -78,8 +78,8 @@
             ),
             names=names,
         )
-        stale = pooled and isinstance(outcome, NotRun)
-        if not stale:
+        stale = pooled and connection.sent_bytes == 0
+        if not stale or not isinstance(outcome, NotRun):
             return outcome
 
 
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -45,6 +45,7 @@
     traced: bool = False
     caller: str = ""
     priority: int = 0
+    objective_seconds: float = 0.0
 
 
 class RequestReader:
@@ -125,6 +126,7 @@
         traced=traced,
         caller=caller,
         priority=route.priority,
+        objective_seconds=route.objective_ms / MILLISECONDS_PER_SECOND,
     )
 
 
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -1,6 +1,7 @@
 """Which target a request goes to, and whether it goes at all."""
 
 from verbenanotch.routing._choice import Candidates, Chosen, NoTarget, choose
+from verbenanotch.routing._durations import RouteDurations
 from verbenanotch.routing._fingerprints import (
     Blocked,
     DeathNotice,
@@ -43,6 +44,7 @@
     "Queued",
     "Retry",
     "RetryBudget",
+    "RouteDurations",
     "RouteTable",
     "Taken",
     "TargetLoad",
--- a/verbenanotch/routing/_choice.py
+++ b/verbenanotch/routing/_choice.py
@@ -17,6 +17,10 @@
 # this share and by this time (two crossings of about 1.5 ms).
 FAR_GAIN_SHARE = 0.15
 FAR_GAIN_SECONDS = 0.003
+# A request stays in its zone as long as so many times the expected time is
+# within its objective: work times vary, and a twentieth take about this much
+# longer than the mean.
+OBJECTIVE_MARGIN = 2.5
 # A target of unknown speed is taken for this share of the fastest known one,
 # so that it is tried; own requests that wait for it make it dearer.
 UNKNOWN_TARGET_SHARE = 0.5
@@ -76,9 +80,21 @@
         return others
 
 
-def choose(candidates, *, now, random, availability_zone, exclude=frozenset()):
+def choose(
+    candidates,
+    *,
+    now,
+    random,
+    availability_zone,
+    exclude=frozenset(),
+    objective_seconds=0.0,
+    host="",
+):
     """Return Chosen or NoTarget for one request.
 
+    `objective_seconds` is within which the request should be answered, by
+    the scale of the targets' mean service times; 0 means as soon as may be.
+
     `candidates` is a Candidates, or a sequence of TargetState that is split
     on each call. `random` is a `random.Random`. `exclude` holds the ids of
     targets that this request has tried. A draining target is never chosen.
@@ -87,7 +103,9 @@
         candidates = Candidates(targets=tuple(candidates))
     near = candidates.in_zone(availability_zone)
     far = candidates.outside_zone(availability_zone)
-    fastest = _choose_by_load(near, far, now, random, exclude)
+    fastest = _choose_by_load(
+        near, far, now, random, exclude, objective_seconds, host
+    )
     if fastest is not None:
         return Chosen(target_id=fastest.target_id)
     best = _sample(near, now, random, exclude)
@@ -99,14 +117,17 @@
     return _choose_by_scan(near, far, now, random, exclude)
 
 
-def _choose_by_load(near, far, now, random, exclude):
+def _choose_by_load(near, far, now, random, exclude, objective_seconds, host):
     """Return the target that is expected to answer first, or None.
 
     The load pattern is a service whose targets differ in speed, one of them
-    slow or near its slots: each request goes to the better of a near target
-    and one far target drawn at random. The draw keeps many proxies that
-    know the same loads from all choosing the same target at a time. None if
-    no load is known, or no drawn target can take the request.
+    slow or near its slots. A request stays on its host, or else in its
+    zone, while it can expect to meet its objective there, since each
+    further step costs processor time and bytes; else it
+    goes to the better of a near target and one far target drawn at random.
+    The draw keeps many proxies that know the same loads from all choosing
+    the same target at a time. None if no load is known, or no drawn target
+    can take the request.
     """
     near = _usable_few(near, now, random, exclude)
     far = _usable_few(far, now, random, exclude)
@@ -126,6 +147,9 @@
     if best is None:
         drawn = random.sample(far, min(2, len(far)))
         return min(drawn, key=cost, default=None)
+    for target in (*(t for t in near if t.host == host), best):
+        if cost(target) * OBJECTIVE_MARGIN <= objective_seconds:
+            return target
     if far:
         drawn = far[int(random.random() * len(far))]
         gain = cost(best) - cost(drawn) * (1 + FAR_GAIN_SHARE)
--- a/verbenanotch/telemetry/_events.py
+++ b/verbenanotch/telemetry/_events.py
@@ -102,6 +102,8 @@
         _output.file.write(json.dumps(record, default=str) + "\n")
     if _RANK_BY_LEVEL[entry.level] < _RANK_BY_LEVEL[_output.minimum]:
         return
+    if not _output.writer.admit():
+        return
     log = getattr(_output.logger, entry.level.value)
     log(
         entry.text,
--- a/verbenanotch/telemetry/_writer.py
+++ b/verbenanotch/telemetry/_writer.py
@@ -7,10 +7,10 @@
 
 import eventlet
 
-# A host that explains 200 requests a second in full costs its engineers more
-# to read than it tells them; a burst may take the lines of two seconds.
-LINES_PER_SECOND = 200
-MAX_BURST_LINES = 400
+# A hundred lines cost about 5 ms of processor time; a burst may take those of
+# two seconds.
+LINES_PER_SECOND = 100
+MAX_BURST_LINES = 200
 # A write of up to this many bytes to a pipe with room does not block (POSIX).
 MAX_LINE_BYTES = select.PIPE_BUF
 REPORT_SECONDS = 1.0
@@ -37,35 +37,44 @@
         self._poller = None
         self.dropped = 0
 
+    def admit(self):
+        """Return whether the budget allows one more line, and take it.
+
+        Asked before a line is made, since making it costs the most.
+        """
+        now = self._now()
+        grown = (now - self._filled_at) * LINES_PER_SECOND
+        self._tokens = min(float(MAX_BURST_LINES), self._tokens + grown)
+        self._filled_at = now
+        if self._tokens < 1:
+            self.dropped += 1
+            return False
+        self._tokens -= 1
+        return True
+
     def write(self, text):
-        """Write one line, or drop it."""
-        if text == "\n":
+        """Write one line, or drop it if the reader is behind."""
+        line = text.rstrip("\n").encode(errors="replace")
+        if not line:
             return
-        line = text.rstrip("\n").encode(errors="replace") + b"\n"
         now = self._now()
         if self.dropped and now - self._reported_at >= REPORT_SECONDS:
             self._reported_at = now
             notice = {"event": "log lines were dropped", "lines": self.dropped}
-            if self._put(json.dumps(notice).encode() + b"\n", now):
+            if self._put(json.dumps(notice).encode()):
                 self.dropped = 0
-        if not self._put(line, now):
+        if not self._put(line):
             self.dropped += 1
 
     def flush(self):
         """Do nothing: lines are written at once."""
 
-    def _put(self, line, now):
-        """Write a line; return False if the budget or the reader forbid."""
-        grown = (now - self._filled_at) * LINES_PER_SECOND
-        self._tokens = min(float(MAX_BURST_LINES), self._tokens + grown)
-        self._filled_at = now
-        if self._tokens < 1 or not self._has_room():
+    def _put(self, line):
+        """Write a line; return False if it would block."""
+        if not self._has_room():
             return False
-        self._tokens -= 1
-        if len(line) > MAX_LINE_BYTES:
-            line = line[: MAX_LINE_BYTES - 1] + b"\n"
         try:
-            os.write(self._descriptor, line)
+            os.write(self._descriptor, line[: MAX_LINE_BYTES - 1] + b"\n")
         except OSError:
             # The reader is gone, and nobody else could be told.
             return False
