Cut the processor time of heads, headers and fields

Change: fields of a head are found by name without a search, headers to targets are written without the library's patterns (they come from heads that a parser took apart), header names keep the case they came in. A request stays near while 1.3 times the expected time is within its objective: with 2.5 nearly every request crossed zones. The leader does not readmit a host whose place another one has taken.

Ruled out: one part of the code that costs much (the greatest share of one function is 2 %); an epoll hub that keeps its registrations (it would spin on level-triggered events).

--- a/tests/unit/test_voters.py
+++ b/tests/unit/test_voters.py
@@ -1,7 +1,10 @@
 """Which voters a leader replaces by itself, and whom it adds."""
 
+import eventlet
 import pytest
 
+from tests.support.replicas import Cluster, wait_for
+from verbenanotch.catalog import Accepted
 from verbenanotch.replication._entries import Configuration, Member
 from verbenanotch.replication._voters import decide_voters
 
@@ -45,3 +48,38 @@
 def test_voters_are_added_up_to_the_wanted_number(members):
     assert decide(members, "abc", "abcde", wanted=5) == list("abcd")
     assert decide(members, "abcde", "abcde", wanted=5) is None
+
+
+@pytest.fixture
+def cluster(tmp_path):
+    cluster = Cluster(
+        path=tmp_path,
+        voters=("c1", "c2", "c3"),
+        learners=("c4",),
+        tolerated_losses=1,
+        voter_patience_ms=300,
+    )
+    cluster.start()
+    yield cluster
+    cluster.close()
+
+
+def voters_of(cluster):
+    return set(cluster.leader().replica.status().voters_by_name)
+
+
+def test_a_lost_voter_is_replaced_and_comes_back_without_a_vote(cluster):
+    wait_for(lambda: isinstance(cluster.leader().submit(1), Accepted))
+    lost = cluster.followers()[0].name
+    if lost == "c4":
+        lost = cluster.followers()[1].name
+    cluster.stop(lost)
+    expected = {"c1", "c2", "c3", "c4"} - {lost}
+    wait_for(lambda: voters_of(cluster) == expected)
+    cluster.wipe(lost)
+    cluster.start(lost)
+    outcome = cluster.leader().submit(2)
+    assert isinstance(outcome, Accepted)
+    cluster.agree(outcome.version)
+    eventlet.sleep(1.0)
+    assert voters_of(cluster) == expected
--- a/verbenanotch/daemon/_heads.py
+++ b/verbenanotch/daemon/_heads.py
@@ -14,6 +14,24 @@
 _parse_as_mail = http.client.parse_headers
 
 
+class Message(http.client.HTTPMessage):
+    """The fields of a head, found by name without a search.
+
+    Of repeated fields, `get` returns the first, as the library does.
+    """
+
+    def take(self, pairs):
+        """Take pairs of name and value in their order."""
+        self._headers = pairs
+        self._values_by_name = {
+            name.lower(): value for name, value in reversed(pairs)
+        }
+
+    def get(self, name, failobj=None):
+        """Return the value of a field."""
+        return self._values_by_name.get(name.lower(), failobj)
+
+
 class _Fields:
     """Collect the fields of one head."""
 
@@ -36,8 +54,8 @@
         httptools.HttpRequestParser(fields).feed_data(REQUEST_LINE + lines)
     except (httptools.HttpParserError, httptools.HttpParserUpgrade):
         return _parse_as_mail(io.BytesIO(lines), _class)
-    message = _class()
-    message._headers = fields.pairs
+    message = Message()
+    message.take(fields.pairs)
     return message
 
 
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -1,7 +1,6 @@
 """Serve a WSGI application on the loop, and stop without cutting it."""
 
 import functools
-import socket
 
 import eventlet
 from eventlet import greenio, wsgi
@@ -56,6 +55,7 @@
             keepalive=KEEP_ALIVE_SECONDS,
             log_output=False,
             debug=False,
+            capitalize_response_headers=False,
         )
         self._pool = eventlet.GreenPool(MAX_CONNECTIONS)
         self._connections_by_id = {}
@@ -124,7 +124,6 @@
             self._spawn(sock, address)
 
     def _spawn(self, sock, address):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = [address, sock, wsgi.STATE_IDLE]
         # An address can be used again before its last connection is gone.
         self._connections_by_id[id(connection)] = connection
--- a/verbenanotch/proxy/_headers.py
+++ b/verbenanotch/proxy/_headers.py
@@ -49,18 +49,19 @@
 
     Those named by a Connection header concern one hop as well.
     """
-    items = list(items)
-    named = {
-        token.strip().lower()
-        for name, value in items
-        if name.lower() == "connection"
-        for token in value.split(",")
-    }
-    return tuple(
-        (name, value)
-        for name, value in items
-        if name.lower() not in HOP_HEADERS and name.lower() not in named
-    )
+    dropped = HOP_HEADERS
+    kept = []
+    for name, value in items:
+        lowered = name.lower()
+        if lowered == "connection":
+            tokens = {token.strip().lower() for token in value.split(",")}
+            dropped = dropped | tokens
+        elif lowered not in dropped:
+            kept.append((name, value))
+    if dropped is HOP_HEADERS:
+        return tuple(kept)
+    # A Connection header also concerns the fields before it.
+    return tuple(item for item in kept if item[0].lower() not in dropped)
 
 
 def caller_headers(items, own):
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -94,6 +94,16 @@
         self._connected_socket = self.sock
         self._reader = _AnswerReader(self.sock)
 
+    def putheader(self, header, *values):
+        """Add a header; the library would check each one by patterns.
+
+        Names and values come from heads that a parser took apart, or from
+        numbers and names of the proxy's own: none holds a line end.
+        """
+        for value in values:
+            text = value if isinstance(value, str) else value.decode("latin-1")
+            self._buffer.append(f"{header}: {text}".encode("latin-1"))
+
     def response_class(self, _, **options):
         """Return the library's answer over the buffer of the connection."""
         return http.client.HTTPResponse(self._reader, **options)
--- a/verbenanotch/replication/_leader.py
+++ b/verbenanotch/replication/_leader.py
@@ -296,6 +296,10 @@
             if not self._is_caught_up(member.id, now):
                 continue
             if voter is None and name in configuration.returning:
+                wanted = self._timing.wanted_voters
+                if wanted and len(configuration.voters) >= wanted:
+                    # Another host has taken its place meanwhile.
+                    continue
                 self.change_configuration(configuration.adding(member), now)
                 return
             if voter is not None and self._is_lost(voter, member, now):
--- a/verbenanotch/routing/_choice.py
+++ b/verbenanotch/routing/_choice.py
@@ -18,9 +18,9 @@
 FAR_GAIN_SHARE = 0.15
 FAR_GAIN_SECONDS = 0.003
 # A request stays in its zone as long as so many times the expected time is
-# within its objective: work times vary, and a twentieth take about this much
-# longer than the mean.
-OBJECTIVE_MARGIN = 2.5
+# within its objective. Work times vary by half: about four of five take less
+# than this much of the mean.
+OBJECTIVE_MARGIN = 1.3
 # A target of unknown speed is taken for this share of the fastest known one,
 # so that it is tried; own requests that wait for it make it dearer.
 UNKNOWN_TARGET_SHARE = 0.5
