Serve calls before new work, and look for the target that fails more than others

A target that sheds within its slots was not avoided.

Change: a full queue gives up its latest deadline for an earlier one; a target is ejected only if it fails more than the others of its service; a refusal of the target itself counts as a failure.

--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -431,3 +431,13 @@
     answer = entry.ask()
     assert (answer.status, answer.outcome) == (504, "unknown")
     assert answer.reason == "internal-error"
+
+
+def test_a_target_that_refuses_within_its_slots_is_avoided(entry):
+    entry.peers.outcomes = [NotRun(reason="target-refused"), ECHO]
+    assert entry.ask("GET", path="/pay/1").status == 200
+    first = entry.peers.calls[0].target_id
+    for _ in range(40):
+        entry.ask("GET", path="/pay/1")
+    later = [call.target_id for call in entry.peers.calls[2:]]
+    assert later.count(first) < len(later) / 4
--- a/tests/unit/test_routing_placement.py
+++ b/tests/unit/test_routing_placement.py
@@ -9,6 +9,8 @@
 from verbenanotch.routing import (
     Candidates,
     DeadlineQueue,
+    OutcomeKind,
+    OutlierDetector,
     Queued,
     QueueRefused,
     RetryBudget,
@@ -147,6 +149,35 @@
     assert [queue.take(0.0).item for _ in range(2)] == ["c", "a"]
 
 
+def test_a_full_queue_gives_up_the_latest_deadline_for_a_call():
+    queue = DeadlineQueue(max_length=2, slots=1, service_seconds=0.01)
+    queue.offer("order", 0.6, 0.0, rank=1)
+    queue.offer("other order", 0.5, 0.0, rank=1)
+    match queue.offer("call", 0.2, 0.0, rank=1):
+        case Queued(refused=refused):
+            assert refused == ("order",)
+    assert isinstance(queue.offer("late", 0.6, 0.0, rank=1), QueueRefused)
+
+
+def test_a_failure_that_all_targets_share_ejects_none(make_target):
+    detector = OutlierDetector()
+    target = make_target("a")
+    for others, ejected in ((0.6, False), (0.0, True)):
+        for _ in range(12):
+            target.started(1.0)
+            target.finished(1.0, 0.1, OutcomeKind.FAILED)
+            found = detector.finished(
+                target,
+                OutcomeKind.FAILED,
+                now=1.0,
+                target_count=4,
+                others_error_share=others + 0.2,
+            )
+            if found is not None:
+                break
+        assert (found is not None) == ejected
+
+
 def test_whoever_loses_the_chance_is_refused_at_once():
     queue = DeadlineQueue(max_length=9, slots=1, service_seconds=1.0)
     queue.offer("patient", 9.0, 0.0, rank=1)
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -192,7 +192,17 @@
             detector = OutlierDetector()
             self._outliers_by_service[state.service] = detector
         count = len(snapshot.target_ids_by_service.get(state.service, ()))
-        ejected = detector.finished(state, kind, now=now, target_count=count)
+        ejected = detector.finished(
+            state,
+            kind,
+            now=now,
+            target_count=count,
+            others_error_share=(
+                self._others_error_share(snapshot, state)
+                if kind in (OutcomeKind.FAILED, OutcomeKind.UNKNOWN)
+                else 0.0
+            ),
+        )
         if ejected is not None:
             metrics.increment("proxy.targets_ejected")
             emit(
@@ -201,6 +211,18 @@
                 seconds=round(ejected.until - now, 1),
             )
 
+    def _others_error_share(self, snapshot, state):
+        """Return the mean error share of the service's other targets."""
+        states_by_id = self._cache.states_by_target_id
+        shares = [
+            states_by_id[target_id].error_share
+            for target_id in snapshot.target_ids_by_service.get(
+                state.service, ()
+            )
+            if target_id in states_by_id and target_id != state.target_id
+        ]
+        return sum(shares) / len(shares) if shares else 0.0
+
     def _send(self, snapshot, call, request, cancellation):
         host_name = snapshot.host_names_by_target_id[call.target_id]
         if host_name == self._settings.host.name:
@@ -272,7 +294,7 @@
             failed = status >= FIRST_SERVER_ERROR
             return OutcomeKind.FAILED if failed else OutcomeKind.ANSWERED
         case NotRun(reason=reason):
-            unreachable = reason in reasons.UNREACHABLE
-            return OutcomeKind.FAILED if unreachable else OutcomeKind.REFUSED
+            ill = reason in reasons.ILL
+            return OutcomeKind.FAILED if ill else OutcomeKind.REFUSED
         case Unknown():
             return OutcomeKind.UNKNOWN
--- a/verbenanotch/routing/_outliers.py
+++ b/verbenanotch/routing/_outliers.py
@@ -12,6 +12,9 @@
 BASE_EJECTION_SECONDS = 2.0
 MAX_EJECTION_SECONDS = 60.0
 MAX_EJECTED_SHARE = 0.5
+# A target that fails no more than the others by this much is not the cause:
+# what it calls, or the requests themselves, fail everywhere.
+MIN_EXCESS = 0.25
 FORGET_SECONDS = 120.0
 
 
@@ -45,9 +48,19 @@
         self._histories_by_id = {}
         self.capped = 0
 
-    def finished(self, target, outcome_kind, *, now, target_count):
+    def finished(
+        self,
+        target,
+        outcome_kind,
+        *,
+        now,
+        target_count,
+        others_error_share=0.0,
+    ):
         """Note an outcome; eject the target if it is due.
 
+        `others_error_share` is the mean of the service's other targets.
+
         Call after `target.finished`. Returns Ejected, or None. A target that
         was due but would exceed the cap is counted in `capped`. The target
         starts slowly when its time is over.
@@ -60,7 +73,9 @@
                     history.samples += 1
                 return None
             case OutcomeKind.FAILED | OutcomeKind.UNKNOWN:
-                return self._failed(target, now, target_count)
+                return self._failed(
+                    target, now, target_count, others_error_share
+                )
             case _:
                 return None
 
@@ -75,7 +90,7 @@
             for history in self._histories_by_id.values()
         )
 
-    def _failed(self, target, now, target_count):
+    def _failed(self, target, now, target_count, others_error_share):
         history = self._histories_by_id.setdefault(
             target.target_id, _History()
         )
@@ -83,6 +98,8 @@
         history.samples += 1
         if now < history.ejected_until or not _is_due(target, history):
             return None
+        if target.error_share < others_error_share + MIN_EXCESS:
+            return None
         if self.ejected_count(now) + 1 > target_count * (
             self._max_ejected_share
         ):
--- a/verbenanotch/routing/_queue.py
+++ b/verbenanotch/routing/_queue.py
@@ -90,7 +90,10 @@
     def offer(self, item, deadline, now, *, rank=0):
         """Return Queued, or QueueRefused at once.
 
-        A full queue gives up its last request for a more urgent one.
+        A full queue gives up its last request for one that goes before it.
+        Among equally urgent ones that is the one with the later deadline:
+        calls of requests that run already have the shortest, and refusing
+        them would waste what was done for their parents.
         """
         entry = _Entry(
             rank=rank,
@@ -103,7 +106,7 @@
             return self._refused("deadline")
         refused = []
         if len(self._entries) >= self._max_length:
-            if self._entries[-1].rank <= rank:
+            if self._entries[-1] < entry:
                 return self._refused("queue-full")
             refused.append(self._entries.pop())
         self._entries.insert(ahead, entry)
