Serve counters and latency histograms as text

Cause: the users' engineers have only logs and metrics, and the platform fetches metrics as text.

Change: telemetry.metrics_listen serves totals, gauges and histograms by the client library, which is loaded at the first request; statsd stays.

Ruled out: keeping the library's own objects for each metric (an import at every start and a lock for each count).

--- a/verbenanotch/catalog/_mesh.py
+++ b/verbenanotch/catalog/_mesh.py
@@ -79,7 +79,7 @@
 class Mesh:
     """One whole configuration, as an operator submits it."""
 
-    name: str = ""
+    name: str
     services: dict[str, Service] = attrs.field(factory=dict)
     routes: dict[str, Route] = attrs.field(factory=dict)
 
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -207,6 +207,7 @@
     event_file: str = ""
     statsd_address: str = ""
     statsd_port: int = 8125
+    metrics_listen: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -394,6 +395,7 @@
         ("proxy", "caller_listen"),
         ("proxy", "target_listen"),
         ("proxy", "ready_listen"),
+        ("telemetry", "metrics_listen"),
     ):
         text = getattr(getattr(settings, section), field, "")
         if text:
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -6,11 +6,18 @@
 
 from eventlet import event, hubs
 
+from verbenanotch.conf import endpoint
 from verbenanotch.daemon import _heads, events
+from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon._interfaces import Interfaces
 from verbenanotch.daemon._reload import watch_settings
 from verbenanotch.daemon.exceptions import StartError
-from verbenanotch.telemetry import configure, emit, metrics
+from verbenanotch.telemetry import (
+    MetricsInterface,
+    configure,
+    emit,
+    metrics,
+)
 
 EXIT_START_FAILED = 3
 # Requests free almost all of their objects by reference counts; collections
@@ -43,6 +50,7 @@
     hubs.get_hub().debug_exceptions = False
     try:
         role = _role(settings, interfaces or Interfaces())
+        _serve_metrics(telemetry)
         role.start()
     except (StartError, OSError) as error:
         emit(
@@ -65,6 +73,17 @@
     return 0
 
 
+def _serve_metrics(telemetry):
+    """Serve the metrics where the settings say so."""
+    if telemetry.metrics_listen:
+        address, port = endpoint(telemetry.metrics_listen, address="", port=0)
+        HttpServer(
+            address=address,
+            port=port,
+            application=MetricsInterface().application,
+        ).start()
+
+
 def _role(settings, interfaces):
     """Return the role; its code alone is loaded, for the sake of memory."""
     if settings.host.role == "control":
--- a/verbenanotch/platform/_configuration.py
+++ b/verbenanotch/platform/_configuration.py
@@ -20,6 +20,8 @@
 from verbenanotch.platform.exceptions import MalformedDocumentError
 
 METHODS_BY_KIND = {"safe": tuple(sorted(ALL_METHODS)), "unsafe": ()}
+# Configurations of the platform have no name of their own.
+MESH_NAME = "platform"
 # Weights may be fractions; a mesh has whole ones.
 WEIGHT_SCALE = 1_000_000
 
@@ -58,6 +60,7 @@
     return Configuration(
         label=label_of(field(values, "Version", str)),
         mesh=Mesh(
+            name=MESH_NAME,
             routes={name: _route(name, item) for name, item in routes.items()},
             services={
                 name: _service(name, item) for name, item in services.items()
--- a/verbenanotch/telemetry/__init__.py
+++ b/verbenanotch/telemetry/__init__.py
@@ -13,12 +13,14 @@
     event,
     events_by_number,
 )
+from verbenanotch.telemetry._exposition import MetricsInterface
 from verbenanotch.telemetry._metrics import metrics
 
 __all__ = [
     "Event",
     "HybridLogicalClock",
     "Level",
+    "MetricsInterface",
     "clock",
     "configure",
     "emit",
--- a/verbenanotch/telemetry/_metrics.py
+++ b/verbenanotch/telemetry/_metrics.py
@@ -1,18 +1,38 @@
-"""Metrics in the statsd protocol, with the last values kept for `status`."""
+"""Metrics in the statsd protocol, and their totals for whoever asks."""
 
+import bisect
 import collections
 
 import statsd
 
+# Upper bounds in milliseconds, doubling from below a hop to the longest
+# timeouts of calls.
+BUCKETS_MS = (0.5, 1, 2, 4, 8, 16, 32, 64, 128, 256, 512, 1024, 2048, 4096)
+
+
+class Histogram:
+    """Counts of durations by bucket; the last one has no bound."""
+
+    def __init__(self):
+        """Start empty."""
+        self.counts = [0] * (len(BUCKETS_MS) + 1)
+        self.sum_ms = 0.0
+
+    def observe(self, milliseconds):
+        """Count one duration."""
+        self.counts[bisect.bisect_left(BUCKETS_MS, milliseconds)] += 1
+        self.sum_ms += milliseconds
+
 
 class Metrics:
-    """Send counters, gauges and timings; keep counter totals and gauges."""
+    """Send counters, gauges and timings; keep totals of all of them."""
 
     def __init__(self):
         """Start without a statsd server."""
         self._client = None
         self.totals_by_name = collections.Counter()
         self.gauges_by_name = {}
+        self.histograms_by_name = collections.defaultdict(Histogram)
 
     def configure(self, *, host, port, prefix):
         """Send to the statsd server at an IP address over UDP."""
@@ -32,6 +52,7 @@
 
     def timing(self, name, milliseconds):
         """Report one duration."""
+        self.histograms_by_name[name].observe(milliseconds)
         if self._client is not None:
             self._client.timing(name, milliseconds)
 
