Log failed requests with what decided them; refuse before asking a full target

Cause: at the level of the platform's logs no line told of a failed request, and under overload each refusal cost two calls to targets that were known to be full.

A target that has just refused is not asked again for half the time in which a slot gets free; Retry-After is when those that wait will have been served.

Ruled out: logging every answered request (a line costs about 50 us).

--- a/tests/unit/test_routing_placement.py
+++ b/tests/unit/test_routing_placement.py
@@ -8,7 +8,9 @@
 from verbenanotch.catalog import Route, WeightedService
 from verbenanotch.routing import (
     Candidates,
+    Chosen,
     DeadlineQueue,
+    NoTarget,
     OutcomeKind,
     OutlierDetector,
     Queued,
@@ -113,6 +115,25 @@
     assert shares([near, far]) == {"far": 300}
 
 
+def test_full_targets_are_not_asked_until_a_slot_can_be_free(make_target):
+    targets = [
+        make_target("a", busy=2 * SLOTS),
+        make_target("b", zone="brest", busy=2 * SLOTS),
+    ]
+    drawn = random.Random(1)
+    match choose(
+        targets, now=100.01, random=drawn, availability_zone="rennes"
+    ):
+        case NoTarget(reason="overloaded", retry_after_ms=delay):
+            assert delay == 120
+        case outcome:
+            pytest.fail(f"unexpected {outcome}")
+    later = choose(
+        targets, now=100.04, random=drawn, availability_zone="rennes"
+    )
+    assert isinstance(later, Chosen)
+
+
 def test_a_target_without_news_is_tried_by_few(make_target):
     near = make_target("near", busy=4, seconds=0.12)
     stale = make_target("stale", zone="brest")
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -174,6 +174,11 @@
                 attempt=call.attempt,
                 outcome=type(outcome).__name__,
                 reason=getattr(outcome, "reason", ""),
+                version=str(snapshot.version),
+                service=call.service,
+                busy=outcome.load.busy if outcome.load else None,
+                slots=state.slots,
+                error_share=round(state.error_share, 2),
                 milliseconds=round((now - started) * 1000, 3),
             )
         return outcome
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -79,7 +79,7 @@
             outcome = Unknown(reason=reasons.INTERNAL_ERROR)
         finally:
             self.in_flight -= 1
-        self._record(request_id, outcome, started, traced)
+        self._record(environ, request_id, outcome, started, traced)
         return respond(
             outcome,
             request_id,
@@ -150,7 +150,7 @@
         finally:
             self._callers.forget(cancellation)
 
-    def _record(self, request_id, outcome, started, traced):
+    def _record(self, environ, request_id, outcome, started, traced):
         name = type(outcome).__name__
         milliseconds = (time.monotonic() - started) * 1000
         metrics.increment(f"proxy.requests.{name}")
@@ -160,11 +160,27 @@
                 events.REQUEST_ENDED,
                 request=request_id,
                 outcome=name,
-                reason=getattr(outcome, "reason", ""),
+                reason=_reason(outcome),
+                retry_after_ms=getattr(outcome, "retry_after_ms", 0),
+                method=environ["REQUEST_METHOD"],
+                host_header=environ.get("HTTP_HOST", ""),
+                path=environ["RAW_PATH_INFO"],
+                version=str(self._holder.snapshot.version),
                 milliseconds=round(milliseconds, 3),
             )
 
 
+def _reason(outcome):
+    """Return why a request ended as it did; the status if a target said."""
+    match outcome:
+        case Answered(status=status):
+            return str(status)
+        case Rejected(kind=kind):
+            return kind
+        case _:
+            return outcome.reason
+
+
 def _refused(environ, reason):
     """Return how a request ends that nobody was asked to run.
 
--- a/verbenanotch/proxy/_tracing.py
+++ b/verbenanotch/proxy/_tracing.py
@@ -1,7 +1,9 @@
 """Choose the ordinary requests whose events are recorded."""
 
-TRACES_PER_SECOND = 20
-MAX_BURST = 100
+# Lines of the log that answered requests may take, a quarter of its budget
+# with the lines of their calls.
+TRACES_PER_SECOND = 10
+MAX_BURST = 50
 
 
 class TraceSampler:
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -2,7 +2,7 @@
 
 from verbenanotch.telemetry import Level, event
 
-REQUEST_ENDED = event(5001, "request-ended", Level.DEBUG, "a request ended")
+REQUEST_ENDED = event(5001, "request-ended", Level.INFO, "a request ended")
 TARGET_ANNOUNCED = event(
     5002, "target-announced", Level.INFO, "a local target announced itself"
 )
@@ -20,7 +20,7 @@
 CALL_STARTED = event(
     5006, "call-started", Level.DEBUG, "a call started at a local target"
 )
-CALL_ENDED = event(5007, "call-ended", Level.DEBUG, "a call ended")
+CALL_ENDED = event(5007, "call-ended", Level.INFO, "a call ended")
 CALL_FINISHED = event(
     5015,
     "call-finished",
--- a/verbenanotch/routing/_choice.py
+++ b/verbenanotch/routing/_choice.py
@@ -25,6 +25,7 @@
 # so that it is tried; own requests that wait for it make it dearer.
 UNKNOWN_TARGET_SHARE = 0.5
 OVERLOAD_RETRY_AFTER_MS = 250
+MILLISECONDS_PER_SECOND = 1000
 NO_TARGET_RETRY_AFTER_MS = 1000
 
 
@@ -272,10 +273,22 @@
                 return Chosen(target_id=best.target_id, panicked=True)
     return NoTarget(
         reason="overloaded" if healthy else "unhealthy",
-        retry_after_ms=OVERLOAD_RETRY_AFTER_MS,
+        retry_after_ms=_retry_after_ms((*near, *far)),
     )
 
 
+def _retry_after_ms(targets):
+    """Return when the first of the targets will have served who waits."""
+    waits = [
+        target.load.service_seconds * target.load.busy / target.slots
+        for target in targets
+        if target.load is not None
+    ]
+    if not waits or not min(waits):
+        return OVERLOAD_RETRY_AFTER_MS
+    return max(1, int(min(waits) * MILLISECONDS_PER_SECOND))
+
+
 def _best_of_two(targets, now, random):
     if len(targets) > 2:
         targets = random.sample(targets, 2)
--- a/verbenanotch/routing/_target.py
+++ b/verbenanotch/routing/_target.py
@@ -21,6 +21,8 @@
 # A target whose slots are all taken has no room for the next burst: it
 # counts as this much slower than an idle one.
 FULL_TARGET_PENALTY = 0.5
+# As many requests wait for a target's slots as it has slots.
+FULL_BUSY_FACTOR = 2
 MIN_RAMP = 0.1
 MILLISECONDS_PER_SECOND = 1000
 
@@ -163,11 +165,24 @@
         hint = self.reported_load * self._hint_weight(now)
         return own * (1.0 + ERROR_PENALTY * self.error_share) + hint
 
+    def is_known_full(self, now):
+        """Return whether its proxy has just refused for want of room.
+
+        That holds for half the time in which a slot gets free again.
+        """
+        return (
+            self.load is not None
+            and self.load.busy >= FULL_BUSY_FACTOR * self.slots
+            and now - self.loaded_at < self.load.service_seconds / 2
+        )
+
     def has_room(self, now, *, ramped=True):
         """Return whether one more request is within the limit.
 
         The share allowed by the slow start counts if `ramped`.
         """
+        if self.is_known_full(now):
+            return False
         share = self.ramp(now) if ramped else 1.0
         return self.in_flight + 1 <= max(1.0, self.limit.value * share)
 
