Refuse route prefixes that can never match

Cause: a prefix with dot segments passed the check of an operator's file, and never matches as its writer means, since paths are compared as they are.

Ruled out: resolving dot segments (a request's path must stay unchanged).

--- a/tests/unit/test_catalog.py
+++ b/tests/unit/test_catalog.py
@@ -1,5 +1,7 @@
 """Rules of operators' files."""
 
+import pytest
+
 from verbenanotch.catalog import Version, parse_mesh
 from verbenanotch.documents import Invalid, Valid
 
@@ -62,3 +64,36 @@
     assert Version.parse(str(Version(epoch=3, index=41))) == Version(
         epoch=3, index=41
     )
+
+
+@pytest.mark.parametrize("prefix", ["/p/../q", "/./p", "/p/.."])
+def test_a_prefix_with_dot_segments_is_refused(prefix):
+    text = f'''name = "m"
+[services.a]
+[routes.r]
+prefix = "{prefix}"
+service = "a"
+'''
+    texts = [str(item) for item in parse_mesh(text.encode()).problems]
+    assert any("dot segments" in text for text in texts)
+
+
+@pytest.mark.parametrize(
+    ("split", "fault"),
+    [
+        ('[{service = "b", weight = 1}]', "is no part of the split"),
+        ('[{service = "a", weight = 0}]', "give no share"),
+        ('[{service = "a", weight = 1}, {service = "x", weight = 1}]', "'x'"),
+    ],
+)
+def test_a_faulty_split_is_refused(split, fault):
+    text = f"""name = "m"
+[services.a]
+[services.b]
+[routes.r]
+prefix = "/"
+service = "a"
+split = {split}
+"""
+    texts = [str(item) for item in parse_mesh(text.encode()).problems]
+    assert any(fault in text for text in texts)
--- a/verbenanotch/catalog/_mesh.py
+++ b/verbenanotch/catalog/_mesh.py
@@ -170,6 +170,12 @@
         yield document.problem(
             f"{key}.prefix", "is no path", "Start it with a slash."
         )
+    if {".", ".."} & set(route.prefix.split("/")):
+        yield document.problem(
+            f"{key}.prefix",
+            "has dot segments, which are not resolved and never match",
+            "Write the path that callers send.",
+        )
     yield from _destination_problems(key, route, mesh, document)
     if not route.host:
         yield document.problem(
