--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -66,6 +66,7 @@
     http: HttpServer
     peers: FakePeers
     holder: object
+    interface: EntryInterface
 
     def ask(self, method="POST", path="/pay/1", body=None, **headers):
         """Send one request."""
@@ -163,7 +164,7 @@
     )
     callers.start()
     server.start()
-    yield Entry(http=server, peers=peers, holder=holder)
+    yield Entry(http=server, peers=peers, holder=holder, interface=interface)
     server.stop()
     callers.stop()
 
@@ -441,3 +442,15 @@
         entry.ask("GET", path="/pay/1")
     later = [call.target_id for call in entry.peers.calls[2:]]
     assert later.count(first) < len(later) / 4
+
+
+def test_a_missing_route_is_told_where_the_settings_say_so(entry):
+    assert entry.ask(path="/other").status == 503
+    settings = entry.interface._settings
+    entry.interface._settings = attrs.evolve(
+        settings, proxy=attrs.evolve(settings.proxy, unrouted_is_missing=True)
+    )
+    answer = entry.ask(path="/other")
+    assert (answer.status, answer.reason) == (404, "no-route")
+    entry.holder.snapshot = Snapshot()
+    assert entry.ask(path="/other").status == 503
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -173,6 +173,9 @@
     the proxy takes callers for `leave_ms` more, so that they can learn of
     it. `retry_burst` bounds the retries to one service that all
     proxies together make beyond their share of its requests. With
+    `unrouted_is_missing`, a request without a route is answered 404 once a
+    version is known, in place of 503, after which callers may ask again.
+    With
     `probe_targets` off, targets are judged by their answers alone.
     """
 
@@ -188,6 +191,7 @@
     fractional_retry_after: bool = False
     leave_ms: int = 0
     retry_burst: int = 50
+    unrouted_is_missing: bool = False
     probe_targets: bool = True
     headers: HeaderNames = attrs.field(factory=HeaderNames)
     entry_services: tuple[str, ...] = ()
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -123,7 +123,11 @@
 
     def _unrouted(self, environ, snapshot):
         """Return how a request ends that no route matches."""
-        if snapshot.version == NO_VERSION or KEY_FIELD in environ:
+        is_known = (
+            self._settings.proxy.unrouted_is_missing
+            and snapshot.version != NO_VERSION
+        )
+        if not is_known or KEY_FIELD in environ:
             return _refused(environ, reasons.NO_ROUTE)
         return Rejected(
             status=404,
