Parse the settings again only when the file has changed

Cause: the check for settings that change without a signal parsed the file once a second at every host.

Change: the bytes are compared first.

Ruled out: the time of the last change (it can stand still over a change).

--- a/tests/unit/test_reload.py
+++ b/tests/unit/test_reload.py
@@ -91,3 +91,15 @@
     result = load(tmp_path, **changed)
     assert isinstance(result, Invalid)
     assert all(problem.remedy for problem in result.problems)
+
+
+def test_a_file_is_parsed_again_only_if_it_has_changed(tmp_path):
+    first = load(tmp_path)
+    reloader = conf.Reloader(tmp_path / "settings.toml")
+    held = reloader.load()
+    assert held.value == first.value
+    assert reloader.load() is held
+    load(tmp_path, seeds='["127.0.0.3"]')
+    assert reloader.load().value != held.value
+    (tmp_path / "settings.toml").unlink()
+    assert isinstance(reloader.load(), Invalid)
--- a/verbenanotch/cli/daemon.py
+++ b/verbenanotch/cli/daemon.py
@@ -68,7 +68,7 @@
     code = daemon.run(
         settings,
         interfaces=interfaces,
-        reload=lambda: conf.load(settings_path),
+        reload=conf.Reloader(settings_path).load,
     )
     sys.exit(code)
 
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -225,6 +225,28 @@
     discovery: DiscoverySettings = attrs.field(factory=DiscoverySettings)
 
 
+class Reloader:
+    """Load a settings file again, and parse it only if it has changed."""
+
+    def __init__(self, path):
+        """Load nothing yet."""
+        self._path = pathlib.Path(path)
+        self._data = None
+        self._result = None
+
+    def load(self):
+        """Return the result of `load` for the present file."""
+        try:
+            data = self._path.read_bytes()
+        except OSError:
+            # `load` tells what is wrong with it.
+            data = None
+        if data is None or data != self._data:
+            self._data = data
+            self._result = load(self._path)
+        return self._result
+
+
 def load(path):
     """Return Valid with Settings, or Invalid with every problem found."""
     try:
