--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -138,8 +138,7 @@
     in milliseconds from now. `target` tells a target which one is meant,
     and is checked by targets that know it. `caller` names the service
     beside the proxy that took the request. An answer of a target with
-    `not_run` says that the request was not run. `load` is a target's load:
-    running, waiting and slots, separated by commas.
+    `not_run` says that the request was not run.
     """
 
     request_id: str = "X-Request-Id"
@@ -150,7 +149,6 @@
     target: str = ""
     caller: str = ""
     not_run: str = ""
-    load: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -169,14 +167,13 @@
     after its last announcement. With `targets_echo_request_id`, an answer
     with another request id is not an answer to the request. With
     `fractional_retry_after`, Retry-After may have a fraction of a second,
-    for callers whose deadlines are shorter than one. Once told to stop,
-    the proxy takes callers for `leave_ms` more, so that they can learn of
-    it. `retry_burst` bounds the retries to one service that all
-    proxies together make beyond their share of its requests. With
+    for callers whose deadlines are shorter than one. With
     `unrouted_is_missing`, a request without a route is answered 404 once a
     version is known, in place of 503, after which callers may ask again.
-    With
-    `probe_targets` off, targets are judged by their answers alone.
+    Once told to stop, the proxy takes callers for `leave_ms` more, so that
+    they can learn of it. `retry_burst` bounds the retries to one service
+    that all proxies together make beyond their share of its requests.
+    Without `probe_targets`, targets are judged by their answers alone.
     """
 
     caller_port: int = 0
--- a/verbenanotch/distribution/_messages.py
+++ b/verbenanotch/distribution/_messages.py
@@ -128,7 +128,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class ControlHost:
+class KnownControlHost:
     """A control host and where its peers reach it."""
 
     name: str
@@ -141,7 +141,7 @@
 class ControlHosts:
     """All control hosts that the sender knows at present."""
 
-    hosts: tuple[ControlHost, ...]
+    hosts: tuple[KnownControlHost, ...]
 
 
 @message(309)
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -19,13 +19,13 @@
 from verbenanotch.distribution._messages import (
     Acknowledge,
     Busy,
-    ControlHost,
     ControlHosts,
     DrainTarget,
     FloorConfirmed,
     FloorReply,
     FloorRequest,
     FloorUnknown,
+    KnownControlHost,
     Resync,
     Subscribe,
     Unsubscribe,
@@ -141,7 +141,7 @@
         """Tell the proxies which control hosts there are, if that changed."""
         message = ControlHosts(
             hosts=tuple(
-                ControlHost(
+                KnownControlHost(
                     name=name,
                     address=member.address,
                     peer_port=member.peer_port,
--- a/verbenanotch/routing/_choice.py
+++ b/verbenanotch/routing/_choice.py
@@ -93,12 +93,12 @@
 ):
     """Return Chosen or NoTarget for one request.
 
-    `objective_seconds` is within which the request should be answered, by
-    the scale of the targets' mean service times; 0 means as soon as may be.
-
     `candidates` is a Candidates, or a sequence of TargetState that is split
     on each call. `random` is a `random.Random`. `exclude` holds the ids of
-    targets that this request has tried. A draining target is never chosen.
+    targets that this request has tried. `objective_seconds` is within which
+    it should be answered, by the scale of the targets' mean service times;
+    0 means as soon as may be. `host` is the one that chooses. A draining
+    target is never chosen.
     """
     if not isinstance(candidates, Candidates):
         candidates = Candidates(targets=tuple(candidates))
@@ -124,11 +124,10 @@
     The load pattern is a service whose targets differ in speed, one of them
     slow or near its slots. A request stays on its host, or else in its
     zone, while it can expect to meet its objective there, since each
-    further step costs processor time and bytes; else it
-    goes to the better of a near target and one far target drawn at random.
-    The draw keeps many proxies that know the same loads from all choosing
-    the same target at a time. None if no load is known, or no drawn target
-    can take the request.
+    further step costs processor time and bytes; else it goes to the better
+    of a near target and one far target drawn at random. The draw keeps many
+    proxies that know the same loads from all choosing the same target at a
+    time. None if no load is known, or no drawn target can take the request.
     """
     near = _usable_few(near, now, random, exclude)
     far = _usable_few(far, now, random, exclude)
