--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -438,6 +438,8 @@
     entry.peers.outcomes = [NotRun(reason="target-refused"), ECHO]
     assert entry.ask("GET", path="/pay/1").status == 200
     first = entry.peers.calls[0].target_id
+    states_by_id = entry.interface._dispatcher._cache.states_by_target_id
+    assert states_by_id[first].error_share > 0
     for _ in range(40):
         entry.ask("GET", path="/pay/1")
     later = [call.target_id for call in entry.peers.calls[2:]]
