Let the tests of the queue fail when nothing is queued

Cause: three tests asserted within a match without a default, so that they also passed when the request was refused instead of queued.

Change: they compare whom the queue gave up, and fail on any other outcome.

Ruled out: nothing.

--- a/tests/unit/test_routing_placement.py
+++ b/tests/unit/test_routing_placement.py
@@ -47,6 +47,12 @@
     return make
 
 
+def refused_by(outcome):
+    """Return whom a request that was queued has put out of the queue."""
+    assert isinstance(outcome, Queued)
+    return outcome.refused
+
+
 def shares(targets, *, now=100.1, rounds=300, **options):
     candidates = Candidates(targets=tuple(targets))
     drawn = random.Random(5)
@@ -163,9 +169,7 @@
     queue = DeadlineQueue(max_length=2, slots=1, service_seconds=0.01)
     queue.offer("a", 9.0, 0.0, rank=1)
     queue.offer("b", 9.0, 0.0, rank=2)
-    match queue.offer("c", 9.0, 0.0, rank=0):
-        case Queued(refused=refused):
-            assert refused == ("b",)
+    assert refused_by(queue.offer("c", 9.0, 0.0, rank=0)) == ("b",)
     assert isinstance(queue.offer("d", 9.0, 0.0, rank=1), QueueRefused)
     assert [queue.take(0.0).item for _ in range(2)] == ["c", "a"]
 
@@ -174,9 +178,7 @@
     queue = DeadlineQueue(max_length=2, slots=1, service_seconds=0.01)
     queue.offer("order", 0.6, 0.0, rank=1)
     queue.offer("other order", 0.5, 0.0, rank=1)
-    match queue.offer("call", 0.2, 0.0, rank=1):
-        case Queued(refused=refused):
-            assert refused == ("order",)
+    assert refused_by(queue.offer("call", 0.2, 0.0, rank=1)) == ("order",)
     assert isinstance(queue.offer("late", 0.6, 0.0, rank=1), QueueRefused)
 
 
@@ -203,12 +205,10 @@
     queue = DeadlineQueue(max_length=9, slots=1, service_seconds=1.0)
     queue.offer("patient", 9.0, 0.0, rank=1)
     queue.offer("hurried", 3.5, 0.0, rank=1)
-    match queue.offer("urgent", 9.0, 0.0, rank=0):
-        case Queued(refused=refused):
-            assert refused == ()
-    match queue.offer("more urgent", 9.0, 0.0, rank=0):
-        case Queued(refused=refused):
-            assert refused == ("hurried",)
+    assert refused_by(queue.offer("urgent", 9.0, 0.0, rank=0)) == ()
+    assert refused_by(queue.offer("more urgent", 9.0, 0.0, rank=0)) == (
+        "hurried",
+    )
 
 
 def test_retries_of_all_hosts_keep_within_one_burst():
