Keep one copy of the name for any host

Cause: catalog and routing each defined ANY_HOST; a change of one would have left routes of any host unmatched.

Change: routing takes it from the catalog, which imports nothing of routing.

--- a/verbenanotch/routing/_routes.py
+++ b/verbenanotch/routing/_routes.py
@@ -1,6 +1,6 @@
 """Find the route of a request by its host and path."""
 
-ANY_HOST = "*"
+from verbenanotch.catalog import ANY_HOST
 
 
 class RouteTable:
