Refuse at once what would miss its objective only by waiting

Change: the queue refuses a request that would meet its objective at once, but not after the wait for those ahead of it (times 1.3, the margin of the placement). Its own time is the mean of its route at that target. One that no target can do in time waits by its deadline, as before. The call carries its route and what is left of the objective.

Ruled out: ordering late ones behind those on time (they would be held for long and refused in the end); a shorter queue (it would leave slots idle for short kinds).

--- a/tests/unit/test_routing_placement.py
+++ b/tests/unit/test_routing_placement.py
@@ -1,6 +1,8 @@
 """Placement, waiting and refusal at the worst load."""
 
 import collections
+import heapq
+import math
 import random
 
 import pytest
@@ -211,6 +213,63 @@
     )
 
 
+def answered_in_time(*, objective, seconds=20.0):
+    """Play 14 slots of 100 ms a request for twice what they can serve.
+
+    Returns how many requests were answered, and how many within 200 ms.
+    """
+    queue = DeadlineQueue(max_length=14, slots=14, service_seconds=0.1)
+    drawn = random.Random(7)
+    running, took, now = [], [], 0.0
+
+    def run(start, arrived):
+        # Work times vary by half around their mean.
+        end = start + 0.1 * drawn.lognormvariate(-0.125, 0.5)
+        heapq.heappush(running, (end, arrived))
+
+    while now < seconds:
+        now += drawn.expovariate(280)
+        while running and running[0][0] <= now:
+            end, arrived = heapq.heappop(running)
+            took.append(end - arrived)
+            waiting = queue.take(end).item
+            if waiting is not None:
+                run(end, waiting)
+        if len(running) < 14:
+            run(now, now)
+        else:
+            queue.offer(now, now + 0.5, now, objective=now + objective)
+    return len(took), sum(time <= 0.2 for time in took)
+
+
+def test_an_overloaded_target_answers_as_many_but_more_on_time():
+    answered, on_time = answered_in_time(objective=0.2)
+    answered_before, on_time_before = answered_in_time(objective=math.inf)
+    assert answered >= 0.98 * answered_before
+    assert on_time >= 1.2 * on_time_before
+
+
+def test_what_no_target_can_do_in_time_waits_by_its_deadline():
+    queue = DeadlineQueue(max_length=4, slots=1, service_seconds=0.2)
+    assert isinstance(queue.offer("a", 0.9, 0.0, objective=0.1), Queued)
+    queue = DeadlineQueue(max_length=4, slots=1, service_seconds=0.05)
+    assert isinstance(queue.offer("a", 0.9, 0.0, objective=0.2), Queued)
+    match queue.offer("b", 0.9, 0.0, objective=0.1):
+        case QueueRefused(reason=reason):
+            assert reason == "objective"
+        case outcome:
+            pytest.fail(f"unexpected {outcome}")
+
+
+def test_a_short_kind_waits_where_a_long_one_is_refused():
+    queue = DeadlineQueue(max_length=4, slots=2, service_seconds=0.1)
+    queue.offer("first", 0.9, 0.0)
+    short = queue.offer("b", 0.9, 0.0, objective=0.2, seconds=0.02)
+    assert isinstance(short, Queued)
+    long = queue.offer("c", 0.9, 0.0, objective=0.2, seconds=0.15)
+    assert isinstance(long, QueueRefused)
+
+
 def test_retries_of_all_hosts_keep_within_one_burst():
     budget = RetryBudget()
     budget.limit(56 / 13)
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -243,7 +243,8 @@
 
 
 def _call(request, target_id, attempt):
-    remaining = request.deadline - time.monotonic()
+    now = time.monotonic()
+    remaining = request.deadline - now
     return Call(
         request_id=request.request_id,
         service=request.service,
@@ -260,6 +261,8 @@
         traced=request.traced,
         caller=request.caller,
         priority=request.priority,
+        route_name=request.route_name,
+        objective_ms=request.objective_ms(now),
     )
 
 
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -231,6 +231,8 @@
                 deadline=deadline,
                 cancellation=cancellation,
                 rank=call.priority,
+                route_name=call.route_name,
+                objective_seconds=call.objective_seconds,
             )
         if refusal is not None:
             metrics.increment(f"proxy.refused.{refusal.reason}")
@@ -239,7 +241,7 @@
         try:
             outcome = self._run(target, call, deadline, cancellation)
         finally:
-            target.slots.release(time.monotonic() - started)
+            target.slots.release(time.monotonic() - started, call.route_name)
         return _with_load(outcome, target)
 
     def _run(self, target, call, deadline, cancellation):
--- a/verbenanotch/proxy/_outcome.py
+++ b/verbenanotch/proxy/_outcome.py
@@ -1,12 +1,14 @@
 """A call through the mesh and the ways in which it ends."""
 
 import dataclasses
+import math
 
 import attrs
 
 from verbenanotch.routing import TargetLoad
 
 DEFAULT_RETRY_AFTER_MS = 1000
+MILLISECONDS_PER_SECOND = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -18,7 +20,9 @@
     this one. `retries_below` is the number of retries that the target's own
     calls may use. `traced` asks for events of an ordinary call too.
     `caller` is the service beside the proxy that took the request.
-    `priority` ranks the request, the lowest first.
+    `priority` ranks the request, the lowest first. `objective_ms` is the
+    time left of the route's objective, or 0 if it has none; it may be
+    negative.
     """
 
     request_id: str
@@ -36,6 +40,15 @@
     traced: bool = False
     caller: str = ""
     priority: int = 0
+    route_name: str = ""
+    objective_ms: int = 0
+
+    @property
+    def objective_seconds(self):
+        """The time in which the call should be answered."""
+        if self.objective_ms == 0:
+            return math.inf
+        return self.objective_ms / MILLISECONDS_PER_SECOND
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -24,7 +24,10 @@
 
 @attrs.frozen(kw_only=True)
 class Request:
-    """A caller's request; `deadline` is in monotonic seconds.
+    """A caller's request; `deadline` and `arrived` are monotonic seconds.
+
+    `objective_seconds` is within which it should be answered, 0 if its route
+    says nothing of that.
 
     `retries` is how often it may be run again, here and below. `key` is
     the caller's idempotency key, or empty.
@@ -46,6 +49,17 @@
     caller: str = ""
     priority: int = 0
     objective_seconds: float = 0.0
+    arrived: float = 0.0
+
+    def objective_ms(self, now):
+        """Return the time that is left of the objective, never 0.
+
+        0 if the route has none.
+        """
+        if not self.objective_seconds:
+            return 0
+        left = self.arrived + self.objective_seconds - now
+        return int(left * MILLISECONDS_PER_SECOND) or -1
 
 
 class RequestReader:
@@ -127,6 +141,7 @@
         caller=caller,
         priority=route.priority,
         objective_seconds=route.objective_ms / MILLISECONDS_PER_SECOND,
+        arrived=now,
     )
 
 
--- a/verbenanotch/proxy/_slots.py
+++ b/verbenanotch/proxy/_slots.py
@@ -1,5 +1,6 @@
 """Slots of one target, and the short queue before them."""
 
+import math
 import time
 
 from eventlet import event
@@ -10,6 +11,7 @@
     DeadlineQueue,
     Queued,
     QueueRefused,
+    ServiceTimes,
     TargetLoad,
 )
 
@@ -26,6 +28,7 @@
         """Start with `count` free slots."""
         self._count = count
         self._queue = DeadlineQueue(max_length=count, slots=count)
+        self._service_times = ServiceTimes()
         self.in_flight = 0
 
     @property
@@ -36,17 +39,32 @@
             service_seconds=self._queue.service_seconds,
         )
 
-    def acquire(self, *, deadline, cancellation, rank=0):
+    def acquire(
+        self,
+        *,
+        deadline,
+        cancellation,
+        rank=0,
+        route_name="",
+        objective_seconds=math.inf,
+    ):
         """Take a slot and return None, or return NotRun without one.
 
         `deadline` is in monotonic seconds. The lowest `rank` goes first.
+        `objective_seconds` is within which the call should be answered.
         """
         if self.in_flight < self._count and not len(self._queue):
             self.in_flight += 1
             return None
         waiting = event.Event()
+        now = time.monotonic()
         queued = self._queue.offer(
-            waiting, deadline, time.monotonic(), rank=rank
+            waiting,
+            deadline,
+            now,
+            rank=rank,
+            objective=now + objective_seconds,
+            seconds=self._service_times.expected(route_name),
         )
         full = NotRun(
             reason=reasons.TARGET_FULL, retry_after_ms=queued.retry_after_ms
@@ -59,10 +77,14 @@
                     _finish(other, full)
         return self._wait(waiting, queued.ticket, deadline, cancellation)
 
-    def release(self, service_seconds):
-        """Give a slot back and pass it to the next call in the queue."""
+    def release(self, service_seconds, route_name=""):
+        """Give a slot back and pass it to the next call in the queue.
+
+        `service_seconds` is how long a call of the route held it.
+        """
         self.in_flight -= 1
         self._queue.served(service_seconds)
+        self._service_times.served(route_name, service_seconds)
         taken = self._queue.take(time.monotonic())
         late = NotRun(
             reason=reasons.TARGET_FULL, retry_after_ms=taken.retry_after_ms
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -1,7 +1,7 @@
 """Which target a request goes to, and whether it goes at all."""
 
 from verbenanotch.routing._choice import Candidates, Chosen, NoTarget, choose
-from verbenanotch.routing._durations import RouteDurations
+from verbenanotch.routing._durations import RouteDurations, ServiceTimes
 from verbenanotch.routing._fingerprints import (
     Blocked,
     DeathNotice,
@@ -46,6 +46,7 @@
     "RetryBudget",
     "RouteDurations",
     "RouteTable",
+    "ServiceTimes",
     "Taken",
     "TargetLoad",
     "TargetState",
--- a/verbenanotch/routing/_choice.py
+++ b/verbenanotch/routing/_choice.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from verbenanotch.routing._durations import OBJECTIVE_MARGIN
+
 SPILL_PRESSURE = 0.8
 SPILL_MARGIN = 0.25
 PANIC_HEALTHY_SHARE = 0.5
@@ -17,10 +19,6 @@
 # this share and by this time (two crossings of about 1.5 ms).
 FAR_GAIN_SHARE = 0.15
 FAR_GAIN_SECONDS = 0.003
-# A request stays in its zone as long as so many times the expected time is
-# within its objective. Work times vary by half: about four of five take less
-# than this much of the mean.
-OBJECTIVE_MARGIN = 1.3
 # A target of unknown speed is taken for this share of the fastest known one,
 # so that it is tried; own requests that wait for it make it dearer.
 UNKNOWN_TARGET_SHARE = 0.5
--- a/verbenanotch/routing/_durations.py
+++ b/verbenanotch/routing/_durations.py
@@ -1,6 +1,13 @@
 """How long the requests of a route take, compared with their service's."""
 
+# A request can expect to meet its objective if so many times its mean time is
+# within it. Work times vary by half: about four of five take less than this
+# much of the mean.
+OBJECTIVE_MARGIN = 1.3
 RATIO_WEIGHT = 0.05
+SERVICE_TIME_WEIGHT = 0.1
+# Routes that come and go must not fill the memory.
+MAX_ROUTES = 512
 MIN_RATIO = 0.05
 MAX_RATIO = 20.0
 
@@ -34,3 +41,24 @@
         """Forget the routes that are gone."""
         for name in self._ratios_by_route.keys() - route_names:
             del self._ratios_by_route[name]
+
+
+class ServiceTimes:
+    """Mean seconds for which each route's requests hold a target's slot."""
+
+    def __init__(self):
+        """Know no route."""
+        self._seconds_by_route = {}
+
+    def served(self, route_name, seconds):
+        """Note one request."""
+        if len(self._seconds_by_route) >= MAX_ROUTES:
+            self._seconds_by_route.clear()
+        held = self._seconds_by_route.get(route_name, seconds)
+        self._seconds_by_route[route_name] = held + SERVICE_TIME_WEIGHT * (
+            seconds - held
+        )
+
+    def expected(self, route_name):
+        """Return the mean of a route, or None if it is not known."""
+        return self._seconds_by_route.get(route_name)
--- a/verbenanotch/routing/_queue.py
+++ b/verbenanotch/routing/_queue.py
@@ -2,13 +2,19 @@
 
 The load pattern is more requests than a target can serve, of kinds that
 differ in urgency: what waits is served most urgent first, and whoever can
-no longer be served in time is refused as soon as that is known.
+no longer be served in time is refused as soon as that is known. A target
+that is overloaded for long answers as many requests whether its queue is
+long or short; a short one lets them meet their objective, and tells the
+others early to come back.
 """
 
 import dataclasses
 import itertools
+import math
 from typing import Any
 
+from verbenanotch.routing._durations import OBJECTIVE_MARGIN
+
 SERVICE_TIME_WEIGHT = 0.1
 MIN_RETRY_AFTER_MS = 10
 MILLISECONDS_PER_SECOND = 1000
@@ -31,7 +37,7 @@
 class QueueRefused:
     """The request was not run and does not wait.
 
-    `reason` is `queue-full` or `deadline`.
+    `reason` is `queue-full`, `deadline` or `objective`.
     """
 
     reason: str
@@ -58,6 +64,7 @@
     deadline: float
     ticket: int
     item: Any = dataclasses.field(compare=False)
+    seconds: float = dataclasses.field(compare=False)
 
 
 class DeadlineQueue:
@@ -87,9 +94,15 @@
             seconds - self.service_seconds
         )
 
-    def offer(self, item, deadline, now, *, rank=0):
+    def offer(
+        self, item, deadline, now, *, rank=0, objective=math.inf, seconds=None
+    ):
         """Return Queued, or QueueRefused at once.
 
+        `objective` is when the request should be answered at the latest,
+        and `seconds` how long it takes, if that is known better than by the
+        mean. One that would be late only because of its wait is refused.
+
         A full queue gives up its last request for one that goes before it.
         Among equally urgent ones that is the one with the later deadline:
         calls of requests that run already have the shortest, and refusing
@@ -100,10 +113,13 @@
             deadline=deadline,
             ticket=next(self._tickets),
             item=item,
+            seconds=self.service_seconds if seconds is None else seconds,
         )
         ahead = sum(other < entry for other in self._entries)
         if not self._can_make(entry, ahead, now):
             return self._refused("deadline")
+        if self._would_be_late(entry, ahead, objective - now):
+            return self._refused("objective")
         refused = []
         if len(self._entries) >= self._max_length:
             if self._entries[-1] < entry:
@@ -122,7 +138,7 @@
         late = []
         while self._entries:
             entry = self._entries.pop(0)
-            if now + self.service_seconds <= entry.deadline:
+            if now + entry.seconds <= entry.deadline:
                 return self._taken(entry.item, late)
             late.append(entry.item)
         return self._taken(None, late)
@@ -140,9 +156,18 @@
         return max(MIN_RETRY_AFTER_MS, int(wait_ms * MILLISECONDS_PER_SECOND))
 
     def _can_make(self, entry, ahead, now):
-        end = now + self._wait_seconds(ahead) + self.service_seconds
+        end = now + self._wait_seconds(ahead) + entry.seconds
         return end <= entry.deadline
 
+    def _would_be_late(self, entry, ahead, left):
+        """Return whether it would be on time, but for its wait.
+
+        `left` are the seconds to the objective.
+        """
+        at_once = entry.seconds * OBJECTIVE_MARGIN
+        waited = self._wait_seconds(ahead) * OBJECTIVE_MARGIN
+        return at_once <= left < at_once + waited
+
     def _drop_hopeless(self, start, now):
         """Remove those from `start` on that can no longer make it."""
         kept = self._entries[:start]
