Elect a leader early after all control hosts have restarted

Change: a member that has heard no leader since its start asks for votes after 0.15 to 0.3 of the election timeout. The pre-vote keeps it from disturbing a leader that others hear; the new tests fail without the change, or guard that.

--- a/tests/unit/test_replication_core.py
+++ b/tests/unit/test_replication_core.py
@@ -359,3 +359,42 @@
     assert outgoing.message.commit_index == 1
     acknowledge(core, C, 1, 3.02)
     assert core.take_effects().is_empty
+
+
+def test_a_member_that_has_heard_no_leader_asks_for_votes_early():
+    core = make_core()
+    core.tick(TIMING.election_timeout / 2)
+    assert core.role == Role.PRE_CANDIDATE
+
+
+def test_a_member_that_has_heard_a_leader_waits_for_the_whole_timeout():
+    core = make_core(terms=(1,), term=1)
+    heartbeat = Append(
+        term=1,
+        previous_index=1,
+        previous_term=1,
+        entries=(),
+        commit_index=1,
+        round=1,
+    )
+    core.receive(B.id, heartbeat, 0.1)
+    core.tick(0.1 + TIMING.election_timeout * 0.99)
+    assert core.role == Role.FOLLOWER
+
+
+def test_an_early_request_does_not_disturb_a_leader_that_is_heard():
+    core = make_core(terms=(1,), term=1)
+    heartbeat = Append(
+        term=1,
+        previous_index=1,
+        previous_term=1,
+        entries=(),
+        commit_index=1,
+        round=1,
+    )
+    core.receive(B.id, heartbeat, 0.1)
+    core.take_effects()
+    request = VoteRequest(term=2, last_index=1, last_term=1, pre=True)
+    core.receive(C.id, request, 0.2)
+    (sent,) = core.take_effects().messages
+    assert not sent.message.granted
--- a/verbenanotch/replication/_core.py
+++ b/verbenanotch/replication/_core.py
@@ -23,6 +23,12 @@
 from verbenanotch.replication._reception import SnapshotReception
 from verbenanotch.replication._roles import NOBODY, Role
 
+# Share of the election timeout after which a member asks for votes that has
+# heard no leader since its start. When all have restarted at a time there is
+# no leader to wait for, and a pre-vote does not disturb one that exists. It
+# leaves a few times the delay between members for their connections.
+STARTING_SHARE = 0.15
+
 
 class Core(LeaderActions):
     """The state of one member of the cluster.
@@ -56,6 +62,7 @@
         self._timing = timing
         self._random = random
         self._leader_heard_at = now - timing.election_timeout
+        self._is_starting = True
         self._granted_ids = set()
         self._reception = None
         self._leadership = None
@@ -123,7 +130,10 @@
 
     def _reset_election_deadline(self, now):
         timeout = self._timing.election_timeout
-        self._election_deadline = now + timeout * (1 + self._random.random())
+        share = 1 + self._random.random()
+        if self._is_starting:
+            share *= STARTING_SHARE
+        self._election_deadline = now + timeout * share
 
     def _set_term(self, term, vote):
         self.term = term
@@ -234,6 +244,7 @@
         if self.role != Role.FOLLOWER or term > self.term:
             self._become_follower(term, source, now)
         self.leader_id = source
+        self._is_starting = False
         self._leader_heard_at = now
         self._reset_election_deadline(now)
         return True
--- a/verbenanotch/replication/_leader.py
+++ b/verbenanotch/replication/_leader.py
@@ -96,6 +96,7 @@
     def _become_leader(self, now):
         self.role = Role.LEADER
         self.leader_id = self.own_id
+        self._is_starting = False
         self._leadership = Leadership(
             own_id=self.own_id, first_index=self.log.last_index + 1, now=now
         )
