Ask the host's target who it is after a start; compress longer messages

Change: TargetFinder asks the target at proxy.local_target for its health; a healthy one that names itself and its slots is announced provisionally, below any report of its own. A leaving target answers with a failure and is not announced. Beside it: the end of a target that the proxy did not know (it had restarted) was not remembered, so that a report that came late brought the target back; the test failed first. Ruled out: asking control hosts (they lose their tables in the same kill).

Change: messages of 1 KB or more are compressed on streams of replication, tables and distribution; a frame that would grow past the bound is refused. The protocol version is 2.

--- a/tests/unit/test_local_targets.py
+++ b/tests/unit/test_local_targets.py
@@ -1,11 +1,16 @@
 """Which announcements of the host's targets count."""
 
+import time
+from types import SimpleNamespace
+
 import attrs
+import eventlet
 import pytest
 
 from tests.unit.test_proxy_peers import SETTINGS
+from verbenanotch.conf import HeaderNames
 from verbenanotch.membership import TargetRecord
-from verbenanotch.proxy import LocalTargets
+from verbenanotch.proxy import LocalTargets, TargetFinder
 
 OLD = TargetRecord(
     target_id="i-1",
@@ -95,3 +100,90 @@
     assert after.order > before.order
     targets.exceed_incarnation(7)
     assert targets.announcement() == after
+
+
+def test_a_late_report_does_not_bring_back_who_left_unknown(targets):
+    """The proxy has restarted between the target's report and its end."""
+    targets.remove("i-1")
+    assert not targets.announce(OLD, sequence=5)
+    later = int(time.time() * 1000) + 1000
+    assert targets.announce(evolve(incarnation=later), sequence=1)
+
+
+def test_a_target_that_was_asked_keeps_its_slots_when_it_reports(targets):
+    assert targets.announce(evolve(incarnation=0))
+    found = targets.targets_by_id["i-1"]
+    assert targets.announce(OLD, sequence=5)
+    held = targets.targets_by_id["i-1"]
+    assert held.slots is found.slots
+    assert held.record == OLD
+    assert not targets.announce(evolve(incarnation=0))
+
+
+def test_what_was_asked_does_not_go_before_an_announcement(targets):
+    targets.announce(OLD, sequence=1)
+    assert not targets.announce(evolve(target_id="i-2", incarnation=0))
+    assert list(targets.targets_by_id) == ["i-1"]
+
+
+@pytest.fixture
+def find(targets):
+    """Return a function that runs a finder at a target with that answer."""
+    servers = []
+
+    def run(answer):
+        listening = eventlet.listen(("127.0.0.1", 0))
+
+        def serve():
+            sock, _ = listening.accept()
+            sock.recv(1000)
+            sock.sendall(answer)
+            sock.close()
+
+        servers.append((listening, eventlet.spawn(serve)))
+        proxy = attrs.evolve(
+            SETTINGS.proxy,
+            local_target=f"127.0.0.1:{listening.getsockname()[1]}",
+            headers=HeaderNames(target_id="X-Id", target_load="X-Load"),
+        )
+        targets.expect_service("pay")
+        TargetFinder(
+            settings=attrs.evolve(SETTINGS, proxy=proxy),
+            holder=SimpleNamespace(
+                snapshot=SimpleNamespace(
+                    services_by_name={
+                        "pay": SimpleNamespace(health_path="/health")
+                    }
+                )
+            ),
+            local_targets=targets,
+        ).run()
+        return targets.targets_by_id
+
+    yield run
+    for listening, server in servers:
+        server.kill()
+        listening.close()
+
+
+def test_a_healthy_target_is_found_before_it_announces_itself(find):
+    found = find(
+        b"HTTP/1.1 200 OK\r\nX-Id: i-1\r\nX-Load: 3,0,8\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    record = found["i-1"].record
+    assert (record.service, record.slots) == ("pay", 8)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 503 Draining\r\nX-Id: i-1\r\nX-Load: 3,0,8\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Load: 3,0,8\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Id: i-1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Id: i-1\r\nX-Load: 3,0,0\r\n\r\n",
+        b"this is no answer\r\n\r\n",
+    ],
+)
+def test_a_target_that_is_not_well_is_not_announced(find, answer):
+    assert find(answer) == {}
--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -1,6 +1,8 @@
 """Streams between processes."""
 
 import enum
+import os
+import zlib
 
 import attrs
 import eventlet
@@ -19,6 +21,7 @@
     encode,
     message,
 )
+from verbenanotch.wire._connection import MAX_FRAME_BYTES
 
 KEY = b"0123456789abcdef"
 WAKE_SECONDS = 5.0
@@ -52,20 +55,23 @@
         port=0,
         key=KEY,
         name="server",
-        handlers_by_purpose={Purpose.REQUEST: echo},
+        handlers_by_purpose={
+            Purpose.REQUEST: echo,
+            Purpose.DISTRIBUTION: echo,
+        },
     )
     server.start()
     yield server
     server.stop()
 
 
-def connect(listener, key=KEY):
+def connect(listener, key=KEY, purpose=Purpose.REQUEST):
     return dial(
         address="127.0.0.1",
         port=listener.port,
         key=key,
         name="client",
-        purpose=Purpose.REQUEST,
+        purpose=purpose,
     )
 
 
@@ -122,3 +128,33 @@
     with pytest.raises(ConnectionClosedError):
         connection.receive()
     assert connection.closed
+
+
+@pytest.mark.parametrize(
+    "body", [b"route " * 10_000, os.urandom(50_000), b"short"]
+)
+def test_versions_and_tables_travel_compressed(listener, body):
+    connection = connect(listener, purpose=Purpose.DISTRIBUTION)
+    item = Echo(text="x", bodies=(body,))
+    connection.send(item)
+    assert connection.receive() == item
+    if body.startswith(b"route"):
+        assert connection.sent_bytes + connection.received_bytes < 10_000
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        zlib.compress(bytes(MAX_FRAME_BYTES + 1)),
+        zlib.compress(encode(Echo(text="x")))[:-5],
+        zlib.compress(b"\xc1"),
+        b"no compressed frame",
+    ],
+)
+def test_a_compressed_frame_that_cannot_be_read_closes(listener, frame):
+    near = connect(listener, purpose=Purpose.DISTRIBUTION)
+    near.send_plain(frame)
+    with pytest.raises(ConnectionClosedError):
+        near.receive()
+    assert near.closed
+    test_messages_come_back_whole(listener)
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -138,7 +138,9 @@
     in milliseconds from now. `target` tells a target which one is meant,
     and is checked by targets that know it. `caller` names the service
     beside the proxy that took the request. An answer of a target with
-    `not_run` says that the request was not run.
+    `not_run` says that the request was not run. A target's answer to a
+    question for its health has its id in `target_id` and its load, as
+    `running,waiting,slots`, in `target_load`.
     """
 
     request_id: str = "X-Request-Id"
@@ -149,6 +151,8 @@
     target: str = ""
     caller: str = ""
     not_run: str = ""
+    target_id: str = ""
+    target_load: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -163,18 +167,19 @@
     `caller_port` and `target_port` at the host's address; `ready_listen`
     answers whether callers are served, an empty one turns that off.
     `local_service` is the service of the host's targets as long as none has
-    announced itself. A target is taken for gone `announcement_lease_ms`
-    after its last announcement. With `targets_echo_request_id`, an answer
-    with another request id is not an answer to the request. With
-    `targets_may_omit_length`, an answer without a length ends with its
-    connection, and is whole unless that was reset. With
-    `fractional_retry_after`, Retry-After may have a fraction of a second,
-    for callers whose deadlines are shorter than one. With
-    `unrouted_is_missing`, a request without a route is answered 404 once a
-    version is known, in place of 503, after which callers may ask again.
-    Once told to stop, the proxy takes callers for `leave_ms` more, so that
-    they can learn of it. `retry_burst` bounds the retries to one service
-    that all proxies together make beyond their share of its requests.
+    announced itself; after a start, the target at `local_target`
+    (`IP:PORT`) is asked for its health and id. A target is taken for gone
+    `announcement_lease_ms` after its last announcement. With
+    `targets_echo_request_id`, an answer with another request id is not an
+    answer to the request. With `targets_may_omit_length`, an answer without a
+    length ends with its connection, and is whole unless that was reset. With
+    `fractional_retry_after`, Retry-After may have a fraction of a second, for
+    callers whose deadlines are shorter than one. With `unrouted_is_missing`, a
+    request without a route is answered 404 once a version is known, in place
+    of 503, after which callers may ask again. Once told to stop, the proxy
+    takes callers for `leave_ms` more, so that they can learn of it.
+    `retry_burst` bounds the retries to one service that all proxies together
+    make beyond their share of its requests.
     Without `probe_targets`, targets are judged by their answers alone.
     """
 
@@ -185,6 +190,7 @@
     target_listen: str = ""
     ready_listen: str = ""
     local_service: str = ""
+    local_target: str = ""
     announcement_lease_ms: int = 4000
     targets_echo_request_id: bool = False
     targets_may_omit_length: bool = False
@@ -421,6 +427,7 @@
         ("proxy", "caller_listen"),
         ("proxy", "target_listen"),
         ("proxy", "ready_listen"),
+        ("proxy", "local_target"),
         ("telemetry", "metrics_listen"),
     ):
         text = getattr(getattr(settings, section), field, "")
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -27,6 +27,7 @@
     PeerServer,
     ReadinessInterface,
     RecordKeeper,
+    TargetFinder,
     TargetProbe,
 )
 from verbenanotch.telemetry import emit
@@ -139,6 +140,11 @@
             on_report=self._report,
         )
         self._probes = proxy.probe_targets
+        self._finder = TargetFinder(
+            settings=settings,
+            holder=self._holder,
+            local_targets=self._local_targets,
+        )
         self._greenthreads = []
 
     def start(self):
@@ -152,6 +158,7 @@
             self._ready_http.start()
         self._greenthreads = [
             eventlet.spawn(self._serve_callers),
+            eventlet.spawn(self._finder.run),
             eventlet.spawn(_every, EXPIRY_SECONDS, self._local_targets.expire),
             eventlet.spawn(_every, SETTLE_SECONDS, self._settle_records),
         ]
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -6,6 +6,7 @@
 from verbenanotch.proxy._crashes import CrashGuard
 from verbenanotch.proxy._dispatcher import Dispatcher
 from verbenanotch.proxy._entry import EntryInterface
+from verbenanotch.proxy._finder import TargetFinder
 from verbenanotch.proxy._keyed import KeyedRequests
 from verbenanotch.proxy._local import LocalTargets
 from verbenanotch.proxy._peer_pool import PeerPool
@@ -26,6 +27,7 @@
     "PeerServer",
     "ReadinessInterface",
     "RecordKeeper",
+    "TargetFinder",
     "TargetInterface",
     "TargetProbe",
 ]
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -9,6 +9,7 @@
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
 from verbenanotch.proxy._exchange import exchange
+from verbenanotch.proxy._finder import UNKNOWN_INCARNATION
 from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
 from verbenanotch.proxy._slots import Slots
 from verbenanotch.proxy._target_connection import TargetConnections
@@ -17,6 +18,8 @@
 MILLISECONDS_PER_SECOND = 1000
 # Ends of targets that are remembered against announcements that come late.
 MAX_ENDED_TARGETS = 64
+# Announcements may come some seconds late.
+LATE_ANNOUNCEMENT_SECONDS = 10.0
 
 
 @attrs.define(kw_only=True)
@@ -57,6 +60,7 @@
         """
         self._known_services = known_services
         self._ended_orders_by_id = {}
+        self._left_at_by_id = {}
         self._service = settings.proxy.local_service
         self._guard = guard
         self._settings = settings
@@ -118,6 +122,9 @@
         )
         self._service = record.service
         held = self.targets_by_id.get(record.target_id)
+        if held is not None and _is_found_again(held.record, record):
+            held.record = record
+            self._changed()
         if held is None or held.record.incarnation != record.incarnation:
             self._replace(record, expires_at)
             held = self.targets_by_id[record.target_id]
@@ -139,11 +146,26 @@
         held = self.targets_by_id.get(record.target_id)
         if held is not None and order < held.order:
             return False
+        if self._has_left_unknown(record):
+            return False
         return all(
             other.record.incarnation <= record.incarnation
             for other in self._others_at(record)
         )
 
+    def _has_left_unknown(self, record):
+        """Return whether the target left before it was known here.
+
+        Its announcements that come late are older than that; those of its
+        next start are not.
+        """
+        left = self._left_at_by_id.get(record.target_id)
+        if left is None:
+            return False
+        left_at, left_at_ms = left
+        is_recent = time.monotonic() - left_at < LATE_ANNOUNCEMENT_SECONDS
+        return is_recent and record.incarnation <= left_at_ms
+
     def _others_at(self, record):
         """Return the other targets at the address of a record."""
         return [
@@ -194,12 +216,15 @@
         """Forget a target; return False if it is not here."""
         target = self.targets_by_id.pop(target_id, None)
         if target is None:
+            self._left_at_by_id[target_id] = (
+                time.monotonic(),
+                int(time.time() * MILLISECONDS_PER_SECOND),
+            )
+            _drop_oldest(self._left_at_by_id)
             return False
         target.connections.close()
         self._ended_orders_by_id[target_id] = target.order
-        if len(self._ended_orders_by_id) > MAX_ENDED_TARGETS:
-            oldest = next(iter(self._ended_orders_by_id))
-            del self._ended_orders_by_id[oldest]
+        _drop_oldest(self._ended_orders_by_id)
         emit(events.TARGET_LEFT, target=target_id)
         self._changed()
         return True
@@ -300,6 +325,19 @@
         self._on_change()
 
 
+def _drop_oldest(ends_by_id):
+    """Bound what is remembered of targets that have ended."""
+    if len(ends_by_id) > MAX_ENDED_TARGETS:
+        del ends_by_id[next(iter(ends_by_id))]
+
+
+def _is_found_again(held, record):
+    """Return whether a target that was asked now announces itself."""
+    return held.incarnation == UNKNOWN_INCARNATION and held == attrs.evolve(
+        record, incarnation=UNKNOWN_INCARNATION, draining=False
+    )
+
+
 def _with_load(outcome, target):
     """Return an outcome that tells the load of its target."""
     if target is None:
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -103,3 +103,9 @@
     "raised above it",
     "Check the host's clock, which was set back between two starts.",
 )
+TARGET_NOT_FOUND = event(
+    5022,
+    "target-not-found",
+    Level.INFO,
+    "the host's target did not tell who it is; its announcement is awaited",
+)
--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import socket
+import zlib
 
 import msgpack
 from eventlet import event
@@ -18,6 +19,8 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_PENDING_BYTES = 4 * 1024 * 1024
 RECEIVE_BYTES = 64 * 1024
+# Documents of routes shrink to a fifth; smaller messages hardly shrink.
+MIN_COMPRESSED_BYTES = 1024
 
 _incarnations = itertools.count(1)
 
@@ -27,7 +30,8 @@
 
     `peer_name` and `purpose` are set by the handshake. `incarnation` is
     unique among the connections of this process. Only one greenthread may
-    receive.
+    receive. Longer messages leave compressed if `compresses` is set; they
+    are recognized in any case.
     """
 
     def __init__(self, *, sock, max_frame_bytes=MAX_FRAME_BYTES):
@@ -46,6 +50,7 @@
         self.closed = False
         self.peer_name = ""
         self.purpose = ""
+        self.compresses = False
         self.incarnation = next(_incarnations)
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -63,6 +68,8 @@
                 f"message of {len(data)} bytes is over the bound of "
                 f"{self._max_frame_bytes}; split it"
             )
+        if self.compresses and len(data) >= MIN_COMPRESSED_BYTES:
+            data = _compressed(data)
         self._wait_for_room()
         self._pending.append(data)
         self._pending_bytes += len(data)
@@ -76,7 +83,10 @@
         MalformedFrameError; the connection is closed after any of them.
         """
         try:
-            return decode(self.receive_plain())
+            value = self.receive_plain()
+            if isinstance(value, bytes):
+                value = _decompressed(value, self._max_frame_bytes)
+            return decode(value)
         except MalformedFrameError:
             self.close()
             raise
@@ -183,3 +193,30 @@
         if self._drained is not None:
             drained, self._drained = self._drained, None
             drained.send()
+
+
+def _compressed(data):
+    """Return a frame that holds the bytes of another one, if it is shorter."""
+    frame = msgpack.packb(zlib.compress(data))
+    return frame if len(frame) < len(data) else data
+
+
+def _decompressed(data, max_frame_bytes):
+    """Return the value of the frame in a compressed one.
+
+    Raises MalformedFrameError.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        frame = inflater.decompress(data, max_frame_bytes)
+        if not inflater.eof:
+            raise MalformedFrameError(
+                f"compressed frame is cut short or over {max_frame_bytes} "
+                "bytes; run the same release on every host"
+            )
+        return msgpack.unpackb(frame)
+    except (zlib.error, ValueError, msgpack.UnpackException) as error:
+        raise MalformedFrameError(
+            "peer sent a compressed frame that cannot be read; "
+            "check what connects to this port"
+        ) from error
--- a/verbenanotch/wire/_handshake.py
+++ b/verbenanotch/wire/_handshake.py
@@ -19,7 +19,7 @@
 )
 
 PROTOCOL_NAME = "verbenanotch"
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 CHALLENGE_BYTES = 16
 
 
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -6,11 +6,16 @@
 from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import events
 from verbenanotch.wire._connection import Connection
-from verbenanotch.wire._handshake import greet
+from verbenanotch.wire._handshake import Purpose, greet
 from verbenanotch.wire.exceptions import ConnectionClosedError, WireError
 
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
 LISTEN_BACKLOG = 1024
+# Versions and tables are text that repeats itself; bodies of requests are
+# mostly compressed already, and their delay counts.
+COMPRESSED_PURPOSES = frozenset(
+    (Purpose.REPLICATION, Purpose.ZONE, Purpose.DISTRIBUTION)
+)
 
 
 class Listener:
@@ -82,6 +87,7 @@
             purpose="",
             role="listener",
         )
+        connection.compresses = connection.purpose in COMPRESSED_PURPOSES
         connection.set_timeout(None)
         handler = self._handlers_by_purpose.get(connection.purpose)
         if handler is None:
@@ -114,6 +120,7 @@
         connection.close()
         raise
     connection.purpose = purpose
+    connection.compresses = purpose in COMPRESSED_PURPOSES
     connection.set_timeout(None)
     return connection
 
