Let the log not know what it carries; load less at a proxy's start

Cause: catalog and replication imported each other, so that a proxy loaded the whole replicated log at each start; urllib3's connection was loaded for an exchange that no longer used it. A restart takes 0.5 to 0.6 s on the users' machines, most of it imports, and each of these seconds is one without service.

Change: Replica tells the Position of an entry in the log; the package versions makes a Version of it. catalog keeps operators' files and the numbers of versions, which proxies need too. TargetConnection holds its socket itself.

Ruled out: eventlet's import of asyncio (29 ms, the library's own) and the building of attrs classes (spread over all packages).

--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -20,10 +20,8 @@
     NO_VERSION,
     Submission,
     Version,
-    Versions,
     parse_mesh,
 )
-from verbenanotch.catalog._versions import encode_submission
 from verbenanotch.distribution import SnapshotHolder
 from verbenanotch.distribution._mesh_state import encode_mesh
 from verbenanotch.distribution._messages import Subscribe
@@ -38,6 +36,8 @@
 )
 from verbenanotch.membership._entry_set import EntrySet, encode_entry
 from verbenanotch.telemetry import configure
+from verbenanotch.versions import Versions
+from verbenanotch.versions._versions import encode_submission
 from verbenanotch.wire import decode, encode
 
 SERVICES = 550
--- a/bench/replication_submit.py
+++ b/bench/replication_submit.py
@@ -22,9 +22,9 @@
 from tests.support.replicas import Cluster  # noqa: E402
 from verbenanotch import telemetry  # noqa: E402
 from verbenanotch.catalog import Submission  # noqa: E402
-from verbenanotch.catalog._versions import encode_submission  # noqa: E402
 from verbenanotch.replication import Committed  # noqa: E402
 from verbenanotch.telemetry import metrics  # noqa: E402
+from verbenanotch.versions._versions import encode_submission  # noqa: E402
 
 SUBMISSIONS = 200
 CONCURRENT = (1, 10, 50)
--- a/tests/support/operator_fakes.py
+++ b/tests/support/operator_fakes.py
@@ -94,7 +94,7 @@
         if "z1-c2" not in (add, remove):
             return replication.Unavailable(reason="not caught up")
         return replication.Committed(
-            version=Version(epoch=1, index=9), result=b""
+            position=replication.Position(term=1, index=9), result=b""
         )
 
     def history(self):
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -10,8 +10,9 @@
 
 from tests.support.fault_proxy import HEALTHY, FaultProxy
 from verbenanotch import conf, wire
-from verbenanotch.catalog import Submission, Versions, VersionService
+from verbenanotch.catalog import Submission
 from verbenanotch.replication import Replica
+from verbenanotch.versions import Versions, VersionService
 
 KEY = "0123456789abcdef"
 PEER_PORT = 7100
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -9,14 +9,13 @@
 from verbenanotch.catalog import (
     METHODS,
     Version,
-    Versions,
-    VersionService,
     WeightedService,
 )
 from verbenanotch.documents import Invalid, Valid
 from verbenanotch.platform import interfaces, parse_configuration
 from verbenanotch.platform._targets import read_report
 from verbenanotch.platform.exceptions import MalformedDocumentError
+from verbenanotch.versions import Versions, VersionService
 
 ROUTE = {
     "Host": "a.example",
--- a/tests/unit/test_replication_driver.py
+++ b/tests/unit/test_replication_driver.py
@@ -9,7 +9,6 @@
 
 from tests.support.replicas import Cluster, wait_for
 from verbenanotch.catalog import Accepted, Submission
-from verbenanotch.catalog._versions import encode_submission
 from verbenanotch.replication import (
     Committed,
     DiskFailedError,
@@ -29,6 +28,7 @@
 from verbenanotch.replication._files import Files
 from verbenanotch.replication._log import Log, SnapshotPoint
 from verbenanotch.replication._messages import Append, SnapshotChunk, VoteReply
+from verbenanotch.versions._versions import encode_submission
 
 TIMING = Timing(election_timeout=60.0, heartbeat=20.0)
 A, B = (
--- a/tests/unit/test_replication_faults.py
+++ b/tests/unit/test_replication_faults.py
@@ -5,9 +5,9 @@
 
 from tests.support.replicas import Cluster, wait_for
 from verbenanotch.catalog import Accepted, Submission, Unavailable, Unknown
-from verbenanotch.catalog._versions import encode_submission
 from verbenanotch.replication import Committed
 from verbenanotch.replication import Unavailable as Refused
+from verbenanotch.versions._versions import encode_submission
 
 VOTERS = ("c1", "c2", "c3")
 
--- a/tests/unit/test_versions.py
+++ b/tests/unit/test_versions.py
@@ -13,13 +13,11 @@
     Unavailable,
     Unknown,
     Version,
-    Versions,
-    VersionService,
-    _versions,
 )
-from verbenanotch.replication import Committed
+from verbenanotch.replication import Committed, Position
 from verbenanotch.replication import Unavailable as ReplicaUnavailable
 from verbenanotch.replication import Unknown as ReplicaUnknown
+from verbenanotch.versions import Versions, VersionService, _versions
 
 MESH = b'name = "m"\n[services.a]\n'
 
@@ -38,9 +36,9 @@
         if self.outcome is not None:
             return self.outcome
         self.index += 1
-        version = Version(epoch=1, index=self.index)
-        result = self.versions.apply(version, command)
-        return Committed(version=version, result=result)
+        position = Position(term=1, index=self.index)
+        result = self.versions.apply(position, command)
+        return Committed(position=position, result=result)
 
 
 @pytest.fixture
@@ -167,7 +165,7 @@
 
 
 def test_a_command_that_is_no_submission_is_passed_over(versions):
-    version = Version(epoch=1, index=1)
+    position = Position(term=1, index=1)
     for command in (
         b"",
         b"\xc1",
@@ -175,14 +173,12 @@
         b"\x01",
         b"\x96\x01\x02\x03\x04\x05",
     ):
-        outcome = _versions.decode_outcome(versions.apply(version, command))
+        outcome = _versions.decode_outcome(versions.apply(position, command))
         assert isinstance(outcome, Rejected)
     assert versions.current is None
 
 
 def test_a_file_too_large_for_the_log_is_rejected(service, monkeypatch):
-    monkeypatch.setattr(
-        "verbenanotch.catalog._version_service.MAX_COMMAND_BYTES", 10
-    )
+    monkeypatch.setattr("verbenanotch.versions._service.MAX_COMMAND_BYTES", 10)
     assert isinstance(submit(service, "a"), Rejected)
     assert service.replica.index == 0
--- a/verbenanotch/catalog/__init__.py
+++ b/verbenanotch/catalog/__init__.py
@@ -1,4 +1,4 @@
-"""Operators' files: services, routes, versions and their rules."""
+"""Operators' files: services, routes, and what becomes of them."""
 
 from verbenanotch.catalog._mesh import (
     ANY_HOST,
@@ -13,6 +13,7 @@
     parse_mesh,
 )
 from verbenanotch.catalog._submission import (
+    NO_LABEL,
     Accepted,
     Conflict,
     Rejected,
@@ -21,14 +22,13 @@
     Unknown,
 )
 from verbenanotch.catalog._version import NO_VERSION, Version
-from verbenanotch.catalog._version_service import VersionService
-from verbenanotch.catalog._versions import VersionRecord, Versions
 
 __all__ = [
     "ANY_HOST",
     "MAX_CALL_DEPTH",
     "MAX_TIMEOUT_MS",
     "METHODS",
+    "NO_LABEL",
     "NO_VERSION",
     "Accepted",
     "Conflict",
@@ -40,9 +40,6 @@
     "Unavailable",
     "Unknown",
     "Version",
-    "VersionRecord",
-    "VersionService",
-    "Versions",
     "WeightedService",
     "check_mesh",
     "parse_mesh",
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -6,7 +6,6 @@
 import attrs
 import eventlet
 
-from verbenanotch.catalog import Versions, VersionService
 from verbenanotch.conf import endpoint
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon.exceptions import StartError
@@ -15,6 +14,7 @@
 from verbenanotch.membership import events as membership_events
 from verbenanotch.replication import ReadConfirmed, Replica, StorageError
 from verbenanotch.telemetry import emit, metrics
+from verbenanotch.versions import Versions, VersionService
 from verbenanotch.wire import Listener, Purpose
 
 EXPIRY_SECONDS = 0.5
--- a/verbenanotch/operator/_answers.py
+++ b/verbenanotch/operator/_answers.py
@@ -96,7 +96,8 @@
 def answer_voters(outcome):
     """Return the Answer that tells the outcome of a change of voters."""
     match outcome:
-        case replication.Committed(version=version):
+        case replication.Committed(position=position):
+            version = Version(epoch=position.term, index=position.index)
             return Answer(
                 status=200, value={"kind": "changed", "version": version}
             )
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -7,8 +7,6 @@
 import socket
 import time
 
-from urllib3.connection import HTTPConnection
-
 from verbenanotch import loop
 
 IDLE_SECONDS = 4.0
@@ -47,36 +45,28 @@
             self._source.is_paused = False
 
 
-class TargetConnection(HTTPConnection):
+class TargetConnection:
     """An HTTP connection that knows whether a request may have left.
 
     It never opens itself again: a request that fails on a stale connection
-    is sent on another one only by whoever can tell that this is safe. Heads
-    are written and answers are read past the library's own request and
-    answer, which take half of the processor time of an exchange.
+    is sent on another one only by whoever can tell that this is safe. All
+    answers are read by one buffer. `sock` is None once it is closed.
     """
 
-    auto_open = 0
-
-    def __init__(self, host, port):
-        """Do not connect yet."""
-        super().__init__(host, port, timeout=CONNECT_TIMEOUT_SECONDS)
+    def __init__(self, *, sock):
+        """Use a connected LoopSocket."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock = sock
         self.sent_bytes = 0
         self.idle_since = 0.0
-        self._reader = None
-        self._connected_socket = None
+        self._connected_socket = sock
+        self._reader = _AnswerReader(sock)
 
-    def connect(self):
-        """Connect; all answers are read by one buffer.
-
-        Raises OSError.
-        """
-        self.sock = loop.connect(
-            self.host, self.port, timeout_seconds=self.timeout
-        )
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._connected_socket = self.sock
-        self._reader = _AnswerReader(self.sock)
+    def close(self):
+        """Close the connection; do nothing if it is closed."""
+        if self.sock is not None:
+            sock, self.sock = self.sock, None
+            sock.close()
 
     def send_request(self, method, path, fields, body):
         """Send a request with its head and whole body.
@@ -166,12 +156,13 @@
 
         Raises OSError.
         """
-        connection = TargetConnection(self._address, self._port)
-        connection.timeout = min(timeout_seconds, CONNECT_TIMEOUT_SECONDS)
-        connection.connect()
-        connection.timeout = None
-        connection.sock.settimeout(None)
-        return connection
+        sock = loop.connect(
+            self._address,
+            self._port,
+            timeout_seconds=min(timeout_seconds, CONNECT_TIMEOUT_SECONDS),
+        )
+        sock.settimeout(None)
+        return TargetConnection(sock=sock)
 
     def can_connect(self):
         """Return whether the target still accepts connections."""
--- a/verbenanotch/replication/__init__.py
+++ b/verbenanotch/replication/__init__.py
@@ -1,5 +1,6 @@
 """The replicated log of accepted versions: Raft, written for this project."""
 
+from verbenanotch.replication._entries import Position
 from verbenanotch.replication._outcomes import (
     Committed,
     ReadConfirmed,
@@ -26,6 +27,7 @@
     "ForeignFolderError",
     "LogConflictError",
     "MissingFileError",
+    "Position",
     "ReadConfirmed",
     "ReadUnavailable",
     "Replica",
--- a/verbenanotch/replication/_driver.py
+++ b/verbenanotch/replication/_driver.py
@@ -8,9 +8,12 @@
 import eventlet
 from eventlet import event
 
-from verbenanotch.catalog._version import Version
 from verbenanotch.replication import events
-from verbenanotch.replication._entries import EntryKind, encode_configuration
+from verbenanotch.replication._entries import (
+    EntryKind,
+    Position,
+    encode_configuration,
+)
 from verbenanotch.replication._log import SnapshotPoint
 from verbenanotch.replication._messages import SnapshotChunk
 from verbenanotch.replication._outcomes import (
@@ -270,11 +273,11 @@
         metrics.gauge("replication.fsync_ms", self._storage.last_sync_ms)
 
     def _apply(self, entry):
-        version = Version(epoch=entry.term, index=entry.index)
+        position = Position(term=entry.term, index=entry.index)
         result = b""
         if entry.kind == EntryKind.COMMAND:
             began = time.monotonic()
-            result = self._state_machine.apply(version, entry.data)
+            result = self._state_machine.apply(position, entry.data)
             seconds = time.monotonic() - began
             self._replay_seconds += seconds
             metrics.timing("replication.apply_ms", seconds * 1000)
@@ -283,7 +286,7 @@
         if waiter is None:
             return
         if waiter.term == entry.term:
-            waiter.outcome.send(Committed(version=version, result=result))
+            waiter.outcome.send(Committed(position=position, result=result))
         else:
             # The place in the log is taken for ever by another entry.
             waiter.outcome.send(
--- a/verbenanotch/replication/_entries.py
+++ b/verbenanotch/replication/_entries.py
@@ -14,6 +14,14 @@
     CONFIGURATION = 2
 
 
+@attrs.frozen(kw_only=True)
+class Position:
+    """The place of an entry in the log; never used twice."""
+
+    term: int
+    index: int
+
+
 @attrs.frozen(kw_only=True)
 class Entry:
     """One entry; `index` counts from 1, `term` is its leader's."""
--- a/verbenanotch/replication/_outcomes.py
+++ b/verbenanotch/replication/_outcomes.py
@@ -2,14 +2,10 @@
 
 import dataclasses
 import enum
-from typing import TYPE_CHECKING
 
 import attrs
 
-from verbenanotch.replication._entries import Member
-
-if TYPE_CHECKING:
-    from verbenanotch.catalog import Version
+from verbenanotch.replication._entries import Member, Position
 
 
 class OutcomeCode(enum.IntEnum):
@@ -25,7 +21,7 @@
 class Committed:
     """The command is committed and was applied with this result."""
 
-    version: "Version"
+    position: Position
     result: bytes
 
 
--- a/verbenanotch/replication/_requests.py
+++ b/verbenanotch/replication/_requests.py
@@ -7,8 +7,7 @@
 import msgpack
 from eventlet import event
 
-from verbenanotch.catalog._version import Version
-from verbenanotch.replication._entries import EntryKind
+from verbenanotch.replication._entries import EntryKind, Position
 from verbenanotch.replication._messages import (
     ProposeReply,
     ProposeRequest,
@@ -223,11 +222,11 @@
 
 
 def _reply_of(request_id, outcome):
-    code, version, result, reason = OutcomeCode.NOT_LEADER, None, b"", ""
+    code, position, result, reason = OutcomeCode.NOT_LEADER, None, b"", ""
     match outcome:
         case Committed():
             code = OutcomeCode.COMMITTED
-            version, result = outcome.version, outcome.result
+            position, result = outcome.position, outcome.result
         case Unavailable():
             code, reason = OutcomeCode.UNAVAILABLE, outcome.reason
         case Unknown():
@@ -235,8 +234,8 @@
     return ProposeReply(
         request_id=request_id,
         outcome=int(code),
-        epoch=version.epoch if version else 0,
-        index=version.index if version else 0,
+        epoch=position.term if position else 0,
+        index=position.index if position else 0,
         result=result,
         reason=reason,
     )
@@ -246,8 +245,8 @@
     """Return the outcome of a reply; None from one that does not lead."""
     match reply.outcome:
         case OutcomeCode.COMMITTED:
-            version = Version(epoch=reply.epoch, index=reply.index)
-            return Committed(version=version, result=reply.result)
+            position = Position(term=reply.epoch, index=reply.index)
+            return Committed(position=position, result=reply.result)
         case OutcomeCode.UNAVAILABLE:
             return Unavailable(reason=reply.reason)
         case OutcomeCode.UNKNOWN:
--- /dev/null
+++ b/verbenanotch/versions/__init__.py
@@ -0,0 +1,9 @@
+"""The accepted versions: a state machine on the log, and its service.
+
+Proxies know versions only by their numbers, from `catalog`.
+"""
+
+from verbenanotch.versions._service import VersionService
+from verbenanotch.versions._versions import VersionRecord, Versions
+
+__all__ = ["VersionRecord", "VersionService", "Versions"]
--- a/verbenanotch/catalog/_version_service.py
+++ b/verbenanotch/versions/_service.py
@@ -2,20 +2,20 @@
 
 import attrs
 
-from verbenanotch.catalog._submission import (
+from verbenanotch.catalog import (
     Rejected,
     Submission,
     Unavailable,
     Unknown,
 )
-from verbenanotch.catalog._versions import (
+from verbenanotch.documents import Invalid
+from verbenanotch.replication import _outcomes
+from verbenanotch.versions._versions import (
     MAX_COMMAND_BYTES,
     decode_outcome,
     encode_submission,
     rejected,
 )
-from verbenanotch.documents import Invalid
-from verbenanotch.replication import _outcomes
 
 
 @attrs.frozen(kw_only=True)
--- a/verbenanotch/catalog/_versions.py
+++ b/verbenanotch/versions/_versions.py
@@ -14,18 +14,19 @@
 import attrs
 import msgpack
 
-from verbenanotch.catalog import events
-from verbenanotch.catalog._mesh import parse_mesh
-from verbenanotch.catalog._submission import (
+from verbenanotch.catalog import (
     NO_LABEL,
+    NO_VERSION,
     Accepted,
     Conflict,
     Rejected,
     Submission,
+    Version,
+    parse_mesh,
 )
-from verbenanotch.catalog._version import NO_VERSION, Version
 from verbenanotch.documents import Invalid, Problem
 from verbenanotch.telemetry import emit
+from verbenanotch.versions import events
 
 MAX_RECORDS = 1024
 MAX_HISTORY_BYTES = 64 * 1024 * 1024
@@ -145,8 +146,13 @@
             return f"the leader rejects the file: {result.problems[0]}"
         return ""
 
-    def apply(self, version, command):
-        """Decide on one committed submission; return the encoded outcome."""
+    def apply(self, position, command):
+        """Decide on one committed submission; return the encoded outcome.
+
+        `position` is the submission's place in the log, which becomes its
+        version if it is accepted.
+        """
+        version = Version(epoch=position.term, index=position.index)
         try:
             submission = decode_submission(command)
         except UNDECODABLE:
