Let explain and timeline read logs, also from standard input

Cause: the two commands read event files only, which the users' platform does not have; OPERATIONS.md led by hand over lines of a log.

Change: a line of a log is read as one of an event file, also behind what collected the log (time, host). A folder gives its event files or, without any, its logs, so that nothing is told twice.

Ruled out: a third command for logs (the same question, the same answer).

--- a/tests/unit/test_cli_timeline.py
+++ b/tests/unit/test_cli_timeline.py
@@ -75,6 +75,38 @@
     assert read("explain", "r9", folder)[0] == 1
 
 
+LOG = """\
+  0.4873 a {"number": 5007, "name": "call-ended", "hlc": 131072, "host": "a",\
+ "request": "r1", "target": "t", "busy": 36, "event": "a call ended",\
+ "level": "info"}
+{"number": 5001, "name": "request-ended", "hlc": 196608, "host": "b",\
+ "request": "r1", "outcome": "NotRun", "event": "a request ended",\
+ "level": "info"}
+{"event": "log lines were dropped", "lines": 4}
+"""
+
+
+def test_logs_are_read_where_there_are_no_event_files(tmp_path):
+    (tmp_path / "all.log").write_text(LOG)
+    code, value = read("explain", "r1", tmp_path)
+    assert (code, value["hosts"]) == (0, ["a", "b"])
+    assert [entry["number"] for entry in value["entries"]] == [5007, 5001]
+    assert value["entries"][0]["fields"]["busy"] == 36
+    assert "event" not in value["entries"][0]["fields"]
+
+
+def test_logs_beside_event_files_are_not_told_twice(folder):
+    (folder / "all.log").write_text(LOG)
+    _, value = read("timeline", folder)
+    assert len(value["entries"]) == 3
+
+
+def test_logs_come_from_the_standard_input():
+    result = CliRunner().invoke(main, ["explain", "r1", "-"], input=LOG)
+    assert result.exit_code == 0
+    assert "busy=36" in result.stdout
+
+
 def test_missing_event_files_are_a_usage_fault(tmp_path):
     assert read("timeline", tmp_path)[0] == 2
     assert read("timeline", tmp_path / "none")[0] == 2
--- a/verbenanotch/cli/_timeline.py
+++ b/verbenanotch/cli/_timeline.py
@@ -1,8 +1,13 @@
-"""Merge the event files of all processes into one time line."""
+"""Merge the event files and logs of all processes into one time line.
+
+A line of an event file has the event's number as `event`; one of a log has
+it as `number`, and may stand behind whatever collected the log put there.
+"""
 
 import datetime
 import json
 import pathlib
+import sys
 
 import attrs
 
@@ -10,7 +15,11 @@
 from verbenanotch.telemetry import events_by_number, physical_milliseconds
 
 MILLISECONDS_PER_SECOND = 1000
-RESERVED_FIELDS = frozenset(("hlc", "host", "event", "name", "level"))
+RESERVED_FIELDS = frozenset(
+    ("hlc", "host", "event", "number", "name", "level")
+)
+PATTERNS = ("*.events.jsonl", "*.log")
+STANDARD_INPUT = "-"
 
 
 @attrs.frozen(kw_only=True)
@@ -70,21 +79,33 @@
 
 
 def find_event_files(places):
-    """Return the event files that paths name; folders give all of theirs."""
+    """Return the event files and logs that paths name.
+
+    Folders give their event files or, without any, their logs, which tell
+    the same. `-` stands for the standard input.
+    """
     paths = []
     for place in map(pathlib.Path, places):
         if place.is_dir():
-            paths.extend(sorted(place.rglob("*.events.jsonl")))
+            paths += _files_in(place)
         else:
             paths.append(place)
     if not paths:
         raise FaultyInputError(
-            "no event file was found; name files or folders that hold "
-            "*.events.jsonl"
+            "no event file or log was found; name files, folders that hold "
+            f"{' or '.join(PATTERNS)}, or {STANDARD_INPUT}"
         )
     return paths
 
 
+def _files_in(folder):
+    for pattern in PATTERNS:
+        paths = sorted(folder.rglob(pattern))
+        if paths:
+            return paths
+    return []
+
+
 def describe_entry(entry):
     """Return one line about an event."""
     milliseconds = physical_milliseconds(entry.hlc)
@@ -106,7 +127,7 @@
 def _read_entries(path, skipped_by_path):
     """Return the entries of one file; count its other lines."""
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+        text = _read_text(path)
     except OSError as error:
         raise FaultyInputError(
             f"cannot read {path}: {error.strerror}; give a readable file"
@@ -119,13 +140,19 @@
     return entries
 
 
+def _read_text(path):
+    if str(path) == STANDARD_INPUT:
+        return sys.stdin.read()
+    return pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+
+
 def _parse_entry(line):
     try:
-        values = json.loads(line)
+        values = json.loads(line[max(0, line.find("{")) :])
         return TimelineEntry(
             hlc=int(values["hlc"]),
             host=str(values["host"]),
-            number=int(values["event"]),
+            number=int(values.get("number", values["event"])),
             name=str(values["name"]),
             level=str(values["level"]),
             fields={
--- a/verbenanotch/cli/commands/explain.py
+++ b/verbenanotch/cli/commands/explain.py
@@ -40,8 +40,9 @@
 @_options.json_option
 @_options.reports_errors
 def command(request_id, places, as_json):
-    """Explain what happened to REQUEST_ID by the event files in PLACES.
+    """Explain what happened to REQUEST_ID by the events in PLACES.
 
+    These are event files, logs, folders of them, or - for standard input.
     Exits with 1 if no event mentions the request.
     """
     load_catalogue()
--- a/verbenanotch/cli/commands/timeline.py
+++ b/verbenanotch/cli/commands/timeline.py
@@ -38,8 +38,9 @@
 @_options.json_option
 @_options.reports_errors
 def command(places, version, request, host, as_json):
-    """Merge the event files in PLACES, files or folders, into one line.
+    """Merge the events in PLACES into one line.
 
+    These are event files, logs, folders of them, or - for standard input.
     Events are ordered by the hybrid logical clock. Exits with 2 if no event
     file can be read.
     """
