Leave a control host that is silent or behind within a second

One that then takes its updates from the control host of that zone hears nothing for the 3 s of its socket's timeout, and left one that stayed behind only after 2 s and a renewal of 1 s: no bound below the 2 s in which a version has to be in force.

Change: the subscribed control host is left when a lease message has had no answer for 0.75 s while another one answers, and when it stays behind another one for 0.5 s. What the proxy itself holds counts for the one that sends its updates, so that a storm of changes makes nobody change sides.

Ruled out: more renewals (they double the idle bytes of each node and the processor time of control hosts); a notice of each version to all proxies (as many messages for each change as there are proxies, from each control host).

Figures: worst time to notice, worked out: 1 + 2 + 0.25 s -> 1 + 0.5 + 0.25 s behind, 3 s -> 1 + 0.75 + 0.25 s silent. The tests fail without the change.

--- a/tests/unit/test_distribution.py
+++ b/tests/unit/test_distribution.py
@@ -26,6 +26,7 @@
     Candidate,
     StaleWatch,
     choose_control_host,
+    is_silent,
 )
 from verbenanotch.distribution._floor import (
     FloorConfirmer,
@@ -324,6 +325,28 @@
     assert watch.is_stale(subscribed=old, others=[new], now=4.0)
 
 
+def test_a_stale_control_host_is_left_in_time_for_a_change():
+    """Renewals a second apart tell of a change that updates did not bring."""
+    watch = StaleWatch()
+    old, new = version(1), version(2)
+    assert not watch.is_stale(subscribed=old, others=[new], now=1.0)
+    assert watch.is_stale(subscribed=old, others=[new], now=1.5)
+
+
+def test_a_silent_control_host_is_left_while_others_answer():
+    def silent(waiting_since, *others):
+        return is_silent(
+            waiting_since=waiting_since, others_waiting_since=others, now=5.0
+        )
+
+    assert silent(4.2, None)
+    assert silent(4.2, 3.0, 4.9)
+    assert not silent(4.5, None)
+    assert not silent(None, None)
+    assert not silent(4.2)
+    assert not silent(4.2, 4.0, 3.0)
+
+
 def test_a_floor_without_quorum_needs_every_control_host_of_the_zone():
     known = {"c1": version(4)}
     assert decide_floor(
--- a/verbenanotch/distribution/_choice.py
+++ b/verbenanotch/distribution/_choice.py
@@ -5,7 +5,12 @@
 
 from verbenanotch.catalog import Version
 
-STALE_SECONDS = 2.0
+# With the second between two renewals, and the time to subscribe elsewhere, a
+# version is in force within two seconds also where the control host that sends
+# updates has stopped doing so.
+STALE_SECONDS = 0.5
+# Several times the delay between two hosts of a region, and a stalled disk.
+UNANSWERED_SECONDS = 0.75
 
 
 @attrs.frozen(kw_only=True)
@@ -34,7 +39,12 @@
 
 @attrs.define(kw_only=True)
 class StaleWatch:
-    """Notice a subscribed control host that stays behind another one."""
+    """Notice a subscribed control host that stays behind another one.
+
+    The load pattern is a storm of changes while control hosts are cut off,
+    restarted or slow: each of them tells its version once a second, and the
+    subscribed one by its updates too.
+    """
 
     since: float | None = None
 
@@ -48,5 +58,20 @@
         return now - self.since >= STALE_SECONDS
 
 
+def is_silent(*, waiting_since, others_waiting_since, now):
+    """Return whether a control host has stopped answering and others not.
+
+    `waiting_since` is when the first unanswered message was sent to it, or
+    None, in monotonic seconds; `others_waiting_since` the same of others.
+    If all are silent it is the own host that is cut off.
+    """
+    if waiting_since is None or now - waiting_since < UNANSWERED_SECONDS:
+        return False
+    return any(
+        since is None or now - since < UNANSWERED_SECONDS
+        for since in others_waiting_since
+    )
+
+
 def _weight(host, name):
     return xxhash.xxh3_64_intdigest(f"{host}\0{name}".encode())
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -14,6 +14,7 @@
     Candidate,
     StaleWatch,
     choose_control_host,
+    is_silent,
 )
 from verbenanotch.distribution._floor import FloorOpen
 from verbenanotch.distribution._floor_search import FloorSearch
@@ -76,6 +77,11 @@
     control_hosts: tuple = ()
     sent_at: collections.deque = attrs.field(factory=collections.deque)
 
+    @property
+    def waiting_since(self):
+        """The time of the first message without an answer, or None."""
+        return self.sent_at[0] if self.sent_at else None
+
 
 class Subscriber:
     """Announce to every control host of the zone, subscribe to one.
@@ -278,6 +284,7 @@
         while True:
             now = time.monotonic()
             self._leave_stale(now)
+            self._leave_silent(now)
             if self._subscribed is None and now >= self._not_before:
                 self._subscribe_to_one(now)
             self._changed.wait(CHOICE_SECONDS)
@@ -286,17 +293,40 @@
         link = self._subscribed
         if link is None:
             return
-        others = [
-            other.current
-            for other in self._answered_links()
-            if other is not link
-        ]
+        held = self._holder.snapshot.version
+        others = [other.current for other in self._others(link)]
         if self._stale_watch.is_stale(
-            subscribed=link.current, others=others, now=now
+            subscribed=max(link.current, held), others=others, now=now
         ):
-            emit(events.CONTROL_STALE, peer=link.name)
-            self._subscribed = None
-            _try_send(link, Unsubscribe())
+            emit(events.CONTROL_STALE, peer=link.name, held=str(held))
+            self._leave(link)
+
+    def _leave_silent(self, now):
+        link = self._subscribed
+        if link is None:
+            return
+        others = [other.waiting_since for other in self._others(link)]
+        if is_silent(
+            waiting_since=link.waiting_since,
+            others_waiting_since=others,
+            now=now,
+        ):
+            emit(
+                events.CONTROL_SILENT,
+                peer=link.name,
+                held=str(self._holder.snapshot.version),
+                milliseconds=round((now - link.waiting_since) * 1000),
+            )
+            link.busy_until = now + SILENCE_SECONDS
+            self._leave(link)
+
+    def _leave(self, link):
+        """Take updates from another control host."""
+        self._subscribed = None
+        _try_send(link, Unsubscribe())
+
+    def _others(self, link):
+        return [item for item in self._answered_links() if item is not link]
 
     def _answered_links(self):
         return [
--- a/verbenanotch/distribution/events.py
+++ b/verbenanotch/distribution/events.py
@@ -67,3 +67,10 @@
     "an update could not be sent; closed the proxy's stream",
     "Give the proxy fewer entry services, or the mesh fewer routes.",
 )
+CONTROL_SILENT = event(
+    4013,
+    "control-silent",
+    Level.WARNING,
+    "left a control host that does not answer while others do",
+    "Check that control host's process and disk, and the network to it.",
+)
