--- /dev/null
+++ b/verbenanotch/conf/_checks.py
@@ -0,0 +1,176 @@
+"""The rules of the settings, checked all at once before a start."""
+
+import ipaddress
+
+MIN_KEY_CHARACTERS = 16
+MIN_LEASE_MS = 2500
+ROLES = ("control", "proxy")
+LOG_FORMATS = ("console", "json")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+def find_problems(settings, document):
+    """Yield every broken rule of otherwise well-formed settings."""
+    yield from _host_problems(settings.host, document)
+    yield from _section_problems(settings, document)
+    yield from _telemetry_problems(settings.telemetry, document)
+    for key, port in _ports(settings):
+        if not 0 < port < 65536:
+            yield document.problem(
+                key, f"{port} is no port", "Use 1 to 65535."
+            )
+    for key, address in _addresses(settings):
+        if not _is_ip(address):
+            yield document.problem(
+                key, f"{address!r} is no IP number", "Use an IP number."
+            )
+
+
+def _host_problems(host, document):
+    if host.role not in ROLES:
+        yield document.problem(
+            "host.role",
+            f"unknown role {host.role!r}",
+            f"Use one of {', '.join(ROLES)}.",
+        )
+    if len(host.peer_key) < MIN_KEY_CHARACTERS:
+        yield document.problem(
+            "host.peer_key",
+            "the key is too short",
+            f"Use at least {MIN_KEY_CHARACTERS} characters.",
+        )
+
+
+def _section_problems(settings, document):
+    if settings.host.role == "control" and settings.control is None:
+        yield document.problem(
+            "control", "the section is missing", "Add [control]."
+        )
+    if settings.host.role == "proxy" and settings.proxy is None:
+        yield document.problem(
+            "proxy", "the section is missing", "Add [proxy]."
+        )
+    yield from _discovery_problems(settings, document)
+    control = settings.control
+    if control and control.lease_ms < MIN_LEASE_MS:
+        yield document.problem(
+            "control.lease_ms",
+            "the lease is shorter than proxies rely on it",
+            f"Use at least {MIN_LEASE_MS}.",
+        )
+    if control and control.heartbeat_ms * 2 > control.election_timeout_ms:
+        yield document.problem(
+            "control.heartbeat_ms",
+            "heartbeats are too rare for the election timeout",
+            "Use at most half of election_timeout_ms.",
+        )
+
+
+def _discovery_problems(settings, document):
+    found = settings.discovery.control_hosts_by_name
+    for address in found:
+        if not _is_ip(address):
+            yield document.problem(
+                "discovery.seeds",
+                f"{address!r} is no IP number",
+                "List IP numbers, each alone or with a port.",
+            )
+    if found and not 0 < settings.discovery.peer_port < 65536:
+        yield document.problem(
+            "discovery.peer_port",
+            f"{settings.discovery.peer_port} is no port",
+            "Give the peer port of the control hosts.",
+        )
+    section = settings.control or settings.proxy
+    named = settings.control and settings.control.voters_by_name
+    named = named or (settings.proxy and settings.proxy.control_hosts_by_name)
+    if section and not found and not named:
+        yield document.problem(
+            "discovery.seeds",
+            "no control host is named or can be discovered",
+            "List seeds, or name the control hosts.",
+        )
+    host = settings.host
+    if found and host.role == "control" and host.name != host.address:
+        yield document.problem(
+            "host.name",
+            "a discovered control host is named by its address",
+            f"Use {host.address!r}.",
+        )
+
+
+def _telemetry_problems(telemetry, document):
+    if telemetry.log_format not in LOG_FORMATS:
+        yield document.problem(
+            "telemetry.log_format",
+            f"unknown format {telemetry.log_format!r}",
+            f"Use one of {', '.join(LOG_FORMATS)}.",
+        )
+    if telemetry.log_level not in LOG_LEVELS:
+        yield document.problem(
+            "telemetry.log_level",
+            f"unknown level {telemetry.log_level!r}",
+            f"Use one of {', '.join(LOG_LEVELS)}.",
+        )
+
+
+def _ports(settings):
+    yield "host.peer_port", settings.host.peer_port
+    if settings.host.advertised_peer_port:
+        yield "host.advertised_peer_port", settings.host.advertised_peer_port
+    control, proxy = settings.control, settings.proxy
+    if control and not control.operator_listen:
+        yield "control.operator_port", control.operator_port
+    if proxy and not proxy.caller_listen:
+        yield "proxy.caller_port", proxy.caller_port
+    if proxy and not proxy.target_listen:
+        yield "proxy.target_port", proxy.target_port
+    for key, text in _listened(settings):
+        port = text.rpartition(":")[2]
+        yield key, int(port) if port.isdecimal() else 0
+    for key, peer in _peers(settings):
+        yield f"{key}.peer_port", peer.peer_port
+
+
+def _addresses(settings):
+    yield "host.address", settings.host.address
+    if settings.host.advertised_address:
+        yield "host.advertised_address", settings.host.advertised_address
+    for key, text in _listened(settings):
+        yield key, text.rpartition(":")[0]
+    for key, peer in _peers(settings):
+        yield f"{key}.address", peer.address
+
+
+def _listened(settings):
+    """Yield the settings of the form `IP:PORT` that are given."""
+    for section, field in (
+        ("control", "operator_listen"),
+        ("proxy", "caller_listen"),
+        ("proxy", "target_listen"),
+        ("proxy", "ready_listen"),
+        ("proxy", "local_target"),
+        ("telemetry", "metrics_listen"),
+    ):
+        text = getattr(getattr(settings, section), field, "")
+        if text:
+            yield f"{section}.{field}", text
+
+
+def _peers(settings):
+    if settings.control:
+        for name, peer in settings.control.voters_by_name.items():
+            yield f"control.voters_by_name.{name}", peer
+        for name, peer in settings.control.control_hosts_by_name.items():
+            yield f"control.control_hosts_by_name.{name}", peer
+    if settings.proxy:
+        for name, peer in settings.proxy.control_hosts_by_name.items():
+            yield f"proxy.control_hosts_by_name.{name}", peer
+
+
+def _is_ip(text):
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -23,7 +23,10 @@
 
 
 class HttpProtocol(wsgi.HttpProtocol):
-    """Close a connection after its answer while the server stops."""
+    """The library's, with fewer system calls a request.
+
+    It closes each connection after its answer while the server stops.
+    """
 
     def __init__(self, conn_state, server, *, owner):
         """Serve the requests of one connection for the HttpServer `owner`."""
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -1,13 +1,11 @@
 """The proxy's side of the streams from control hosts."""
 
-import collections
 import random
 import time
 
-import attrs
 import eventlet
 
-from verbenanotch.catalog import NO_VERSION, Version
+from verbenanotch.catalog import NO_VERSION
 from verbenanotch.conf import Voter
 from verbenanotch.distribution import events
 from verbenanotch.distribution._choice import (
@@ -25,6 +23,7 @@
     Unclosed,
     WrongBase,
 )
+from verbenanotch.distribution._link import Link
 from verbenanotch.distribution._messages import (
     Acknowledge,
     Busy,
@@ -62,27 +61,6 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
-@attrs.define(kw_only=True, eq=False)
-class _Link:
-    """One connected control host; `current` is None until it answered.
-
-    `sent_at` are the times of the announcements and renewals that it has
-    not answered yet, in monotonic seconds; it answers each, in order.
-    """
-
-    name: str
-    connection: object
-    current: Version | None = None
-    busy_until: float = 0.0
-    control_hosts: tuple = ()
-    sent_at: collections.deque = attrs.field(factory=collections.deque)
-
-    @property
-    def waiting_since(self):
-        """The time of the first message without an answer, or None."""
-        return self.sent_at[0] if self.sent_at else None
-
-
 class Subscriber:
     """Announce to every control host of the zone, subscribe to one.
 
@@ -140,7 +118,7 @@
     def control_bytes(self):
         """Return the bytes sent and received so far on all streams."""
         return self._closed_bytes + sum(
-            _bytes_of(link.connection) for link in self._links_by_name.values()
+            link.control_bytes for link in self._links_by_name.values()
         )
 
     def start(self):
@@ -191,7 +169,7 @@
         """Send the current announcement to every control host."""
         record = self._announcement()
         for link in list(self._links_by_name.values()):
-            _send_lease(link, Announce(record=record))
+            link.send_lease(Announce(record=record))
 
     def release(self):
         """Give up the lease at every control host."""
@@ -212,7 +190,7 @@
 
     def _send_all(self, item):
         for link in list(self._links_by_name.values()):
-            _try_send(link, item)
+            link.send(item)
 
     def _renew_forever(self):
         while True:
@@ -225,7 +203,7 @@
                 held=self._holder.snapshot.version,
             )
             for link in list(self._links_by_name.values()):
-                _send_lease(link, renewal)
+                link.send_lease(renewal)
 
     def _run_forever(self, name, peer):
         failures = 0
@@ -255,15 +233,15 @@
         )
         # Each renewal is answered; silence is a cut network.
         connection.set_timeout(SILENCE_SECONDS)
-        link = _Link(name=name, connection=connection)
+        link = Link(name=name, connection=connection)
         self._links_by_name[name] = link
-        _send_lease(link, Announce(record=self._announcement()))
+        link.send_lease(Announce(record=self._announcement()))
         while True:
             self._receive(link, connection.receive())
 
     def _lose(self, link, error):
         emit(events.CONTROL_LOST, peer=link.name, error=str(error))
-        self._closed_bytes += _bytes_of(link.connection)
+        self._closed_bytes += link.control_bytes
         link.connection.close()
         if self._subscribed is link:
             self._subscribed = None
@@ -323,7 +301,7 @@
     def _leave(self, link):
         """Take updates from another control host."""
         self._subscribed = None
-        _try_send(link, Unsubscribe())
+        link.send(Unsubscribe())
 
     def _others(self, link):
         return [item for item in self._answered_links() if item is not link]
@@ -376,8 +354,7 @@
     def _subscribe(self):
         holder = self._holder
         floor = holder.floor
-        _try_send(
-            self._subscribed,
+        self._subscribed.send(
             Subscribe(
                 entry_services=self._settings.proxy.entry_services,
                 held=holder.snapshot.version,
@@ -426,7 +403,7 @@
                     self._on_renewed(sent_at)
                 self._changed.set()
             case AnnounceNeeded():
-                _send_lease(link, Announce(record=self._announcement()))
+                link.send_lease(Announce(record=self._announcement()))
             case AnnounceOutdated(incarnation=incarnation):
                 self._on_outdated(incarnation)
 
@@ -436,7 +413,7 @@
             case Applied(version=version, services=services):
                 self._attempts = 0
                 if services:
-                    _try_send(link, Resync(mesh=False, services=services))
+                    link.send(Resync(mesh=False, services=services))
                 if update.mesh:
                     emit(events.VERSION_IN_FORCE, version=str(version))
                     self._send_all(Acknowledge(version=version))
@@ -446,10 +423,10 @@
                 names = {item.service for item in update.targets}
                 whole = tuple(sorted(names | set(services)))
                 emit(events.RESYNC_NEEDED, mesh=mesh, services=list(whole))
-                _try_send(link, Resync(mesh=bool(update.mesh), services=whole))
+                link.send(Resync(mesh=bool(update.mesh), services=whole))
             case Unclosed(route=route, service=service):
                 emit(events.VERSION_REFUSED, route=route, service=service)
-                _try_send(link, Resync(mesh=True, services=(service,)))
+                link.send(Resync(mesh=True, services=(service,)))
             case Outdated() | BelowFloor():
                 emit(events.VERSION_TOO_OLD, peer=link.name)
 
@@ -465,22 +442,5 @@
     return None if peer is None else (peer.address, peer.peer_port)
 
 
-def _send_lease(link, item):
-    link.sent_at.append(time.monotonic())
-    _try_send(link, item)
-
-
-def _try_send(link, item):
-    try:
-        link.connection.send(item)
-    except WireError:
-        # The link's own greenthread sees the end and dials again.
-        link.connection.close()
-
-
-def _bytes_of(connection):
-    return connection.sent_bytes + connection.received_bytes
-
-
 def _pause():
     eventlet.sleep(0)
--- a/verbenanotch/proxy/_callers.py
+++ b/verbenanotch/proxy/_callers.py
@@ -4,8 +4,8 @@
 
 import eventlet
 
-# Work goes on for so long at most after its caller has left, if the caller
-# had sent more bytes before.
+# Work goes on for at most this long after its caller has left, if the caller
+# had sent more bytes than its request.
 SWEEP_SECONDS = 0.15
 
 
