Take the calls of running requests while a proxy leaves; linger for less

A leaving proxy closed its address before its target had finished, so that the calls of what ran there failed; then it stayed a whole second with a closed address, because callers held idle connections.

Ruled out: accepting until the end of the grace (a request taken then would be cut at its end).

--- /dev/null
+++ b/tests/unit/test_shutdown_order.py
@@ -0,0 +1,22 @@
+"""What a proxy that leaves waits for."""
+
+from types import SimpleNamespace
+
+import eventlet
+
+from verbenanotch.daemon import _shutdown
+
+
+def test_calls_at_local_targets_are_waited_for():
+    targets = SimpleNamespace(in_flight=1)
+    eventlet.spawn_after(0.05, setattr, targets, "in_flight", 0)
+    _shutdown.wait_for_targets(targets)
+    assert targets.in_flight == 0
+
+
+def test_the_wait_for_local_targets_is_bounded(monkeypatch):
+    monkeypatch.setattr(_shutdown, "MAX_HAND_OVER_SECONDS", 0.05)
+    targets = SimpleNamespace(in_flight=1)
+    with eventlet.Timeout(5.0):
+        _shutdown.wait_for_targets(targets)
+    assert targets.in_flight == 1
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -188,6 +188,7 @@
         self._local_targets.leave()
         self._subscriber.release()
         self._peer_server.go_away(reason="shutdown")
+        _shutdown.wait_for_targets(self._local_targets)
         self._caller_http.stop_accepting()
         _shutdown.wait_until_idle(
             caller_http=self._caller_http,
--- a/verbenanotch/daemon/_shutdown.py
+++ b/verbenanotch/daemon/_shutdown.py
@@ -7,10 +7,25 @@
 from verbenanotch.proxy import events
 from verbenanotch.telemetry import emit
 
-LINGER_SECONDS = 1.0
+# Twice the way between distant regions and back.
+LINGER_SECONDS = 0.3
+# Callers that have not learnt of the stop would keep it waiting for ever.
+MAX_HAND_OVER_SECONDS = 0.5
 POLL_SECONDS = 0.02
 
 
+def wait_for_targets(local_targets):
+    """Return when no call runs at a local target, or after a short while.
+
+    What a target runs may make calls of its own through this proxy.
+    """
+    started = time.monotonic()
+    while local_targets.in_flight and (
+        time.monotonic() - started < MAX_HAND_OVER_SECONDS
+    ):
+        eventlet.sleep(POLL_SECONDS)
+
+
 def wait_until_idle(*, caller_http, peer_server, grace_seconds):
     """Return when nothing is in flight, or after `grace_seconds`.
 
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -90,6 +90,13 @@
         """Return the service of the target that announced itself last."""
         return self._service
 
+    @property
+    def in_flight(self):
+        """Number of calls that run at the host's targets."""
+        return sum(
+            target.slots.in_flight for target in self.targets_by_id.values()
+        )
+
     def exceed_incarnation(self, incarnation):
         """Announce under a greater incarnation than this one."""
         if self._incarnation <= incarnation:
