--- a/verbenanotch/cli/daemon.py
+++ b/verbenanotch/cli/daemon.py
@@ -1,18 +1,23 @@
 """Entry point of the daemon, `verbenanotchd`.
 
 The loop's patches come before every other import, and the library's own
-resolver is turned off because addresses are IP numbers.
+resolver is turned off because addresses are IP numbers. Locks are not patched:
+there is one thread, nothing waits while it holds one, and the patch looks at
+every object of the process. The collector rests until the daemon has started.
 """
 
+import gc
 import os
 import warnings
 
+gc.disable()
+
 os.environ["EVENTLET_NO_GREENDNS"] = "yes"
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
 import eventlet  # noqa: E402
 
-eventlet.monkey_patch()
+eventlet.monkey_patch(thread=False)
 
 import importlib  # noqa: E402
 import sys  # noqa: E402
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -60,9 +60,9 @@
         )
         return EXIT_START_FAILED
     # What start-up made lives until exit; the collector need not visit it.
-    gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+    gc.enable()
     emit(events.STARTED, role=settings.host.role)
     if reload is not None:
         watch_settings(role=role, reload=reload, settings=settings)
