Give no task to a greenthread that a timer has ended

No task leaves a timer behind today.

Change: it takes itself off the list. The test fails without the change.

--- a/tests/unit/test_loop.py
+++ b/tests/unit/test_loop.py
@@ -165,3 +165,13 @@
     eventlet.sleep(0)
     assert seen == [1]
     assert "ZeroDivisionError" in capsys.readouterr().err
+
+
+def test_a_timer_that_a_task_left_behind_costs_no_later_task(capsys):
+    workers = loop.Workers(max_resting=1)
+    seen = []
+    workers.run(eventlet.Timeout, 0.01)
+    eventlet.sleep(0.05)
+    workers.run(seen.append, 1)
+    eventlet.sleep(0)
+    assert seen == [1]
--- a/verbenanotch/loop/_workers.py
+++ b/verbenanotch/loop/_workers.py
@@ -38,6 +38,18 @@
                 traceback.print_exc(file=sys.stderr)
             if len(self._resting) >= self._max_resting:
                 return
-            self._resting.append(greenlet.getcurrent())
             del task, args
-            task, args = hubs.get_hub().switch()
+            task, args = self._rest()
+
+    def _rest(self):
+        """Wait for the next task and its arguments."""
+        worker = greenlet.getcurrent()
+        self._resting.append(worker)
+        try:
+            return hubs.get_hub().switch()
+        except BaseException:
+            # A timer that a task left behind ends the greenthread; a later
+            # task must not be given to it.
+            if worker in self._resting:
+                self._resting.remove(worker)
+            raise
