Send versions at once after a control host has started

A control host that has just started knows too few hosts and sends nothing to proxies that hold targets until every live host can have announced itself, three seconds; versions waited with the tables.

Change: until then a proxy keeps the targets that it came with, and gets versions, and the targets of services that are new to it. A service that it asks for whole is sent as it is known.

Ruled out: shortening the wait (a table with too few hosts empties services); calling the proxies starting ones (they would lose targets, too).

--- a/tests/unit/test_distribution.py
+++ b/tests/unit/test_distribution.py
@@ -416,3 +416,33 @@
     """A version has to be in force within two; an election may need one."""
     longest = CHECK_SECONDS + UNANSWERED_SECONDS + CHOICE_SECONDS
     assert longest <= 1.0
+
+
+def test_versions_do_not_wait_until_a_restarted_control_host_knows_all(holder):
+    """It knows no host yet; the proxy keeps the targets that it holds."""
+    before = make_session(entry_services=["s0", "s1"])
+    tables = {"s0": table(host_record("a", "s0"), host_record("b", "s0"))}
+    holder.apply(
+        before.next_update(
+            state=state(make_mesh(1), 1), tables_by_service=tables
+        )
+    )
+    held = holder.snapshot.target_ids_by_service["s0"]
+    session = make_session(entry_services=["s0", "s1"])
+    session.sent_part = before.sent_part
+    session.held_services = set(holder.digests_by_service)
+    new = {"s1": table(host_record("c", "s1"))}
+    update = session.next_update(
+        state=state(make_mesh(2), 2), tables_by_service=new, keeps_held=True
+    )
+    assert isinstance(holder.apply(update), Applied)
+    assert holder.snapshot.version == version(2)
+    assert holder.snapshot.target_ids_by_service["s0"] == held
+    assert holder.snapshot.target_ids_by_service["s1"]
+    settled = {**new, "s0": table(host_record("a", "s0"))}
+    holder.apply(
+        session.next_update(
+            state=state(make_mesh(2), 2), tables_by_service=settled
+        )
+    )
+    assert len(holder.snapshot.target_ids_by_service["s0"]) == 1
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -295,6 +295,7 @@
         """Find the floor and the base of a new subscription."""
         item = session.subscription
         session.sent_part = self._held_part(session)
+        session.held_services = set(item.digests_by_service)
         tables = self._directory.entries_by_service
         session.sent_tables_by_service = {
             service: tables[service]
@@ -354,11 +355,11 @@
         settles_in = self._directory.zone_table.settles_in(
             now=time.monotonic()
         )
-        if settles_in > 0 and not session.subscription.starting:
-            # A control host that has just started knows too few hosts yet;
-            # to a proxy that knows none, some are better.
+        # A control host that has just started knows too few hosts yet; to a
+        # proxy that knows none, some are better. Versions do not wait.
+        is_settling = settles_in > 0 and not session.subscription.starting
+        if is_settling:
             eventlet.spawn_after(settles_in, session.signal.set)
-            return
         if self._settings.control.whole_state_updates:
             session.forget(
                 mesh=True, services=list(session.sent_tables_by_service)
@@ -366,6 +367,7 @@
         update = session.next_update(
             state=self._state,
             tables_by_service=self._directory.entries_by_service,
+            keeps_held=is_settling,
         )
         if update is not None:
             for part in split_update(update):
--- a/verbenanotch/distribution/_session.py
+++ b/verbenanotch/distribution/_session.py
@@ -29,7 +29,8 @@
     """One connected proxy; without `subscription` it only announces.
 
     `sent_part` and `sent_tables_by_service` are what it holds if it applied
-    everything sent. `floor` is the least version that it may be given.
+    everything sent. `held_services` are those whose targets it held when it
+    subscribed. `floor` is the least version that it may be given.
     """
 
     host: str
@@ -42,13 +43,16 @@
     sent_control_hosts: object = None
     sent_part: MeshPart | None = None
     sent_tables_by_service: dict[str, EntrySet] = attrs.field(factory=dict)
+    held_services: set[str] = attrs.field(factory=set)
     signal: Signal = attrs.field(factory=Signal)
 
-    def next_update(self, *, state, tables_by_service):
+    def next_update(self, *, state, tables_by_service, keeps_held=False):
         """Return the Update that brings the proxy up to date, or None.
 
         `state` is the current MeshState. Targets of new services travel in
-        the same update as the routes that need them.
+        the same update as the routes that need them. With `keeps_held`, the
+        proxy keeps the targets that it came with, since too few of them are
+        known here yet.
         """
         if state.version < self.floor:
             return None
@@ -59,7 +63,8 @@
         part = state.part(need)
         mesh = self._next_mesh(part)
         services = [ALL_HOSTS, *part.services.entries_by_key]
-        targets = self._next_targets(services, tables_by_service)
+        kept = self.held_services if keeps_held else frozenset()
+        targets = self._next_targets(services, tables_by_service, kept)
         if not mesh and not targets:
             return None
         return Update(mesh=mesh, targets=targets)
@@ -70,6 +75,7 @@
             self.sent_part = None
         for service in services:
             self.sent_tables_by_service.pop(service, None)
+            self.held_services.discard(service)
 
     def _next_mesh(self, part):
         sent = self.sent_part
@@ -86,10 +92,12 @@
         self.sent_part = part
         return (mesh_update(base=sent, part=part),)
 
-    def _next_targets(self, services, tables_by_service):
+    def _next_targets(self, services, tables_by_service, kept):
         updates = []
         sent_by_service = self.sent_tables_by_service
         for service in services:
+            if service in kept:
+                continue
             entries = tables_by_service.get(service, NO_ENTRIES)
             sent = sent_by_service.get(service)
             if sent is entries:
