--- a/tests/unit/test_distribution.py
+++ b/tests/unit/test_distribution.py
@@ -420,7 +420,7 @@
 
 def test_versions_do_not_wait_until_a_restarted_control_host_knows_all(holder):
     """It knows no host yet; the proxy keeps the targets that it holds."""
-    before = make_session(entry_services=["s0", "s1"])
+    before = make_session(entry_services=["s0"])
     tables = {"s0": table(host_record("a", "s0"), host_record("b", "s0"))}
     holder.apply(
         before.next_update(
@@ -431,18 +431,21 @@
     session = make_session(entry_services=["s0", "s1"])
     session.sent_part = before.sent_part
     session.held_services = set(holder.digests_by_service)
-    new = {"s1": table(host_record("c", "s1"))}
+    changed = state(make_mesh(1, timeout_ms=3000), 2)
     update = session.next_update(
-        state=state(make_mesh(2), 2), tables_by_service=new, keeps_held=True
+        state=changed, tables_by_service={}, keeps_held=True
     )
     assert isinstance(holder.apply(update), Applied)
     assert holder.snapshot.version == version(2)
     assert holder.snapshot.target_ids_by_service["s0"] == held
-    assert holder.snapshot.target_ids_by_service["s1"]
-    settled = {**new, "s0": table(host_record("a", "s0"))}
-    holder.apply(
-        session.next_update(
-            state=state(make_mesh(2), 2), tables_by_service=settled
-        )
-    )
+    settled = {"s0": table(host_record("a", "s0"))}
+    holder.apply(session.next_update(state=changed, tables_by_service=settled))
     assert len(holder.snapshot.target_ids_by_service["s0"]) == 1
+
+
+def test_a_version_that_needs_other_targets_waits_until_they_are_known():
+    session = make_session(entry_services=["s0", "s1"])
+    session.held_services = {ALL_HOSTS, "s0"}
+    options = {"state": state(make_mesh(2), 1), "tables_by_service": {}}
+    assert session.next_update(**options, keeps_held=True) is None
+    assert session.next_update(**options) is not None
--- a/verbenanotch/distribution/_session.py
+++ b/verbenanotch/distribution/_session.py
@@ -50,9 +50,9 @@
         """Return the Update that brings the proxy up to date, or None.
 
         `state` is the current MeshState. Targets of new services travel in
-        the same update as the routes that need them. With `keeps_held`, the
-        proxy keeps the targets that it came with, since too few of them are
-        known here yet.
+        the same update as the routes that need them. With `keeps_held`, too
+        few targets are known here yet: the proxy keeps those that it came
+        with, and gets no version that needs others.
         """
         if state.version < self.floor:
             return None
@@ -61,10 +61,13 @@
             local_services=self.local_services,
         )
         part = state.part(need)
-        mesh = self._next_mesh(part)
         services = [ALL_HOSTS, *part.services.entries_by_key]
-        kept = self.held_services if keeps_held else frozenset()
-        targets = self._next_targets(services, tables_by_service, kept)
+        if keeps_held and not self.held_services.issuperset(services):
+            return None
+        mesh = self._next_mesh(part)
+        targets = ()
+        if not keeps_held:
+            targets = self._next_targets(services, tables_by_service)
         if not mesh and not targets:
             return None
         return Update(mesh=mesh, targets=targets)
@@ -92,12 +95,10 @@
         self.sent_part = part
         return (mesh_update(base=sent, part=part),)
 
-    def _next_targets(self, services, tables_by_service, kept):
+    def _next_targets(self, services, tables_by_service):
         updates = []
         sent_by_service = self.sent_tables_by_service
         for service in services:
-            if service in kept:
-                continue
             entries = tables_by_service.get(service, NO_ENTRIES)
             sent = sent_by_service.get(service)
             if sent is entries:
