--- a/tests/unit/test_replication_core.py
+++ b/tests/unit/test_replication_core.py
@@ -70,6 +70,19 @@
     sync(core, now)
 
 
+def hear_leader(core, now):
+    """Let `b`, the leader of term 1, send a heartbeat."""
+    heartbeat = Append(
+        term=1,
+        previous_index=1,
+        previous_term=1,
+        entries=(),
+        commit_index=1,
+        round=1,
+    )
+    core.receive(B.id, heartbeat, now)
+
+
 def sync(core, now):
     """Do as a shell whose disk is fast; return the effects."""
     effects = core.take_effects()
@@ -369,30 +382,14 @@
 
 def test_a_member_that_has_heard_a_leader_waits_for_the_whole_timeout():
     core = make_core(terms=(1,), term=1)
-    heartbeat = Append(
-        term=1,
-        previous_index=1,
-        previous_term=1,
-        entries=(),
-        commit_index=1,
-        round=1,
-    )
-    core.receive(B.id, heartbeat, 0.1)
+    hear_leader(core, 0.1)
     core.tick(0.1 + TIMING.election_timeout * 0.99)
     assert core.role == Role.FOLLOWER
 
 
 def test_an_early_request_does_not_disturb_a_leader_that_is_heard():
     core = make_core(terms=(1,), term=1)
-    heartbeat = Append(
-        term=1,
-        previous_index=1,
-        previous_term=1,
-        entries=(),
-        commit_index=1,
-        round=1,
-    )
-    core.receive(B.id, heartbeat, 0.1)
+    hear_leader(core, 0.1)
     core.take_effects()
     request = VoteRequest(term=2, last_index=1, last_term=1, pre=True)
     core.receive(C.id, request, 0.2)
