Keep records of a host that is missing for a moment; tell its process from the one before

Two ways to lose the records of a key without `complete_since_ms` telling so were found by reading, and shown by a random schedule of views, restarts and hand-overs: - A holder whose own targets are missing from its view for a moment forgot the service's records, also when the view was empty and nobody took them, and came back as the same member; the others, who had not seen it missing, agreed at once. A view without any member even counted as agreed, and the sets in use before were forgotten with it. - A restarted host that was shown itself as it was before its restart took the identity of its former process, and agreed with the others at once. Two holders of a key in turn, and the key was run again.

Change: records are kept until they are too old to be used; only a member settles; a host holds records under the incarnation that it announces itself. New lines say when holders change and why a key was not started, with what both sides see.

Ruled out: replies taken for another's (streams have ids of their own), two meshes at one network, hand-overs to a process that is ending.

Both new unit tests fail on the code before.

--- a/tests/unit/test_proxy_keyed.py
+++ b/tests/unit/test_proxy_keyed.py
@@ -57,8 +57,10 @@
 
     def make_keeper(self, name, holder=None):
         """Return a keeper that sees the hosts of a holder of snapshots."""
+        incarnation = self.incarnations_by_number.get(int(name[1:]), 1)
         keeper = RecordKeeper(
             host_name=name,
+            incarnation=lambda: incarnation,
             holder=holder or self.holder,
             contact=self.contact,
             wall_clock=lambda: self.now,
@@ -263,6 +265,7 @@
         hosts.pay(key)
     records = [make_record(number) for number in (1, 2)]
     restarted = attrs.evolve(make_record(3), incarnation=2)
+    hosts.incarnations_by_number[3] = 2
     hosts.holder.hold([*records, restarted])
     hosts.keepers_by_host["h3"] = hosts.make_keeper("h3")
     hosts.settle()
@@ -273,6 +276,42 @@
     assert hosts.pay(hosts.key()) == ANSWER
 
 
+def test_a_restarted_holder_is_not_taken_for_the_process_before_it(hosts):
+    """Control hosts may show a restarted host as it was before."""
+    keys = [hosts.key() for _ in range(50)]
+    for key in keys:
+        hosts.pay(key)
+    for number in (1, 2):
+        hosts.incarnations_by_number[number] = 2
+        hosts.keepers_by_host[f"h{number}"] = hosts.make_keeper(f"h{number}")
+        hosts.settle()
+    for key in keys:
+        hosts.pay(key)
+    assert hosts.runs == keys
+
+
+def test_holders_that_are_missing_for_a_moment_keep_their_records(hosts):
+    """Two hosts in turn see no targets; the third one does not notice."""
+    keys = [hosts.key() for _ in range(50)]
+    for key in keys:
+        hosts.pay(key)
+    whole = hosts.holder
+    for name in ("h1", "h2"):
+        keeper = hosts.keepers_by_host[name]
+        keeper._holder = FakeHolder(
+            [],
+            version=Version(epoch=1, index=1),
+            services_by_name={"pay": Service()},
+            routes_by_name={},
+        )
+        hosts.settle()
+        keeper._holder = whole
+        hosts.settle()
+    for key in keys:
+        assert hosts.pay(key) == ANSWER
+    assert hosts.runs == keys
+
+
 def test_holders_refuse_an_entry_that_sees_other_hosts(hosts):
     entry = hosts.keepers_by_host["h1"]
     tables = dict(entry._tables_by_service)
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -75,7 +75,10 @@
             on_outdated=self._local_targets.exceed_incarnation,
         )
         self._keeper = RecordKeeper(
-            host_name=host.name, holder=self._holder, contact=contact
+            host_name=host.name,
+            incarnation=lambda: self._local_targets.incarnation,
+            holder=self._holder,
+            contact=contact,
         )
         self._peer_server = PeerServer(
             local_targets=self._local_targets,
--- a/verbenanotch/idempotency/__init__.py
+++ b/verbenanotch/idempotency/__init__.py
@@ -18,6 +18,7 @@
     View,
     holders_for_key,
     home_zone,
+    identities,
     next_view,
     slice_of,
 )
@@ -75,6 +76,7 @@
     "WasUnknown",
     "holders_for_key",
     "home_zone",
+    "identities",
     "issued_at_ms",
     "new_key",
     "next_view",
--- a/verbenanotch/idempotency/_agreement.py
+++ b/verbenanotch/idempotency/_agreement.py
@@ -52,11 +52,12 @@
     Keys that were issued after `complete_since_ms` and have no record here
     were never started. That holds over a change in which at most one member
     is lost, since the other holder of each key hands its records over.
+    `lost` counts the members of a set in use that are not seen any more.
     """
 
-    def __init__(self, *, identity, clock_margin_ms):
+    def __init__(self, *, clock_margin_ms):
         """Start as a member of no set."""
-        self._identity = identity
+        self._identity = None
         self._clock_margin_ms = clock_margin_ms
         self._members = ()
         self._table = HolderTable(
@@ -68,6 +69,7 @@
         self._part_ms = NEVER_SETTLED
         self._heard_ms = NEVER_SETTLED
         self.handed_over = False
+        self.lost = 0
         self.complete_since_ms = NEVER_SETTLED
 
     @property
@@ -85,15 +87,26 @@
         """Return the other members that have not agreed yet."""
         return [m for m in self._members if m.identity in self._waiting]
 
-    def propose(self, members, *, table, wall_ms):
-        """Take up the members seen now; `table` is their HolderTable."""
+    @property
+    def is_member(self):
+        """Whether this host itself is among the members seen now."""
+        return self._identity in self.members
+
+    def propose(self, members, *, identity, table, wall_ms):
+        """Take up the members seen now; `table` is their HolderTable.
+
+        `identity` is this host's own, with which others see it.
+        """
+        self._identity = identity
         self._members = members
         self._table = table
         self._waiting = set(self.members) - {self._identity}
         self.handed_over = False
         present = set(self.members)
-        lost = max((len(s - present) for s in self._sets_in_use), default=0)
-        if lost > 1:
+        self.lost = max(
+            (len(in_use - present) for in_use in self._sets_in_use), default=0
+        )
+        if self.lost > 1:
             # Both holders of a key may be among them, with its record.
             self._part_ms = wall_ms + self._clock_margin_ms
         else:
@@ -145,7 +158,12 @@
         self._settled_table = None
         self._sets_in_use = []
         self.complete_since_ms = NEVER_SETTLED
-        self.propose(self._members, table=self._table, wall_ms=wall_ms)
+        self.propose(
+            self._members,
+            identity=self._identity,
+            table=self._table,
+            wall_ms=wall_ms,
+        )
 
     def _note_in_use(self):
         identities_in_use = frozenset(self.members)
@@ -153,7 +171,9 @@
             self._sets_in_use.append(identities_in_use)
 
     def _settle(self, wall_ms):
-        if self._waiting or not self.handed_over or self.is_settled:
+        if not self.is_member or not self.handed_over:
+            return
+        if self._waiting or self.is_settled:
             return
         if self._heard_ms == NEVER_SETTLED:
             self._heard_ms = wall_ms + self._clock_margin_ms
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -85,6 +85,11 @@
             control_zone=host.control_zone,
         )
 
+    @property
+    def incarnation(self):
+        """Return the incarnation that this host announces."""
+        return self._incarnation
+
     @property
     def service(self):
         """Return the service of the target that announced itself last."""
--- a/verbenanotch/proxy/_record_keeper.py
+++ b/verbenanotch/proxy/_record_keeper.py
@@ -20,6 +20,7 @@
     Refused,
     Release,
     View,
+    identities,
 )
 from verbenanotch.proxy import events
 from verbenanotch.telemetry import emit, metrics
@@ -35,12 +36,12 @@
 class _Holding:
     """The records of one service's keys and the agreement on its holders."""
 
-    def __init__(self, *, identity):
+    def __init__(self):
         self.store = RecordStore(
             max_bytes=MAX_RECORD_BYTES, max_age_seconds=MAX_KEY_AGE_SECONDS
         )
         self.agreement = HolderAgreement(
-            identity=identity, clock_margin_ms=self.store.clock_margin_ms
+            clock_margin_ms=self.store.clock_margin_ms
         )
         self.interruptions = 0
 
@@ -54,9 +55,23 @@
     tells, starts nothing and agrees anew.
     """
 
-    def __init__(self, *, host_name, holder, contact, wall_clock=time.time):
-        """Take the hosts from the snapshot of `holder`."""
+    def __init__(
+        self,
+        *,
+        host_name,
+        incarnation,
+        holder,
+        contact,
+        wall_clock=time.time,
+    ):
+        """Take the hosts from the snapshot of `holder`.
+
+        `incarnation()` returns the one that this host announces now. A host
+        of its name with another one is a process before this one, whose
+        records this one does not have.
+        """
         self._host_name = host_name
+        self._incarnation = incarnation
         self._holder = holder
         self._wall_clock = wall_clock
         self._contact = contact
@@ -124,15 +139,26 @@
             View(availability_zone="", epoch=0, members=members)
         )
         self._tables_by_service[service] = table
-        own = [m for m in members if m.host == self._host_name]
+        identity = (self._host_name, self._incarnation())
         holding = self._holdings_by_service.get(service)
-        if own and holding is None:
-            holding = _Holding(identity=own[0].identity)
+        if holding is None and identity in identities(members):
+            holding = _Holding()
             holding.interruptions = self._contact.interruptions
             self._holdings_by_service[service] = holding
         if holding is not None:
             holding.agreement.propose(
-                members, table=table, wall_ms=self._now_ms()
+                members,
+                identity=identity,
+                table=table,
+                wall_ms=self._now_ms(),
+            )
+            emit(
+                events.HOLDERS_CHANGED,
+                service=service,
+                holders=_described(identities(members)),
+                member=holding.agreement.is_member,
+                lost=holding.agreement.lost,
+                records=len(holding.store),
             )
 
     def _note_interruption(self, holding):
@@ -152,6 +178,15 @@
             if isinstance(known, (AlreadyFinished, KeyConflict)):
                 return known
             metrics.increment(f"proxy.keys_refused.{obstacle}")
+            emit(
+                events.KEY_NOT_STARTED,
+                key=message.key,
+                reason=obstacle,
+                asked=_described(message.hosts),
+                holders=_described(
+                    identities(holding.agreement.pair(message.key))
+                ),
+            )
             return Refused(
                 reason=obstacle, retry_after_ms=REFUSED_RETRY_AFTER_MS
             )
@@ -172,10 +207,8 @@
             if not self._hand_over(service, holding, ask):
                 return
             agreement.mark_handed_over(members, wall_ms=self._now_ms())
-        if not any(host == self._host_name for host, _ in members):
-            # Its targets have left; others hold what it held.
-            if members == agreement.members:
-                del self._holdings_by_service[service]
+        if not agreement.is_member:
+            self._leave(service, holding)
             return
         for member in agreement.waiting:
             reply = ask(
@@ -192,10 +225,22 @@
             emit(
                 events.HOLDERS_AGREED,
                 service=service,
-                hosts=[host for host, _ in members],
+                holders=_described(members),
+                complete_since_ms=agreement.complete_since_ms,
                 records=len(holding.store),
             )
 
+    def _leave(self, service, holding):
+        """Forget the service once its records are too old to be used.
+
+        Until then they are kept, although others hold them now: a host that
+        is missing for a moment comes back as the same member, and those who
+        have not seen it missing do not hand records over to it again.
+        """
+        holding.store.expire(self._now_ms())
+        if not len(holding.store):
+            del self._holdings_by_service[service]
+
     def _hand_over(self, service, holding, ask):
         """Give records to their holders; return whether all took theirs."""
         records_by_member = {}
@@ -220,6 +265,11 @@
         return int(self._wall_clock() * MILLISECONDS_PER_SECOND)
 
 
+def _described(members):
+    """Return identities as a log line tells them."""
+    return [f"{host}/{incarnation}" for host, incarnation in members]
+
+
 def _without_records(message):
     """Return the reply of a host that holds nothing of the service."""
     match message:
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -109,3 +109,16 @@
     Level.INFO,
     "the host's target did not tell who it is; its announcement is awaited",
 )
+HOLDERS_CHANGED = event(
+    5023,
+    "holders-changed",
+    Level.INFO,
+    "other hosts are to hold the records of a service's keys",
+)
+KEY_NOT_STARTED = event(
+    5024,
+    "key-not-started",
+    Level.INFO,
+    "a keyed request was not started here, as its holders are not agreed on "
+    "or this host may have lost its lease",
+)
