Let new holders wait one lease before they start keys

A restarted proxy whose control host has also just started sees itself as the only host of its service, agrees with itself, and starts keys 2 s later, which others who see the whole service start as well. A control host knows every live host only one lease (3 s) after its start.

Change: members that are all new start keys that were issued one lease later than before (5 s after they agree, 2 s of it for clocks).

The unit test fails on the code before. Keys that are issued within 5 s of a service's first start end Unknown (before: 2 s).

--- a/tests/unit/test_proxy_keyed.py
+++ b/tests/unit/test_proxy_keyed.py
@@ -312,6 +312,24 @@
     assert hosts.runs == keys
 
 
+def test_a_new_holder_that_sees_itself_alone_waits_for_one_lease(hosts):
+    """A control host that has just started may know no other host yet."""
+    hosts.incarnations_by_number[1] = 2
+    alone = FakeHolder(
+        [attrs.evolve(make_record(1), incarnation=2)],
+        version=Version(epoch=1, index=1),
+        services_by_name={"pay": Service()},
+        routes_by_name={},
+    )
+    hosts.keepers_by_host["h1"] = hosts.make_keeper("h1", alone)
+    hosts.settle()
+    hosts.now += 2.5
+    for key in [hosts.key() for _ in range(50)]:
+        hosts.pay(key, "h1")
+        hosts.pay(key, "h2")
+    assert len(hosts.runs) == len(set(hosts.runs))
+
+
 def test_holders_refuse_an_entry_that_sees_other_hosts(hosts):
     entry = hosts.keepers_by_host["h1"]
     tables = dict(entry._tables_by_service)
--- a/verbenanotch/idempotency/_agreement.py
+++ b/verbenanotch/idempotency/_agreement.py
@@ -16,6 +16,9 @@
 from verbenanotch.wire import message
 
 NEVER_SETTLED = -1
+# One lease (`control.lease_ms`): a control host that has just started may
+# know too few hosts until then, so that new members can see themselves alone.
+UNSOUND_VIEW_MS = 3000
 
 
 @message(514)
@@ -176,7 +179,9 @@
         if self._waiting or self.is_settled:
             return
         if self._heard_ms == NEVER_SETTLED:
-            self._heard_ms = wall_ms + self._clock_margin_ms
+            self._heard_ms = (
+                wall_ms + self._clock_margin_ms + UNSOUND_VIEW_MS
+            )
         self.complete_since_ms = self._heard_ms
         self._part_ms = self._heard_ms
         self._settled_table = self._table
