--- a/verbenanotch/idempotency/_agreement.py
+++ b/verbenanotch/idempotency/_agreement.py
@@ -179,9 +179,7 @@
         if self._waiting or self.is_settled:
             return
         if self._heard_ms == NEVER_SETTLED:
-            self._heard_ms = (
-                wall_ms + self._clock_margin_ms + UNSOUND_VIEW_MS
-            )
+            self._heard_ms = wall_ms + self._clock_margin_ms + UNSOUND_VIEW_MS
         self.complete_since_ms = self._heard_ms
         self._part_ms = self._heard_ms
         self._settled_table = self._table
