Count the death of a target that accepts one more connection as it ends

Cause: test_a_request_that_crashes_its_targets_is_stopped failed once in four runs of the integration tests side by side on: three targets died of one request where two may. Its log: poison-0 broke off at 127.53.1.52, the proxy's connection of a moment later was accepted, and no target-died line came; the two later deaths were counted. The system closes the sockets of an ending process one after the other.

Change: a target that broke a call off and still accepts is looked at once more 50 ms later, without a new connection: only if it has dropped the one that was just made, unused, and refuses the next, has it died.

Ruled out: waiting before the first look, as the caller's answer would wait; counting each dropped connection as a death, as targets at their limit of connections drop them too.

Figures: four cases by real sockets; the one of the failure fails without the second look. Where a target lives, no connection more is made.

--- /dev/null
+++ b/tests/unit/test_target_deaths.py
@@ -0,0 +1,112 @@
+"""Whether a target that broke a call off has died of it."""
+
+import time
+
+import eventlet
+import pytest
+
+from tests.unit.test_local_targets import evolve
+from tests.unit.test_proxy_peers import SETTINGS, make_call
+from verbenanotch.proxy import LocalTargets
+from verbenanotch.proxy._cancellation import Cancellation
+from verbenanotch.proxy._local import ENDING_SECONDS
+
+WAIT_SECONDS = 5
+
+
+class Guard:
+    """Note the calls whose targets have died."""
+
+    def __init__(self):
+        """Start without any."""
+        self.dead = []
+
+    def answered(self, call):
+        """Take an answer; none of these tests has one."""
+
+    def died(self, call):
+        """Note a death."""
+        self.dead.append(call)
+
+
+@pytest.fixture
+def run():
+    """Run one call at a target whose sockets `serve(listener)` ends."""
+    guard = Guard()
+
+    def run_call(serve):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        server = eventlet.spawn(serve, listener)
+        targets = LocalTargets(
+            settings=SETTINGS,
+            incarnation=1,
+            on_change=lambda: None,
+            guard=guard,
+            known_services=lambda: {"pay": None},
+        )
+        targets.announce(evolve(port=listener.getsockname()[1]))
+        targets.run(
+            make_call(target_id="i-1", service="pay"),
+            deadline=time.monotonic() + WAIT_SECONDS,
+            cancellation=Cancellation(),
+        )
+        server.wait()
+        eventlet.sleep(4 * ENDING_SECONDS)
+        listener.close()
+        return targets, guard.dead
+
+    return run_call
+
+
+def break_off(listener):
+    """Take a call and close its connection."""
+    connection, _ = listener.accept()
+    connection.recv(65536)
+    connection.close()
+
+
+def test_a_target_that_listens_no_more_has_died(run):
+    def serve(listener):
+        connection, _ = listener.accept()
+        connection.recv(65536)
+        listener.close()
+        connection.close()
+
+    targets, dead = run(serve)
+    assert len(dead) == 1
+    assert targets.targets_by_id == {}
+
+
+def test_a_target_that_still_accepts_while_it_ends_has_died(run):
+    def serve(listener):
+        break_off(listener)
+        probe, _ = listener.accept()
+        listener.close()
+        probe.close()
+
+    targets, dead = run(serve)
+    assert len(dead) == 1
+    assert targets.targets_by_id == {}
+
+
+def test_a_target_that_drops_a_connection_and_listens_is_alive(run):
+    def serve(listener):
+        break_off(listener)
+        probe, _ = listener.accept()
+        probe.close()
+
+    targets, dead = run(serve)
+    assert dead == []
+    assert "i-1" in targets.targets_by_id
+
+
+def test_a_target_that_keeps_the_next_connection_is_alive(run):
+    kept = []
+
+    def serve(listener):
+        break_off(listener)
+        kept.append(listener.accept())
+
+    targets, dead = run(serve)
+    assert dead == []
+    assert "i-1" in targets.targets_by_id
--- a/verbenanotch/proxy/_local.py
+++ b/verbenanotch/proxy/_local.py
@@ -4,6 +4,7 @@
 import time
 
 import attrs
+import eventlet
 
 from verbenanotch.membership import HostRecord, TargetRecord
 from verbenanotch.proxy import _reasons as reasons
@@ -18,6 +19,9 @@
 MILLISECONDS_PER_SECOND = 1000
 # Ends of targets that are remembered against announcements that come late.
 MAX_ENDED_TARGETS = 64
+# Within this a process that is ending has closed all of its sockets; a
+# scheduler's slice or two.
+ENDING_SECONDS = 0.05
 # Announcements may come some seconds late.
 LATE_ANNOUNCEMENT_SECONDS = 10.0
 
@@ -325,12 +329,33 @@
         match outcome:
             case Answered():
                 self._guard.answered(call)
-            case Unknown(reason=reason) if (
-                reason.startswith(reasons.TARGET_BROKE_OFF)
-                and not target.connections.can_connect()
+            case Unknown(reason=reason) if reason.startswith(
+                reasons.TARGET_BROKE_OFF
             ):
-                self.remove(call.target_id)
-                self._guard.died(call)
+                self._probe(target, call)
+
+    def _probe(self, target, call):
+        """Note whether a target that broke a call off has died of it.
+
+        The system ends the sockets of a process one after the other, so
+        that a process that is ending may accept one more connection.
+        """
+        connection = target.connections.probe()
+        if connection is None:
+            self._note_death(target, call)
+        else:
+            eventlet.spawn_after(
+                ENDING_SECONDS, self._probe_again, target, call, connection
+            )
+
+    def _probe_again(self, target, call, connection):
+        if connection.was_dropped() and target.connections.probe() is None:
+            self._note_death(target, call)
+
+    def _note_death(self, target, call):
+        if self.targets_by_id.get(call.target_id) is target:
+            self.remove(call.target_id)
+        self._guard.died(call)
 
     def _changed(self):
         self._sequence += 1
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -122,6 +122,19 @@
             return False
         return False
 
+    def was_dropped(self):
+        """Return whether the target closed it before anything was sent."""
+        if self.sent_bytes or self.sock is None:
+            return False
+        try:
+            return not self.sock.fd.recv(
+                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def abort(self):
         """Wake a greenthread that waits on the socket; it gets an error."""
         if self._connected_socket is not None:
@@ -164,14 +177,14 @@
         sock.settimeout(None)
         return TargetConnection(sock=sock)
 
-    def can_connect(self):
-        """Return whether the target still accepts connections."""
+    def probe(self):
+        """Return a new connection that may be used, None if there is none."""
         try:
             connection = self.connect(timeout_seconds=PROBE_TIMEOUT_SECONDS)
         except OSError:
-            return False
+            return None
         self.give_back(connection)
-        return True
+        return connection
 
     def give_back(self, connection):
         """Keep a connection whose last answer was read to its end."""
