Explain a request by what its hosts believed, and what follows from it

Cause: `explain` printed a request's own lines; the state of its targets, the versions accepted since and the lost control host had to be found by hand.

Change: `explain` adds the last event about each target that was asked (or of those that could not be), the version in force, a later one that had been accepted, the last loss of a control host, and findings from them.

Only the tool is touched; daemons are as before.

--- a/verbenanotch/cli/commands/explain.py
+++ b/verbenanotch/cli/commands/explain.py
@@ -5,6 +5,7 @@
 import click
 
 from verbenanotch.cli import _options
+from verbenanotch.cli._beliefs import explain_beliefs
 from verbenanotch.cli._catalogue import load_catalogue
 from verbenanotch.cli._timeline import (
     describe_entry,
@@ -17,9 +18,19 @@
 
 
 def explain_request(request_id, paths):
-    """Return the request's events, hosts and remedies as JSON values."""
-    timeline = read_timeline(paths, request=request_id)
-    numbers = sorted({entry.number for entry in timeline.entries})
+    """Return all that is known of a request as JSON values.
+
+    `lines` are the request's own events, `beliefs` the events that its
+    decisions rested on, `findings` what follows from both.
+    """
+    everything = read_timeline(paths).entries
+    entries = [
+        entry
+        for entry in everything
+        if entry.matches(version="", request=request_id, host="")
+    ]
+    explanation = explain_beliefs(everything, entries)
+    numbers = sorted({e.number for e in (*entries, *explanation.beliefs)})
     remedies = [
         events_by_number[number].remedy
         for number in numbers
@@ -27,9 +38,11 @@
     ]
     return {
         "request": request_id,
-        "hosts": list(dict.fromkeys(e.host for e in timeline.entries)),
-        "entries": [to_value(entry) for entry in timeline.entries],
-        "lines": [describe_entry(entry) for entry in timeline.entries],
+        "hosts": list(dict.fromkeys(entry.host for entry in entries)),
+        "entries": [to_value(entry) for entry in entries],
+        "lines": [describe_entry(entry) for entry in entries],
+        "beliefs": [describe_entry(entry) for entry in explanation.beliefs],
+        "findings": list(explanation.findings),
         "remedies": remedies,
     }
 
@@ -51,8 +64,11 @@
         _options.print_json(value)
     elif value["lines"]:
         click.echo(f"request {request_id} on {', '.join(value['hosts'])}:")
-        for line in [*value["lines"], *value["remedies"]]:
-            click.echo(line)
+        for title in ("lines", "beliefs", "findings", "remedies"):
+            if value[title]:
+                click.echo(f"{title}:")
+            for line in value[title]:
+                click.echo(f"  {line}")
     else:
         click.echo(
             f"no event mentions request {request_id}; name the event files "
