--- a/bench/restart_cost.py
+++ b/bench/restart_cost.py
@@ -25,13 +25,12 @@
 
 import click  # noqa: E402
 
+from bench.request_capacity import start_mesh  # noqa: E402
 from bench.request_latency import (  # noqa: E402
-    MESH_TEXT,
     NEAR,
     processor_seconds,
     resident_mb,
 )
-from tests.support.harness import Mesh  # noqa: E402
 
 
 def serves(mesh):
@@ -54,18 +53,12 @@
 @click.option("--restarts", default=5)
 def main(restarts):
     """Restart one proxy a few times and print the medians."""
-    with (
-        tempfile.TemporaryDirectory() as folder,
-        Mesh(
-            folder=pathlib.Path(folder),
-            control_hosts_per_zone=1,
-            proxies_per_zone=1,
-        ) as mesh,
-    ):
-        mesh.start_target(NEAR, "pay", slots=64)
-        mesh.accept(MESH_TEXT)
-        mesh.wait_until(lambda: serves(mesh), what="served requests")
-        figures = [restart(mesh) for _ in range(restarts)]
+    with tempfile.TemporaryDirectory() as folder:
+        mesh = start_mesh(pathlib.Path(folder), slots=64)
+        try:
+            figures = [restart(mesh) for _ in range(restarts)]
+        finally:
+            mesh.stop()
     columns = zip(*figures, strict=True)
     names = ("s to serve", "s of processor", "MB")
     for name, values in zip(names, columns, strict=True):
--- a/tests/unit/test_cli_beliefs.py
+++ b/tests/unit/test_cli_beliefs.py
@@ -5,6 +5,8 @@
 import pytest
 from click.testing import CliRunner
 
+from verbenanotch.cli import _beliefs
+from verbenanotch.cli._catalogue import load_catalogue
 from verbenanotch.cli.tool import main
 
 HOST = "p1"
@@ -96,6 +98,18 @@
     assert output == GOLDEN
 
 
+def test_the_names_of_events_are_those_of_the_catalogue():
+    used = {
+        _beliefs.REQUEST_ENDED,
+        _beliefs.CALL_ENDED,
+        _beliefs.VERSION_IN_FORCE,
+        _beliefs.VERSION_ACCEPTED,
+        *_beliefs.CONTROL_EVENTS,
+        *_beliefs.TARGET_EVENTS,
+    }
+    assert used <= {event.name for event in load_catalogue()}
+
+
 def test_versions_compare_by_their_numbers(explain):
     output = explain(
         line(1, 2501, "version-accepted", host="c1", version="1.9"),
--- a/tests/unit/test_conf_lease.py
+++ b/tests/unit/test_conf_lease.py
@@ -1,33 +1,16 @@
 """Bounds of the lease, on which other processes rely."""
 
 import pytest
-import tomli_w
 
-from examples import topology as plans
-from verbenanotch import conf
+from tests.support.planned_settings import load_planned
 from verbenanotch.conf._checks import MAX_LEASE_MS, MIN_LEASE_MS
 from verbenanotch.documents import Invalid, Valid
 from verbenanotch.idempotency._agreement import UNSOUND_VIEW_MS
 
 
 def load(folder, lease_ms):
-    """Return the result for a planned control host with a lease."""
-    topology = plans.plan(
-        zones=("z1",),
-        control_hosts_per_zone=1,
-        proxies_per_zone=1,
-        second_octet=1,
-    )
-    settings = plans.make_settings(
-        topology.control_hosts[0],
-        topology,
-        secrets=plans.Secrets(peer_key="k" * 16, operator_token="t"),
-        folder=str(folder),
-    )
-    settings["control"]["lease_ms"] = lease_ms
-    path = folder / "settings.toml"
-    path.write_text(tomli_w.dumps(settings), encoding="utf-8")
-    return conf.load(path)
+    """Return the result for a control host with a lease."""
+    return load_planned(folder, "control", control={"lease_ms": lease_ms})
 
 
 @pytest.mark.parametrize("lease_ms", [MIN_LEASE_MS, MAX_LEASE_MS])
--- a/tests/unit/test_keyed_schedules.py
+++ b/tests/unit/test_keyed_schedules.py
@@ -9,17 +9,20 @@
 import collections
 import os
 import random
-import time
 
 import attrs
 import pytest
 
-from tests.unit.test_proxy_entry import FakeHolder, make_record
-from tests.unit.test_proxy_keyed import ANSWER, START, FakeContact
-from verbenanotch.catalog import Service, Version
+from tests.unit.test_proxy_entry import make_record
+from tests.unit.test_proxy_keyed import (
+    ANSWER,
+    START,
+    FakeContact,
+    make_holder,
+    make_request,
+)
 from verbenanotch.idempotency import new_key
 from verbenanotch.proxy import KeyedRequests, RecordKeeper
-from verbenanotch.proxy._request import Request
 
 SEEDS = int(os.environ.get("VERBENANOTCH_SEEDS", "40"))
 NUMBERS = (1, 2, 3)
@@ -60,12 +63,7 @@
         """Start a host anew with an empty memory."""
         incarnation = self.incarnations[number]
         self.positions[number] = len(self.history) - 1
-        self.holders[number] = FakeHolder(
-            [],
-            version=Version(epoch=1, index=1),
-            services_by_name={"pay": Service()},
-            routes_by_name={},
-        )
+        self.holders[number] = make_holder([])
         self.show(number, self.history[-1])
         if self.now > START:
             seconds = self.random.uniform(0, ALONE_SECONDS)
@@ -178,19 +176,7 @@
             self.runs[key] += 1
             return ANSWER
 
-        request = Request(
-            request_id="r",
-            route_name="pay",
-            service="pay",
-            method="POST",
-            path="/pay",
-            headers=(),
-            body=b"",
-            deadline=time.monotonic() + 5,
-            idempotent=False,
-            retries=0,
-            key=key,
-        )
+        request = make_request(key)
         keyed = KeyedRequests(keeper=self.keepers[number], ask=self.ask)
         return keyed.run(request, run)
 
--- a/tests/unit/test_proxy_keyed.py
+++ b/tests/unit/test_proxy_keyed.py
@@ -18,6 +18,33 @@
 ANSWER = Answered(status=201, headers=(("X-A", "1"),), body=b"booked")
 
 
+def make_holder(records):
+    """Return a holder of one snapshot of the service's hosts."""
+    return FakeHolder(
+        records,
+        version=Version(epoch=1, index=1),
+        services_by_name={"pay": Service()},
+        routes_by_name={},
+    )
+
+
+def make_request(key, body=b""):
+    """Return a keyed request to the service."""
+    return Request(
+        request_id="r",
+        route_name="pay",
+        service="pay",
+        method="POST",
+        path="/pay",
+        headers=(),
+        body=body,
+        deadline=time.monotonic() + 5,
+        idempotent=False,
+        retries=0,
+        key=key,
+    )
+
+
 class FakeContact:
     """Contact with control hosts, as the test sets it."""
 
@@ -41,11 +68,8 @@
         self.lost = set()
         self.contact = FakeContact()
         self.incarnations_by_number = {1: 1, 2: 1, 3: 1}
-        self.holder = FakeHolder(
-            [make_record(number) for number in (1, 2, 3)],
-            version=Version(epoch=1, index=1),
-            services_by_name={"pay": Service()},
-            routes_by_name={},
+        self.holder = make_holder(
+            [make_record(number) for number in (1, 2, 3)]
         )
         self.keepers_by_host = {
             f"h{number}": self.make_keeper(f"h{number}")
@@ -109,19 +133,7 @@
             self.runs.append(key)
             return outcome
 
-        request = Request(
-            request_id="r",
-            route_name="pay",
-            service="pay",
-            method="POST",
-            path="/pay",
-            headers=(),
-            body=body,
-            deadline=time.monotonic() + 5,
-            idempotent=False,
-            retries=0,
-            key=key,
-        )
+        request = make_request(key, body)
         return keyed.run(request, run)
 
     def holders(self, key):
@@ -205,12 +217,7 @@
 
 def test_a_key_between_two_views_of_the_hosts_runs_once(hosts):
     """Two new hosts see themselves; the former ones do not see them yet."""
-    others = FakeHolder(
-        [make_record(number) for number in range(1, 31)],
-        version=Version(epoch=1, index=1),
-        services_by_name={"pay": Service()},
-        routes_by_name={},
-    )
+    others = make_holder([make_record(number) for number in range(1, 31)])
     for number in range(4, 31):
         name = f"h{number}"
         hosts.keepers_by_host[name] = hosts.make_keeper(name, others)
@@ -298,12 +305,7 @@
     whole = hosts.holder
     for name in ("h1", "h2"):
         keeper = hosts.keepers_by_host[name]
-        keeper._holder = FakeHolder(
-            [],
-            version=Version(epoch=1, index=1),
-            services_by_name={"pay": Service()},
-            routes_by_name={},
-        )
+        keeper._holder = make_holder([])
         hosts.settle()
         keeper._holder = whole
         hosts.settle()
@@ -315,12 +317,7 @@
 def test_a_new_holder_that_sees_itself_alone_waits_for_one_lease(hosts):
     """A control host that has just started may know no other host yet."""
     hosts.incarnations_by_number[1] = 2
-    alone = FakeHolder(
-        [attrs.evolve(make_record(1), incarnation=2)],
-        version=Version(epoch=1, index=1),
-        services_by_name={"pay": Service()},
-        routes_by_name={},
-    )
+    alone = make_holder([attrs.evolve(make_record(1), incarnation=2)])
     hosts.keepers_by_host["h1"] = hosts.make_keeper("h1", alone)
     hosts.settle()
     hosts.now += 2.5
@@ -333,12 +330,7 @@
 def test_zones_that_do_not_know_each_other_yet_start_no_key(hosts):
     """All has just started; tables of other zones come one lease later."""
     for number in (1, 2, 3):
-        alone = FakeHolder(
-            [make_record(number)],
-            version=Version(epoch=1, index=1),
-            services_by_name={"pay": Service()},
-            routes_by_name={},
-        )
+        alone = make_holder([make_record(number)])
         name = f"h{number}"
         hosts.keepers_by_host[name] = hosts.make_keeper(name, alone)
     hosts.settle()
@@ -362,19 +354,7 @@
     hosts.keepers_by_host["h1"] = hosts.make_keeper("h1")
     keyed = KeyedRequests(keeper=entry, ask=hosts.ask)
     hosts.now += 10
-    request = Request(
-        request_id="r",
-        route_name="pay",
-        service="pay",
-        method="POST",
-        path="/pay",
-        headers=(),
-        body=b"",
-        deadline=time.monotonic() + 5,
-        idempotent=False,
-        retries=0,
-        key=key,
-    )
+    request = make_request(key)
     outcome = keyed.run(request, lambda: pytest.fail("it was run"))
     assert isinstance(outcome, Unknown)
     assert outcome.reason == "key-not-holder"
--- a/verbenanotch/cli/_beliefs.py
+++ b/verbenanotch/cli/_beliefs.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from verbenanotch.catalog import NO_VERSION, Version
 from verbenanotch.telemetry import physical_milliseconds
 
 REQUEST_ENDED = "request-ended"
@@ -70,25 +71,23 @@
 def _version_beliefs(before, ended):
     """Return what the entry proxy held, and what was accepted since."""
     held = ended.fields.get("version", "")
+    own = [entry for entry in before if entry.host == ended.host]
     in_force = [
         entry
-        for entry in before
-        if entry.host == ended.host
-        and entry.name == VERSION_IN_FORCE
+        for entry in own
+        if entry.name == VERSION_IN_FORCE
         and entry.fields.get("version") == held
-    ][-1:]
+    ]
     accepted = [
         entry
         for entry in before
         if entry.name == VERSION_ACCEPTED
-        and _number(entry.fields.get("version", "")) > _number(held)
-    ][-1:]
-    links = [
-        entry
-        for entry in before
-        if entry.host == ended.host and entry.name in CONTROL_EVENTS
-    ][-1:]
-    return [*in_force, *accepted, *(links if accepted else ())]
+        and _parsed(entry.fields.get("version", "")) > _parsed(held)
+    ]
+    beliefs = [*in_force[-1:], *accepted[-1:]]
+    if accepted:
+        beliefs += [e for e in own if e.name in CONTROL_EVENTS][-1:]
+    return beliefs
 
 
 def _target_beliefs(before, ended, calls):
@@ -151,18 +150,18 @@
 def _version_findings(version, ended):
     for entry in version:
         milliseconds = _milliseconds_between(entry, ended)
-        match entry.name:
-            case "version-accepted":
-                yield (
-                    f"version {entry.fields['version']} had been accepted "
-                    f"{milliseconds} ms before and was not in force at "
-                    f"{ended.host}"
-                )
-            case name if name in CONTROL_EVENTS:
-                yield (
-                    f"{ended.host}: {name} of {entry.fields.get('peer', '-')},"
-                    f" {milliseconds} ms before the end"
-                )
+        if entry.name == VERSION_ACCEPTED:
+            yield (
+                f"version {entry.fields['version']} had been accepted "
+                f"{milliseconds} ms before and was not in force at "
+                f"{ended.host}"
+            )
+        elif entry.name in CONTROL_EVENTS:
+            yield (
+                f"{ended.host}: {entry.name} of "
+                f"{entry.fields.get('peer', '-')}, {milliseconds} ms before "
+                "the end"
+            )
 
 
 def _last(entries, name):
@@ -170,12 +169,12 @@
     return found[-1] if found else None
 
 
-def _number(version):
-    """Return a version as numbers that compare, (-1,) if it is none."""
+def _parsed(version):
+    """Return the Version of a text, the least one if it is none."""
     try:
-        return tuple(int(part) for part in version.split("."))
+        return Version.parse(version)
     except ValueError:
-        return (-1,)
+        return NO_VERSION
 
 
 def _milliseconds_between(entry, later):
--- a/verbenanotch/cli/_timeline.py
+++ b/verbenanotch/cli/_timeline.py
@@ -33,7 +33,7 @@
     level: str
     fields: dict
 
-    def matches(self, *, version, request, host):
+    def matches(self, *, version="", request="", host=""):
         """Tell whether the entry passes the filters that are not empty."""
         if host and self.host != host:
             return False
--- a/verbenanotch/cli/commands/explain.py
+++ b/verbenanotch/cli/commands/explain.py
@@ -24,11 +24,7 @@
     decisions rested on, `findings` what follows from both.
     """
     everything = read_timeline(paths).entries
-    entries = [
-        entry
-        for entry in everything
-        if entry.matches(version="", request=request_id, host="")
-    ]
+    entries = [e for e in everything if e.matches(request=request_id)]
     explanation = explain_beliefs(everything, entries)
     numbers = sorted({e.number for e in (*entries, *explanation.beliefs)})
     remedies = [
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -13,8 +13,6 @@
 
 LISTEN_BACKLOG = 1024
 MAX_CONNECTIONS = 4096
-# A resting greenthread keeps about 20 KB.
-MAX_RESTING_WORKERS = 128
 KEEP_ALIVE_SECONDS = 75.0
 ACCEPT_PAUSE_SECONDS = 0.1
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n"
@@ -130,7 +128,7 @@
             debug=False,
             capitalize_response_headers=False,
         )
-        self._workers = loop.Workers(max_resting=MAX_RESTING_WORKERS)
+        self._workers = loop.Workers()
         self._connections_by_id = {}
         self._acceptor = None
         self.stopping = False
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -46,6 +46,19 @@
         set_nonblocking(accepted)
         return LoopSocket(accepted, set_nonblocking=False), address
 
+    def look(self):
+        """Return what waits to be read, without reading or waiting.
+
+        That is one byte, none if the stream has ended or broken, or None
+        while nothing is there.
+        """
+        try:
+            return self.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return None
+        except (OSError, ValueError):
+            return b""
+
     def register(self):
         """Learn of bytes that arrive from now on."""
         if self._listener is None:
--- a/verbenanotch/loop/_workers.py
+++ b/verbenanotch/loop/_workers.py
@@ -7,6 +7,9 @@
 import greenlet
 from eventlet import hubs
 
+# A resting greenthread keeps about 20 KB.
+MAX_RESTING = 128
+
 
 class Workers:
     """Run each task in a greenthread, a resting one if there is any.
@@ -15,7 +18,7 @@
     which costs more than the switch to it.
     """
 
-    def __init__(self, *, max_resting):
+    def __init__(self, *, max_resting=MAX_RESTING):
         """Keep at most so many greenthreads for later tasks."""
         self._max_resting = max_resting
         self._resting = []
--- a/verbenanotch/proxy/_callers.py
+++ b/verbenanotch/proxy/_callers.py
@@ -1,7 +1,5 @@
 """Notice callers that close their connection while they wait."""
 
-import socket
-
 import eventlet
 
 # Work goes on for at most this long after its caller has left, if the caller
@@ -56,7 +54,7 @@
         cancellation = self._cancellations_by_socket.get(sock)
         if cancellation is None:
             return
-        if _is_closed(sock):
+        if sock.look() == b"":
             self._sockets_with_bytes.discard(sock)
             cancellation.cancel()
         else:
@@ -66,13 +64,3 @@
         while True:
             eventlet.sleep(SWEEP_SECONDS)
             self.sweep()
-
-
-def _is_closed(sock):
-    try:
-        data = sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except (OSError, ValueError):
-        return True
-    return not data
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -9,6 +9,7 @@
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy._headers import target_headers, without_hop_headers
 from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
+from verbenanotch.proxy._target_connection import TARGET_FAILURES
 from verbenanotch.proxy.exceptions import (
     AnswerForeignError,
     AnswerTooLargeError,
@@ -23,13 +24,7 @@
 MAX_FOREIGN_ANSWERS = 3
 DEFAULT_NAMES = HeaderNames()
 MILLISECONDS_PER_SECOND = 1000
-_FAILURES = (
-    OSError,
-    EOFError,
-    ValueError,
-    http.client.HTTPException,
-    ProxyError,
-)
+_FAILURES = (*TARGET_FAILURES, ProxyError)
 
 
 def exchange(
--- a/verbenanotch/proxy/_finder.py
+++ b/verbenanotch/proxy/_finder.py
@@ -4,7 +4,6 @@
 nothing on a disk, and after a loss of all processes no other one knows.
 """
 
-import http.client
 import time
 
 import attrs
@@ -13,7 +12,10 @@
 from verbenanotch.conf import endpoint
 from verbenanotch.membership import TargetRecord
 from verbenanotch.proxy import events
-from verbenanotch.proxy._target_connection import TargetConnections
+from verbenanotch.proxy._target_connection import (
+    TARGET_FAILURES,
+    TargetConnections,
+)
 from verbenanotch.telemetry import emit
 
 # Each question costs the target a slot for a moment; it announces itself
@@ -25,7 +27,6 @@
 OK = 200
 # Below that of any announcement, which therefore goes before.
 UNKNOWN_INCARNATION = 0
-_FAILURES = (OSError, EOFError, ValueError, http.client.HTTPException)
 
 
 @attrs.frozen(kw_only=True)
@@ -89,7 +90,7 @@
                 return read_identity(
                     answer.status, answer.headers, self._names
                 )
-        except (eventlet.Timeout, *_FAILURES) as error:
+        except (eventlet.Timeout, *TARGET_FAILURES) as error:
             emit(
                 events.TARGET_NOT_FOUND,
                 address=self._address,
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -36,8 +36,6 @@
 from verbenanotch.wire import WireError, decode, encode
 
 MILLISECONDS_PER_SECOND = 1000
-# A resting greenthread keeps about 20 KB.
-MAX_RESTING_WORKERS = 128
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -76,7 +74,7 @@
         self.in_flight = 0
         self.leaving = False
         self._sessions = set()
-        self.workers = Workers(max_resting=MAX_RESTING_WORKERS)
+        self.workers = Workers()
 
     def handle(self, connection):
         """Serve one peer until its connection ends."""
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -15,6 +15,8 @@
 WARM_CONNECTIONS = 2
 # Requests by these have a body only if one was sent.
 BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
+# What an exchange with a target raises if the target or the way to it fails.
+TARGET_FAILURES = (OSError, EOFError, ValueError, http.client.HTTPException)
 
 
 class _AnswerReader(io.BufferedReader):
@@ -112,28 +114,13 @@
         """
         if self.sock is None or now - self.idle_since > IDLE_SECONDS:
             return False
-        if self._reader.has_bytes():
-            return False
-        try:
-            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return not self._reader.has_bytes() and self.sock.look() is None
 
     def was_dropped(self):
         """Return whether the target closed it before anything was sent."""
         if self.sent_bytes or self.sock is None:
             return False
-        try:
-            return not self.sock.fd.recv(
-                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
-            )
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return self.sock.look() == b""
 
     def abort(self):
         """Wake a greenthread that waits on the socket; it gets an error."""
--- a/verbenanotch/routing/_durations.py
+++ b/verbenanotch/routing/_durations.py
@@ -19,79 +19,75 @@
 MAX_RATIO = 20.0
 
 
-class RouteDurations:
+class _RouteMeans:
+    """A moving mean of some measure for each route."""
+
+    weight = RATIO_WEIGHT
+
+    def __init__(self):
+        """Know no route."""
+        self._means_by_route = {}
+
+    def retain(self, route_names):
+        """Forget the routes that are gone."""
+        for name in self._means_by_route.keys() - route_names:
+            del self._means_by_route[name]
+
+    def _note(self, route_name, value, *, initial):
+        """Move a route's mean towards a value; it begins at `initial`."""
+        held = self._means_by_route.get(route_name, initial)
+        self._means_by_route[route_name] = held + self.weight * (value - held)
+
+
+class RouteDurations(_RouteMeans):
     """Ratios of a route's own times to the mean times of its targets.
 
     One service runs short and long kinds of request; its targets tell one
-    mean for all.
+    mean for all. Every route is taken for an average one at first.
     """
 
-    def __init__(self):
-        """Take every route for an average one."""
-        self._ratios_by_route = {}
-
     def answered(self, route_name, seconds, mean_seconds):
         """Note the time of one answer and its target's mean."""
         if mean_seconds <= 0:
             return
-        held = self._ratios_by_route.get(route_name, 1.0)
         ratio = min(MAX_RATIO, max(MIN_RATIO, seconds / mean_seconds))
-        self._ratios_by_route[route_name] = held + RATIO_WEIGHT * (
-            ratio - held
-        )
+        self._note(route_name, ratio, initial=1.0)
 
     def scaled_objective(self, route_name, objective_seconds):
         """Return an objective in terms of the targets' mean times."""
-        return objective_seconds / self._ratios_by_route.get(route_name, 1.0)
-
-    def retain(self, route_names):
-        """Forget the routes that are gone."""
-        for name in self._ratios_by_route.keys() - route_names:
-            del self._ratios_by_route[name]
+        return objective_seconds / self._means_by_route.get(route_name, 1.0)
 
 
-class RouteSizes:
-    """Mean bytes that a request of a route and its answer take."""
+class RouteSizes(_RouteMeans):
+    """Mean bytes that a request of a route and its answer take.
 
-    def __init__(self):
-        """Take every answer for one without a body."""
-        self._bytes_by_route = {}
+    Every answer is taken for one without a body at first.
+    """
 
     def answered(self, route_name, size):
         """Note the size of the body of one answer."""
-        held = self._bytes_by_route.get(route_name, size)
-        self._bytes_by_route[route_name] = held + RATIO_WEIGHT * (size - held)
+        self._note(route_name, size, initial=size)
 
     def expected(self, route_name, request_bytes):
         """Return the bytes of a request with such a body and its answer."""
-        answer_bytes = self._bytes_by_route.get(route_name, 0)
+        answer_bytes = self._means_by_route.get(route_name, 0)
         return HEAD_BYTES + request_bytes + answer_bytes
 
-    def retain(self, route_names):
-        """Forget the routes that are gone."""
-        for name in self._bytes_by_route.keys() - route_names:
-            del self._bytes_by_route[name]
-
 
-class ServiceTimes:
+class ServiceTimes(_RouteMeans):
     """Mean seconds for which each route's requests hold a target's slot."""
 
-    def __init__(self):
-        """Know no route."""
-        self._seconds_by_route = {}
+    weight = SERVICE_TIME_WEIGHT
 
     def served(self, route_name, seconds):
         """Note one request."""
-        if len(self._seconds_by_route) >= MAX_ROUTES:
-            self._seconds_by_route.clear()
-        held = self._seconds_by_route.get(route_name, seconds)
-        self._seconds_by_route[route_name] = held + SERVICE_TIME_WEIGHT * (
-            seconds - held
-        )
+        if len(self._means_by_route) >= MAX_ROUTES:
+            self._means_by_route.clear()
+        self._note(route_name, seconds, initial=seconds)
 
     def expected(self, route_name):
         """Return the mean of a route, or None if it is not known."""
-        return self._seconds_by_route.get(route_name)
+        return self._means_by_route.get(route_name)
 
 
 def crossing_seconds(size, objective_seconds):
