proxy: log the count of a crashing request, its notices and its clearing

What the logs could not tell apart: whether a zone heard of another's crashes, whether a proxy had lost its count, when a block ended, and whether two repeats were one fingerprint.

target-died has the fingerprint, its count and the service; request-blocked is logged at each proxy that starts to block, with the time; crash-notice-received (5025), crashes-cleared (5026) and crashing-request-refused (5027) are new, as is the metric proxy.crash_notices_received. No decision changes.

--- a/verbenanotch/proxy/_crashes.py
+++ b/verbenanotch/proxy/_crashes.py
@@ -45,6 +45,13 @@
         match blocked:
             case Blocked(retry_after_ms=retry_after_ms):
                 metrics.increment("proxy.crashing_requests_refused")
+                emit(
+                    events.CRASHING_REQUEST_REFUSED,
+                    request=request.request_id,
+                    fingerprint=blocked.fingerprint.hex(),
+                    crash_count=blocked.crash_count,
+                    retry_after_ms=retry_after_ms,
+                )
                 return NotRun(
                     reason=reasons.CRASHES_TARGETS,
                     retry_after_ms=retry_after_ms,
@@ -53,8 +60,17 @@
 
     def record_answer(self, call):
         """Clear the crashes of a Call or Request that a target answered."""
-        if len(self._blocklist):
-            self._blocklist.record_answer(_fingerprint(call))
+        if not len(self._blocklist):
+            return
+        identity = _fingerprint(call)
+        crash_count = self._blocklist.record_answer(identity)
+        if crash_count:
+            emit(
+                events.CRASHES_CLEARED,
+                request=call.request_id,
+                fingerprint=identity.hex(),
+                crash_count=crash_count,
+            )
 
     def record_crash(self, call):
         """Record that a local target crashed during a Call; notify the zone.
@@ -64,14 +80,18 @@
         the crash before the caller retries; their receipt is not confirmed.
         """
         metrics.increment("proxy.targets_died")
+        identity = _fingerprint(call)
+        now = time.monotonic()
+        notice = self._blocklist.record_crash(identity, now)
         emit(
             events.TARGET_CRASHED,
             request=call.request_id,
             target=call.target_id,
+            service=call.service,
+            fingerprint=identity.hex(),
+            crash_count=self._blocklist.crash_count(identity),
         )
-        notice = self._blocklist.record_crash(
-            _fingerprint(call), time.monotonic()
-        )
+        self._log_block(identity, now)
         message = TargetCrashed(notice=notice)
         pool = eventlet.GreenPool(MAX_CONCURRENT_NOTICES)
         with eventlet.Timeout(NOTICE_TIMEOUT_SECONDS, False):
@@ -84,8 +104,28 @@
 
     def record_notice(self, notice):
         """Count a crash that another proxy has reported."""
-        if self._blocklist.record_notice(notice, time.monotonic()):
-            emit(events.REQUEST_BLOCKED, fingerprint=notice.fingerprint.hex())
+        metrics.increment("proxy.crash_notices_received")
+        now = time.monotonic()
+        blocks = self._blocklist.record_notice(notice, now)
+        emit(
+            events.CRASH_NOTICE_RECEIVED,
+            peer=notice.host,
+            fingerprint=notice.fingerprint.hex(),
+            crash_count=self._blocklist.crash_count(notice.fingerprint),
+        )
+        if blocks:
+            self._log_block(notice.fingerprint, now)
+
+    def _log_block(self, fingerprint, now):
+        """Log whether a fingerprint is blocked, and for how long."""
+        match self._blocklist.check(fingerprint, now):
+            case Blocked(crash_count=count, retry_after_ms=milliseconds):
+                emit(
+                    events.REQUEST_BLOCKED,
+                    fingerprint=fingerprint.hex(),
+                    crash_count=count,
+                    milliseconds=milliseconds,
+                )
 
     def _is_other_host_in_zone(self, record):
         return (
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -46,6 +46,25 @@
     "a request that crashed several targets is refused for a while",
     "Find the request in its target-died events and stop its caller.",
 )
+CRASH_NOTICE_RECEIVED = event(
+    5025,
+    "crash-notice-received",
+    Level.INFO,
+    "another proxy reported that a request crashed its target",
+)
+CRASHES_CLEARED = event(
+    5026,
+    "crashes-cleared",
+    Level.INFO,
+    "a target answered a request that was in flight when targets crashed; "
+    "the crashes no longer count against it",
+)
+CRASHING_REQUEST_REFUSED = event(
+    5027,
+    "crashing-request-refused",
+    Level.INFO,
+    "a request is refused because it crashed several targets",
+)
 PEER_REFUSED = event(
     5008,
     "request-peer-refused",
--- a/verbenanotch/routing/_crash_blocklist.py
+++ b/verbenanotch/routing/_crash_blocklist.py
@@ -149,8 +149,17 @@
         return True
 
     def record_answer(self, fingerprint):
-        """Remove the fingerprint of a request that a target has answered."""
-        self._suspects_by_fingerprint.pop(fingerprint, None)
+        """Remove the fingerprint of a request that a target has answered.
+
+        Returns the number of crashes that were counted against it.
+        """
+        suspect = self._suspects_by_fingerprint.pop(fingerprint, None)
+        return 0 if suspect is None else suspect.crash_count
+
+    def crash_count(self, fingerprint):
+        """Return the number of crashes counted against a fingerprint."""
+        suspect = self._suspects_by_fingerprint.get(fingerprint)
+        return 0 if suspect is None else suspect.crash_count
 
     def _get_or_add(self, fingerprint, now):
         """Return the suspect of a fingerprint, or None if memory is full."""
