proxy: answer a broken-off call once it is known whether its target crashed

Seen by callers: one request crashed up to three targets within 40 ms. Cause: a target that still accepted a connection while it ended was checked again after 50 ms in the background. Now the check ends before the outcome is returned, after the slot is released, so that waiting costs no capacity. A call that a running target broke off is answered 50 ms later than before. test_a_target_that_still_accepts_while_it_exits_has_crashed failed before. Class: a decision on a belief that is still being formed.

--- a/tests/unit/test_target_crashes.py
+++ b/tests/unit/test_target_crashes.py
@@ -34,7 +34,9 @@
     """Return a function that runs one call at a target.
 
     It takes `serve(listener)`, which accepts and closes the target's
-    connections, and returns the LocalTargets and the crashed calls.
+    connections, and returns the LocalTargets and the crashed calls. A crash
+    has to be known with the outcome of the call: the request may be repeated
+    right after it.
     """
     guard = FakeGuard()
 
@@ -54,8 +56,10 @@
             deadline=time.monotonic() + WAIT_SECONDS,
             cancellation=Cancellation(),
         )
+        known_at_outcome = list(guard.crashed)
         server.wait()
         eventlet.sleep(4 * CRASH_RECHECK_SECONDS)
+        assert guard.crashed == known_at_outcome
         listener.close()
         return targets, guard.crashed
 
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -298,6 +298,7 @@
             outcome = self._run_in_slot(target, call, deadline, cancellation)
         finally:
             target.slots.release(time.monotonic() - started, call.route_name)
+        self._record_outcome(target, call, outcome)
         return _with_load(outcome, target)
 
     def _run_in_slot(self, target, call, deadline, cancellation):
@@ -323,7 +324,6 @@
             echoes_id=self._settings.proxy.targets_echo_request_id,
             may_omit_length=self._settings.proxy.targets_may_omit_length,
         )
-        self._record_outcome(target, call, outcome)
         elapsed_ms = (time.monotonic() - started) * MILLISECONDS_PER_SECOND
         metrics.timing("proxy.target_ms", elapsed_ms)
         if call.traced:
@@ -360,16 +360,8 @@
         connection = target.connections.probe()
         if connection is None:
             self._record_crash(target, call)
-        else:
-            eventlet.spawn_after(
-                CRASH_RECHECK_SECONDS,
-                self._recheck_for_crash,
-                target,
-                call,
-                connection,
-            )
-
-    def _recheck_for_crash(self, target, call, connection):
+            return
+        eventlet.sleep(CRASH_RECHECK_SECONDS)
         if (
             connection.was_closed_unused()
             and target.connections.probe() is None
