proxy: recognize a crashing request by what its repeats have in common

Cause: the fingerprint had the service, which a split route draws for each request, or nothing but the key, which is new for each repeat that runs. Now it is method, path with query, and body. A request with the same key runs once anyway. test_a_crashing_request_is_recognized_with_another_key_and_service failed before. test_fingerprint_distinguishes_requests demanded that the key replaces the other parts, which was the fault; it now demands that each part that repeats share counts (method is new). Class: an identity made of parts that the identified thing may change.

--- a/tests/unit/test_routing_limits.py
+++ b/tests/unit/test_routing_limits.py
@@ -1,9 +1,13 @@
 """Limits, outlier detection, the queue, retries and the crash blocklist."""
 
 import random
+import types
 
 import pytest
 
+from tests.unit.test_proxy_peers import SETTINGS, make_call
+from verbenanotch.distribution import Snapshot
+from verbenanotch.proxy import CrashGuard
 from verbenanotch.routing import (
     AdaptiveLimit,
     AttemptContext,
@@ -275,22 +279,35 @@
 
 def test_fingerprint_distinguishes_requests():
     def fingerprint_of(**fields):
-        defaults = {"service": "r", "method": "GET", "path": "/a", "body": b""}
-        return fingerprint(**{**defaults, **fields})
+        return fingerprint(
+            **{"method": "GET", "path": "/a", "body": b"", **fields}
+        )
 
+    fingerprints = {
+        fingerprint_of(),
+        fingerprint_of(method="PUT"),
+        fingerprint_of(path="/b"),
+        fingerprint_of(body=b"x"),
+    }
     assert fingerprint_of() == fingerprint_of()
-    assert (
-        len(
-            {
-                fingerprint_of(),
-                fingerprint_of(path="/b"),
-                fingerprint_of(body=b"x"),
-                fingerprint_of(key="k"),
-            }
-        )
-        == 4
+    assert len(fingerprints) == 4
+
+
+def test_a_crashing_request_is_recognized_with_another_key_and_service():
+    guard = CrashGuard(
+        settings=SETTINGS,
+        incarnation=1,
+        snapshot_store=types.SimpleNamespace(snapshot=Snapshot()),
+        post=lambda record, message: None,
     )
-    assert fingerprint_of(key="k") == fingerprint_of(key="k", body=b"x")
+    for number in range(2):
+        guard.record_crash(
+            make_call(
+                service=f"split-{number}",
+                headers=(("Idempotency-Key", f"k{number}"),),
+            )
+        )
+    assert guard.refusal(make_call(headers=(("Idempotency-Key", "k3"),)))
 
 
 def test_fixed_limit_stays_at_the_slots():
--- a/verbenanotch/proxy/_crashes.py
+++ b/verbenanotch/proxy/_crashes.py
@@ -6,7 +6,6 @@
 
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
-from verbenanotch.proxy._headers import KEY_HEADER
 from verbenanotch.proxy._messages import TargetCrashed
 from verbenanotch.proxy._outcome import NotRun
 from verbenanotch.routing import Blocked, CrashBlocklist, fingerprint
@@ -136,18 +135,6 @@
 
 def _fingerprint(request):
     """Return the fingerprint of a Request or of a Call made from it."""
-    key = next(
-        (
-            value
-            for name, value in request.headers
-            if name.lower() == KEY_HEADER.lower()
-        ),
-        None,
-    )
     return fingerprint(
-        service=request.service,
-        method=request.method,
-        path=request.path,
-        body=request.body,
-        key=key,
+        method=request.method, path=request.path, body=request.body
     )
--- a/verbenanotch/routing/_crash_blocklist.py
+++ b/verbenanotch/routing/_crash_blocklist.py
@@ -55,21 +55,19 @@
     last_crash_at: float = float("-inf")
 
 
-def fingerprint(*, service, method, path, body, key=None):
-    """Return the 16 bytes that identify a request and its retries.
+def fingerprint(*, method, path, body):
+    """Return the 16 bytes that identify a request and its repeats.
 
-    They are a hash of the idempotency key `key` if there is one, else of the
-    service, method, path with query, and body. `body` may be a digest of the
-    body.
+    They are a hash of the method, the path with its query, and the body.
+    Whatever may differ between two repeats is left out: the service, which a
+    split route chooses anew, and the idempotency key.
     """
     digest = xxhash.xxh3_128()
-    parts = ("key", key) if key else (service, method, path)
-    for part in parts:
+    for part in (method, path):
         data = part.encode()
         digest.update(len(data).to_bytes(4, "big"))
         digest.update(data)
-    if not key:
-        digest.update(body)
+    digest.update(body)
     return digest.digest()
 
 
