storage: move the files and framed records of the log to a package

Only a move, with imports and one rename (pack is pack_record, now that it is used under its name alone). The list of crashing requests is to be kept in the same way, by a package that proxies import, too, and a proxy does not import the replicated log.

--- a/bench/replication_fsync.py
+++ b/bench/replication_fsync.py
@@ -12,8 +12,8 @@
 from hdrh.histogram import HdrHistogram
 
 from verbenanotch.replication._entries import Entry, EntryKind
-from verbenanotch.replication._files import Files
 from verbenanotch.replication._storage import Storage
+from verbenanotch.storage import Files
 
 ROUNDS = 300
 # Entries and bytes per entry of each batch.
--- a/tests/unit/test_replication_driver.py
+++ b/tests/unit/test_replication_driver.py
@@ -25,9 +25,9 @@
     Member,
     encode_configuration,
 )
-from verbenanotch.replication._files import Files
 from verbenanotch.replication._log import Log, SnapshotMetadata
 from verbenanotch.replication._messages import Append, SnapshotChunk, VoteReply
+from verbenanotch.storage import Files
 from verbenanotch.versions._state_machine import encode_submission
 
 TIMING = Timing(election_timeout=60.0, heartbeat=20.0)
--- a/tests/unit/test_replication_storage.py
+++ b/tests/unit/test_replication_storage.py
@@ -10,10 +10,10 @@
     MissingFileError,
 )
 from verbenanotch.replication._entries import Configuration, Entry, Member
-from verbenanotch.replication._files import Files
 from verbenanotch.replication._log import SnapshotMetadata
 from verbenanotch.replication._storage import Storage
 from verbenanotch.replication._storage import _pack_mark as pack_mark
+from verbenanotch.storage import Files
 
 OWN = Member(name="c1", disk_id="d1", address="127.0.0.1", peer_port=1)
 # The number of counted operations in two calls of `write_batches`, which
--- a/verbenanotch/replication/_log_file.py
+++ b/verbenanotch/replication/_log_file.py
@@ -1,8 +1,8 @@
 """The records of a log file, and their replay when a replica starts."""
 
-from verbenanotch.replication import _records
 from verbenanotch.replication._entries import Entry
 from verbenanotch.replication.exceptions import DamagedFileError
+from verbenanotch.storage import pack_record
 
 HEADER_RECORD = 0
 VOTE_RECORD = 1
@@ -16,24 +16,24 @@
 
 def header_record(log):
     """Return the first record of a file: base and snapshot of the log."""
-    return _records.pack(
+    return pack_record(
         [HEADER_RECORD, log.base_index, log.base_term, log.snapshot.index]
     )
 
 
 def vote_record(term, vote):
     """Return the record of a term and a vote."""
-    return _records.pack([VOTE_RECORD, term, vote])
+    return pack_record([VOTE_RECORD, term, vote])
 
 
 def commit_record(index):
     """Return the record of a commit index."""
-    return _records.pack([COMMIT_RECORD, index])
+    return pack_record([COMMIT_RECORD, index])
 
 
 def entry_record(entry):
     """Return the record of an entry."""
-    return _records.pack(
+    return pack_record(
         [ENTRY_RECORD, entry.term, entry.index, entry.kind, entry.data]
     )
 
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -23,7 +23,6 @@
     Member,
     name_of,
 )
-from verbenanotch.replication._files import Files
 from verbenanotch.replication._links import Links
 from verbenanotch.replication._messages import (
     Hello,
@@ -39,6 +38,7 @@
     DiskFailedError,
     ReplicationError,
 )
+from verbenanotch.storage import Files
 from verbenanotch.telemetry import emit
 
 RANDOM_ID_BYTES = 8
--- a/verbenanotch/replication/_storage.py
+++ b/verbenanotch/replication/_storage.py
@@ -12,14 +12,12 @@
 
 import attrs
 
-from verbenanotch.replication import _records
 from verbenanotch.replication._entries import (
     Configuration,
     Member,
     configuration_from_plain,
     configuration_to_plain,
 )
-from verbenanotch.replication._files import TEMPORARY_SUFFIX
 from verbenanotch.replication._log import Log, SnapshotMetadata
 from verbenanotch.replication._log_file import (
     REJOIN_REMEDY,
@@ -35,6 +33,11 @@
     ForeignDirectoryError,
     MissingFileError,
 )
+from verbenanotch.storage import (
+    TEMPORARY_SUFFIX,
+    pack_record,
+    scan_records,
+)
 
 IDENTITY = "identity"
 MARK = "mark"
@@ -124,7 +127,7 @@
         return identity
 
     def _read_single_record(self, name, data):
-        scan = _records.scan_records(data)
+        scan = scan_records(data)
         if len(scan.values) != 1 or scan.valid_bytes != len(data):
             raise DamagedFileError(
                 file=name,
@@ -175,7 +178,7 @@
             return True
         if not name.startswith(LOG_PREFIX):
             return False
-        records = _records.scan_records(self._files.read(name)).values
+        records = scan_records(self._files.read(name)).values
         return len(records) > 2
 
     def _recover(self, identity):
@@ -235,7 +238,7 @@
         Raises DamagedFileError if more is damaged than a last record that
         was not synced yet.
         """
-        scan = _records.scan_records(data)
+        scan = scan_records(data)
         is_damaged = scan.valid_bytes < len(data)
         if (
             scan.valid_bytes < synced_bytes
@@ -289,7 +292,7 @@
         ]
         self._run_disk_operation(
             IDENTITY,
-            lambda: self._files.replace(IDENTITY, _records.pack(values)),
+            lambda: self._files.replace(IDENTITY, pack_record(values)),
         )
 
     def append(self, *, term, vote, term_or_vote_changed, entries):
@@ -317,7 +320,7 @@
         """
         metadata = log.snapshot
         name = _snapshot_name(metadata.index)
-        record = _records.pack(
+        record = pack_record(
             [
                 metadata.index,
                 metadata.term,
@@ -386,6 +389,4 @@
 def _pack_mark(sequence, size):
     # Integers of fixed width keep the file at the same length, since it is
     # overwritten in place.
-    return _records.pack(
-        [sequence.to_bytes(8, "big"), size.to_bytes(8, "big")]
-    )
+    return pack_record([sequence.to_bytes(8, "big"), size.to_bytes(8, "big")])
--- a/verbenanotch/replication/_records.py
+++ b/verbenanotch/storage/_records.py
@@ -27,7 +27,7 @@
     valid_record_follows: bool
 
 
-def pack(value):
+def pack_record(value):
     """Return the bytes of one record."""
     payload = msgpack.packb(value)
     return HEADER.pack(len(payload), _checksum(payload)) + payload
