crashes: keep one list of crashing requests for the whole mesh

Seen by callers: a request that had crashed three targets was sent on to 13 in 40 s, to 51 while proxies restarted, to 16 when all were killed. Cause: how often a request crashes its targets is a fact about the mesh, but each proxy counted for itself. It heard only of its own zone (by the logs, three crashes in each of four zones, no notice from another one), lost the count with its process (count 1 again after 'started'), and let every zone try again when its 30 s had passed. Ruled out: lost notices within a zone (all arrived), different fingerprints.

Change: the package 'crashes'. Records are merged like sets, so that any host may add, repeat and pass them on. They go with the outcome of the call to the entry proxy, to the zone and two relays of each other zone, and over the streams to and between control hosts, which keep them on disk. New streams compare digests. A starting proxy gets the list before its first configuration.

Why this fixes it: a proxy that lets the request pass has to be out of touch with its zone, with the relays and with every control host, since its start.

--- a/tests/unit/test_routing_limits.py
+++ b/tests/unit/test_routing_limits.py
@@ -1,17 +1,12 @@
-"""Limits, outlier detection, the queue, retries and the crash blocklist."""
+"""Limits, outlier detection, the queue and retries."""
 
 import random
-import types
 
 import pytest
 
-from tests.unit.test_proxy_peers import SETTINGS, make_call
-from verbenanotch.distribution import Snapshot
-from verbenanotch.proxy import CrashGuard
 from verbenanotch.routing import (
     AdaptiveLimit,
     AttemptContext,
-    CrashBlocklist,
     DeadlineQueue,
     NoRetry,
     OutcomeKind,
@@ -22,7 +17,6 @@
     RetryBudget,
     TargetState,
     decide_retry,
-    fingerprint,
 )
 
 
@@ -231,85 +225,6 @@
     assert retried <= 205
 
 
-def blocklist_with_crashes(*, times, start=0.0):
-    blocklist = CrashBlocklist(host="h", incarnation=1)
-    for number in range(times):
-        blocklist.record_crash(b"f", start + number)
-    return blocklist
-
-
-def test_two_crashes_in_the_zone_block_a_request_temporarily():
-    one, other = (
-        blocklist_with_crashes(times=1),
-        CrashBlocklist(host="g", incarnation=1),
-    )
-    assert one.check(b"f", 1.0) is None
-    notice = other.record_crash(b"f", 1.0)
-    assert one.record_notice(notice, 1.0)
-    assert not one.record_notice(notice, 1.0)
-    blocked = one.check(b"f", 2.0)
-    assert blocked.crash_count == 2
-    assert blocked.retry_after_ms == 29_001
-    assert one.refused_count == 1
-    assert one.check(b"f", 31.0) is None
-
-
-def test_crash_after_a_block_blocks_for_longer():
-    blocklist = blocklist_with_crashes(times=2)
-    blocklist.record_crash(b"f", 40.0)
-    assert blocklist.check(b"f", 90.0)
-
-
-def test_answer_clears_a_fingerprint():
-    blocklist = blocklist_with_crashes(times=1)
-    blocklist.record_answer(b"f")
-    blocklist.record_crash(b"f", 2.0)
-    assert blocklist.check(b"f", 2.0) is None
-
-
-def test_full_blocklist_keeps_blocked_fingerprints():
-    blocklist = CrashBlocklist(host="h", incarnation=1, max_suspects=3)
-    for _ in range(2):
-        blocklist.record_crash(b"poison", 0.0)
-    for number in range(50):
-        blocklist.record_crash(b"%d" % number, 1.0)
-    assert len(blocklist) == 3
-    assert blocklist.check(b"poison", 2.0)
-
-
-def test_fingerprint_distinguishes_requests():
-    def fingerprint_of(**fields):
-        return fingerprint(
-            **{"method": "GET", "path": "/a", "body": b"", **fields}
-        )
-
-    fingerprints = {
-        fingerprint_of(),
-        fingerprint_of(method="PUT"),
-        fingerprint_of(path="/b"),
-        fingerprint_of(body=b"x"),
-    }
-    assert fingerprint_of() == fingerprint_of()
-    assert len(fingerprints) == 4
-
-
-def test_a_crashing_request_is_recognized_with_another_key_and_service():
-    guard = CrashGuard(
-        settings=SETTINGS,
-        incarnation=1,
-        snapshot_store=types.SimpleNamespace(snapshot=Snapshot()),
-        post=lambda record, message: None,
-    )
-    for number in range(2):
-        guard.record_crash(
-            make_call(
-                service=f"split-{number}",
-                headers=(("Idempotency-Key", f"k{number}"),),
-            )
-        )
-    assert guard.refusal(make_call(headers=(("Idempotency-Key", "k3"),)))
-
-
 def test_fixed_limit_stays_at_the_slots():
     limit = AdaptiveLimit(slots=8, is_fixed=True)
     for _ in range(50):
--- a/tests/unit/test_target_crashes.py
+++ b/tests/unit/test_target_crashes.py
@@ -1,5 +1,6 @@
 """Detect whether a target that broke off a call has crashed."""
 
+import contextlib
 import time
 
 import eventlet
@@ -9,7 +10,7 @@
 from tests.unit.test_proxy_peers import SETTINGS, make_call
 from verbenanotch.proxy import LocalTargets
 from verbenanotch.proxy._cancellation import Cancellation
-from verbenanotch.proxy._local_targets import CRASH_RECHECK_SECONDS
+from verbenanotch.proxy._crash_detection import CRASH_RECHECK_SECONDS
 
 WAIT_SECONDS = 5
 
@@ -21,12 +22,20 @@
         """Start without crashes."""
         self.crashed = []
 
-    def record_answer(self, call):
+    def refusal(self, call):
+        """Refuse no call."""
+
+    def running(self, call):
+        """Let each call run."""
+        return contextlib.nullcontext()
+
+    def record_answer(self, call, status):
         """Do nothing; no call in these tests is answered."""
 
-    def record_crash(self, call):
+    def record_crash(self, call, crash_id):
         """Record a crash."""
         self.crashed.append(call)
+        return ()
 
 
 @pytest.fixture
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from verbenanotch.conf import parse_endpoint
+from verbenanotch.crashes import CrashExchange, CrashStorage, CrashTable
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon.exceptions import StartError
 from verbenanotch.distribution import Publisher
@@ -46,12 +47,15 @@
             started_at=time.monotonic(),
         )
         self._target_registry = TargetRegistry(zone_table=self._zone_table)
+        self._data_folder = control.data_folder
+        self._crash_exchange = CrashExchange(table=CrashTable())
         self._publisher = Publisher(
             settings=settings,
             versions=self._versions,
             target_registry=self._target_registry,
             confirm=self._confirm,
             on_zone_change=self._on_zone_change,
+            crash_exchange=self._crash_exchange,
         )
         self._zone_exchange = ZoneExchange(
             settings=settings,
@@ -59,6 +63,7 @@
             on_change=self._publisher.wake,
             zone_summary=self._publisher.zone_summary,
             on_drain=self._publisher.drain,
+            crash_exchange=self._crash_exchange,
         )
         self._listener = Listener(
             address=host.address,
@@ -97,6 +102,9 @@
             self._replica.start()
         except StorageError as error:
             raise StartError(kind=error.kind, text=str(error)) from error
+        self._crash_exchange.use_storage(
+            CrashStorage.in_folder(self._data_folder)
+        )
         self._publisher.start()
         self._listener.start()
         self._zone_exchange.start()
@@ -115,6 +123,7 @@
         self._publisher.stop()
         self._replica.stop()
         self._listener.stop()
+        self._crash_exchange.stop()
 
     def reconfigure(self, settings):
         """Apply changed settings: dial newly configured control hosts."""
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -54,7 +54,6 @@
         incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
         self._crash_guard = CrashGuard(
             settings=settings,
-            incarnation=incarnation,
             snapshot_store=self._snapshot_store,
             post=self._peers.post,
         )
@@ -75,6 +74,7 @@
             on_drain=self._local_targets.drain,
             on_renewed=lease_monitor.record_renewal,
             on_stale_incarnation=self._local_targets.raise_incarnation_above,
+            crash_exchange=self._crash_guard.exchange,
         )
         self._record_server = RecordServer(
             host_name=host.name,
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -7,6 +7,12 @@
 import eventlet
 
 from verbenanotch.catalog import NO_VERSION
+from verbenanotch.crashes import (
+    CrashDigest,
+    CrashExchange,
+    CrashRecords,
+    CrashTable,
+)
 from verbenanotch.distribution import events
 from verbenanotch.distribution._acknowledgements import Acknowledgements
 from verbenanotch.distribution._admission import (
@@ -59,7 +65,8 @@
     `versions` has the accepted versions, `target_registry` the targets.
     `confirm` takes a timeout in seconds and returns whether a quorum has
     confirmed that the local versions are current. `on_zone_change` is
-    called after the own zone's table has changed.
+    called after the own zone's table has changed. `crash_exchange` is the
+    CrashExchange that the connections are links of.
     """
 
     def __init__(
@@ -70,6 +77,7 @@
         target_registry,
         confirm,
         on_zone_change=lambda: None,
+        crash_exchange=None,
     ):
         """Register for the changes of `versions`."""
         control = settings.control
@@ -77,6 +85,9 @@
         self._versions = versions
         self._target_registry = target_registry
         self._on_zone_change = on_zone_change
+        self._crash_exchange = crash_exchange or CrashExchange(
+            table=CrashTable()
+        )
         self._confirmer = MinimumVersionConfirmer(
             confirm=confirm, timeout_seconds=MINIMUM_VERSION_TIMEOUT_SECONDS
         )
@@ -113,11 +124,13 @@
         connection.set_timeout(RECEIVE_TIMEOUT_SECONDS)
         self.sessions_by_host[session.host] = session
         sender = eventlet.spawn(self._send_forever, session)
+        self._crash_exchange.connect(connection)
         try:
             while True:
                 self._receive(session, connection.receive())
         finally:
             sender.kill()
+            self._crash_exchange.disconnect(connection)
             self._finish_start(session)
             if self.sessions_by_host.get(session.host) is session:
                 del self.sessions_by_host[session.host]
@@ -206,6 +219,8 @@
                 session.connection.send(self._minimum_version_reply())
             case Announce() | RenewLease() | ReleaseLease():
                 self._receive_lease_message(session, message)
+            case CrashDigest() | CrashRecords():
+                self._crash_exchange.receive(session.connection, message)
 
     def _receive_lease_message(self, session, message):
         table = self._target_registry.zone_table
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -8,6 +8,12 @@
 
 from verbenanotch.catalog import NO_VERSION
 from verbenanotch.conf import ControlHostAddress
+from verbenanotch.crashes import (
+    CrashDigest,
+    CrashExchange,
+    CrashRecords,
+    CrashTable,
+)
 from verbenanotch.distribution import events
 from verbenanotch.distribution._control_connection import ControlConnection
 from verbenanotch.distribution._control_host_choice import (
@@ -77,7 +83,8 @@
     must receive no new requests. `on_renewed` is called when a control host
     has confirmed the lease, with the time in monotonic seconds at which the
     announcement or renewal was sent. `on_stale_incarnation` is called with
-    the incarnation that the own one must exceed.
+    the incarnation that the own one must exceed. `crash_exchange` is the
+    CrashExchange that the connections are links of.
     """
 
     def __init__(
@@ -89,6 +96,7 @@
         on_drain,
         on_renewed=lambda sent_at: None,
         on_stale_incarnation=lambda incarnation: None,
+        crash_exchange=None,
     ):
         """Do nothing until `start`."""
         self._settings = settings
@@ -97,6 +105,9 @@
         self._on_drain = on_drain
         self._on_renewed = on_renewed
         self._on_stale_incarnation = on_stale_incarnation
+        self._crash_exchange = crash_exchange or CrashExchange(
+            table=CrashTable()
+        )
         self._connections_by_name = {}
         self._configured_peers = dict(settings.proxy.control_hosts_by_name)
         self._peers_by_name = {}
@@ -255,6 +266,7 @@
         control = ControlConnection(name=name, connection=connection)
         self._connections_by_name[name] = control
         control.send_lease(Announce(record=self._announcement()))
+        self._crash_exchange.connect(connection)
         while True:
             self._receive(control, connection.receive())
 
@@ -262,6 +274,7 @@
         emit(events.CONTROL_LOST, peer=control.name, error=str(error))
         self._closed_connection_bytes += control.control_bytes
         control.connection.close()
+        self._crash_exchange.disconnect(control.connection)
         if self._subscribed is control:
             self._subscribed = None
             self._delay_choice()
@@ -417,6 +430,8 @@
                 self._search.start(message.peers_by_host)
             case MinimumVersionReply():
                 self._search.receive_reply(control.name, message)
+            case CrashDigest() | CrashRecords():
+                self._crash_exchange.receive(control.connection, message)
 
     def _postpone(self, control, retry_after_ms):
         wait_seconds = retry_after_ms / MILLISECONDS_PER_SECOND
--- a/verbenanotch/membership/_exchange.py
+++ b/verbenanotch/membership/_exchange.py
@@ -7,6 +7,12 @@
 import eventlet
 
 from verbenanotch.conf import ControlHostAddress
+from verbenanotch.crashes import (
+    CrashDigest,
+    CrashExchange,
+    CrashRecords,
+    CrashTable,
+)
 from verbenanotch.membership import events
 from verbenanotch.membership._auto_reset_event import AutoResetEvent
 from verbenanotch.membership._entry_set import EntrySet, decode_entry
@@ -51,11 +57,19 @@
     their lease at this control host; those of other zones are sent the zone's
     full table. `zone_summary` returns the ZoneSummary of the own zone.
     `on_change` is called after an update has changed a record, `on_drain` with
-    the id of a target to drain.
+    the id of a target to drain. `crash_exchange` is the CrashExchange that the
+    connections are links of.
     """
 
     def __init__(
-        self, *, settings, target_registry, on_change, zone_summary, on_drain
+        self,
+        *,
+        settings,
+        target_registry,
+        on_change,
+        zone_summary,
+        on_drain,
+        crash_exchange=None,
     ):
         """Start without connections."""
         self._settings = settings
@@ -63,6 +77,9 @@
         self._on_change = on_change
         self._zone_summary = zone_summary
         self._on_drain = on_drain
+        self._crash_exchange = crash_exchange or CrashExchange(
+            table=CrashTable()
+        )
         self._incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
         self._direct_table = PublishedTable()
         self._full_table = PublishedTable()
@@ -132,16 +149,21 @@
         )
         self._wake_events.add(session.wake_event)
         sender = eventlet.spawn(self._send_forever, session)
+        self._crash_exchange.connect(connection)
         try:
             while True:
-                match connection.receive():
+                message = connection.receive()
+                match message:
                     case ZoneResync():
                         session.sent_digest = None
                         session.wake_event.set()
                     case ZoneDrain(target_id=target_id):
                         self._on_drain(target_id)
+                    case CrashDigest() | CrashRecords():
+                        self._crash_exchange.receive(connection, message)
         finally:
             sender.kill()
+            self._crash_exchange.disconnect(connection)
             self._wake_events.discard(session.wake_event)
 
     def _send_forever(self, session):
@@ -256,11 +278,13 @@
                 current_digest=self._current_digest(peer, subscription.name),
             )
         )
+        self._crash_exchange.connect(connection)
         try:
             while True:
                 self._receive(connection, connection.receive(), subscription)
         finally:
             connection.close()
+            self._crash_exchange.disconnect(connection)
             if self._connections_by_zone.get(subscription.zone) is connection:
                 del self._connections_by_zone[subscription.zone]
 
@@ -287,6 +311,8 @@
                     connection.send(ZoneResync())
                 elif isinstance(outcome, Merged) and outcome.hosts:
                     self._on_change()
+            case CrashDigest() | CrashRecords():
+                self._crash_exchange.receive(connection, message)
 
     def _apply_update(self, update, subscription):
         """Apply an update; return Merged, Stale or WrongBase.
--- a/verbenanotch/proxy/_crashes.py
+++ b/verbenanotch/proxy/_crashes.py
@@ -1,140 +1,207 @@
-"""Block requests that crash targets, at all proxies of the zone."""
+"""Refuse requests that crash targets, and report crashes to other hosts."""
 
+import random
 import time
 
 import eventlet
 
+from verbenanotch.crashes import (
+    Blocked,
+    CrashExchange,
+    CrashRecords,
+    CrashTable,
+)
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
-from verbenanotch.proxy._messages import TargetCrashed
-from verbenanotch.proxy._outcome import NotRun
-from verbenanotch.routing import Blocked, CrashBlocklist, fingerprint
+from verbenanotch.proxy._outcome import FIRST_SERVER_ERROR_STATUS, NotRun
 from verbenanotch.telemetry import emit, metrics
 
 NOTICE_TIMEOUT_SECONDS = 0.2
 MAX_CONCURRENT_NOTICES = 32
+# Proxies of each other zone that are told of a crash and tell their zone.
+RELAYS_PER_ZONE = 2
+MILLISECONDS_PER_SECOND = 1000
+# Statuses with which a target may refuse a request without running it.
+REFUSAL_STATUSES = frozenset((408, 421, 429))
 
 
 class CrashGuard:
-    """Count target crashes per request and notify the zone's proxies.
+    """Check requests against the crashes that are known in the mesh.
 
-    Requests are fingerprinted only while crashes are on record, so that the
-    guard costs nothing otherwise.
+    Crashes of local targets are sent to the proxies of the zone and to some
+    of each other zone, which pass them on to theirs, and to the control
+    hosts, which pass them on to all proxies and keep them over restarts.
     """
 
-    def __init__(self, *, settings, incarnation, snapshot_store, post):
-        """Notify the proxies of the zone in the snapshot of `snapshot_store`.
+    def __init__(self, *, settings, snapshot_store, post):
+        """Notify the proxies in the snapshot of `snapshot_store`.
 
         `post(record, message)` sends a message to the proxy of a HostRecord.
         """
         self._host = settings.host
         self._snapshot_store = snapshot_store
         self._post = post
-        self._blocklist = CrashBlocklist(
-            host=settings.host.name, incarnation=incarnation
+        self._table = CrashTable()
+        self._pending_records = []
+        self._pending_for_relays = False
+        self._notifier = None
+        self.exchange = CrashExchange(
+            table=self._table, forwards=False, on_new=self._log_blocks
         )
 
     def refusal(self, request):
-        """Return NotRun if a Request is currently blocked, else None."""
-        if not len(self._blocklist):
+        """Return NotRun if a Request or Call is blocked, else None."""
+        if not len(self._table):
             return None
-        blocked = self._blocklist.check(
-            _fingerprint(request), time.monotonic()
-        )
-        match blocked:
-            case Blocked(retry_after_ms=retry_after_ms):
-                metrics.increment("proxy.crashing_requests_refused")
-                emit(
-                    events.CRASHING_REQUEST_REFUSED,
-                    request=request.request_id,
-                    fingerprint=blocked.fingerprint.hex(),
-                    crash_count=blocked.crash_count,
-                    retry_after_ms=retry_after_ms,
-                )
-                return NotRun(
-                    reason=reasons.CRASHES_TARGETS,
-                    retry_after_ms=retry_after_ms,
-                )
+        match self._check(request):
+            case Blocked(crash_count=count, retry_after_seconds=seconds):
+                retry_after_ms = int(seconds * MILLISECONDS_PER_SECOND) + 1
+                return _refuse(request, count, retry_after_ms)
         return None
 
-    def record_answer(self, call):
-        """Clear the crashes of a Call or Request that a target answered."""
-        if not len(self._blocklist):
+    def record_answer(self, call, status):
+        """Clear the crashes of a Call that a target ran to its end."""
+        if not len(self._table) or not _shows_completed_run(status):
             return
-        identity = _fingerprint(call)
-        crash_count = self._blocklist.record_answer(identity)
-        if crash_count:
-            emit(
-                events.CRASHES_CLEARED,
-                request=call.request_id,
-                fingerprint=identity.hex(),
-                crash_count=crash_count,
-            )
+        crash_count = self._table.crash_count(call.fingerprint)
+        record = self._table.clear(call.fingerprint, time.monotonic())
+        if record is None:
+            return
+        emit(
+            events.CRASHES_CLEARED,
+            request=call.request_id,
+            fingerprint=call.fingerprint.hex(),
+            crash_count=crash_count,
+        )
+        self.exchange.publish((record,))
 
-    def record_crash(self, call):
-        """Record that a local target crashed during a Call; notify the zone.
+    def record_crash(self, call, crash_id):
+        """Record that a local target crashed during a Call; tell the mesh.
 
-        Returns once the notices are queued for sending, but after at most
-        `NOTICE_TIMEOUT_SECONDS`. The intent is that the other proxies record
-        the crash before the caller retries; their receipt is not confirmed.
+        `crash_id` identifies the crash; each Call in flight is counted once
+        for it. Returns the records for the entry proxy, once those for other
+        proxies are queued, but after at most `NOTICE_TIMEOUT_SECONDS`.
         """
         metrics.increment("proxy.targets_died")
-        identity = _fingerprint(call)
         now = time.monotonic()
-        notice = self._blocklist.record_crash(identity, now)
+        record = self._table.add_crash(call.fingerprint, crash_id, now)
         emit(
             events.TARGET_CRASHED,
             request=call.request_id,
             target=call.target_id,
             service=call.service,
-            fingerprint=identity.hex(),
-            crash_count=self._blocklist.crash_count(identity),
+            fingerprint=call.fingerprint.hex(),
+            crash_count=self._table.crash_count(call.fingerprint),
         )
-        self._log_block(identity, now)
-        message = TargetCrashed(notice=notice)
-        pool = eventlet.GreenPool(MAX_CONCURRENT_NOTICES)
-        with eventlet.Timeout(NOTICE_TIMEOUT_SECONDS, False):
-            for record in list(
-                self._snapshot_store.snapshot.hosts_by_name.values()
-            ):
-                if self._is_other_host_in_zone(record):
-                    pool.spawn_n(self._post, record, message)
-            pool.waitall()
-
-    def record_notice(self, notice):
-        """Count a crash that another proxy has reported."""
-        metrics.increment("proxy.crash_notices_received")
+        if record is not None:
+            self._log_blocks((record,))
+            self.exchange.publish((record,))
+            self._notify((record,), to_relays=True)
+        return self._table.records_of(call.fingerprint, now)
+
+    def merge_records(self, records):
+        """Merge the records that came with the outcome of a call."""
+        self.exchange.merge(records)
+
+    def receive_records(self, records, *, connection):
+        """Merge records of another proxy; pass those of other zones on."""
+        new = self.exchange.merge(records, source=connection)
+        hosts_by_name = self._snapshot_store.snapshot.hosts_by_name
+        sender = hosts_by_name.get(connection.peer_name)
+        if new and sender is not None and not self._is_in_zone(sender):
+            self.exchange.publish(new)
+            self._notify(new, to_relays=False)
+
+    def _check(self, request):
+        return self._table.check(request.fingerprint, time.monotonic())
+
+    def _log_blocks(self, records):
+        """Log which of the requests in new records are blocked now."""
         now = time.monotonic()
-        blocks = self._blocklist.record_notice(notice, now)
-        emit(
-            events.CRASH_NOTICE_RECEIVED,
-            peer=notice.host,
-            fingerprint=notice.fingerprint.hex(),
-            crash_count=self._blocklist.crash_count(notice.fingerprint),
-        )
-        if blocks:
-            self._log_block(notice.fingerprint, now)
-
-    def _log_block(self, fingerprint, now):
-        """Log whether a fingerprint is blocked, and for how long."""
-        match self._blocklist.check(fingerprint, now):
-            case Blocked(crash_count=count, retry_after_ms=milliseconds):
-                emit(
-                    events.REQUEST_BLOCKED,
-                    fingerprint=fingerprint.hex(),
-                    crash_count=count,
-                    milliseconds=milliseconds,
-                )
-
-    def _is_other_host_in_zone(self, record):
-        return (
-            record.availability_zone == self._host.availability_zone
-            and record.host != self._host.name
-        )
+        for record in records:
+            match self._table.check(record.fingerprint, now):
+                case Blocked(crash_count=count, retry_after_seconds=seconds):
+                    emit(
+                        events.REQUEST_BLOCKED,
+                        fingerprint=record.fingerprint.hex(),
+                        crash_count=count,
+                        milliseconds=int(seconds * MILLISECONDS_PER_SECOND),
+                    )
+
+    def _notify(self, records, *, to_relays):
+        """Send records to the zone's proxies, and to relays in other zones.
+
+        Waits until they are queued for sending. Records of calls that end
+        together are sent in one message.
+        """
+        self._pending_records += records
+        self._pending_for_relays |= to_relays
+        if self._notifier is None:
+            self._notifier = eventlet.spawn(self._send_pending)
+        with eventlet.Timeout(NOTICE_TIMEOUT_SECONDS, False):
+            self._notifier.wait()
+
+    def _send_pending(self):
+        # The other calls of a crashed target end in the same turn of the loop.
+        eventlet.sleep(0)
+        message = CrashRecords(records=tuple(self._pending_records))
+        recipients = self._proxies_in_zone()
+        if self._pending_for_relays:
+            recipients += self._relays()
+        self._pending_records = []
+        self._pending_for_relays = False
+        self._notifier = None
+        metrics.increment("proxy.crash_notices_sent", len(recipients))
+        pool = eventlet.GreenPool(MAX_CONCURRENT_NOTICES)
+        for record in recipients:
+            pool.spawn_n(self._post, record, message)
+        pool.waitall()
+
+    def _proxies_in_zone(self):
+        """Return the HostRecords of the zone's other proxies."""
+        return [
+            record
+            for record in self._snapshot_store.snapshot.hosts_by_name.values()
+            if self._is_in_zone(record) and record.host != self._host.name
+        ]
+
+    def _relays(self):
+        """Return the HostRecords of some proxies of each other zone."""
+        records_by_zone = {}
+        for record in self._snapshot_store.snapshot.hosts_by_name.values():
+            if not self._is_in_zone(record):
+                records_by_zone.setdefault(
+                    record.availability_zone, []
+                ).append(record)
+        return [
+            record
+            for records in records_by_zone.values()
+            for record in random.sample(
+                records, min(RELAYS_PER_ZONE, len(records))
+            )
+        ]
+
+    def _is_in_zone(self, record):
+        return record.availability_zone == self._host.availability_zone
+
+
+def _refuse(request, crash_count, retry_after_ms):
+    """Log and return the refusal of a Request or Call."""
+    metrics.increment("proxy.crashing_requests_refused")
+    emit(
+        events.CRASHING_REQUEST_REFUSED,
+        request=request.request_id,
+        fingerprint=request.fingerprint.hex(),
+        crash_count=crash_count,
+        retry_after_ms=retry_after_ms,
+    )
+    return NotRun(
+        reason=reasons.CRASHES_TARGETS, retry_after_ms=retry_after_ms
+    )
 
 
-def _fingerprint(request):
-    """Return the fingerprint of a Request or of a Call made from it."""
-    return fingerprint(
-        method=request.method, path=request.path, body=request.body
+def _shows_completed_run(status):
+    """Return whether an answer shows that the target ran the request."""
+    return (
+        status < FIRST_SERVER_ERROR_STATUS and status not in REFUSAL_STATUSES
     )
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -8,7 +8,13 @@
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
 from verbenanotch.proxy._candidates import CandidateCache
-from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
+from verbenanotch.proxy._outcome import (
+    FIRST_SERVER_ERROR_STATUS,
+    Answered,
+    Call,
+    NotRun,
+    Unknown,
+)
 from verbenanotch.proxy._retries import combine_outcomes
 from verbenanotch.routing import (
     AttemptContext,
@@ -28,7 +34,6 @@
 from verbenanotch.telemetry import emit, metrics
 
 MILLISECONDS_PER_SECOND = 1000
-FIRST_SERVER_ERROR_STATUS = 500
 # Free retries of a request, on other targets, after refusals that concern only
 # one target or host. They use neither the request's retries nor the retry
 # budget.
@@ -158,6 +163,9 @@
 
     def _choose_target(self, snapshot, request, tried):
         now = time.monotonic()
+        candidates = self._candidate_cache.candidates(
+            snapshot, request.service, now=now
+        )
         objective_seconds = self._route_durations.scaled_objective(
             request.route_name, request.objective_seconds
         )
@@ -165,9 +173,7 @@
             request.route_name, len(request.body)
         )
         return choose(
-            self._candidate_cache.candidates(
-                snapshot, request.service, now=now
-            ),
+            candidates,
             now=now,
             random=self._random,
             availability_zone=self._settings.host.availability_zone,
@@ -197,8 +203,12 @@
                 state.ejected_until = max(
                     state.ejected_until, now + REFUSAL_EJECTION_SECONDS
                 )
-        if self._guard is not None and isinstance(outcome, Answered):
-            self._guard.record_answer(call)
+        if self._guard is not None:
+            match outcome:
+                case Answered(status=status):
+                    self._guard.record_answer(call, status)
+                case Unknown(crashes=crashes) if crashes:
+                    self._guard.merge_records(crashes)
         if call.traced or not isinstance(outcome, Answered):
             emit(
                 events.CALL_ENDED,
@@ -299,6 +309,7 @@
         priority=request.priority,
         route_name=request.route_name,
         objective_ms=request.objective_ms(now),
+        fingerprint=request.fingerprint,
     )
 
 
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -1,16 +1,17 @@
 """Targets on the proxy's own host: announcements, slots and calls."""
 
 import dataclasses
+import os
 import time
 
 import attrs
-import eventlet
 
 from verbenanotch.membership import HostRecord, TargetRecord
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
+from verbenanotch.proxy._crash_detection import CrashDetector
 from verbenanotch.proxy._exchange import exchange
-from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
+from verbenanotch.proxy._outcome import NotRun
 from verbenanotch.proxy._slots import Slots
 from verbenanotch.proxy._target_connection import TargetConnections
 from verbenanotch.proxy._target_discovery import UNKNOWN_INCARNATION
@@ -20,9 +21,7 @@
 # Removed targets that are remembered so that late announcements of them are
 # rejected.
 MAX_REMOVED_TARGETS = 64
-# A terminating process has closed all of its sockets within this time, which
-# is one or two time slices of the scheduler.
-CRASH_RECHECK_SECONDS = 0.05
+CRASH_ID_BYTES = 8
 # For this time after the removal of a target that was not known yet, its
 # announcements from before the removal are rejected: they may arrive some
 # seconds late.
@@ -34,12 +33,13 @@
     """One announced target with its connections.
 
     `expires_at` is in monotonic seconds. `sequence` is that of the latest
-    announcement.
+    announcement. `crash_detector` is None without a CrashGuard.
     """
 
     record: TargetRecord
     connections: TargetConnections
     slots: Slots
+    crash_detector: CrashDetector | None
     expires_at: float
     sequence: int = 0
 
@@ -214,14 +214,14 @@
         current = self.targets_by_id.get(record.target_id)
         if current is not None:
             current.connections.close()
+        connections = TargetConnections(
+            address=record.address, port=record.port, max_idle=record.slots
+        )
         self.targets_by_id[record.target_id] = LocalTarget(
             record=record,
-            connections=TargetConnections(
-                address=record.address,
-                port=record.port,
-                max_idle=record.slots,
-            ),
+            connections=connections,
             slots=Slots(count=record.slots),
+            crash_detector=self._make_crash_detector(record, connections),
             expires_at=expires_at,
         )
         emit(
@@ -232,6 +232,18 @@
         )
         self._announcement_changed()
 
+    def _make_crash_detector(self, record, connections):
+        if self._guard is None:
+            return None
+        return CrashDetector(
+            guard=self._guard,
+            connections=connections,
+            crash_id=os.urandom(CRASH_ID_BYTES),
+            on_crash=lambda: self._remove_crashed(
+                record.target_id, connections
+            ),
+        )
+
     def drain(self, target_id):
         """Stop sending new requests to a target; return False if unknown."""
         target = self.targets_by_id.get(target_id)
@@ -298,8 +310,19 @@
             outcome = self._run_in_slot(target, call, deadline, cancellation)
         finally:
             target.slots.release(time.monotonic() - started, call.route_name)
-        self._record_outcome(target, call, outcome)
-        return _with_load(outcome, target)
+        return _with_load(self._settle(target, call, outcome), target)
+
+    def _settle(self, target, call, outcome):
+        """Report an answer or a crash; return the outcome with its crashes."""
+        if target.crash_detector is None:
+            return outcome
+        return target.crash_detector.settle(call, outcome)
+
+    def _remove_crashed(self, target_id, connections):
+        """Remove a target unless another one has its id by now."""
+        target = self.targets_by_id.get(target_id)
+        if target is not None and target.connections is connections:
+            self.remove(target_id)
 
     def _run_in_slot(self, target, call, deadline, cancellation):
         # The target may have been drained while the call waited for its slot.
@@ -337,42 +360,6 @@
             )
         return outcome
 
-    def _record_outcome(self, target, call, outcome):
-        """Report an answer or a crash of the target to the guard."""
-        if self._guard is None:
-            return
-        match outcome:
-            case Answered():
-                self._guard.record_answer(call)
-            case Unknown(reason=reason) if reason.startswith(
-                reasons.TARGET_BROKE_OFF
-            ):
-                self._check_for_crash(target, call)
-
-    def _check_for_crash(self, target, call):
-        """Check whether a target that closed a call's connection has crashed.
-
-        The operating system closes the sockets of a terminating process one
-        after the other, so it may still accept a connection. A target that
-        accepts is checked again after `CRASH_RECHECK_SECONDS`; it has
-        crashed if it closed the connection and refuses a new one.
-        """
-        connection = target.connections.probe()
-        if connection is None:
-            self._record_crash(target, call)
-            return
-        eventlet.sleep(CRASH_RECHECK_SECONDS)
-        if (
-            connection.was_closed_unused()
-            and target.connections.probe() is None
-        ):
-            self._record_crash(target, call)
-
-    def _record_crash(self, target, call):
-        if self.targets_by_id.get(call.target_id) is target:
-            self.remove(call.target_id)
-        self._guard.record_crash(call)
-
     def _announcement_changed(self):
         self._sequence += 1
         self._on_change()
--- a/verbenanotch/proxy/_messages.py
+++ b/verbenanotch/proxy/_messages.py
@@ -7,8 +7,9 @@
 
 import attrs
 
+from verbenanotch.crashes import CrashRecord
 from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
-from verbenanotch.routing import CrashNotice, TargetLoad
+from verbenanotch.routing import TargetLoad
 from verbenanotch.wire import message
 
 MICROSECONDS_PER_SECOND = 1_000_000
@@ -68,10 +69,11 @@
 @message(403)
 @attrs.frozen(kw_only=True)
 class ForwardUnknown:
-    """The forwarded call may have run."""
+    """The forwarded call may have run; `crashes` is as in Unknown."""
 
     stream_id: int
     reason: str
+    crashes: tuple[CrashRecord, ...] = ()
     load: ReportedLoad = UNKNOWN_LOAD
 
 
@@ -150,14 +152,6 @@
     payload: bytes
 
 
-@message(412)
-@attrs.frozen(kw_only=True)
-class TargetCrashed:
-    """A target on the sender's host crashed while it ran a request."""
-
-    notice: CrashNotice
-
-
 @message(413)
 @attrs.frozen(kw_only=True)
 class TargetReport:
@@ -193,10 +187,11 @@
                 retry_after_ms=retry_after_ms,
                 load=_reported_load(outcome.load),
             )
-        case Unknown(reason=reason):
+        case Unknown(reason=reason, crashes=crashes):
             return ForwardUnknown(
                 stream_id=stream_id,
                 reason=reason,
+                crashes=crashes,
                 load=_reported_load(outcome.load),
             )
 
@@ -217,8 +212,10 @@
                 retry_after_ms=retry_after_ms,
                 load=_target_load(reply.load),
             )
-        case ForwardUnknown(reason=reason):
-            return Unknown(reason=reason, load=_target_load(reply.load))
+        case ForwardUnknown(reason=reason, crashes=crashes):
+            return Unknown(
+                reason=reason, crashes=crashes, load=_target_load(reply.load)
+            )
 
 
 def _reported_load(load):
--- a/verbenanotch/proxy/_outcome.py
+++ b/verbenanotch/proxy/_outcome.py
@@ -5,10 +5,12 @@
 
 import attrs
 
+from verbenanotch.crashes import CrashRecord
 from verbenanotch.routing import TargetLoad
 
 DEFAULT_RETRY_AFTER_MS = 1000
 MILLISECONDS_PER_SECOND = 1000
+FIRST_SERVER_ERROR_STATUS = 500
 
 
 @attrs.frozen(kw_only=True)
@@ -22,7 +24,8 @@
     answered call. `caller` is the service of the host whose proxy received the
     request. A lower `priority` is served first. `objective_ms` is the time
     that remains of the response time that the route aims at, or 0 if the route
-    sets none; it is negative once the objective is missed.
+    sets none; it is negative once the objective is missed. `fingerprint` is
+    that of the request, for the list of requests that crash targets.
     """
 
     request_id: str
@@ -42,6 +45,7 @@
     priority: int = 0
     route_name: str = ""
     objective_ms: int = 0
+    fingerprint: bytes = b""
 
     @property
     def objective_seconds(self):
@@ -81,11 +85,13 @@
     """The request may have run; it cannot be determined whether it did.
 
     `retry_after_ms` is the delay after which to retry with the same
-    idempotency key, or 0 if none is suggested.
+    idempotency key, or 0 if none is suggested. If the target has crashed,
+    `crashes` has the record of the request's crashes.
     """
 
     reason: str
     retry_after_ms: int = 0
+    crashes: tuple[CrashRecord, ...] = ()
     load: TargetLoad | None = dataclasses.field(default=None, compare=False)
 
 
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -6,6 +6,7 @@
 import attrs
 import msgpack
 
+from verbenanotch.crashes import CrashRecords
 from verbenanotch.loop import Workers
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
@@ -25,7 +26,6 @@
     Pong,
     RecordReply,
     RecordRequest,
-    TargetCrashed,
     WindowUpdate,
     reply_from_outcome,
 )
@@ -64,7 +64,7 @@
         """Run at most `max_in_flight` calls at once at `local_targets`.
 
         `record_server` handles the record requests of other hosts. `guard`
-        is the CrashGuard that receives their crash notices.
+        is the CrashGuard that receives the crashes that they report.
         """
         self.guard = guard
         self.local_targets = local_targets
@@ -150,8 +150,10 @@
                 self._cancel(stream_id)
             case RecordRequest():
                 self._reply_to_record_request(message)
-            case TargetCrashed(notice=notice):
-                self._server.guard.record_notice(notice)
+            case CrashRecords(records=records):
+                self._server.guard.receive_records(
+                    records, connection=self._connection
+                )
             case Ping(number=number):
                 self.send_queue.post(Pong(number=number))
 
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -7,6 +7,7 @@
 import attrs
 
 from verbenanotch.catalog import MAX_CALL_DEPTH, MAX_TIMEOUT_MS
+from verbenanotch.crashes import fingerprint
 from verbenanotch.idempotency import issued_at_ms
 from verbenanotch.proxy._headers import (
     KEY_HEADER,
@@ -29,7 +30,8 @@
     `objective_seconds` is the desired response time, counted from
     `arrived_at`, or 0 if the route sets none. `retries` limits how often the
     request may be repeated, at this hop and at the hops below it. `key` is the
-    caller's idempotency key, or empty.
+    caller's idempotency key, or empty. `fingerprint` is equal for all repeats
+    of the request.
     """
 
     request_id: str
@@ -49,6 +51,7 @@
     priority: int = 0
     objective_seconds: float = 0.0
     arrived_at: float = 0.0
+    fingerprint: bytes = b""
 
     def objective_ms(self, now):
         """Return the remaining time of the objective in milliseconds.
@@ -125,12 +128,14 @@
     method = environ["REQUEST_METHOD"]
     query = environ.get("QUERY_STRING")
     path = environ["RAW_PATH_INFO"]
+    if query:
+        path = f"{path}?{query}"
     return Request(
         request_id=request_id,
         route_name=route_name,
         service=service,
         method=method,
-        path=f"{path}?{query}" if query else path,
+        path=path,
         headers=caller_headers(environ["headers_raw"], mesh_header_names),
         body=body,
         deadline=deadline,
@@ -143,6 +148,9 @@
         priority=route.priority,
         objective_seconds=route.objective_ms / MILLISECONDS_PER_SECOND,
         arrived_at=now,
+        fingerprint=fingerprint(
+            route_host=route.host, method=method, path=path, body=body
+        ),
     )
 
 
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -46,12 +46,6 @@
     "a request that crashed several targets is refused for a while",
     "Find the request in its target-died events and stop its caller.",
 )
-CRASH_NOTICE_RECEIVED = event(
-    5025,
-    "crash-notice-received",
-    Level.INFO,
-    "another proxy reported that a request crashed its target",
-)
 CRASHES_CLEARED = event(
     5026,
     "crashes-cleared",
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -5,12 +5,6 @@
 """
 
 from verbenanotch.routing._choice import Candidates, Chosen, NoTarget, choose
-from verbenanotch.routing._crash_blocklist import (
-    Blocked,
-    CrashBlocklist,
-    CrashNotice,
-    fingerprint,
-)
 from verbenanotch.routing._durations import (
     RouteDurations,
     RouteSizes,
@@ -38,11 +32,8 @@
 __all__ = [
     "AdaptiveLimit",
     "AttemptContext",
-    "Blocked",
     "Candidates",
     "Chosen",
-    "CrashBlocklist",
-    "CrashNotice",
     "DeadlineQueue",
     "Dequeued",
     "Ejected",
@@ -64,5 +55,4 @@
     "choose_service",
     "cross_zone_penalty_seconds",
     "decide_retry",
-    "fingerprint",
 ]
