proxy: check crashing requests beside the target, and run suspects alone

Seen by callers: a proxy whose own list had the request blocked since 516 ms still ran it at 3,009 ms: it came from an entry proxy that had restarted. Cause: only the entry proxy checked the list. Now the proxy beside the target refuses, too, before it waits for a slot and again before it sends. What is let through after a block runs once at a time, at one target that all proxies choose by rendezvous hashing: copies that arrive together when a block ends are one run in place of one at each proxy. test_a_target_gets_no_request_that_its_proxy_knows_to_crash_targets failed before (deadline-passed: the request was sent). Class: a rule enforced only where the belief may be missing.

--- a/tests/unit/test_crash_guard.py
+++ b/tests/unit/test_crash_guard.py
@@ -145,6 +145,40 @@
     assert proxy.guard.refusal(proxy.call(fingerprint=b"other")) is None
 
 
+def test_after_the_block_all_proxies_choose_one_target(proxy):
+    targets = ["t1", "t2", "t3", "t4"]
+    call = proxy.call()
+    assert proxy.guard.exclusive_target(call, targets) is None
+    proxy.crash(b"1")
+    proxy.crash(b"2")
+    proxy.now = 2.0
+    chosen = proxy.guard.exclusive_target(call, targets)
+    assert chosen in targets
+    assert proxy.guard.exclusive_target(call, targets[::-1]) == chosen
+    assert proxy.guard.exclusive_target(call, []) is None
+
+
+def test_a_suspected_request_runs_once_at_a_time(proxy):
+    proxy.crash(b"1")
+    proxy.crash(b"2")
+    proxy.now = 2.0
+    with proxy.guard.running(proxy.call()) as first:
+        assert first is None
+        with proxy.guard.running(proxy.call()) as second:
+            assert second.reason == "crashes-targets"
+        with proxy.guard.running(proxy.call(fingerprint=b"x")) as other:
+            assert other is None
+    with proxy.guard.running(proxy.call()) as third:
+        assert third is None
+
+
+def test_a_target_proxy_refuses_what_an_uninformed_entry_proxy_sends(proxy):
+    proxy.crash(b"1")
+    proxy.crash(b"2")
+    with proxy.guard.running(proxy.call()) as refusal:
+        assert refusal.reason == "crashes-targets"
+
+
 @pytest.mark.parametrize(
     ("status", "is_cleared"),
     [(200, True), (404, True), (429, False), (500, False), (503, False)],
--- a/tests/unit/test_target_crashes.py
+++ b/tests/unit/test_target_crashes.py
@@ -2,13 +2,15 @@
 
 import contextlib
 import time
+import types
 
 import eventlet
 import pytest
 
 from tests.unit.test_local_targets import make_record
 from tests.unit.test_proxy_peers import SETTINGS, make_call
-from verbenanotch.proxy import LocalTargets
+from verbenanotch.distribution import Snapshot
+from verbenanotch.proxy import CrashGuard, LocalTargets
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._crash_detection import CRASH_RECHECK_SECONDS
 
@@ -127,3 +129,31 @@
     targets, crashed = run(serve)
     assert crashed == []
     assert "i-1" in targets.targets_by_id
+
+
+def test_a_target_gets_no_request_that_its_proxy_knows_to_crash_targets():
+    """Guard against a check at the entry proxy alone, which may not know."""
+    guard = CrashGuard(
+        settings=SETTINGS,
+        snapshot_store=types.SimpleNamespace(snapshot=Snapshot()),
+        post=lambda record, message: None,
+    )
+    call = make_call(target_id="i-1", service="pay", fingerprint=b"f")
+    for crash_id in (b"1", b"2"):
+        guard.record_crash(call, crash_id)
+    listener = eventlet.listen(("127.0.0.1", 0))
+    targets = LocalTargets(
+        settings=SETTINGS,
+        incarnation=1,
+        on_change=lambda: None,
+        guard=guard,
+        known_services=lambda: {"pay": None},
+    )
+    targets.announce(make_record(port=listener.getsockname()[1]))
+    outcome = targets.run(
+        call,
+        deadline=time.monotonic() + WAIT_SECONDS,
+        cancellation=Cancellation(),
+    )
+    listener.close()
+    assert outcome.reason == "crashes-targets"
--- a/verbenanotch/proxy/_crashes.py
+++ b/verbenanotch/proxy/_crashes.py
@@ -1,15 +1,18 @@
 """Refuse requests that crash targets, and report crashes to other hosts."""
 
+import contextlib
 import random
 import time
 
 import eventlet
+import xxhash
 
 from verbenanotch.crashes import (
     Blocked,
     CrashExchange,
     CrashRecords,
     CrashTable,
+    Exclusive,
 )
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
@@ -20,6 +23,8 @@
 MAX_CONCURRENT_NOTICES = 32
 # Proxies of each other zone that are told of a crash and tell their zone.
 RELAYS_PER_ZONE = 2
+# A request that runs exclusively has mostly ended after this time.
+EXCLUSIVE_RETRY_AFTER_MS = 500
 MILLISECONDS_PER_SECOND = 1000
 # Statuses with which a target may refuse a request without running it.
 REFUSAL_STATUSES = frozenset((408, 421, 429))
@@ -42,6 +47,7 @@
         self._snapshot_store = snapshot_store
         self._post = post
         self._table = CrashTable()
+        self._exclusive_fingerprints = set()
         self._pending_records = []
         self._pending_for_relays = False
         self._notifier = None
@@ -59,6 +65,46 @@
                 return _refuse(request, count, retry_after_ms)
         return None
 
+    def exclusive_target(self, request, target_ids):
+        """Return the one target that a suspected Request may run at, or None.
+
+        All proxies with the same `target_ids` choose the same one.
+        """
+        if not len(self._table):
+            return None
+        match self._check(request):
+            case Exclusive():
+                return max(
+                    target_ids,
+                    key=lambda target_id: xxhash.xxh3_64_intdigest(
+                        request.fingerprint + target_id.encode()
+                    ),
+                    default=None,
+                )
+        return None
+
+    @contextlib.contextmanager
+    def running(self, call):
+        """Enter a run of a Call at a local target; yield NotRun or None.
+
+        A suspected request is refused while it is already running here.
+        """
+        if not len(self._table):
+            yield None
+            return
+        match self._check(call):
+            case Exclusive(crash_count=count):
+                if call.fingerprint in self._exclusive_fingerprints:
+                    yield _refuse(call, count, EXCLUSIVE_RETRY_AFTER_MS)
+                    return
+                self._exclusive_fingerprints.add(call.fingerprint)
+                try:
+                    yield None
+                finally:
+                    self._exclusive_fingerprints.discard(call.fingerprint)
+            case _:
+                yield self.refusal(call)
+
     def record_answer(self, call, status):
         """Clear the crashes of a Call that a target ran to its end."""
         if not len(self._table) or not _shows_completed_run(status):
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -166,6 +166,17 @@
         candidates = self._candidate_cache.candidates(
             snapshot, request.service, now=now
         )
+        if self._guard is not None:
+            target_id = self._guard.exclusive_target(
+                request,
+                [
+                    state.target_id
+                    for state in candidates.targets
+                    if not state.draining and state.target_id not in tried
+                ],
+            )
+            if target_id is not None:
+                return Chosen(target_id=target_id)
         objective_seconds = self._route_durations.scaled_objective(
             request.route_name, request.objective_seconds
         )
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -63,7 +63,8 @@
     ):
         """Call `on_change` whenever the announcement changes.
 
-        `guard` is the CrashGuard to which crashes and answers are reported.
+        `guard` is the CrashGuard that refuses requests which crash targets,
+        and to which crashes and answers are reported.
         `known_services` returns the names of the services of the mesh.
         """
         self._known_services = known_services
@@ -293,7 +294,7 @@
         `deadline` is in monotonic seconds.
         """
         target = self.targets_by_id.get(call.target_id)
-        refusal = _refusal(target)
+        refusal = _refusal(target) or self._blocked(call)
         if refusal is None:
             refusal = target.slots.acquire(
                 deadline=deadline,
@@ -312,6 +313,10 @@
             target.slots.release(time.monotonic() - started, call.route_name)
         return _with_load(self._settle(target, call, outcome), target)
 
+    def _blocked(self, call):
+        """Return NotRun if the call's request crashes targets, else None."""
+        return None if self._guard is None else self._guard.refusal(call)
+
     def _settle(self, target, call, outcome):
         """Report an answer or a crash; return the outcome with its crashes."""
         if target.crash_detector is None:
@@ -329,6 +334,14 @@
         refusal = _refusal(target)
         if refusal is not None:
             return refusal
+        if self._guard is None:
+            return self._exchange(target, call, deadline, cancellation)
+        with self._guard.running(call) as refusal:
+            if refusal is not None:
+                return refusal
+            return self._exchange(target, call, deadline, cancellation)
+
+    def _exchange(self, target, call, deadline, cancellation):
         started = time.monotonic()
         if call.traced:
             emit(
