proxy: count the crash of a target that is back before it is probed

A target that its host starts again within 50 ms accepts connections when it is checked, so the crash was never counted, and the request could crash it without end. Now the calls that a target broke off in the last 10 s are counted as crashed when another start of it, or another target at its address, announces itself without a withdrawal before. test_a_target_that_restarts_at_once_has_crashed failed before. Class: a state that is inferred from one sample.

--- a/tests/unit/test_target_crashes.py
+++ b/tests/unit/test_target_crashes.py
@@ -4,6 +4,7 @@
 import time
 import types
 
+import attrs
 import eventlet
 import pytest
 
@@ -157,3 +158,24 @@
     )
     listener.close()
     assert outcome.reason == "crashes-targets"
+
+
+@pytest.mark.parametrize("target_id", ["i-1", "i-2"])
+def test_a_target_that_restarts_at_once_has_crashed(run, target_id):
+    """Guard against a crash that no probe sees, as the port is open again."""
+
+    def serve(listener):
+        break_off(listener)
+        listener.accept()
+
+    targets, crashed = run(serve)
+    record = targets.targets_by_id["i-1"].record
+    for restart in (1, 2):
+        assert targets.announce(
+            attrs.evolve(
+                record,
+                target_id=target_id,
+                incarnation=record.incarnation + restart,
+            )
+        )
+        assert [call.target_id for call in crashed] == ["i-1"]
--- a/verbenanotch/proxy/_crash_detection.py
+++ b/verbenanotch/proxy/_crash_detection.py
@@ -1,5 +1,6 @@
 """Find out whether a target that broke off a call has crashed."""
 
+import collections
 import dataclasses
 import time
 
@@ -12,6 +13,8 @@
 # is one or two time slices of the scheduler.
 CRASH_RECHECK_SECONDS = 0.05
 RECHECK_INTERVAL_SECONDS = 0.01
+# A target that starts again has announced itself within this time.
+MAX_RESTART_SECONDS = 10.0
 
 
 class CrashDetector:
@@ -21,15 +24,17 @@
     gets another detector.
     """
 
-    def __init__(self, *, guard, connections, crash_id, on_crash):
+    def __init__(self, *, guard, connections, crash_id, on_crash, max_calls):
         """Probe the target through its TargetConnections.
 
-        `on_crash()` is called once, as soon as the target has crashed.
+        `on_crash()` is called once, as soon as the target has crashed. At
+        most `max_calls` calls that the target broke off are remembered.
         """
         self._guard = guard
         self._connections = connections
         self._crash_id = crash_id
         self._on_crash = on_crash
+        self._broken_off = collections.deque(maxlen=max_calls)
         self._has_crashed = False
 
     def settle(self, call, outcome):
@@ -47,8 +52,17 @@
                 if self._is_crash():
                     crashes = self._guard.record_crash(call, self._crash_id)
                     return dataclasses.replace(outcome, crashes=crashes)
+                self._broken_off.append((time.monotonic(), call))
         return outcome
 
+    def record_restart(self):
+        """Report a crash that was not noticed before the target's restart."""
+        earliest = time.monotonic() - MAX_RESTART_SECONDS
+        while self._broken_off:
+            broken_off_at, call = self._broken_off.popleft()
+            if broken_off_at >= earliest:
+                self._guard.record_crash(call, self._crash_id)
+
     def _is_crash(self):
         """Return whether the target, which broke off a call, has crashed.
 
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -48,6 +48,11 @@
         """Sort key that increases with each announcement of the target."""
         return (self.record.incarnation, self.sequence)
 
+    def record_restart(self):
+        """Report a crash that was not noticed before the target's restart."""
+        if self.crash_detector is not None:
+            self.crash_detector.record_restart()
+
 
 class LocalTargets:
     """Keep the host's targets and run calls at them."""
@@ -212,9 +217,11 @@
         """Add a target and remove any other target at its address."""
         for other in self._other_targets_at(record):
             self.remove(other.record.target_id)
+            other.record_restart()
         current = self.targets_by_id.get(record.target_id)
         if current is not None:
             current.connections.close()
+            current.record_restart()
         connections = TargetConnections(
             address=record.address, port=record.port, max_idle=record.slots
         )
@@ -243,6 +250,7 @@
             on_crash=lambda: self._remove_crashed(
                 record.target_id, connections
             ),
+            max_calls=record.slots,
         )
 
     def drain(self, target_id):
