--- a/tests/unit/test_crash_guard.py
+++ b/tests/unit/test_crash_guard.py
@@ -47,7 +47,8 @@
 
     def hosts_told(self):
         """Return the names of the hosts that got records, sorted."""
-        eventlet.sleep(0)
+        for _ in range(5):
+            eventlet.sleep(0)
         return sorted(record.host for record, _ in self.posted)
 
 
--- a/tests/unit/test_crashes.py
+++ b/tests/unit/test_crashes.py
@@ -94,6 +94,18 @@
     assert other.merge(one.records(5.0), 5.0) == ()
 
 
+def test_the_digest_follows_each_change():
+    table = table_with_crashes(b"1")
+    digests = [table.digest]
+    table.add_crash(POISON, b"2", 0.0)
+    digests.append(table.digest)
+    table.clear(POISON, 0.0)
+    digests.append(table.digest)
+    assert len(set(digests)) == len(digests)
+    table.merge((), RETENTION_SECONDS)
+    assert table.digest == CrashTable().digest == 0
+
+
 def test_the_age_of_a_crash_travels_with_it():
     table = table_with_crashes(b"1", b"2", b"3")
     other = CrashTable()
@@ -193,6 +205,7 @@
 
 def test_hosts_that_connect_exchange_what_they_have():
     one, other = make_exchange(b"1"), make_exchange(b"2")
+    assert one.table.digest != other.table.digest
     connect(one, other)
     assert one.table.crash_count(POISON) == 2
     assert one.table.digest == other.table.digest
@@ -241,7 +254,8 @@
 
 
 @pytest.fixture
-def disk(tmp_path):
+def disk(tmp_path, monkeypatch):
+    monkeypatch.setattr("verbenanotch.crashes._storage.RETRY_SECONDS", 0.05)
     clock = WallClock()
 
     def open_storage(files=None):
@@ -306,16 +320,43 @@
 
         def append(self, name, data):
             if self.is_full:
+                super().append(name, data[: len(data) // 2])
                 raise OSError(errno.ENOSPC, "no space")
             super().append(name, data)
 
+        def replace(self, name, data):
+            if self.is_full:
+                raise OSError(errno.ENOSPC, "no space")
+            super().replace(name, data)
+
     files = FullDisk(directory=tmp_path)
     storage = disk.open(files)
     storage.load()
     table = table_with_crashes(b"1")
     storage.append(table.records(0.0), all_records=lambda: table.records(0.0))
     eventlet.sleep(0.1)
-    assert load(disk).crash_count(POISON) == 0
+    assert disk.path.stat().st_size > 0
     files.is_full = False
+    eventlet.sleep(0.1)
+    storage.append(
+        table_with_crashes(b"1", fingerprint=OTHER).records(0.0),
+        all_records=lambda: table.records(0.0),
+    )
     storage.flush()
     assert load(disk).crash_count(POISON) == 1
+
+
+def test_a_host_stops_although_its_disk_fails(disk, tmp_path, monkeypatch):
+    class BrokenDisk(Files):
+        def append(self, name, data):
+            raise OSError(errno.EIO, "broken")
+
+        replace = append
+
+    monkeypatch.setattr(
+        "verbenanotch.crashes._storage.FLUSH_TIMEOUT_SECONDS", 0.05
+    )
+    storage = disk.open(BrokenDisk(directory=tmp_path))
+    table = table_with_crashes(b"1")
+    storage.append(table.records(0.0), all_records=lambda: table.records(0.0))
+    storage.flush()
--- a/verbenanotch/crashes/_blocking.py
+++ b/verbenanotch/crashes/_blocking.py
@@ -29,6 +29,9 @@
     """The request may run at any target."""
 
 
+ALLOWED = Allowed()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Exclusive:
     """The request may run once at a time, at one agreed target."""
@@ -59,4 +62,4 @@
         )
     if crash_count >= EXCLUSIVE_CRASH_COUNT:
         return Exclusive(crash_count=crash_count)
-    return Allowed()
+    return ALLOWED
--- a/verbenanotch/crashes/_storage.py
+++ b/verbenanotch/crashes/_storage.py
@@ -17,6 +17,8 @@
 WRITE_DELAY_SECONDS = 0.02
 # A disk that failed is tried again after this time.
 RETRY_SECONDS = 1.0
+# How long a stopping host waits for the disk.
+FLUSH_TIMEOUT_SECONDS = 1.0
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -25,7 +27,8 @@
 
     Each is stored with the time of day of its last change, since no other
     clock outlives the process. The file is replaced by the current records
-    when it has grown to `MAX_FILE_BYTES`.
+    when it has grown to `MAX_FILE_BYTES`, or after a write that failed and may
+    have left a part of a record.
     """
 
     def __init__(self, *, files, wall_clock=time.time):
@@ -34,6 +37,7 @@
         self._wall_clock = wall_clock
         self._pending = []
         self._writer = None
+        self._must_replace = False
         self._file_bytes = 0
 
     @classmethod
@@ -71,9 +75,13 @@
             self._writer = eventlet.spawn(self._write, all_records)
 
     def flush(self):
-        """Wait until all records that were appended are stored."""
+        """Wait until all records that were appended are stored.
+
+        Gives up after `FLUSH_TIMEOUT_SECONDS`.
+        """
         if self._writer is not None:
-            self._writer.wait()
+            with eventlet.Timeout(FLUSH_TIMEOUT_SECONDS, False):
+                self._writer.wait()
 
     def _read(self):
         try:
@@ -84,33 +92,31 @@
 
     def _write(self, all_records):
         eventlet.sleep(WRITE_DELAY_SECONDS)
-        while self._pending:
-            data = b"".join(self._pending)
-            if not self._try_write(data, all_records):
+        while self._pending or self._must_replace:
+            try:
+                self._write_pending(all_records)
+            except OSError as error:
+                self._must_replace = True
+                metrics.increment("crashes.writes_failed")
+                emit(events.STORAGE_FAILED, error=str(error))
                 eventlet.sleep(RETRY_SECONDS)
-                continue
-            del self._pending[:]
         self._writer = None
 
-    def _try_write(self, data, all_records):
-        """Write records; return whether they are durable."""
-        try:
-            if self._file_bytes + len(data) > MAX_FILE_BYTES:
-                now_ms = self._wall_clock_ms()
-                data = b"".join(
-                    _pack(record, now_ms) for record in all_records()
-                )
-                self._files.replace(FILE_NAME, data)
-                self._file_bytes = len(data)
-            else:
-                self._files.append(FILE_NAME, data)
-                self._files.sync(FILE_NAME)
-                self._file_bytes += len(data)
-        except OSError as error:
-            metrics.increment("crashes.writes_failed")
-            emit(events.STORAGE_FAILED, error=str(error))
-            return False
-        return True
+    def _write_pending(self, all_records):
+        data = b"".join(self._pending)
+        # If the write fails, all current records are written instead.
+        self._pending.clear()
+        is_full = self._file_bytes + len(data) > MAX_FILE_BYTES
+        if is_full or self._must_replace:
+            now_ms = self._wall_clock_ms()
+            data = b"".join(_pack(record, now_ms) for record in all_records())
+            self._files.replace(FILE_NAME, data)
+            self._file_bytes = 0
+            self._must_replace = False
+        else:
+            self._files.append(FILE_NAME, data)
+            self._files.sync(FILE_NAME)
+        self._file_bytes += len(data)
 
     def _replace_with(self, data):
         try:
--- a/verbenanotch/crashes/_table.py
+++ b/verbenanotch/crashes/_table.py
@@ -4,6 +4,7 @@
 import xxhash
 
 from verbenanotch.crashes._blocking import (
+    ALLOWED,
     RETENTION_SECONDS,
     Blocked,
     decide,
@@ -39,6 +40,7 @@
         """Start empty."""
         self._max_records = max_records
         self._entries_by_fingerprint = {}
+        self._digest = 0
         self.dropped_count = 0
 
     def __len__(self):
@@ -48,13 +50,7 @@
     @property
     def digest(self):
         """Return a number that is equal for tables with equal records."""
-        digest = 0
-        for fingerprint, entry in self._entries_by_fingerprint.items():
-            parts = [fingerprint, entry.clearances.to_bytes(8, "big")]
-            digest ^= xxhash.xxh3_64_intdigest(
-                b"".join(parts + sorted(entry.crash_ids))
-            )
-        return digest
+        return self._digest
 
     def crash_count(self, fingerprint):
         """Return the number of crashes counted against a fingerprint."""
@@ -65,7 +61,7 @@
         """Return Allowed, Exclusive or Blocked for a fingerprint."""
         entry = self._entries_by_fingerprint.get(fingerprint)
         if entry is None:
-            return decide(crash_count=0, seconds_since_last=0.0)
+            return ALLOWED
         return decide(
             crash_count=len(entry.crash_ids),
             seconds_since_last=now - entry.changed_at,
@@ -142,16 +138,22 @@
             is_full = len(entry.crash_ids) >= MAX_CRASH_IDS
             if is_full or crash_ids == entry.crash_ids:
                 return False
+        self._digest ^= _digest_of(record.fingerprint, entry)
         entry.clearances = record.clearances
         entry.crash_ids = crash_ids
         entry.changed_at = max(entry.changed_at, changed_at)
+        self._digest ^= _digest_of(record.fingerprint, entry)
         return True
 
+    def _drop(self, fingerprint):
+        entry = self._entries_by_fingerprint.pop(fingerprint)
+        self._digest ^= _digest_of(fingerprint, entry)
+
     def _expire(self, now):
         """Drop the records that are older than the retention."""
         for fingerprint, entry in list(self._entries_by_fingerprint.items()):
             if now - entry.changed_at >= RETENTION_SECONDS:
-                del self._entries_by_fingerprint[fingerprint]
+                self._drop(fingerprint)
 
     def _make_space(self, now):
         """Drop a record if the table is full; return whether there is space.
@@ -171,10 +173,18 @@
         )
         if isinstance(self.check(least, now), Blocked):
             return False
-        del entries[least]
+        self._drop(least)
         return True
 
 
+def _digest_of(fingerprint, entry):
+    """Return the entry's part of the table's digest, 0 for a new entry."""
+    if entry.clearances < 0:
+        return 0
+    parts = [fingerprint, entry.clearances.to_bytes(8, "big")]
+    return xxhash.xxh3_64_intdigest(b"".join(parts + sorted(entry.crash_ids)))
+
+
 def _make_record(fingerprint, entry, now):
     age_seconds = now - entry.changed_at
     return CrashRecord(
--- a/verbenanotch/proxy/_crashes.py
+++ b/verbenanotch/proxy/_crashes.py
@@ -156,7 +156,8 @@
         sender = hosts_by_name.get(connection.peer_name)
         if new and sender is not None and not self._is_in_zone(sender):
             self.exchange.publish(new)
-            self._notify(new, to_relays=False)
+            # The greenthread that receives must not wait.
+            eventlet.spawn_n(self._notify, new, to_relays=False)
 
     def _check(self, request):
         return self._table.check(request.fingerprint, time.monotonic())
