cli: explain a request that is refused since it crashes targets

An operator who asked for a refused request got its reason and no more. Now the explanation names the targets that the same request crashed, and under which ids. Both tests failed before.

--- a/tests/unit/test_cli_explanation.py
+++ b/tests/unit/test_cli_explanation.py
@@ -107,6 +107,7 @@
         _explanation.VERSION_ACCEPTED,
         *_explanation.CONTROL_EVENTS,
         *_explanation.TARGET_EVENTS,
+        _explanation.CRASHING_REQUEST_REFUSED,
     }
     assert used <= {event.name for event in load_catalogue()}
 
@@ -146,3 +147,42 @@
 def test_a_missing_last_line_is_reported(explain):
     output = explain(call_ended(5, "Unknown", "peer-lost"))
     assert "the entry proxy's last line is missing" in output
+
+
+def target_crashed(milliseconds, request="r1", target="t1"):
+    return log_line(
+        milliseconds,
+        5016,
+        "target-died",
+        host="p2",
+        request=request,
+        target=target,
+        fingerprint="f1",
+    )
+
+
+def test_a_crash_found_after_the_last_line_belongs_to_the_request(explain):
+    output = explain(
+        call_ended(100, "Unknown", "target-broke-off: RemoteDisconnected"),
+        request_ended(101, "Unknown"),
+        target_crashed(158),
+        target_crashed(170, request="r2"),
+    )
+    assert "target t1: target-died at p2, 57 ms after the end" in output
+
+
+def test_a_refused_request_names_the_targets_that_it_crashed(explain):
+    output = explain(
+        target_crashed(50, request="r0", target="t2"),
+        log_line(
+            100,
+            5027,
+            "crashing-request-refused",
+            request="r1",
+            fingerprint="f1",
+            crash_count=2,
+        ),
+        request_ended(101, "NotRun", "crashes-targets"),
+    )
+    assert "it did not run" in output
+    assert "the same request crashed target t2 as r0, 51 ms before" in output
--- a/verbenanotch/cli/_explanation.py
+++ b/verbenanotch/cli/_explanation.py
@@ -27,12 +27,16 @@
         "target-ejected",
     )
 )
+TARGET_CRASHED = "target-died"
+CRASHING_REQUEST_REFUSED = "crashing-request-refused"
 TARGET_EVENTS = TARGET_UNAVAILABLE_EVENTS | {TARGET_ANNOUNCED}
 # Reasons for refusing a request without trying a target.
 NO_TARGET_REASONS = frozenset(("no-target", "draining", "unhealthy"))
 # Maximum number of events about unavailable targets in an explanation;
 # enough for the targets of a small service.
 MAX_UNAVAILABLE_TARGETS = 10
+# Maximum number of earlier crashes by the same request in an explanation.
+MAX_CRASHES = 10
 
 
 @attrs.frozen(kw_only=True)
@@ -67,14 +71,25 @@
     ]
     calls = [e for e in request_entries if e.name == CALL_ENDED]
     version_events = _version_events(earlier_entries, request_end)
-    target_events = _target_events(earlier_entries, request_end, calls)
+    # A crash of a target may be found after the request has ended.
+    late_crashes = [
+        entry
+        for entry in request_entries
+        if entry.name == TARGET_CRASHED and entry.hlc > request_end.hlc
+    ]
+    target_events = _target_events(
+        earlier_entries + late_crashes, request_end, calls
+    )
+    crash_events = _crash_events(earlier_entries, request_entries)
     findings = [
         *_outcome_findings(request_end, calls),
         *_target_findings(target_events, request_end),
+        *_crash_findings(crash_events, request_end),
         *_version_findings(version_events, request_end),
     ]
     context_events = sorted(
-        [*version_events, *target_events], key=lambda e: (e.hlc, e.host)
+        [*version_events, *target_events, *crash_events],
+        key=lambda e: (e.hlc, e.host),
     )
     return Explanation(
         context_events=tuple(context_events), findings=tuple(findings)
@@ -137,6 +152,21 @@
     ]
 
 
+def _crash_events(earlier_entries, request_entries):
+    """Return the crashes for which the request was refused, if it was."""
+    fingerprints = {
+        entry.fields.get("fingerprint")
+        for entry in request_entries
+        if entry.name == CRASHING_REQUEST_REFUSED
+    }
+    return [
+        entry
+        for entry in earlier_entries
+        if entry.name == TARGET_CRASHED
+        and entry.fields.get("fingerprint") in fingerprints
+    ][-MAX_CRASHES:]
+
+
 def _outcome_findings(request_end, calls):
     """Yield the outcome of the request and of each call to a target."""
     fields = request_end.fields
@@ -167,7 +197,16 @@
             continue
         yield (
             f"target {entry.fields['target']}: {entry.name} at {entry.host}, "
-            f"{_milliseconds_between(entry, request_end)} ms before the end"
+            f"{_distance_to_end(entry, request_end)}"
+        )
+
+
+def _crash_findings(crash_events, request_end):
+    for entry in crash_events:
+        yield (
+            f"the same request crashed target {entry.fields.get('target')} as "
+            f"{entry.fields.get('request')}, "
+            f"{_distance_to_end(entry, request_end)}"
         )
 
 
@@ -201,5 +240,13 @@
         return NO_VERSION
 
 
+def _distance_to_end(entry, request_end):
+    """Return how long before or after the end of the request an event was."""
+    milliseconds = _milliseconds_between(entry, request_end)
+    if milliseconds < 0:
+        return f"{-milliseconds} ms after the end"
+    return f"{milliseconds} ms before the end"
+
+
 def _milliseconds_between(entry, later):
     return physical_milliseconds(later.hlc) - physical_milliseconds(entry.hlc)
