examples: wait in the demonstration until new keys are answered

Seen by a new user: 'make demo' failed in one of two runs. It slept for 3 s before the keyed request, where record holders need 5 s from the first start of their service, so that the request ended as unknown. Now it waits, at most 30 s, until several new keys in a row are answered through both zones, and says what it waited for if that does not happen.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -32,7 +32,10 @@
 START_TIMEOUT_SECONDS = 60.0
 REACHABLE_TIMEOUT_SECONDS = 20.0
 DRAIN_WAIT_SECONDS = 5.0
-RECORD_HOLDER_WAIT_SECONDS = 3.0
+KEYED_REQUESTS_TIMEOUT_SECONDS = 30.0
+# New keys that must be answered in a row at each proxy. They have different
+# record holders.
+ANSWERED_KEYS_IN_A_ROW = 3
 REQUEST_TIMEOUT_SECONDS = 15.0
 REQUESTS_AFTER_DRAIN = 20
 NANOSECONDS_PER_MILLISECOND = 1_000_000
@@ -133,15 +136,13 @@
         _print_heading(
             "A caller sends one change twice, through two zones, with one key"
         )
-        # Record holders that have just joined may have missed keys issued
-        # before, so they answer such keys as unknown.
-        time.sleep(RECORD_HOLDER_WAIT_SECONDS)
-        key = f"{time.time_ns() // NANOSECONDS_PER_MILLISECOND}-demo"
-        zones = list(self._deployment.services_by_zone)
-        first = self._send_when_reachable(
-            sample, proxy=f"{zones[0]}-proxy-1", key=key
-        )
-        self._send_and_print(sample, proxy=f"{zones[1]}-proxy-1", key=key)
+        proxies = [
+            f"{zone}-proxy-1" for zone in self._deployment.services_by_zone
+        ][:2]
+        self._wait_until_keys_are_recorded(sample, proxies)
+        key = _make_key("demo")
+        first = self._send_when_reachable(sample, proxy=proxies[0], key=key)
+        self._send_and_print(sample, proxy=proxies[1], key=key)
         runs = self._count_runs(key)
         print(f"  the ledgers of the targets show {runs} run of key {key}")
         if runs != 1:
@@ -242,6 +243,26 @@
             explain=self._logs_of_ended_daemons,
         )
 
+    def _wait_until_keys_are_recorded(self, sample, proxies):
+        """Wait until proxies answer requests with new keys.
+
+        Record holders that have just joined may have missed keys issued
+        before, so they answer such keys as unknown.
+        """
+        wait_until(
+            lambda: all(
+                self._request(
+                    sample, proxy=proxy, key=_make_key("probe")
+                ).headers.get("X-Verbenanotch-Outcome")
+                == "answered"
+                for proxy in proxies * ANSWERED_KEYS_IN_A_ROW
+            ),
+            timeout_seconds=KEYED_REQUESTS_TIMEOUT_SECONDS,
+            what=f"answers to {sample.path} with new idempotency keys at "
+            f"{' and '.join(proxies)}",
+            explain=self._logs_of_ended_daemons,
+        )
+
     def _request(self, sample, *, proxy, key=None):
         host = self._topology.hosts_by_name[proxy]
         return self._pool.request(
@@ -283,6 +304,11 @@
         )
 
 
+def _make_key(name):
+    """Return an idempotency key that is issued now."""
+    return f"{time.time_ns() // NANOSECONDS_PER_MILLISECOND}-{name}"
+
+
 def _as_query(sample):
     """Return a harmless request to the route of a sample request."""
     return type(sample)(method="GET", path=sample.path)
