--- a/tests/unit/test_crash_schedules.py
+++ b/tests/unit/test_crash_schedules.py
@@ -11,9 +11,9 @@
 import eventlet
 import pytest
 
+from tests.unit.test_crash_guard import make_record
 from tests.unit.test_proxy_peers import make_call
 from verbenanotch.crashes import CrashExchange, CrashTable
-from verbenanotch.membership import HostRecord
 from verbenanotch.proxy import CrashGuard
 from verbenanotch.proxy import _crashes as crashes_module
 
@@ -77,7 +77,7 @@
         self.guards_by_proxy = {}
         self.disks_by_control = {zone: Disk() for zone in ZONES}
         self.records_by_host = {
-            f"{zone}-{number}": _make_record(zone, number)
+            f"{zone}-{number}": make_record(zone, number)
             for zone in ZONES
             for number in range(PROXIES_PER_ZONE)
         }
@@ -221,17 +221,6 @@
         return guard.record_crash(call, b"%d" % self.crash_count)
 
 
-def _make_record(zone, number):
-    return HostRecord(
-        host=f"{zone}-{number}",
-        availability_zone=zone,
-        address="127.0.0.1",
-        peer_port=1,
-        incarnation=1,
-        sequence=1,
-    )
-
-
 def zone_of(host):
     return host.split("-")[0]
 
--- a/tests/unit/test_target_crashes.py
+++ b/tests/unit/test_target_crashes.py
@@ -41,6 +41,28 @@
         return ()
 
 
+def make_targets(guard, listener):
+    """Return LocalTargets with target i-1, which uses a listening socket."""
+    targets = LocalTargets(
+        settings=SETTINGS,
+        incarnation=1,
+        on_change=lambda: None,
+        guard=guard,
+        known_services=lambda: {"pay": None},
+    )
+    targets.announce(make_record(port=listener.getsockname()[1]))
+    return targets
+
+
+def run_call_at(targets, call):
+    """Run a call and return its outcome."""
+    return targets.run(
+        call,
+        deadline=time.monotonic() + WAIT_SECONDS,
+        cancellation=Cancellation(),
+    )
+
+
 @pytest.fixture
 def run():
     """Return a function that runs one call at a target.
@@ -52,22 +74,11 @@
     """
     guard = FakeGuard()
 
-    def run_call(serve):
+    def run_at(serve):
         listener = eventlet.listen(("127.0.0.1", 0))
         server = eventlet.spawn(serve, listener)
-        targets = LocalTargets(
-            settings=SETTINGS,
-            incarnation=1,
-            on_change=lambda: None,
-            guard=guard,
-            known_services=lambda: {"pay": None},
-        )
-        targets.announce(make_record(port=listener.getsockname()[1]))
-        targets.run(
-            make_call(target_id="i-1", service="pay"),
-            deadline=time.monotonic() + WAIT_SECONDS,
-            cancellation=Cancellation(),
-        )
+        targets = make_targets(guard, listener)
+        run_call_at(targets, make_call(target_id="i-1", service="pay"))
         known_at_outcome = list(guard.crashed)
         server.wait()
         eventlet.sleep(4 * CRASH_RECHECK_SECONDS)
@@ -75,7 +86,7 @@
         listener.close()
         return targets, guard.crashed
 
-    return run_call
+    return run_at
 
 
 def break_off(listener):
@@ -143,19 +154,7 @@
     for crash_id in (b"1", b"2"):
         guard.record_crash(call, crash_id)
     listener = eventlet.listen(("127.0.0.1", 0))
-    targets = LocalTargets(
-        settings=SETTINGS,
-        incarnation=1,
-        on_change=lambda: None,
-        guard=guard,
-        known_services=lambda: {"pay": None},
-    )
-    targets.announce(make_record(port=listener.getsockname()[1]))
-    outcome = targets.run(
-        call,
-        deadline=time.monotonic() + WAIT_SECONDS,
-        cancellation=Cancellation(),
-    )
+    outcome = run_call_at(make_targets(guard, listener), call)
     listener.close()
     assert outcome.reason == "crashes-targets"
 
--- a/verbenanotch/crashes/_exchange.py
+++ b/verbenanotch/crashes/_exchange.py
@@ -14,10 +14,10 @@
 class CrashExchange:
     """The links of one host over which crash records are passed on.
 
-    A link is a Connection. New records go to all links
-    but the one that they came from; on a new link, tables that differ are
-    exchanged in full. The links between control hosts and from proxies to
-    control hosts reach all hosts, in any order and with any repeats.
+    A link is a Connection. New records go to all links but the one that they
+    came from; on a new link, tables that differ are exchanged in full. The
+    links between control hosts and from proxies to control hosts reach all
+    hosts. Records may arrive in any order and more than once.
     """
 
     def __init__(
