--- a/bench/crashing_request.py
+++ b/bench/crashing_request.py
@@ -20,7 +20,9 @@
 
 import collections  # noqa: E402
 import pathlib  # noqa: E402
+import random  # noqa: E402
 import tempfile  # noqa: E402
+import time  # noqa: E402
 
 import click  # noqa: E402
 
@@ -30,15 +32,16 @@
 
 RESTART_INTERVAL_SECONDS = 2.0
 KILL_ALL_AT_SECONDS = 12.0
+KILLED_SHARE = 0.5
 PATHS_BY_MESH = {"prairie": "/docket/1", "brittany": "/jobs/1"}
 
 
-def do_nothing(mesh, seconds):
+def do_nothing(mesh, seconds, random):
     """Leave all processes alone."""
     eventlet.sleep(seconds)
 
 
-def restart_proxies_in_turn(mesh, seconds):
+def restart_proxies_in_turn(mesh, seconds, random):
     """Stop each proxy by SIGTERM and start it again, one after the other."""
     names = [host.name for host in mesh.topology.proxies]
     for number in range(int(seconds / RESTART_INTERVAL_SECONDS)):
@@ -47,19 +50,36 @@
         eventlet.sleep(RESTART_INTERVAL_SECONDS)
 
 
-def kill_proxies(mesh, seconds):
+def kill_proxies(mesh, seconds, random):
     """Kill all proxies at once and start them again."""
     _kill_all(mesh, [host.name for host in mesh.topology.proxies], seconds)
 
 
-def kill_all(mesh, seconds):
+def kill_all(mesh, seconds, random):
     """Kill all proxies and control hosts at once and start them again."""
     _kill_all(mesh, list(mesh.topology.hosts_by_name), seconds)
 
 
-def _terminate_and_start(mesh, name):
+def inject_random_faults(mesh, seconds, random):
+    """Stop or kill random hosts; faults overlap."""
+    names = list(mesh.topology.hosts_by_name)
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        count = random.choice((1, 1, 1, 2, 4))
+        for name in random.sample(names, count):
+            is_killed = random.random() < KILLED_SHARE
+            eventlet.spawn_n(_terminate_and_start, mesh, name, is_killed)
+        eventlet.sleep(random.uniform(0, 2 * RESTART_INTERVAL_SECONDS))
+
+
+def _terminate_and_start(mesh, name, is_killed=False):
     child = mesh.child(name)
-    child.terminate()
+    if not child.is_alive:
+        return
+    if is_killed:
+        child.kill()
+    else:
+        child.terminate()
     while child.is_alive:
         eventlet.sleep(0.05)
     child.start()
@@ -79,6 +99,7 @@
     "restarts-in-turn": restart_proxies_in_turn,
     "proxies-killed": kill_proxies,
     "all-killed": kill_all,
+    "random-faults": inject_random_faults,
 }
 
 
@@ -95,8 +116,9 @@
 )
 @click.option("--seconds", default=40.0)
 @click.option("--interval", default=0.25, help="Seconds between requests.")
+@click.option("--seed", default=1, help="For random faults.")
 @click.option("--folder", help="Directory for logs; kept after the run.")
-def main(mesh_name, method, meanwhile, seconds, interval, folder):
+def main(mesh_name, method, meanwhile, seconds, interval, seed, folder):
     """Print how often one request crashed a target."""
     deployment = DEPLOYMENTS_BY_NAME[mesh_name]
     folder = pathlib.Path(folder or tempfile.mkdtemp())
@@ -123,9 +145,12 @@
         with CrashingCaller(
             mesh=mesh, path=path, method=method, interval_seconds=interval
         ) as caller:
-            EVENTS_BY_NAME[meanwhile](mesh, seconds)
+            EVENTS_BY_NAME[meanwhile](mesh, seconds, random.Random(seed))
         times = caller.crash_times()
-        print(f"{mesh_name} {method} {meanwhile}: {len(times)} crashes")
+        print(
+            f"{mesh_name} {method} {meanwhile} (seed {seed}): "
+            f"{len(times)} crashes"
+        )
         print("at", *times)
         print(collections.Counter(caller.results).most_common())
 
