--- a/tests/integration/test_sessions_resubscribe.py
+++ b/tests/integration/test_sessions_resubscribe.py
@@ -12,6 +12,7 @@
     make_mesh,
 )
 from verbenanotch.catalog import NO_VERSION
+from verbenanotch.crashes import CrashDigest
 from verbenanotch.distribution._messages import (
     MinimumVersionUnknown,
     Subscribe,
@@ -72,6 +73,7 @@
     connection.send(make_subscription(starting=False))
     eventlet.sleep(0.1)
     quorum_answer.send(False)
+    assert isinstance(connection.receive(), CrashDigest)
     received = connection.receive()
     if isinstance(received, MinimumVersionUnknown):
         received = connection.receive()
