proxy: don't keep the bodies of calls that a target broke off

Found by reading the diff: the detector remembers as many of them as the target has slots, to count a crash that shows with the target's next start, and kept their bodies of up to 64 MiB each. It keeps what the crash is recorded by. The test of a target that restarts at once failed before with a body.

--- a/tests/unit/test_target_crashes.py
+++ b/tests/unit/test_target_crashes.py
@@ -78,7 +78,10 @@
         listener = eventlet.listen(("127.0.0.1", 0))
         server = eventlet.spawn(serve, listener)
         targets = make_targets(guard, listener)
-        run_call_at(targets, make_call(target_id="i-1", service="pay"))
+        run_call_at(
+            targets,
+            make_call(target_id="i-1", service="pay", body=b"large"),
+        )
         known_at_outcome = list(guard.crashed)
         server.wait()
         eventlet.sleep(4 * CRASH_RECHECK_SECONDS)
@@ -178,3 +181,4 @@
             )
         )
         assert [call.target_id for call in crashed] == ["i-1"]
+        assert crashed[0].body == b""
--- a/verbenanotch/proxy/_crash_detection.py
+++ b/verbenanotch/proxy/_crash_detection.py
@@ -4,6 +4,7 @@
 import dataclasses
 import time
 
+import attrs
 import eventlet
 
 from verbenanotch.proxy import _reasons as reasons
@@ -52,7 +53,9 @@
                 if self._is_crash():
                     crashes = self._guard.record_crash(call, self._crash_id)
                     return dataclasses.replace(outcome, crashes=crashes)
-                self._broken_off.append((time.monotonic(), call))
+                # The bodies of many calls would take too much memory.
+                without_body = attrs.evolve(call, headers=(), body=b"")
+                self._broken_off.append((time.monotonic(), without_body))
         return outcome
 
     def record_restart(self):
