tests: stop the supervisor of crashing targets between two starts

The supervisor was killed while it started a process, which nothing stopped then. It is asked to end, and waited for.

--- a/tests/integration/crashing_callers.py
+++ b/tests/integration/crashing_callers.py
@@ -31,23 +31,28 @@
     results: list = attrs.field(factory=list)
     started_at: float = 0.0
     _number: int = 0
-    _greenthreads: list = attrs.field(factory=list)
+    _is_supervising: bool = True
+    _sender: object = None
+    _supervisor: object = None
 
     def __enter__(self):
         """Start to send and to supervise the targets."""
         if self.proxies is None:
             self.proxies = [host.name for host in self.mesh.topology.proxies]
         self.started_at = time.time()
-        self._greenthreads = [
-            eventlet.spawn(self._send_forever),
-            eventlet.spawn(self._supervise_forever),
-        ]
+        self._sender = eventlet.spawn(self._send_forever)
+        self._supervisor = eventlet.spawn(self._supervise)
         return self
 
     def __exit__(self, *_):
-        """Stop sending and supervising."""
-        for greenthread in self._greenthreads:
-            greenthread.kill()
+        """Stop sending and supervising.
+
+        The supervisor is not killed: it may be starting a process, which
+        nothing would stop then.
+        """
+        self._sender.kill()
+        self._is_supervising = False
+        self._supervisor.wait()
 
     def crash_times(self):
         """Return when the request started at targets, in seconds."""
@@ -79,8 +84,8 @@
         reason = "" if answer.outcome == "answered" else answer.value["reason"]
         self.results.append((answer.outcome, reason))
 
-    def _supervise_forever(self):
-        while True:
+    def _supervise(self):
+        while self._is_supervising:
             for name in self.mesh.targets():
                 child = self.mesh.child(name)
                 if not child.is_alive:
--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -8,7 +8,11 @@
 import pytest
 import urllib3
 
-from tests.integration.crashing_callers import CRASH_MARKER, CrashingCaller
+from tests.integration.crashing_callers import (
+    CRASH_MARKER,
+    REQUEST_ID_PREFIX,
+    CrashingCaller,
+)
 from tests.integration.request_load import MESH_TEXT, SERVICE
 from tests.support.harness import Mesh
 
@@ -114,7 +118,7 @@
 
 def test_harmless_requests_at_crashing_targets_are_served_again(mesh):
     slow = [f"/pay/slow-{number}?latency_ms=300" for number in range(12)]
-    with CrashingCaller(mesh=mesh, path="/pay/1"):
+    with CrashingCaller(mesh=mesh, path="/pay/1") as caller:
         for _ in range(6):
             for number, path in enumerate(slow):
                 eventlet.spawn_n(
@@ -127,10 +131,16 @@
             what=f"answer to {path}",
             timeout_seconds=HARMLESS_TIMEOUT_SECONDS,
         )
-    poison = mesh.call(
+    mesh.wait_until(lambda: _is_poison_refused(mesh), what="refused poison")
+    assert len(caller.crash_times()) <= MAX_CRASHES
+
+
+def _is_poison_refused(mesh):
+    answer = mesh.call(
         "GET",
         f"/pay/1?crash_marker={CRASH_MARKER}",
         proxy=PROXIES[0],
         body=CRASH_MARKER.encode(),
+        request_id=f"{REQUEST_ID_PREFIX}last",
     )
-    assert poison.value["reason"] == "crashes-targets"
+    return answer.value["reason"] == "crashes-targets"
