proxy: list the targets of a suspected request only if there is one

The dispatcher built the list for each request, though it is used only for requests that have crashed targets. It passes a generator now. No behaviour changes; the tests of the entry interface and of the guard pass.

--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -169,11 +169,11 @@
         if self._guard is not None:
             target_id = self._guard.exclusive_target(
                 request,
-                [
+                (
                     state.target_id
                     for state in candidates.targets
                     if not state.draining and state.target_id not in tried
-                ],
+                ),
             )
             if target_id is not None:
                 return Chosen(target_id=target_id)
