tests: add failing tests of calls that end before their target crashes

The stand-in target takes crash_after_ms, and bench/crashing_request.py the deadline and the patience of its caller.

--- a/bench/crashing_request.py
+++ b/bench/crashing_request.py
@@ -33,6 +33,7 @@
 RESTART_INTERVAL_SECONDS = 2.0
 KILL_ALL_AT_SECONDS = 12.0
 KILLED_SHARE = 0.5
+DEFAULT_PATIENCE_MS = 15_000
 PATHS_BY_MESH = {"prairie": "/docket/1", "brittany": "/jobs/1"}
 
 
@@ -117,8 +118,28 @@
 @click.option("--seconds", default=40.0)
 @click.option("--interval", default=0.25, help="Seconds between requests.")
 @click.option("--seed", default=1, help="For random faults.")
+@click.option(
+    "--crash-after-ms", default=0, help="Work of a target before its crash."
+)
+@click.option("--timeout-ms", type=int, help="Deadline of each request.")
+@click.option(
+    "--patience-ms",
+    type=int,
+    help="Time after which the caller closes its connection.",
+)
 @click.option("--folder", help="Directory for logs; kept after the run.")
-def main(mesh_name, method, meanwhile, seconds, interval, seed, folder):
+def main(
+    mesh_name,
+    method,
+    meanwhile,
+    seconds,
+    interval,
+    seed,
+    crash_after_ms,
+    timeout_ms,
+    patience_ms,
+    folder,
+):
     """Print how often one request crashed a target."""
     deployment = DEPLOYMENTS_BY_NAME[mesh_name]
     folder = pathlib.Path(folder or tempfile.mkdtemp())
@@ -143,7 +164,13 @@
             what="served requests",
         )
         with CrashingCaller(
-            mesh=mesh, path=path, method=method, interval_seconds=interval
+            mesh=mesh,
+            path=path,
+            method=method,
+            parameters=f"&crash_after_ms={crash_after_ms}",
+            timeout_ms=timeout_ms,
+            patience_seconds=(patience_ms or DEFAULT_PATIENCE_MS) / 1000,
+            interval_seconds=interval,
         ) as caller:
             EVENTS_BY_NAME[meanwhile](mesh, seconds, random.Random(seed))
         times = caller.crash_times()
--- a/examples/behaviour.py
+++ b/examples/behaviour.py
@@ -13,8 +13,9 @@
     `fail_status` above 0 replaces the status 200 of the answers. `cut_body`
     sends only half of each body, with the full length in the headers. With
     `honour_cancellation` a run ends when its client disconnects. A request
-    whose body contains `crash_marker` kills the process once the run is in
-    the ledger. `reported_health` (an HTTP status) and
+    whose body contains `crash_marker` kills the process `crash_after_ms` after
+    the run is in the ledger, whether or not its client is still connected.
+    `reported_health` (an HTTP status) and
     `reported_in_flight` replace the true values unless they have their
     defaults. With `shed_over` above 0, a request is refused when at least
     that many others are in flight. `call_on` is a path that each run
@@ -26,6 +27,7 @@
     latency_ms: int = 0
     fail_status: int = 0
     crash_marker: str = ""
+    crash_after_ms: int = 0
     reported_health: int = 0
     reported_in_flight: int = -1
     padding_bytes: int = 0
--- a/examples/stand_in_target.py
+++ b/examples/stand_in_target.py
@@ -111,6 +111,7 @@
         self._ledger.write("started", request)
         marker = behaviour.crash_marker.encode()
         if marker and marker in body:
+            eventlet.sleep(behaviour.crash_after_ms / MILLISECONDS_PER_SECOND)
             os._exit(CRASH_EXIT_CODE)
         if not _simulate_work(environ, behaviour):
             self._ledger.write("cancelled", request)
--- a/tests/integration/crashing_callers.py
+++ b/tests/integration/crashing_callers.py
@@ -6,6 +6,7 @@
 import eventlet
 import urllib3
 
+from tests.support.callers import CALL_TIMEOUT_SECONDS
 from tests.support.ledger import read_ledgers
 
 CRASH_MARKER = "poison"
@@ -19,13 +20,19 @@
     """Send one request to the proxies in turn, under new request ids.
 
     Use it as a context manager. Targets that have ended are started again
-    at once. `results` has a tuple of the outcome and the reason for each
-    request that a proxy answered.
+    at once. `parameters` is appended to the query and changes the targets'
+    Behaviour. Each request has a deadline of `timeout_ms`, if that is set;
+    its caller closes the connection after `patience_seconds`. `results` has
+    a tuple of the outcome and the reason for each request that a proxy
+    answered.
     """
 
     mesh: object
     path: str
     method: str = "GET"
+    parameters: str = ""
+    timeout_ms: int | None = None
+    patience_seconds: float = CALL_TIMEOUT_SECONDS
     proxies: list = None
     interval_seconds: float = SEND_INTERVAL_SECONDS
     results: list = attrs.field(factory=list)
@@ -74,10 +81,12 @@
         try:
             answer = self.mesh.call(
                 self.method,
-                f"{self.path}?crash_marker={CRASH_MARKER}",
+                f"{self.path}?crash_marker={CRASH_MARKER}{self.parameters}",
                 proxy=proxy,
                 body=CRASH_MARKER.encode(),
                 request_id=f"{REQUEST_ID_PREFIX}{number}",
+                timeout_ms=self.timeout_ms,
+                timeout_seconds=self.patience_seconds,
             )
         except urllib3.exceptions.HTTPError:
             return
--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -52,6 +52,26 @@
     return answer.outcome == "answered"
 
 
+@pytest.mark.parametrize(
+    "caller_options",
+    [
+        pytest.param({"timeout_ms": 50}, id="deadline-passes"),
+        pytest.param({"patience_seconds": 0.05}, id="caller-leaves"),
+    ],
+)
+def test_calls_that_end_before_their_target_crashes_are_counted(
+    mesh, caller_options
+):
+    with CrashingCaller(
+        mesh=mesh,
+        path="/pay/1",
+        parameters="&crash_after_ms=70",
+        **caller_options,
+    ) as caller:
+        eventlet.sleep(8)
+    _assert_few_crashes(caller)
+
+
 def _start_again(mesh, names):
     for name in names:
         mesh.start_host(name)
