proxy: count a crash against calls that ended before it

Cause: a crash was looked for only when the target broke off a call. A call that ended for another reason was forgotten although the target, which does not notice at once, may go on working on it.

Ruled out: a fingerprint that differs between repeats (one fingerprint in the logs), and lost notices (no target-died was logged at all).

Change: each target's detector remembers the calls that ended unanswered, by whatever reason, until 10 s after their deadlines, and watches an idle connection as long as there are any. A crash, or a restart that is announced, counts against them, too. A target that announces its exit is not watched. target-died says whether the call was in flight.

--- a/tests/unit/test_target_crashes.py
+++ b/tests/unit/test_target_crashes.py
@@ -14,6 +14,11 @@
 from verbenanotch.proxy import CrashGuard, LocalTargets
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._crash_detection import CRASH_RECHECK_SECONDS
+from verbenanotch.proxy._outcome import Unknown
+from verbenanotch.proxy._unfinished_calls import (
+    MAX_OVERRUN_SECONDS,
+    UnfinishedCalls,
+)
 
 WAIT_SECONDS = 5
 
@@ -40,6 +45,10 @@
         self.crashed.append(call)
         return ()
 
+    def record_unfinished(self, calls, crash_id):
+        """Record a crash of a target that may have run the calls."""
+        self.crashed.extend(calls)
+
 
 def make_targets(guard, listener):
     """Return LocalTargets with target i-1, which uses a listening socket."""
@@ -182,3 +191,130 @@
         )
         assert [call.target_id for call in crashed] == ["i-1"]
         assert crashed[0].body == b""
+
+
+@attrs.define(kw_only=True)
+class SilentTarget:
+    """A target that reads requests, answers none and can end."""
+
+    listener: object
+    connections: list = attrs.field(factory=list)
+    _server: object = None
+
+    def start(self):
+        """Accept connections until the target ends."""
+        self._server = eventlet.spawn(self._serve)
+
+    def _serve(self):
+        while True:
+            self.connections.append(self.listener.accept()[0])
+
+    def end(self):
+        """Close all sockets, as the operating system does at an exit."""
+        self._server.kill()
+        self.listener.close()
+        self.close_connections()
+
+    def close_connections(self):
+        """Close all connections, but still accept new ones."""
+        while self.connections:
+            self.connections.pop().close()
+
+
+@attrs.define(kw_only=True)
+class Unfinished:
+    """A target with a call that ended unanswered, and the crashed calls."""
+
+    target: SilentTarget
+    targets: LocalTargets
+    crashed: list
+
+    def wait_for_crash(self):
+        """Wait until a crash has been counted."""
+        with eventlet.Timeout(WAIT_SECONDS):
+            while not self.crashed:
+                eventlet.sleep(CRASH_RECHECK_SECONDS)
+
+
+def _run_until_deadline(targets, call):
+    return targets.run(
+        call,
+        deadline=time.monotonic() + 0.05,
+        cancellation=Cancellation(),
+    )
+
+
+def _run_until_cancelled(targets, call):
+    cancellation = Cancellation()
+    eventlet.spawn_after(0.05, cancellation.cancel)
+    return targets.run(
+        call,
+        deadline=time.monotonic() + WAIT_SECONDS,
+        cancellation=cancellation,
+    )
+
+
+@pytest.fixture(params=[_run_until_deadline, _run_until_cancelled])
+def unfinished(request):
+    """Return an Unfinished, whose call has ended before its target."""
+    guard = FakeGuard()
+    target = SilentTarget(listener=eventlet.listen(("127.0.0.1", 0)))
+    target.start()
+    targets = make_targets(guard, target.listener)
+    outcome = request.param(
+        targets, make_call(target_id="i-1", service="pay", body=b"large")
+    )
+    assert isinstance(outcome, Unknown)
+    assert guard.crashed == []
+    yield Unfinished(target=target, targets=targets, crashed=guard.crashed)
+    target.end()
+
+
+def test_a_crash_counts_against_a_call_that_ended_before_it(unfinished):
+    unfinished.target.end()
+    unfinished.wait_for_crash()
+    assert [call.target_id for call in unfinished.crashed] == ["i-1"]
+    assert unfinished.crashed[0].body == b""
+    assert unfinished.targets.targets_by_id == {}
+
+
+def test_a_crash_counts_although_the_target_first_closes_connections(
+    unfinished,
+):
+    unfinished.target.close_connections()
+    eventlet.sleep(4 * CRASH_RECHECK_SECONDS)
+    assert unfinished.crashed == []
+    unfinished.target.end()
+    unfinished.wait_for_crash()
+
+
+def test_a_restart_counts_against_a_call_that_ended_before_it(unfinished):
+    record = unfinished.targets.targets_by_id["i-1"].record
+    assert unfinished.targets.announce(
+        attrs.evolve(record, incarnation=record.incarnation + 1)
+    )
+    assert len(unfinished.crashed) == 1
+
+
+def test_a_target_that_announced_its_exit_has_not_crashed(unfinished):
+    assert unfinished.targets.remove("i-1")
+    unfinished.target.end()
+    eventlet.sleep(4 * CRASH_RECHECK_SECONDS)
+    assert unfinished.crashed == []
+
+
+def test_unfinished_calls_expire_after_their_deadline():
+    calls = UnfinishedCalls()
+    calls.add(make_call(fingerprint=b"f"), deadline=5.0, now=1.0)
+    assert calls.has_any(5.0 + MAX_OVERRUN_SECONDS - 0.1)
+    assert not calls.has_any(5.0 + MAX_OVERRUN_SECONDS)
+    assert calls.take_all(5.0 + MAX_OVERRUN_SECONDS) == []
+
+
+def test_the_oldest_unfinished_calls_are_dropped_first():
+    calls = UnfinishedCalls(max_calls=2)
+    for fingerprint in (b"1", b"2", b"1", b"3"):
+        calls.add(make_call(fingerprint=fingerprint), deadline=5.0, now=1.0)
+    kept = [call.fingerprint for call in calls.take_all(1.0)]
+    assert kept == [b"1", b"3"]
+    assert not calls.has_any(1.0)
--- a/verbenanotch/proxy/_crashes.py
+++ b/verbenanotch/proxy/_crashes.py
@@ -128,23 +128,30 @@
         for it. Returns the records for the entry proxy, once those for other
         proxies are queued, but after at most `NOTICE_TIMEOUT_SECONDS`.
         """
-        metrics.increment("proxy.targets_died")
         now = time.monotonic()
-        record = self._table.add_crash(call.fingerprint, crash_id, now)
-        emit(
-            events.TARGET_CRASHED,
-            request=call.request_id,
-            target=call.target_id,
-            service=call.service,
-            fingerprint=call.fingerprint.hex(),
-            crash_count=self._table.crash_count(call.fingerprint),
-        )
+        record = self._count(call, crash_id, now, in_flight=True)
         if record is not None:
             self._log_blocks((record,))
             self.exchange.publish((record,))
             self._notify((record,), to_relays=True)
         return self._table.records_of(call.fingerprint, now)
 
+    def record_unfinished(self, calls, crash_id):
+        """Record the crash of a local target that may have run the Calls.
+
+        They ended before the crash, without an answer. Returns before other
+        hosts are told.
+        """
+        now = time.monotonic()
+        counted = [
+            self._count(call, crash_id, now, in_flight=False) for call in calls
+        ]
+        records = tuple(record for record in counted if record is not None)
+        if records:
+            self._log_blocks(records)
+            self.exchange.publish(records)
+            eventlet.spawn_n(self._notify, records, to_relays=True)
+
     def merge_records(self, records):
         """Merge the records that came with the outcome of a call."""
         self.exchange.merge(records)
@@ -159,6 +166,21 @@
             # The greenthread that receives must not wait.
             eventlet.spawn_n(self._notify, new, to_relays=False)
 
+    def _count(self, call, crash_id, now, *, in_flight):
+        """Count a crash against a Call; return the record if it is new."""
+        metrics.increment("proxy.targets_died")
+        record = self._table.add_crash(call.fingerprint, crash_id, now)
+        emit(
+            events.TARGET_CRASHED,
+            request=call.request_id,
+            target=call.target_id,
+            service=call.service,
+            fingerprint=call.fingerprint.hex(),
+            crash_count=self._table.crash_count(call.fingerprint),
+            in_flight=in_flight,
+        )
+        return record
+
     def _check(self, request):
         return self._table.check(request.fingerprint, time.monotonic())
 
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -216,7 +216,7 @@
     def _add_target(self, record, expires_at):
         """Add a target and remove any other target at its address."""
         for other in self._other_targets_at(record):
-            self.remove(other.record.target_id)
+            self._remove(other.record.target_id)
             other.record_restart()
         current = self.targets_by_id.get(record.target_id)
         if current is not None:
@@ -250,7 +250,6 @@
             on_crash=lambda: self._remove_crashed(
                 record.target_id, connections
             ),
-            max_calls=record.slots,
         )
 
     def drain(self, target_id):
@@ -265,8 +264,8 @@
         return True
 
     def remove(self, target_id):
-        """Remove a target; return False if it is unknown."""
-        target = self.targets_by_id.pop(target_id, None)
+        """Remove a target that exits; return False if it is unknown."""
+        target = self._remove(target_id)
         if target is None:
             self._early_removals_by_id[target_id] = (
                 time.monotonic(),
@@ -274,12 +273,21 @@
             )
             _drop_oldest(self._early_removals_by_id)
             return False
+        if target.crash_detector is not None:
+            target.crash_detector.expect_exit()
+        return True
+
+    def _remove(self, target_id):
+        """Remove and return a target; return None if it is unknown."""
+        target = self.targets_by_id.pop(target_id, None)
+        if target is None:
+            return None
         target.connections.close()
         self._removed_orders_by_id[target_id] = target.order
         _drop_oldest(self._removed_orders_by_id)
         emit(events.TARGET_LEFT, target=target_id)
         self._announcement_changed()
-        return True
+        return target
 
     def expire(self):
         """Remove the targets whose announcement was not renewed in time."""
@@ -319,23 +327,24 @@
             outcome = self._run_in_slot(target, call, deadline, cancellation)
         finally:
             target.slots.release(time.monotonic() - started, call.route_name)
-        return _with_load(self._settle(target, call, outcome), target)
+        outcome = self._settle(target, call, outcome, deadline)
+        return _with_load(outcome, target)
 
     def _blocked(self, call):
         """Return NotRun if the call's request crashes targets, else None."""
         return None if self._guard is None else self._guard.refusal(call)
 
-    def _settle(self, target, call, outcome):
+    def _settle(self, target, call, outcome, deadline):
         """Report an answer or a crash; return the outcome with its crashes."""
         if target.crash_detector is None:
             return outcome
-        return target.crash_detector.settle(call, outcome)
+        return target.crash_detector.settle(call, outcome, deadline=deadline)
 
     def _remove_crashed(self, target_id, connections):
         """Remove a target unless another one has its id by now."""
         target = self.targets_by_id.get(target_id)
         if target is not None and target.connections is connections:
-            self.remove(target_id)
+            self._remove(target_id)
 
     def _run_in_slot(self, target, call, deadline, cancellation):
         # The target may have been drained while the call waited for its slot.
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -125,6 +125,22 @@
             return False
         return self.sock.peek() == b""
 
+    def wait_for_input(self, *, timeout_seconds):
+        """Return whether the target closes or uses an idle connection.
+
+        Waits for at most `timeout_seconds`.
+        """
+        self.sock.settimeout(timeout_seconds)
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        finally:
+            self.sock.settimeout(None)
+        return True
+
     def abort(self):
         """Shut the socket down, so that a greenthread waiting on it fails."""
         if self._connected_socket is not None:
