proxy: answer a notice of a crash with the crashes that its sender lacks

Cause: a notice reaches the hosts that its sender knows.

Change: whoever gets a notice and knows more of the same requests replies on the same connection; the sender merges that and tells its zone. A reply goes only to a proxy that lacks something.

--- a/tests/unit/test_crash_guard.py
+++ b/tests/unit/test_crash_guard.py
@@ -101,7 +101,9 @@
     )
     connection = types.SimpleNamespace(peer_name=host)
     for _ in range(2):
-        other.receive_records(records, connection=connection)
+        other.receive_records(
+            records, connection=connection, reply=lambda message: None
+        )
 
 
 def test_a_relay_tells_its_zone_once(proxy):
@@ -119,6 +121,39 @@
     assert proxy.hosts_told() == []
 
 
+def make_guard():
+    return CrashGuard(
+        settings=SETTINGS,
+        snapshot_store=types.SimpleNamespace(
+            snapshot=types.SimpleNamespace(hosts_by_name={})
+        ),
+        post=lambda record, message: None,
+    )
+
+
+def test_a_proxy_that_knows_less_than_the_one_it_tells_is_told(proxy):
+    """Guard against zones that each count for themselves.
+
+    A notice reaches only hosts that its sender knows. Here the first crashes
+    were not told to the proxy that sees the third one.
+    """
+    proxy.crash(b"1")
+    proxy.crash(b"2")
+    uninformed = make_guard()
+    records = uninformed.record_crash(proxy.call(), b"3")
+    replies = []
+    connection = types.SimpleNamespace(peer_name="unknown-host")
+    for _ in range(2):
+        proxy.guard.receive_records(
+            records, connection=connection, reply=replies.append
+        )
+        uninformed.receive_reply(replies[-1].records)
+        records = replies[-1].records
+    assert len(replies) == 1
+    refusal = uninformed.refusal(proxy.call())
+    assert refusal.retry_after_ms > 60_000
+
+
 def test_crashes_of_calls_that_end_together_are_sent_in_one_message(proxy):
     calls = [proxy.call(fingerprint=b"%016d" % n) for n in range(5)]
     pool = eventlet.GreenPool()
--- a/tests/unit/test_crash_schedules.py
+++ b/tests/unit/test_crash_schedules.py
@@ -145,8 +145,14 @@
             self.guards_by_proxy[record.host].receive_records(
                 message.records,
                 connection=types.SimpleNamespace(peer_name=sender),
+                reply=lambda reply: self.reply(record.host, sender, reply),
             )
 
+    def reply(self, sender, receiver, message):
+        """Deliver a reply between proxies, or drop it."""
+        if self.are_connected(sender, receiver):
+            self.guards_by_proxy[receiver].receive_reply(message.records)
+
     def fault(self):
         """Inject one fault, or end the cut."""
         match self.random.randrange(6):
--- a/verbenanotch/crashes/_table.py
+++ b/verbenanotch/crashes/_table.py
@@ -110,6 +110,15 @@
             for fingerprint, entry in self._entries_by_fingerprint.items()
         )
 
+    def records_beyond(self, records, now):
+        """Return the records that have more than the given ones."""
+        return tuple(
+            _make_record(record.fingerprint, entry, now)
+            for record in records
+            if (entry := self._entries_by_fingerprint.get(record.fingerprint))
+            and _has_more(entry, record)
+        )
+
     def records_of(self, fingerprint, now):
         """Return the record of a fingerprint, as a tuple; empty if none."""
         entry = self._entries_by_fingerprint.get(fingerprint)
@@ -185,6 +194,13 @@
     return xxhash.xxh3_64_intdigest(b"".join(parts + sorted(entry.crash_ids)))
 
 
+def _has_more(entry, record):
+    """Return whether a merge of the entry would change the record."""
+    if entry.clearances != record.clearances:
+        return entry.clearances > record.clearances
+    return not entry.crash_ids <= frozenset(record.crash_ids)
+
+
 def _make_record(fingerprint, entry, now):
     age_seconds = now - entry.changed_at
     return CrashRecord(
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -235,6 +235,7 @@
         )
         self._dispatcher = dispatcher
         self._peers.on_report = dispatcher.record_report
+        self._peers.on_crash_records = self._crash_guard.receive_reply
         return EntryInterface(
             settings=settings,
             snapshot_store=self._snapshot_store,
--- a/verbenanotch/proxy/_crashes.py
+++ b/verbenanotch/proxy/_crashes.py
@@ -156,8 +156,12 @@
         """Merge the records that came with the outcome of a call."""
         self.exchange.merge(records)
 
-    def receive_records(self, records, *, connection):
-        """Merge records of another proxy; pass those of other zones on."""
+    def receive_records(self, records, *, connection, reply):
+        """Merge records of another proxy; pass those of other zones on.
+
+        `reply(message)` sends what this host knows beyond the records: the
+        other host may be in a zone that this one's notices did not reach.
+        """
         new = self.exchange.merge(records, source=connection)
         hosts_by_name = self._snapshot_store.snapshot.hosts_by_name
         sender = hosts_by_name.get(connection.peer_name)
@@ -165,6 +169,16 @@
             self.exchange.publish(new)
             # The greenthread that receives must not wait.
             eventlet.spawn_n(self._notify, new, to_relays=False)
+        beyond = self._table.records_beyond(records, time.monotonic())
+        if beyond:
+            reply(CrashRecords(records=beyond))
+
+    def receive_reply(self, records):
+        """Merge what another proxy knows beyond this one; tell the zone."""
+        new = self.exchange.merge(records)
+        if new:
+            self.exchange.publish(new)
+            eventlet.spawn_n(self._notify, new, to_relays=False)
 
     def _count(self, call, crash_id, now, *, in_flight):
         """Count a crash against a Call; return the record if it is new."""
--- a/verbenanotch/proxy/_peer.py
+++ b/verbenanotch/proxy/_peer.py
@@ -8,6 +8,7 @@
 import msgpack
 from eventlet import event
 
+from verbenanotch.crashes import CrashRecords
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
 from verbenanotch.proxy._body_frames import (
@@ -80,11 +81,15 @@
     for that of another call.
     """
 
-    def __init__(self, *, connection, max_body_bytes, on_report):
+    def __init__(
+        self, *, connection, max_body_bytes, on_report, on_crash_records
+    ):
         """Start receiving on a dialed connection.
 
-        `on_report` is called with each TargetReport.
+        `on_report` is called with each TargetReport, `on_crash_records` with
+        the CrashRecords that the peer knows beyond those sent to it.
         """
+        self._on_crash_records = on_crash_records
         self._on_report = on_report
         self._connection = connection
         self._max_body_bytes = max_body_bytes
@@ -267,6 +272,8 @@
                 self.leaving = True
             case TargetReport():
                 self._on_report(message)
+            case CrashRecords(records=records):
+                self._on_crash_records(records)
             case _:
                 self._receive_on_stream(message)
 
--- a/verbenanotch/proxy/_peer_pool.py
+++ b/verbenanotch/proxy/_peer_pool.py
@@ -22,12 +22,13 @@
     def __init__(self, *, settings, dial=dial):
         """Start without connections.
 
-        The attribute `on_report` is called with each TargetReport that a peer
-        sends. It may be replaced.
+        The attributes `on_report` and `on_crash_records` are called with what
+        peers send, see Peer. They may be replaced.
         """
         self._settings = settings
         self._dial = dial
         self.on_report = lambda report: None
+        self.on_crash_records = lambda records: None
         self._peers_by_address = {}
         self._dialing_by_address = {}
         self._redial_at_by_address = {}
@@ -124,6 +125,7 @@
             connection=connection,
             max_body_bytes=self._settings.proxy.max_body_bytes,
             on_report=lambda report: self.on_report(report),
+            on_crash_records=lambda records: self.on_crash_records(records),
         )
 
     def _check_forever(self):
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -152,7 +152,9 @@
                 self._reply_to_record_request(message)
             case CrashRecords(records=records):
                 self._server.guard.receive_records(
-                    records, connection=self._connection
+                    records,
+                    connection=self._connection,
+                    reply=self.send_queue.post,
                 )
             case Ping(number=number):
                 self.send_queue.post(Pong(number=number))
