--- a/examples/behaviour.py
+++ b/examples/behaviour.py
@@ -21,7 +21,9 @@
     that many others are in flight. `call_on` is a path that each run
     requests through the mesh before it answers. `announced_slots` above 0
     replaces the true number of slots in the announcement; it is read only at
-    the start.
+    the start. `named_limit` is the rate that all answers name as the target's
+    limit, in requests per second; a comma makes two headers of it. With
+    `says_leaving`, all answers say that the target is about to exit.
     """
 
     latency_ms: int = 0
@@ -36,6 +38,8 @@
     shed_over: int = 0
     call_on: str = ""
     announced_slots: int = 0
+    named_limit: str = ""
+    says_leaving: bool = False
 
     def with_changes(self, values):
         """Return a copy with the given values by field name.
--- a/examples/stand_in_target.py
+++ b/examples/stand_in_target.py
@@ -37,6 +37,8 @@
 MAX_DRAIN_SECONDS = 10.0
 MILLISECONDS_PER_SECOND = 1000
 CRASH_EXIT_CODE = 70
+LIMIT_HEADER = "X-Verbenanotch-Target-Limit"
+LEAVING_HEADER = "X-Verbenanotch-Target-Leaving"
 MESH_HEADER_PREFIX = "HTTP_X_VERBENANOTCH_"
 DEFAULT_CALL_TIMEOUT_MS = 2000
 
@@ -71,6 +73,24 @@
 
     def application(self, environ, start_response):
         """Answer one request; a WSGI callable."""
+
+        def start_with_state(status, headers):
+            return start_response(status, headers + self._state_headers())
+
+        return self._answer(environ, start_with_state)
+
+    def _state_headers(self):
+        """Return the headers by which the target tells of its own state."""
+        headers = [
+            (LIMIT_HEADER, value)
+            for value in self.behaviour.named_limit.split(",")
+            if value
+        ]
+        if self.behaviour.says_leaving:
+            headers.append((LEAVING_HEADER, "1"))
+        return headers
+
+    def _answer(self, environ, start_response):
         match environ["PATH_INFO"]:
             case "/health":
                 status = self.behaviour.reported_health or 200
