proxy: keep to the limit that a target names, and drain one that leaves

Callers' requests overran targets in need: a target that named a limit of 38.9 requests a second in its answers got 390 in 4 s where 238 are allowed. A target that said that it leaves got requests until it announced its drain.

Cause: no proxy read what targets say of themselves in their answers.

Change: all requests of a target pass its own proxy, so the limit is kept there, by a token bucket of which half is for the most urgent requests. Its proxy divides the limit by the demand of the proxies that send and tells each its share with every reply; these send no more, so that few requests travel only to be refused. Each call carries the limit that its sender knows, for a target's proxy that has restarted. What fits at no target is refused at once as rate-limited, with a Retry-After from the share. A target that leaves is drained; proxies that passed such an answer on remember it, by incarnation. Bad values, doubled headers and answers to other requests change nothing and are logged.

Why it works: one place counts for all, and who has passed on such an answer brings the limit back to that place.

--- a/tests/integration/test_explain.py
+++ b/tests/integration/test_explain.py
@@ -121,3 +121,18 @@
         explanation, reply.value["version"], "accepted", "not in force", ENTRY
     )
     assert_found(explanation, ENTRY, "control-lost", CONTROL)
+
+
+def test_a_refused_request_names_the_limit_of_the_target(mesh):
+    target_id = mesh.target_id(mesh.old_target)
+    mesh.control_target(mesh.old_target, named_limit="0.25")
+    mesh.wait_until(
+        lambda: mesh.call("GET", "/pay/1", proxy=ENTRY).status == 503,
+        what="refused requests",
+    )
+    request_id, answer = send(mesh, "GET")
+    assert (answer.status, answer.outcome) == (503, "not-run")
+    explanation = explain(mesh, request_id)
+    assert_found(explanation, ENTRY, "NotRun", "rate-limited")
+    assert_found(explanation, target_id, "takes 0.25 requests a second")
+    assert_found(explanation, "it did not run")
--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -69,7 +69,7 @@
             status=200, headers=(("X-Body", "1"),), body=call.body
         )
 
-    def run(self, call, *, deadline, cancellation):
+    def run(self, call, *, sender, deadline, cancellation):
         """Record the call and return the outcome of `behave`."""
         self.calls.append((call, cancellation))
         return self.behave(call)
--- a/tests/unit/test_target_crashes.py
+++ b/tests/unit/test_target_crashes.py
@@ -67,6 +67,7 @@
     """Run a call and return its outcome."""
     return targets.run(
         call,
+        sender="z1-proxy-1",
         deadline=time.monotonic() + WAIT_SECONDS,
         cancellation=Cancellation(),
     )
@@ -239,6 +240,7 @@
 def _run_until_deadline(targets, call):
     return targets.run(
         call,
+        sender="z1-proxy-1",
         deadline=time.monotonic() + 0.05,
         cancellation=Cancellation(),
     )
@@ -249,6 +251,7 @@
     eventlet.spawn_after(0.05, cancellation.cancel)
     return targets.run(
         call,
+        sender="z1-proxy-1",
         deadline=time.monotonic() + WAIT_SECONDS,
         cancellation=cancellation,
     )
--- /dev/null
+++ b/tests/unit/test_target_notices.py
@@ -0,0 +1,72 @@
+"""What targets say of themselves in their answers, and what is ignored."""
+
+import email.message
+
+import pytest
+
+from verbenanotch.conf import HeaderNames
+from verbenanotch.proxy._target_notices import TargetNotices, read_notices
+
+NAMES = HeaderNames(target_limit="X-Limit", target_leaving="X-Leaving")
+
+
+def make_headers(*pairs):
+    headers = email.message.Message()
+    for name, value in pairs:
+        headers.add_header(name, value)
+    return headers
+
+
+@pytest.mark.parametrize(
+    ("text", "rate"), [("36.3", 36.3), ("5", 5.0), (" 0.5 ", 0.5)]
+)
+def test_a_limit_is_a_positive_decimal_number(text, rate):
+    notices = read_notices(make_headers(("x-limit", text)), NAMES)
+    assert notices == TargetNotices(limit=rate)
+
+
+@pytest.mark.parametrize(
+    "texts",
+    [
+        ("",),
+        ("0",),
+        ("0.0",),
+        ("-1",),
+        ("+1",),
+        ("1e3",),
+        ("nan",),
+        ("inf",),
+        ("1,5",),
+        ("1_0",),
+        ("٣",),
+        ("9" * 400,),
+        ("5", "5"),
+    ],
+)
+def test_a_limit_that_is_no_single_positive_number_is_ignored(texts):
+    headers = make_headers(*[("X-Limit", text) for text in texts])
+    notices = read_notices(headers, NAMES)
+    assert notices.limit is None
+    assert notices.has_invalid("X-Limit")
+
+
+@pytest.mark.parametrize(
+    ("texts", "is_leaving", "is_invalid"),
+    [
+        ((), False, False),
+        (("1",), True, False),
+        (("0",), False, True),
+        (("1", "1"), False, True),
+    ],
+)
+def test_a_target_leaves_if_it_says_so_once(texts, is_leaving, is_invalid):
+    headers = make_headers(*[("X-Leaving", text) for text in texts])
+    notices = read_notices(headers, NAMES)
+    assert notices.is_leaving == is_leaving
+    assert notices.has_invalid("X-Leaving") == is_invalid
+
+
+def test_headers_without_a_name_are_not_read():
+    headers = make_headers(("X-Limit", "5"), ("", "5"))
+    names = HeaderNames(target_limit="", target_leaving="")
+    assert read_notices(headers, names) == TargetNotices()
--- a/verbenanotch/cli/_explanation.py
+++ b/verbenanotch/cli/_explanation.py
@@ -30,11 +30,16 @@
 TARGET_CRASHED = "target-died"
 CRASHING_REQUEST_REFUSED = "crashing-request-refused"
 TARGET_EVENTS = TARGET_UNAVAILABLE_EVENTS | {TARGET_ANNOUNCED}
+LIMIT_CHANGED = "target-limit-changed"
+# Reasons for refusing a request because of the limits that targets name.
+LIMIT_REASONS = frozenset(("rate-limited", "target-limited"))
 # Reasons for refusing a request without trying a target.
 NO_TARGET_REASONS = frozenset(("no-target", "draining", "unhealthy"))
 # Maximum number of events about unavailable targets in an explanation;
 # enough for the targets of a small service.
 MAX_UNAVAILABLE_TARGETS = 10
+# Maximum number of targets with a named limit in an explanation.
+MAX_LIMITED_TARGETS = 10
 # Maximum number of earlier crashes by the same request in an explanation.
 MAX_CRASHES = 10
 
@@ -81,14 +86,16 @@
         earlier_entries + late_crashes, request_end, calls
     )
     crash_events = _crash_events(earlier_entries, request_entries)
+    limit_events = _limit_events(earlier_entries, request_end)
     findings = [
         *_outcome_findings(request_end, calls),
         *_target_findings(target_events, request_end),
+        *_limit_findings(limit_events, request_end),
         *_crash_findings(crash_events, request_end),
         *_version_findings(version_events, request_end),
     ]
     context_events = sorted(
-        [*version_events, *target_events, *crash_events],
+        [*version_events, *target_events, *limit_events, *crash_events],
         key=lambda e: (e.hlc, e.host),
     )
     return Explanation(
@@ -152,6 +159,20 @@
     ]
 
 
+def _limit_events(earlier_entries, request_end):
+    """Return the last limit of each target, if limits refused the request."""
+    if request_end.fields.get("reason") not in LIMIT_REASONS:
+        return []
+    last_by_target = {
+        entry.fields.get("target"): entry
+        for entry in earlier_entries
+        if entry.name == LIMIT_CHANGED
+    }
+    return sorted(last_by_target.values(), key=lambda entry: entry.hlc)[
+        -MAX_LIMITED_TARGETS:
+    ]
+
+
 def _crash_events(earlier_entries, request_entries):
     """Return the crashes for which the request was refused, if it was."""
     fingerprints = {
@@ -201,6 +222,16 @@
         )
 
 
+def _limit_findings(limit_events, request_end):
+    for entry in limit_events:
+        yield (
+            f"target {entry.fields.get('target')} takes "
+            f"{entry.fields.get('requests_per_second')} requests a second "
+            f"from all proxies (0.0: no limit), as it said "
+            f"{_distance_to_end(entry, request_end)}"
+        )
+
+
 def _crash_findings(crash_events, request_end):
     for entry in crash_events:
         yield (
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -147,7 +147,10 @@
     host whose proxy accepted the request from its caller. A target's
     response with the header `not_run` means that the request was not run. A
     target's response to a health check has its id in `target_id` and its
-    load, as `running,waiting,slots`, in `target_load`.
+    load, as `running,waiting,slots`, in `target_load`. Any of its responses
+    may name the requests per second that it takes from the whole mesh in
+    `target_limit`, and say with `1` in `target_leaving` that it is about to
+    exit.
     """
 
     request_id: str = "X-Request-Id"
@@ -160,6 +163,8 @@
     not_run: str = ""
     target_id: str = ""
     target_load: str = ""
+    target_limit: str = "X-Verbenanotch-Target-Limit"
+    target_leaving: str = "X-Verbenanotch-Target-Leaving"
 
 
 @attrs.frozen(kw_only=True)
--- a/verbenanotch/proxy/_candidates.py
+++ b/verbenanotch/proxy/_candidates.py
@@ -4,6 +4,8 @@
 
 from verbenanotch.routing import Candidates, TargetState
 
+# Bounds the memory of targets that have said that they leave.
+MAX_LEAVING_TARGETS = 1024
 NO_CANDIDATES = Candidates(targets=())
 
 
@@ -11,7 +13,8 @@
     """Keep the candidates of each service until the snapshot changes.
 
     Observations of a target are kept across snapshots, but are discarded
-    when the target's incarnation changes.
+    when the target's incarnation changes. A target that has said that it
+    leaves stays draining, whatever its proxy announces after a restart.
     """
 
     def __init__(self, *, snapshot_store, adaptive_limits=True):
@@ -26,6 +29,18 @@
         self._candidates_by_service = {}
         self._incarnations_by_target_id = {}
         self.states_by_target_id = {}
+        self._leaving_incarnations_by_target_id = {}
+
+    def record_leaving(self, record):
+        """Send no more requests to the target of a TargetRecord."""
+        leaving = self._leaving_incarnations_by_target_id
+        if record.incarnation > leaving.get(record.target_id, -1):
+            leaving[record.target_id] = record.incarnation
+            if len(leaving) > MAX_LEAVING_TARGETS:
+                del leaving[next(iter(leaving))]
+        state = self.states_by_target_id.get(record.target_id)
+        if state is not None:
+            state.draining = True
 
     def candidates(self, snapshot, service, *, now):
         """Return the Candidates of a service in a snapshot.
@@ -77,9 +92,15 @@
         if state is None or known_incarnation != record.incarnation:
             state = _new_state(snapshot, record, now, had_no_targets)
             state.limit.is_fixed = not self._adaptive_limits
-        state.draining = record.draining
+        state.draining = record.draining or self._has_said_leaving(record)
         return state
 
+    def _has_said_leaving(self, record):
+        said_by = self._leaving_incarnations_by_target_id.get(
+            record.target_id, -1
+        )
+        return record.incarnation <= said_by
+
 
 def _new_state(snapshot, record, now, had_no_targets):
     """Return a state without observations.
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -14,15 +14,18 @@
     Call,
     NotRun,
     Unknown,
+    to_mrps,
 )
 from verbenanotch.proxy._retries import combine_outcomes
 from verbenanotch.routing import (
     AttemptContext,
     Chosen,
+    DemandRate,
     NoRetry,
     NoTarget,
     OutcomeKind,
     OutlierDetector,
+    RateShares,
     Retry,
     RetryBudget,
     RouteDurations,
@@ -71,6 +74,8 @@
         self._route_durations = RouteDurations()
         self._route_sizes = RouteSizes()
         self._routes_version = None
+        self._rate_shares = RateShares()
+        self._demands_by_service = {}
         self._budgets_by_service = {}
         self._outliers_by_service = {}
 
@@ -85,8 +90,10 @@
             self._routes_version = snapshot.version
             self._route_durations.retain(snapshot.routes_by_name.keys())
             self._route_sizes.retain(snapshot.routes_by_name.keys())
+            self._rate_shares.retain(snapshot.services_by_name.keys())
         budget = self._budget(request.service)
         budget.record_first_attempt(time.monotonic())
+        self._demand(request.service).record(time.monotonic())
         context = AttemptContext(
             attempt=1,
             attempts_left=request.retries + 1,
@@ -102,9 +109,8 @@
             if isinstance(result, Answered) or cancellation.cancelled:
                 return outcome
             if (
-                _is_retryable_on_another_target(result)
-                and len(tried) <= MAX_FREE_RETRIES
-            ):
+                _is_retryable_on_another_target(result) or _is_limited(result)
+            ) and len(tried) <= MAX_FREE_RETRIES:
                 continue
             if _is_full(result) and len(tried) <= MAX_FREE_RETRIES_WHEN_FULL:
                 continue
@@ -148,9 +154,25 @@
                 return NotRun(reason=reason, retry_after_ms=retry_after_ms)
             case Chosen(target_id=target_id):
                 tried.add(target_id)
-        call = _make_call(request, target_id, context)
+        now = time.monotonic()
+        self._rate_shares.spend(target_id, request.priority, now)
+        call = _make_call(
+            request,
+            target_id,
+            context,
+            demand=self._demand(request.service).value(now),
+            known_limit=self._rate_shares.known_limit(
+                snapshot.targets_by_id[target_id]
+            ),
+        )
         return self._run_call(snapshot, request, call, cancellation)
 
+    def _demand(self, service):
+        demand = self._demands_by_service.get(service)
+        if demand is None:
+            demand = self._demands_by_service[service] = DemandRate()
+        return demand
+
     def _budget(self, service):
         budget = self._budgets_by_service.get(service)
         if budget is None:
@@ -183,18 +205,22 @@
         size = self._route_sizes.expected(
             request.route_name, len(request.body)
         )
-        return choose(
+        waits_by_target_id = self._rate_shares.exhausted(
+            request.service, request.priority, now
+        )
+        result = choose(
             candidates,
             now=now,
             random=self._random,
             availability_zone=self._settings.host.availability_zone,
-            exclude=tried,
+            exclude=tried | waits_by_target_id.keys(),
             host=self._settings.host.name,
             objective_seconds=objective_seconds,
             cross_zone_penalty_seconds=cross_zone_penalty_seconds(
                 size, objective_seconds
             ),
         )
+        return _explain_no_target(result, waits_by_target_id)
 
     def _run_call(self, snapshot, request, call, cancellation):
         state = self._candidate_cache.states_by_target_id[call.target_id]
@@ -209,6 +235,7 @@
             state.record_outcome(now, now - started, kind)
             if outcome.load is not None:
                 self._observe_load(state, request, outcome, now, now - started)
+                self._observe_notices(snapshot, call, outcome.load, now)
             self._detect_outlier(snapshot, state, kind, now)
             if _is_retryable_on_another_target(outcome):
                 state.ejected_until = max(
@@ -237,6 +264,13 @@
             )
         return outcome
 
+    def _observe_notices(self, snapshot, call, load, now):
+        """Record what the target has said of its limit and of leaving."""
+        record = snapshot.targets_by_id[call.target_id]
+        self._rate_shares.observe(record, load, now)
+        if load.is_leaving:
+            self._candidate_cache.record_leaving(record)
+
     def _observe_load(self, state, request, outcome, now, elapsed_seconds):
         state.observe_load(now, outcome.load)
         if isinstance(outcome, Answered):
@@ -289,7 +323,10 @@
         host_name = snapshot.host_names_by_target_id[call.target_id]
         if host_name == self._settings.host.name:
             return self._local_targets.run(
-                call, deadline=request.deadline, cancellation=cancellation
+                call,
+                sender=host_name,
+                deadline=request.deadline,
+                cancellation=cancellation,
             )
         return self._peers.forward(
             snapshot.hosts_by_name[host_name],
@@ -299,7 +336,19 @@
         )
 
 
-def _make_call(request, target_id, context):
+def _explain_no_target(result, waits_by_target_id):
+    """Return NoTarget with the wait for the limits that leave no target."""
+    match result:
+        case NoTarget(reason=reasons.EXCLUDED) if waits_by_target_id:
+            seconds = min(waits_by_target_id.values())
+            return NoTarget(
+                reason=reasons.RATE_LIMITED,
+                retry_after_ms=int(seconds * MILLISECONDS_PER_SECOND) + 1,
+            )
+    return result
+
+
+def _make_call(request, target_id, context, *, demand, known_limit):
     now = time.monotonic()
     remaining = request.deadline - now
     return Call(
@@ -321,6 +370,8 @@
         route_name=request.route_name,
         objective_ms=request.objective_ms(now),
         fingerprint=request.fingerprint,
+        demand_mrps=to_mrps(demand),
+        known_limit_mrps=to_mrps(known_limit),
     )
 
 
@@ -336,6 +387,15 @@
             return False
 
 
+def _is_limited(outcome):
+    """Return whether the target's own limit had no room for the request."""
+    match outcome:
+        case NotRun(reason=reasons.TARGET_LIMITED):
+            return True
+        case _:
+            return False
+
+
 def _is_full(outcome):
     """Return whether the target had no capacity for the request."""
     match outcome:
@@ -356,7 +416,8 @@
 
 def _outcome_kind(outcome, cancellation):
     """Return the OutcomeKind that is recorded for the target."""
-    if cancellation.cancelled:
+    # A limit that is used up tells nothing of the target's health or speed.
+    if cancellation.cancelled or _is_limited(outcome):
         return OutcomeKind.CANCELLED
     match outcome:
         case Answered(status=status):
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -42,6 +42,7 @@
     header_names=DEFAULT_HEADER_NAMES,
     echoes_id=False,
     may_omit_length=False,
+    on_headers=lambda headers: None,
 ):
     """Send a call to its target and return the outcome.
 
@@ -51,7 +52,8 @@
     HeaderNames. With `echoes_id`, targets echo the request id, and an answer
     with another id belongs to an earlier request and is dropped. With
     `may_omit_length`, an answer without a length is complete if its
-    connection was closed normally.
+    connection was closed normally. `on_headers` is called with the headers of
+    the call's own answer, also of one that is then not complete.
     """
     while True:
         remaining = deadline - time.monotonic()
@@ -77,6 +79,7 @@
                 header_names=header_names,
                 echoes_id=echoes_id,
                 may_omit_length=may_omit_length,
+                on_headers=on_headers,
             ),
             header_names=header_names,
         )
@@ -151,13 +154,17 @@
     header_names,
     echoes_id,
     may_omit_length,
+    on_headers,
 ):
     """Return the outcome and whether the connection is reusable."""
     for _ in range(MAX_ANSWERS_READ):
         answer = connection.read_answer(call.method)
-        body = _read_body(answer, max_body_bytes, may_omit_length)
         echoed_id = answer.headers.get(header_names.request_id)
-        if not echoes_id or echoed_id == call.request_id:
+        is_own = not echoes_id or echoed_id == call.request_id
+        if is_own:
+            on_headers(answer.headers)
+        body = _read_body(answer, max_body_bytes, may_omit_length)
+        if is_own:
             break
         metrics.increment("proxy.foreign_answer_dropped")
         if answer.will_close:
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -11,10 +11,15 @@
 from verbenanotch.proxy import events
 from verbenanotch.proxy._crash_detection import CrashDetector
 from verbenanotch.proxy._exchange import exchange
-from verbenanotch.proxy._outcome import NotRun
+from verbenanotch.proxy._outcome import MRPS_PER_RPS, NotRun
 from verbenanotch.proxy._slots import Slots
 from verbenanotch.proxy._target_connection import TargetConnections
 from verbenanotch.proxy._target_discovery import UNKNOWN_INCARNATION
+from verbenanotch.proxy._target_notices import (
+    log_invalid_headers,
+    read_notices,
+)
+from verbenanotch.routing import NamedLimit
 from verbenanotch.telemetry import emit, metrics
 
 MILLISECONDS_PER_SECOND = 1000
@@ -33,7 +38,8 @@
     """One announced target with its connections.
 
     `expires_at` is in monotonic seconds. `sequence` is that of the latest
-    announcement. `crash_detector` is None without a CrashGuard.
+    announcement. `crash_detector` is None without a CrashGuard. `limit` is
+    the request rate that the target names in its answers.
     """
 
     record: TargetRecord
@@ -42,12 +48,38 @@
     crash_detector: CrashDetector | None
     expires_at: float
     sequence: int = 0
+    limit: NamedLimit = attrs.field(factory=NamedLimit)
 
     @property
     def order(self):
         """Sort key that increases with each announcement of the target."""
         return (self.record.incarnation, self.sequence)
 
+    def load_for(self, call, sender):
+        """Return the TargetLoad for the proxy that has sent a Call."""
+        load = self.slots.load
+        if not self.limit.rate and not self.record.draining:
+            return load
+        share = self.limit.share(
+            sender, call.demand_mrps / MRPS_PER_RPS, time.monotonic()
+        )
+        return attrs.evolve(
+            load,
+            limit=self.limit.rate,
+            share=share,
+            is_leaving=self.record.draining,
+        )
+
+    def limit_refusal(self, call):
+        """Return NotRun if the target's limit has no room for a Call."""
+        wait_seconds = self.limit.wait_seconds(call.priority, time.monotonic())
+        if not wait_seconds:
+            return None
+        return NotRun(
+            reason=reasons.TARGET_LIMITED,
+            retry_after_ms=int(wait_seconds * MILLISECONDS_PER_SECOND) + 1,
+        )
+
     def record_restart(self):
         """Report a crash that was not noticed before the target's restart."""
         if self.crash_detector is not None:
@@ -304,13 +336,20 @@
         for target in list(self.targets_by_id.values()):
             target.connections.preconnect()
 
-    def run(self, call, *, deadline, cancellation):
+    def run(self, call, *, sender, deadline, cancellation):
         """Run a call at a local target and return its outcome.
 
+        `sender` is the name of the host whose proxy has sent the call.
         `deadline` is in monotonic seconds.
         """
         target = self.targets_by_id.get(call.target_id)
-        refusal = _refusal(target) or self._blocked(call)
+        if target is not None:
+            self._adopt_limit(target, call, sender)
+        refusal = (
+            _refusal(target)
+            or self._blocked(call)
+            or target.limit_refusal(call)
+        )
         if refusal is None:
             refusal = target.slots.acquire(
                 deadline=deadline,
@@ -321,14 +360,33 @@
             )
         if refusal is not None:
             metrics.increment(f"proxy.refused.{refusal.reason}")
-            return _with_load(refusal, target)
+            return _with_load(refusal, target, call, sender)
         started = time.monotonic()
         try:
             outcome = self._run_in_slot(target, call, deadline, cancellation)
         finally:
             target.slots.release(time.monotonic() - started, call.route_name)
         outcome = self._settle(target, call, outcome, deadline)
-        return _with_load(outcome, target)
+        return _with_load(outcome, target, call, sender)
+
+    def _adopt_limit(self, target, call, sender):
+        """Use the limit that a sender knows from before a restart here."""
+        known_rate = call.known_limit_mrps / MRPS_PER_RPS
+        if target.limit.adopt(known_rate, time.monotonic()):
+            _log_limit(target, source=sender)
+
+    def _observe_headers(self, target, call, headers):
+        """Record what a target says of itself in an answer to a Call."""
+        names = self._settings.proxy.headers
+        notices = read_notices(headers, names)
+        log_invalid_headers(notices, call.target_id, call.request_id)
+        if not notices.has_invalid(names.target_limit) and (
+            target.limit.observe(notices.limit, time.monotonic())
+        ):
+            _log_limit(target, source=names.target_limit)
+        current = self.targets_by_id.get(call.target_id)
+        if notices.is_leaving and current is target:
+            self.drain(call.target_id)
 
     def _blocked(self, call):
         """Return NotRun if the call's request crashes targets, else None."""
@@ -348,9 +406,10 @@
 
     def _run_in_slot(self, target, call, deadline, cancellation):
         # The target may have been drained while the call waited for its slot.
-        refusal = _refusal(target)
+        refusal = _refusal(target) or target.limit_refusal(call)
         if refusal is not None:
             return refusal
+        target.limit.spend(call.priority, time.monotonic())
         if self._guard is None:
             return self._exchange(target, call, deadline, cancellation)
         with self._guard.running(call) as refusal:
@@ -376,6 +435,9 @@
             header_names=self._settings.proxy.headers,
             echoes_id=self._settings.proxy.targets_echo_request_id,
             may_omit_length=self._settings.proxy.targets_may_omit_length,
+            on_headers=lambda headers: self._observe_headers(
+                target, call, headers
+            ),
         )
         elapsed_ms = (time.monotonic() - started) * MILLISECONDS_PER_SECOND
         metrics.timing("proxy.target_ms", elapsed_ms)
@@ -416,11 +478,22 @@
     )
 
 
-def _with_load(outcome, target):
+def _log_limit(target, *, source):
+    metrics.increment("proxy.target_limits_changed")
+    emit(
+        events.TARGET_LIMIT_CHANGED,
+        target=target.record.target_id,
+        service=target.record.service,
+        requests_per_second=target.limit.rate,
+        source=source,
+    )
+
+
+def _with_load(outcome, target, call, sender):
     """Return the outcome with the current load of its target."""
     if target is None:
         return outcome
-    return dataclasses.replace(outcome, load=target.slots.load)
+    return dataclasses.replace(outcome, load=target.load_for(call, sender))
 
 
 def _refusal(target):
--- a/verbenanotch/proxy/_messages.py
+++ b/verbenanotch/proxy/_messages.py
@@ -8,7 +8,14 @@
 import attrs
 
 from verbenanotch.crashes import CrashRecord
-from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
+from verbenanotch.proxy._outcome import (
+    MRPS_PER_RPS,
+    Answered,
+    Call,
+    NotRun,
+    Unknown,
+    to_mrps,
+)
 from verbenanotch.routing import TargetLoad
 from verbenanotch.wire import message
 
@@ -32,11 +39,15 @@
 class ReportedLoad:
     """A TargetLoad in wire format; `busy` is negative if the load is unknown.
 
-    `service_us` is in microseconds.
+    `service_us` is in microseconds, `limit_mrps` and `share_mrps` are in
+    thousandths of a request per second.
     """
 
     busy: int
     service_us: int
+    limit_mrps: int = 0
+    share_mrps: int = 0
+    is_leaving: bool = False
 
 
 UNKNOWN_LOAD = ReportedLoad(busy=-1, service_us=0)
@@ -224,6 +235,9 @@
     return ReportedLoad(
         busy=load.busy,
         service_us=int(load.service_seconds * MICROSECONDS_PER_SECOND),
+        limit_mrps=to_mrps(load.limit),
+        share_mrps=to_mrps(load.share),
+        is_leaving=load.is_leaving,
     )
 
 
@@ -233,4 +247,7 @@
     return TargetLoad(
         busy=reported.busy,
         service_seconds=reported.service_us / MICROSECONDS_PER_SECOND,
+        limit=reported.limit_mrps / MRPS_PER_RPS,
+        share=reported.share_mrps / MRPS_PER_RPS,
+        is_leaving=reported.is_leaving,
     )
--- a/verbenanotch/proxy/_outcome.py
+++ b/verbenanotch/proxy/_outcome.py
@@ -11,6 +11,13 @@
 DEFAULT_RETRY_AFTER_MS = 1000
 MILLISECONDS_PER_SECOND = 1000
 FIRST_SERVER_ERROR_STATUS = 500
+# Rates travel as whole thousandths of a request per second.
+MRPS_PER_RPS = 1000
+
+
+def to_mrps(rate):
+    """Return a rate as sent; one above 0 stays above 0."""
+    return max(1, round(rate * MRPS_PER_RPS)) if rate > 0 else 0
 
 
 @attrs.frozen(kw_only=True)
@@ -26,6 +33,9 @@
     that remains of the response time that the route aims at, or 0 if the route
     sets none; it is negative once the objective is missed. `fingerprint` is
     that of the request, for the list of requests that crash targets.
+    `demand_mrps` is the rate at which the sending proxy's callers ask for the
+    service, and `known_limit_mrps` the rate that the target has named, as far
+    as that proxy knows, or 0; both are in thousandths of a request per second.
     """
 
     request_id: str
@@ -46,6 +56,8 @@
     route_name: str = ""
     objective_ms: int = 0
     fingerprint: bytes = b""
+    demand_mrps: int = 0
+    known_limit_mrps: int = 0
 
     @property
     def objective_seconds(self):
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -230,6 +230,7 @@
         try:
             outcome = self._server.local_targets.run(
                 stream.call,
+                sender=self._connection.peer_name,
                 deadline=stream.deadline,
                 cancellation=stream.cancellation,
             )
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -11,6 +11,7 @@
 TARGET_DRAINING = "target-draining"
 TARGET_FULL = "target-full"
 TARGET_REFUSED = "target-refused"
+TARGET_LIMITED = "target-limited"
 TARGET_UNREACHABLE = "target-unreachable"
 TARGET_BROKE_OFF = "target-broke-off"
 
@@ -40,6 +41,9 @@
     PEER_LEAVING,
 }
 
+# All targets that could run the request have used up the limits they named.
+RATE_LIMITED = "rate-limited"
+
 # The request has already been tried at every available target.
 EXCLUDED = "excluded"
 
@@ -53,5 +57,6 @@
         "unhealthy",
         "overloaded",
         CRASHES_TARGETS,
+        RATE_LIMITED,
     )
 )
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -141,3 +141,20 @@
     "a holder did not start a keyed request, because the holders are not "
     "agreed on or this host may have lost its lease",
 )
+TARGET_LIMIT_CHANGED = event(
+    5028,
+    "target-limit-changed",
+    Level.WARNING,
+    "a target names another limit of its request rate, or none; `source` is "
+    "the header, or the proxy that knew the limit",
+    "Check why the target is in need; its share goes to other targets.",
+)
+TARGET_HEADER_INVALID = event(
+    5029,
+    "target-header-invalid",
+    Level.WARNING,
+    "a header in which a target tells of its own state can't be read; it is "
+    "ignored",
+    "Send one positive decimal number as limit, and 1 to say that the target "
+    "leaves, each in one header.",
+)
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -19,6 +19,11 @@
     Queued,
     QueueRefused,
 )
+from verbenanotch.routing._rate_limit import (
+    DemandRate,
+    NamedLimit,
+    RateShares,
+)
 from verbenanotch.routing._retries import (
     AttemptContext,
     NoRetry,
@@ -34,15 +39,18 @@
     "AttemptContext",
     "Candidates",
     "Chosen",
+    "DemandRate",
     "DeadlineQueue",
     "Dequeued",
     "Ejected",
+    "NamedLimit",
     "NoRetry",
     "NoTarget",
     "OutcomeKind",
     "OutlierDetector",
     "QueueRefused",
     "Queued",
+    "RateShares",
     "Retry",
     "RetryBudget",
     "RouteDurations",
--- a/verbenanotch/routing/_target.py
+++ b/verbenanotch/routing/_target.py
@@ -59,10 +59,17 @@
 
     `busy` is the number of requests of all callers that run or wait there.
     `service_seconds` is the mean time for which a request occupies a slot.
+    `limit` is the requests per second that the target takes from the whole
+    mesh, and `share` the part of it that the receiving proxy may send; both
+    are 0 if it names no limit. `is_leaving` tells that the target has said
+    that it is about to exit.
     """
 
     busy: int
     service_seconds: float
+    limit: float = 0.0
+    share: float = 0.0
+    is_leaving: bool = False
 
 
 @attrs.define(kw_only=True)
