loop: end a read at once when its connection is aborted

A caller that left a target which answers without end kept the target at work until the deadline: the connection was shut down, but a shutdown ends no read while the peer goes on sending.

Cause: abort relied on the end of the stream. Ruled out: a cancellation that does not arrive (the proxy logs caller-gone at once).

Change: an aborted socket fails each read that follows.

--- a/examples/launcher.py
+++ b/examples/launcher.py
@@ -62,6 +62,11 @@
         """Whether the process runs; also true while SIGSTOP suspends it."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self):
+        """The id of the process that was started last."""
+        return self._process.pid
+
     @property
     def exit_code(self):
         """The exit code, negative for a signal; None while it runs."""
--- /dev/null
+++ b/tests/integration/test_endless_answers.py
@@ -0,0 +1,89 @@
+"""Guard against a target that answers without end, in a head or a body.
+
+Real processes; the only target of the service sends bytes until its proxy
+closes the connection.
+"""
+
+import pathlib
+
+import eventlet
+import pytest
+import urllib3
+
+from examples import topology as plans
+from tests.integration.request_load import MESH_TEXT, SERVICE
+from tests.support.endless_target import PARTS_BY_KIND, EndlessTarget
+from tests.support.harness import Mesh
+
+PROXIES = ["z1-proxy-1", "z1-proxy-2"]
+MAX_BODY_BYTES = 64 * 1024 * 1024
+CONCURRENT_CALLS = 12
+TIMEOUT_MS = 1500
+# The memory of a host on the users' machines.
+MAX_MEMORY_KB = 300 * 1000
+
+
+@pytest.fixture(scope="module")
+def mesh(tmp_path_factory):
+    with Mesh(
+        folder=tmp_path_factory.mktemp("mesh"),
+        control_hosts_per_zone=1,
+        proxies_per_zone=len(PROXIES),
+        overrides={
+            "proxy": {
+                "max_body_bytes": MAX_BODY_BYTES,
+                "targets_may_omit_length": True,
+                "probe_targets": False,
+            }
+        },
+    ) as running:
+        running.accept(MESH_TEXT)
+        yield running
+
+
+@pytest.fixture(params=sorted(PARTS_BY_KIND))
+def endless(request, mesh):
+    host = mesh.topology.hosts_by_name[PROXIES[0]]
+    target = EndlessTarget(kind=request.param, address=host.address)
+    target.announce(
+        proxy=host.server(plans.TARGET_PORT), service=SERVICE, slots=16
+    )
+    mesh.wait_until(
+        lambda: call(mesh, timeout_ms=50).outcome == "unknown",
+        what="requests at the target",
+    )
+    yield target
+    target.stop()
+
+
+def call(mesh, *, timeout_ms=TIMEOUT_MS, proxy=PROXIES[1], **options):
+    return mesh.call(
+        "POST", "/pay/1", proxy=proxy, timeout_ms=timeout_ms, **options
+    )
+
+
+def peak_memory_kb(mesh, name):
+    pid = mesh.child(name).pid
+    status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
+    line = next(x for x in status.splitlines() if x.startswith("VmHWM"))
+    return int(line.split()[1])
+
+
+def test_answers_without_end_are_unknown_and_closed(mesh, endless):
+    pool = eventlet.GreenPool()
+    answers = list(pool.imap(lambda _: call(mesh), range(CONCURRENT_CALLS)))
+    assert {answer.outcome for answer in answers} == {"unknown"}
+    mesh.wait_until(lambda: endless.open_count == 0, what="closed connections")
+    assert peak_memory_kb(mesh, PROXIES[0]) < MAX_MEMORY_KB
+
+
+def test_answers_without_end_are_closed_once_the_caller_leaves(mesh, endless):
+    pool = eventlet.GreenPool()
+
+    def leave(_):
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            call(mesh, timeout_ms=60_000, timeout_seconds=0.01)
+
+    list(pool.imap(leave, range(CONCURRENT_CALLS)))
+    mesh.wait_until(lambda: endless.open_count == 0, what="closed connections")
+    assert peak_memory_kb(mesh, PROXIES[0]) < MAX_MEMORY_KB
--- /dev/null
+++ b/tests/support/endless_target.py
@@ -0,0 +1,86 @@
+"""A target whose answers never end."""
+
+import contextlib
+
+import eventlet
+
+from examples.announcer import Announcer
+
+CHUNK_BYTES = 64 * 1024
+HEAD = b"HTTP/1.1 200 OK\r\n"
+# What is sent once and what is repeated without end, by kind of answer.
+PARTS_BY_KIND = {
+    "header-line": (HEAD + b"X-A: ", b"a" * CHUNK_BYTES),
+    "header-lines": (HEAD, b"X-A: a\r\n" * 1024),
+    "no-http": (b"", b"\x00\xff" * CHUNK_BYTES),
+    "interim-responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1024),
+    "chunks": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"a" * 0x10000 + b"\r\n",
+    ),
+    "trailers": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-A: a\r\n" * 1024,
+    ),
+    "no-length": (HEAD + b"\r\n", b"a" * CHUNK_BYTES),
+    "trickle": (HEAD + b"Content-Length: 100000\r\n\r\n", b"a"),
+}
+PAUSE_SECONDS_BY_KIND = {"trickle": 0.05}
+
+
+class EndlessTarget:
+    """Server in this process that answers every request without end.
+
+    `sent_bytes` are those of all connections, `open_count` the connections
+    that are still answered.
+    """
+
+    def __init__(self, *, kind, address):
+        """Listen on a free port of `address`."""
+        self._start, self._repeated = PARTS_BY_KIND[kind]
+        self._pause_seconds = PAUSE_SECONDS_BY_KIND.get(kind, 0.0)
+        self._address = address
+        self._listener = eventlet.listen((address, 0))
+        self.port = self._listener.getsockname()[1]
+        self._greenthreads = [eventlet.spawn(self._accept)]
+        self._announcer = None
+        self.sent_bytes = 0
+        self.open_count = 0
+
+    def announce(self, *, proxy, service, slots):
+        """Announce the target to a proxy, and again every second."""
+        self._announcer = Announcer(
+            proxy=proxy,
+            service=service,
+            address=self._address,
+            port=self.port,
+            slots=slots,
+            incarnation=1,
+        )
+        self._greenthreads.append(eventlet.spawn(self._announcer.run_forever))
+
+    def stop(self):
+        """Withdraw the target and stop accepting."""
+        for greenthread in self._greenthreads:
+            greenthread.kill()
+        self._announcer.withdraw()
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            connection, _ = self._listener.accept()
+            eventlet.spawn_n(self._answer, connection)
+
+    def _answer(self, connection):
+        with contextlib.suppress(OSError), contextlib.closing(connection):
+            if not connection.recv(CHUNK_BYTES):
+                return
+            self.open_count += 1
+            try:
+                connection.sendall(self._start)
+                while True:
+                    connection.sendall(self._repeated)
+                    self.sent_bytes += len(self._repeated)
+                    eventlet.sleep(self._pause_seconds)
+            finally:
+                self.open_count -= 1
--- a/tests/unit/test_loop.py
+++ b/tests/unit/test_loop.py
@@ -1,5 +1,6 @@
 """Sockets that stay registered with the hub, and reused greenthreads."""
 
+import contextlib
 import io
 import socket
 
@@ -177,3 +178,21 @@
     workers.run(seen.append, 1)
     eventlet.sleep(0)
     assert seen == [1]
+
+
+def test_an_aborted_socket_fails_although_the_peer_goes_on_sending(sockets):
+    """Guard against a read that lasts as long as its peer sends."""
+    client, server = sockets
+
+    def send_forever():
+        with contextlib.suppress(OSError):
+            while True:
+                server.sendall(b"x" * 4096)
+                eventlet.sleep(0)
+
+    sender = eventlet.spawn(send_forever)
+    eventlet.spawn_after(0.05, client.abort)
+    with eventlet.Timeout(5), pytest.raises(ConnectionAbortedError):
+        while client.recv(4096):
+            pass
+    sender.kill()
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -7,6 +7,7 @@
 fails. LoopSocket therefore waits first and keeps the registration.
 """
 
+import contextlib
 import socket
 
 import greenlet
@@ -30,6 +31,7 @@
         del self.close
         self._hub_listener = None
         self._reader = None
+        self._is_aborted = False
         self.on_unread = None
 
     def recv(self, size, flags=0):
@@ -72,6 +74,15 @@
                 self._mark_as_closed,
             )
 
+    def abort(self):
+        """End the connection; reads in progress and later ones fail.
+
+        A shutdown alone ends no read while the peer goes on sending.
+        """
+        self._is_aborted = True
+        with contextlib.suppress(OSError):
+            self.fd.shutdown(socket.SHUT_RDWR)
+
     def close(self):
         """Close the descriptor; a greenthread that reads is not woken."""
         if self._hub_listener is not None:
@@ -86,6 +97,8 @@
         while True:
             if not self.act_non_blocking:
                 self._wait()
+            if self._is_aborted:
+                raise ConnectionAbortedError("this host ended the connection")
             try:
                 return read(*args)
             except BlockingIOError:
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -1,7 +1,6 @@
 """Pooled connections to one target that count the bytes sent."""
 
 import collections
-import contextlib
 import http.client
 import io
 import socket
@@ -142,10 +141,8 @@
         return True
 
     def abort(self):
-        """Shut the socket down, so that a greenthread waiting on it fails."""
-        if self._connected_socket is not None:
-            with contextlib.suppress(OSError):
-                self._connected_socket.shutdown(socket.SHUT_RDWR)
+        """End the connection, so that a greenthread that uses it fails."""
+        self._connected_socket.abort()
 
 
 class TargetConnections:
