proxy: bound the memory of all answers that are being received

A proxy took 827 MB with twelve calls at a target that sends bodies without end; the users' machines give a process 300 MB and kill it beyond that.

Cause: only a single body had a limit (64 MiB there). Ruled out: heads, which http.client bounds, and bodies that are passed on (none of these is).

Change: proxy.max_receiving_bytes is the limit of all bodies in progress; the answer that exceeds it ends as Unknown and its connection is closed.

--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -17,6 +17,7 @@
 
 PROXIES = ["z1-proxy-1", "z1-proxy-2"]
 MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_RECEIVING_BYTES = 100_000_000
 CONCURRENT_CALLS = 12
 TIMEOUT_MS = 1500
 # The memory of a host on the users' machines.
@@ -32,6 +33,7 @@
         overrides={
             "proxy": {
                 "max_body_bytes": MAX_BODY_BYTES,
+                "max_receiving_bytes": MAX_RECEIVING_BYTES,
                 "targets_may_omit_length": True,
                 "probe_targets": False,
             }
--- a/tests/unit/test_proxy_exchange.py
+++ b/tests/unit/test_proxy_exchange.py
@@ -7,6 +7,7 @@
 import pytest
 
 from verbenanotch.conf import HeaderNames
+from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._exchange import exchange
 from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
@@ -313,3 +314,28 @@
     assert run_with_header_names(target).body == b"ok"
     assert isinstance(run_with_header_names(target), NotRun)
     assert len(target.requests) == 2
+
+
+def test_the_bodies_of_all_answers_are_bounded_together(target_with):
+    """Guard against many answers that are each below the limit of one."""
+    body = b"x" * 200_000
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + body
+    budget = BodyBudget(max_bytes=250_000)
+
+    def run_with_budget(target):
+        return exchange(
+            target.connections,
+            make_call(),
+            deadline=time.monotonic() + 1,
+            cancellation=Cancellation(),
+            max_body_bytes=len(body),
+            body_budget=budget,
+        )
+
+    assert run_with_budget(target_with(answer)).body == body
+    assert budget.used_bytes == 0
+    with budget.receiving() as take:
+        take(100_000)
+        outcome = run_with_budget(target_with(answer))
+    assert outcome.reason == "target-broke-off: answers-too-large"
+    assert budget.used_bytes == 0
--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -57,6 +57,7 @@
             "proxy", "the section is missing", "Add [proxy]."
         )
     yield from _discovery_problems(settings, document)
+    yield from _proxy_problems(settings.proxy, document)
     control = settings.control
     if control and control.lease_ms < MIN_LEASE_MS:
         yield document.problem(
@@ -78,6 +79,15 @@
         )
 
 
+def _proxy_problems(proxy, document):
+    if proxy and proxy.max_receiving_bytes < proxy.max_body_bytes:
+        yield document.problem(
+            "proxy.max_receiving_bytes",
+            "the limit of all answers is below that of a single one",
+            f"Use at least max_body_bytes, {proxy.max_body_bytes}.",
+        )
+
+
 def _discovery_problems(settings, document):
     seeds = settings.discovery.control_hosts_by_name
     for address in seeds:
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -11,6 +11,7 @@
 
 from verbenanotch.conf import HeaderNames
 from verbenanotch.proxy import _reasons as reasons
+from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._headers import target_headers, without_hop_headers
 from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
 from verbenanotch.proxy._target_connection import TARGET_FAILURES
@@ -43,6 +44,7 @@
     echoes_id=False,
     may_omit_length=False,
     on_headers=lambda headers: None,
+    body_budget=None,
 ):
     """Send a call to its target and return the outcome.
 
@@ -53,8 +55,12 @@
     with another id belongs to an earlier request and is dropped. With
     `may_omit_length`, an answer without a length is complete if its
     connection was closed normally. `on_headers` is called with the headers of
-    the call's own answer, also of one that is then not complete.
+    the call's own answer, also of one that is then not complete. Bodies of
+    more than `READ_BYTES` take from `body_budget`, a BodyBudget, while they
+    are received; without one, a body has `max_body_bytes` of its own.
     """
+    if body_budget is None:
+        body_budget = BodyBudget(max_bytes=max_body_bytes)
     while True:
         remaining = deadline - time.monotonic()
         if cancellation.cancelled or remaining <= 0:
@@ -80,6 +86,7 @@
                 echoes_id=echoes_id,
                 may_omit_length=may_omit_length,
                 on_headers=on_headers,
+                body_budget=body_budget,
             ),
             header_names=header_names,
         )
@@ -155,6 +162,7 @@
     echoes_id,
     may_omit_length,
     on_headers,
+    body_budget,
 ):
     """Return the outcome and whether the connection is reusable."""
     for _ in range(MAX_ANSWERS_READ):
@@ -163,7 +171,8 @@
         is_own = not echoes_id or echoed_id == call.request_id
         if is_own:
             on_headers(answer.headers)
-        body = _read_body(answer, max_body_bytes, may_omit_length)
+        with body_budget.receiving() as take:
+            body = _read_body(answer, max_body_bytes, may_omit_length, take)
         if is_own:
             break
         metrics.increment("proxy.foreign_answer_dropped")
@@ -195,15 +204,16 @@
     return bool(header_names.target) and answer.status == MISDIRECTED_STATUS
 
 
-def _read_body(answer, max_body_bytes, may_omit_length):
+def _read_body(answer, max_body_bytes, may_omit_length, take):
     """Return the complete body of an answer.
 
-    Raises AnswerTooLargeError, AnswerUnboundedError or, if the body was
-    truncated, IncompleteRead.
+    `take(count)` is called before more bytes are kept. Raises
+    AnswerTooLargeError, AnswersTooLargeError, AnswerUnboundedError or, if the
+    body was truncated, IncompleteRead.
     """
     declared_bytes = answer.length
     if answer.chunked or (declared_bytes is None and may_omit_length):
-        return _read_to_end(answer, max_body_bytes)
+        return _read_to_end(answer, max_body_bytes, take)
     if declared_bytes is None:
         raise AnswerUnboundedError(
             "the answer has neither Content-Length nor chunks, so it can't "
@@ -211,16 +221,20 @@
         )
     if declared_bytes > max_body_bytes:
         raise _too_large_error(max_body_bytes)
-    body = answer.read(declared_bytes)
+    if declared_bytes > READ_BYTES:
+        body = _read_to_end(answer, max_body_bytes, take)
+    else:
+        body = answer.read(declared_bytes)
     if len(body) < declared_bytes:
         raise http.client.IncompleteRead(body, declared_bytes - len(body))
     return body
 
 
-def _read_to_end(answer, max_body_bytes):
-    """Return the body up to its last chunk or to the end of the stream.
+def _read_to_end(answer, max_body_bytes, take):
+    """Return the body up to its length, last chunk or the end of the stream.
 
-    Raises AnswerTooLargeError, or OSError if the connection was reset.
+    Raises AnswerTooLargeError or AnswersTooLargeError, or OSError if the
+    connection was reset.
     """
     chunks = []
     body_bytes = 0
@@ -231,6 +245,7 @@
         body_bytes += len(chunk)
         if body_bytes > max_body_bytes:
             raise _too_large_error(max_body_bytes)
+        take(len(chunk))
         chunks.append(chunk)
 
 
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -9,6 +9,7 @@
 from verbenanotch.membership import HostRecord, TargetRecord
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
+from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._crash_detection import CrashDetector
 from verbenanotch.proxy._exchange import exchange
 from verbenanotch.proxy._outcome import MRPS_PER_RPS, NotRun
@@ -114,6 +115,9 @@
         self._on_change = on_change
         self._sequence = 0
         self._leaving = False
+        self._body_budget = BodyBudget(
+            max_bytes=settings.proxy.max_receiving_bytes
+        )
         self.targets_by_id = {}
 
     def announcement(self):
@@ -438,6 +442,7 @@
             on_headers=lambda headers: self._observe_headers(
                 target, call, headers
             ),
+            body_budget=self._body_budget,
         )
         elapsed_ms = (time.monotonic() - started) * MILLISECONDS_PER_SECOND
         metrics.timing("proxy.target_ms", elapsed_ms)
--- a/verbenanotch/proxy/exceptions.py
+++ b/verbenanotch/proxy/exceptions.py
@@ -34,6 +34,12 @@
     kind = "answer-too-large"
 
 
+class AnswersTooLargeError(ProxyError):
+    """The answers that are being received are too large together."""
+
+    kind = "answers-too-large"
+
+
 class AnswerUnboundedError(ProxyError):
     """A target's answer has neither a Content-Length nor chunked encoding."""
 
