proxy: limit the head of an answer with its interim responses

Cause: http.client limits lines and headers, but skips any number of interim responses. Ruled out: endless header lines and bytes that are no HTTP, which it refuses at once.

Change: the head of an answer and all before it has 128 KiB at most.

Measured: the unit test fails without the change (the answer after 10,000 interim responses is accepted), and passes with it; 29 passed.

--- a/tests/unit/test_proxy_exchange.py
+++ b/tests/unit/test_proxy_exchange.py
@@ -339,3 +339,14 @@
         outcome = run_with_budget(target_with(answer))
     assert outcome.reason == "target-broke-off: answers-too-large"
     assert budget.used_bytes == 0
+
+
+def test_interim_responses_without_end_are_not_read_until_the_deadline(
+    target_with,
+):
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+    few = target_with(interim * 3 + OK)
+    assert run(few).body == b"ok"
+    many = target_with(interim * 10_000 + OK)
+    outcome = run(many, seconds=60)
+    assert outcome.reason == "target-broke-off: answer-head-too-large"
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -19,7 +19,6 @@
     AnswerForeignError,
     AnswerTooLargeError,
     AnswerUnboundedError,
-    ProxyError,
 )
 from verbenanotch.telemetry import metrics
 
@@ -30,7 +29,6 @@
 MAX_ANSWERS_READ = 3
 DEFAULT_HEADER_NAMES = HeaderNames()
 MILLISECONDS_PER_SECOND = 1000
-_FAILURES = (*TARGET_FAILURES, ProxyError)
 
 
 def exchange(
@@ -116,7 +114,7 @@
         if error is not timeout:
             raise
         outcome = _failure_outcome(connection, reasons.DEADLINE_PASSED)
-    except _FAILURES as error:
+    except TARGET_FAILURES as error:
         outcome = _failure_outcome(
             connection, _failure_reason(error, cancellation)
         )
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -1,21 +1,31 @@
 """Pooled connections to one target that count the bytes sent."""
 
 import collections
+import contextlib
 import http.client
 import io
 import socket
 import time
 
 from verbenanotch import loop
+from verbenanotch.proxy.exceptions import AnswerHeadTooLargeError, ProxyError
 
 IDLE_TIMEOUT_SECONDS = 4.0
 CONNECT_TIMEOUT_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 0.2
 PRECONNECT_COUNT = 2
+# Of an answer and of the interim responses before it.
+MAX_HEAD_BYTES = 128 * 1024
 # Requests with these methods have no Content-Length if their body is empty.
 BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
 # Raised by an exchange if the target or the path to it fails.
-TARGET_FAILURES = (OSError, EOFError, ValueError, http.client.HTTPException)
+TARGET_FAILURES = (
+    OSError,
+    EOFError,
+    ValueError,
+    http.client.HTTPException,
+    ProxyError,
+)
 
 
 class _AnswerReader(io.BufferedReader):
@@ -28,8 +38,34 @@
     def __init__(self, sock):
         """Read from a connected socket."""
         self._socket_reader = loop.SocketReader(sock)
+        self._head_bytes_left = None
         super().__init__(self._socket_reader)
 
+    @contextlib.contextmanager
+    def reading_head(self):
+        """Limit the lines that are read to `MAX_HEAD_BYTES` in total."""
+        self._head_bytes_left = MAX_HEAD_BYTES
+        try:
+            yield
+        finally:
+            self._head_bytes_left = None
+
+    def readline(self, size=-1):
+        """Return the next line; raise AnswerHeadTooLargeError in long heads.
+
+        http.client limits a line and the number of headers, but not the
+        number of interim responses (1xx) that precede an answer.
+        """
+        line = super().readline(size)
+        if self._head_bytes_left is not None:
+            self._head_bytes_left -= len(line)
+            if self._head_bytes_left < 0:
+                raise AnswerHeadTooLargeError(
+                    f"the head of an answer is larger than {MAX_HEAD_BYTES} "
+                    "bytes; send fewer headers or interim responses"
+                )
+        return line
+
     def makefile(self, mode):
         """Return itself; http.client calls this on a socket."""
         return self
@@ -94,7 +130,8 @@
         `method` is that of the request. The body is read from the result.
         """
         answer = http.client.HTTPResponse(self._reader, method=method)
-        answer.begin()
+        with self._reader.reading_head():
+            answer.begin()
         return answer
 
     def send(self, data):
