membership: remember the drains of targets over restarts of their proxies

Cause: a drain was kept by the target's proxy alone, in memory; its next process announced the target without it, and everybody believed that. Ruled out: a lost announcement (the record of the new process arrives and is newer).

Change: each table of hosts remembers which starts of targets (id and incarnation) were drained, applies that to each record that it stores, and its control host tells the proxy. The drain ends with the target's next start. Lost if the proxy and all control hosts that know it restart together.

--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -266,3 +266,34 @@
     )
     assert set(published.delta_from(digest).changed) == {"h1"}
     assert published.delta_from(12345) is None
+
+
+def drained_record(host, **fields):
+    record = host_record(host, **fields)
+    return attrs.evolve(
+        record, targets=(attrs.evolve(record.targets[0], draining=True),)
+    )
+
+
+def test_a_drain_outlasts_the_proxy_that_announced_it(table):
+    """Guard against a drain that only the target's proxy remembers."""
+    table.announce(drained_record("h0"), now=0.0)
+    table.announce(host_record("h0", incarnation=2), now=0.1)
+    assert table.get("h0").targets[0].draining
+    table.release(host="h0", incarnation=2)
+    table.announce(host_record("h0", incarnation=3), now=60.0)
+    assert table.get("h0").targets[0].draining
+
+
+def test_a_drain_that_another_control_host_knows_is_kept(table):
+    table.add_remote_lease(drained_record("h0"), source="c2", now=0.0)
+    table.announce(host_record("h0", incarnation=2), now=0.1)
+    assert table.get("h0").targets[0].draining
+
+
+def test_a_drain_ends_with_the_start_of_the_target(table):
+    table.announce(drained_record("h0"), now=0.0)
+    record = host_record("h0", incarnation=2)
+    target = attrs.evolve(record.targets[0], incarnation=2)
+    table.announce(attrs.evolve(record, targets=(target,)), now=0.1)
+    assert not table.get("h0").targets[0].draining
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -237,6 +237,7 @@
                     )
                     return
                 self._send_lease_renewed(session)
+                self._send_forgotten_drains(session, record)
                 self._publish_host_change(record.host)
                 session.wake_event.set()
             case RenewLease():
@@ -256,6 +257,16 @@
                 table.release(host=host, incarnation=incarnation)
                 self._publish_host_change(host)
 
+    def _send_forgotten_drains(self, session, record):
+        """Tell a restarted proxy which of its targets had been drained."""
+        stored = self._target_registry.zone_table.get(record.host)
+        announced = set(record.targets)
+        for target in stored.targets:
+            if target.draining and target not in announced:
+                session.connection.send(
+                    DrainTarget(target_id=target.target_id)
+                )
+
     def _send_lease_renewed(self, session):
         session.connection.send(LeaseRenewed(current=self._current_version()))
 
--- a/verbenanotch/membership/_zone_table.py
+++ b/verbenanotch/membership/_zone_table.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from verbenanotch.membership._drains import Drains
 from verbenanotch.membership._records import HostRecord
 
 # A mass loss is the loss of at least this share of the hosts, and of at least
@@ -62,6 +63,7 @@
         self._warmed_up_at = started_at + lease_seconds
         self._leases_by_host = {}
         self._ended_at_by_host = {}
+        self._drains = Drains()
 
     def warm_up_remaining_seconds(self, *, now):
         """Return the seconds until all hosts have had time to announce."""
@@ -71,7 +73,7 @@
         """Store a record and start its lease.
 
         Returns whether the record changed. One that is older than the stored
-        record is ignored.
+        record is ignored. A target that was drained before stays draining.
         """
         lease = self._leases_by_host.get(record.host)
         if lease is not None and record.order < lease.record.order:
@@ -187,6 +189,7 @@
         return None if lease is None else lease.record
 
     def _store_record(self, record, now):
+        record = self._drains.apply(record)
         lease = self._leases_by_host.get(record.host)
         if lease is not None and lease.record == record:
             return False
