tests: remove waiting readers of connections that the fault proxy resets

Cause: the relay closed a socket for which another of its greenthreads was waiting; the hub kept that reader, and the pipe to the new process got the number of the closed descriptor. Ruled out: the product, whose code isn't in the traceback. Change: the hub is told. The new test fails without it.

--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -12,6 +12,7 @@
 
 import attrs
 import eventlet
+from eventlet import hubs
 
 CHUNK_BYTES = 16 * 1024
 CONNECT_TIMEOUT_SECONDS = 5.0
@@ -208,4 +209,7 @@
     """Close a socket so that its peer sees a reset."""
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+        # Otherwise the hub keeps a waiting reader of the closed descriptor,
+        # and the next file that gets its number can't be read.
+        hubs.notify_opened(sock.fileno())
         sock.close()
--- a/tests/unit/test_support_faults.py
+++ b/tests/unit/test_support_faults.py
@@ -5,6 +5,7 @@
 
 import eventlet
 import pytest
+from eventlet import hubs
 
 from tests.support.fault_proxy import FaultProxy
 
@@ -101,6 +102,20 @@
     assert_reset(sock)
 
 
+def test_a_reset_leaves_no_reader_of_a_closed_descriptor(relay, dial):
+    """Guard against a process that can't be started afterwards.
+
+    The pipe to a new process may get the number of the closed descriptor.
+    """
+    sock = dial()
+    assert exchange(sock, b"hello") == b"hello"
+    filenos = {relayed.fileno() for relayed in relay._sockets}
+    relay.reset()
+    eventlet.sleep(0.05)
+    readers = hubs.get_hub().get_readers()
+    assert not filenos & {listener.fileno for listener in readers}
+
+
 def test_a_stream_is_truncated_after_the_given_bytes(relay, dial):
     relay.set(truncate_after_bytes=3)
     sock = dial()
