proxy: log at most one change of a target's limit a second

A target that names another limit in each answer would have written a line for each of them and pushed other lines out of the budget of 50 a second. Found by reading; the unit test has 99 changes in 0.1 s. Also fewer calls that ended unanswered are remembered (64 for 256), since a notice of a crash carries a record for each.

--- a/tests/unit/test_target_notices.py
+++ b/tests/unit/test_target_notices.py
@@ -4,8 +4,14 @@
 
 import pytest
 
+from tests.unit.test_routing_rate_limits import RECORD
 from verbenanotch.conf import HeaderNames
-from verbenanotch.proxy._target_notices import TargetNotices, read_notices
+from verbenanotch.proxy import _target_notices as notices_module
+from verbenanotch.proxy._target_notices import (
+    NoticeLog,
+    TargetNotices,
+    read_notices,
+)
 
 NAMES = HeaderNames(target_limit="X-Limit", target_leaving="X-Leaving")
 
@@ -70,3 +76,21 @@
     headers = make_headers(("X-Limit", "5"), ("", "5"))
     names = HeaderNames(target_limit="", target_leaving="")
     assert read_notices(headers, names) == TargetNotices()
+
+
+def test_a_target_that_names_another_limit_each_time_is_logged_seldom(
+    monkeypatch,
+):
+    logged = []
+    monkeypatch.setattr(
+        notices_module, "emit", lambda event, **fields: logged.append(fields)
+    )
+    log = NoticeLog()
+    for number in range(1, 100):
+        log.limit_changed(
+            RECORD, float(number), source="X-Limit", now=number / 1000
+        )
+    log.limit_changed(RECORD, 0.0, source="X-Limit", now=0.5)
+    assert [fields["requests_per_second"] for fields in logged] == [1.0, 0.0]
+    log.limit_changed(RECORD, 7.0, source="X-Limit", now=2.0)
+    assert logged[-1]["requests_per_second"] == 7.0
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -16,10 +16,7 @@
 from verbenanotch.proxy._slots import Slots
 from verbenanotch.proxy._target_connection import TargetConnections
 from verbenanotch.proxy._target_discovery import UNKNOWN_INCARNATION
-from verbenanotch.proxy._target_notices import (
-    log_invalid_headers,
-    read_notices,
-)
+from verbenanotch.proxy._target_notices import NoticeLog, read_notices
 from verbenanotch.routing import NamedLimit
 from verbenanotch.telemetry import emit, metrics
 
@@ -50,6 +47,7 @@
     expires_at: float
     sequence: int = 0
     limit: NamedLimit = attrs.field(factory=NamedLimit)
+    notice_log: NoticeLog = attrs.field(factory=NoticeLog)
 
     @property
     def order(self):
@@ -375,19 +373,28 @@
 
     def _adopt_limit(self, target, call, sender):
         """Use the limit that a sender knows from before a restart here."""
+        now = time.monotonic()
         known_rate = call.known_limit_mrps / MRPS_PER_RPS
-        if target.limit.adopt(known_rate, time.monotonic()):
-            _log_limit(target, source=sender)
+        if target.limit.adopt(known_rate, now):
+            target.notice_log.limit_changed(
+                target.record, target.limit.rate, source=sender, now=now
+            )
 
     def _observe_headers(self, target, call, headers):
         """Record what a target says of itself in an answer to a Call."""
+        now = time.monotonic()
         names = self._settings.proxy.headers
         notices = read_notices(headers, names)
-        log_invalid_headers(notices, call.target_id, call.request_id)
+        target.notice_log.headers_invalid(notices, call, now)
         if not notices.has_invalid(names.target_limit) and (
-            target.limit.observe(notices.limit, time.monotonic())
+            target.limit.observe(notices.limit, now)
         ):
-            _log_limit(target, source=names.target_limit)
+            target.notice_log.limit_changed(
+                target.record,
+                target.limit.rate,
+                source=names.target_limit,
+                now=now,
+            )
         current = self.targets_by_id.get(call.target_id)
         if notices.is_leaving and current is target:
             self.drain(call.target_id)
@@ -483,17 +490,6 @@
     )
 
 
-def _log_limit(target, *, source):
-    metrics.increment("proxy.target_limits_changed")
-    emit(
-        events.TARGET_LIMIT_CHANGED,
-        target=target.record.target_id,
-        service=target.record.service,
-        requests_per_second=target.limit.rate,
-        source=source,
-    )
-
-
 def _with_load(outcome, target, call, sender):
     """Return the outcome with the current load of its target."""
     if target is None:
--- a/verbenanotch/proxy/_target_notices.py
+++ b/verbenanotch/proxy/_target_notices.py
@@ -1,5 +1,6 @@
 """What a target says of its own state in the headers of its answers."""
 
+import math
 import re
 
 import attrs
@@ -11,6 +12,7 @@
 RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 LEAVING_VALUE = "1"
 MAX_LOGGED_CHARACTERS = 64
+LOG_INTERVAL_SECONDS = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -57,17 +59,54 @@
     )
 
 
-def log_invalid_headers(notices, target_id, request_id):
-    """Log the headers that could not be read; the target stays in use."""
-    for header, value in notices.invalid_headers:
+class NoticeLog:
+    """Log what one target says of itself.
+
+    A target may name another limit in each answer, so that each event is
+    logged once in `LOG_INTERVAL_SECONDS`; all are counted. Times are in
+    monotonic seconds.
+    """
+
+    def __init__(self):
+        """Start with nothing logged."""
+        self._logged_at_by_number = {}
+
+    def limit_changed(self, record, rate, *, source, now):
+        """Log the rate of a TargetRecord's target; 0 is always logged.
+
+        `source` is the header that named it, or the host that knew it.
+        """
+        metrics.increment("proxy.target_limits_changed")
+        if self._is_due(events.TARGET_LIMIT_CHANGED, now) or not rate:
+            emit(
+                events.TARGET_LIMIT_CHANGED,
+                target=record.target_id,
+                service=record.service,
+                requests_per_second=rate,
+                source=source,
+            )
+
+    def headers_invalid(self, notices, call, now):
+        """Log the headers of an answer that could not be read."""
+        if not notices.invalid_headers:
+            return
         metrics.increment("proxy.target_headers_invalid")
-        emit(
-            events.TARGET_HEADER_INVALID,
-            request=request_id,
-            target=target_id,
-            header=header,
-            value=value[:MAX_LOGGED_CHARACTERS],
-        )
+        if self._is_due(events.TARGET_HEADER_INVALID, now):
+            header, value = notices.invalid_headers[0]
+            emit(
+                events.TARGET_HEADER_INVALID,
+                request=call.request_id,
+                target=call.target_id,
+                header=header,
+                value=value[:MAX_LOGGED_CHARACTERS],
+            )
+
+    def _is_due(self, event, now):
+        logged_at = self._logged_at_by_number.get(event.number, -math.inf)
+        if now - logged_at < LOG_INTERVAL_SECONDS:
+            return False
+        self._logged_at_by_number[event.number] = now
+        return True
 
 
 def _values(headers, name):
--- a/verbenanotch/proxy/_unfinished_calls.py
+++ b/verbenanotch/proxy/_unfinished_calls.py
@@ -12,7 +12,8 @@
 # For this time after its deadline, a target may still work on a call, and a
 # target that crashed may have started again without having announced itself.
 MAX_OVERRUN_SECONDS = 10.0
-MAX_CALLS = 256
+# Bounds the notice of a crash, which has a record for each of them.
+MAX_CALLS = 64
 
 
 class UnfinishedCalls:
