routing: forget the shares of limits of targets that are gone

Each start of a target has mostly an id of its own, so that the shares of limited targets that had ended stayed for good: they took memory and time, and a service whose targets had all been tried was refused as rate-limited, with a Retry-After from a target that is gone. Found by reading. A share is kept for 60 s without its target, which its proxy announces again after a restart.

--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -74,6 +74,7 @@
         self._route_durations = RouteDurations()
         self._route_sizes = RouteSizes()
         self._routes_version = None
+        self._last_snapshot = None
         self._rate_shares = RateShares()
         self._demands_by_service = {}
         self._budgets_by_service = {}
@@ -90,7 +91,9 @@
             self._routes_version = snapshot.version
             self._route_durations.retain(snapshot.routes_by_name.keys())
             self._route_sizes.retain(snapshot.routes_by_name.keys())
-            self._rate_shares.retain(snapshot.services_by_name.keys())
+        if snapshot is not self._last_snapshot:
+            self._last_snapshot = snapshot
+            self._rate_shares.retain(snapshot.targets_by_id, time.monotonic())
         budget = self._budget(request.service)
         budget.record_first_attempt(time.monotonic())
         self._demand(request.service).record(time.monotonic())
@@ -205,9 +208,13 @@
         size = self._route_sizes.expected(
             request.route_name, len(request.body)
         )
-        waits_by_target_id = self._rate_shares.exhausted(
-            request.service, request.priority, now
-        )
+        waits_by_target_id = {
+            target_id: seconds
+            for target_id, seconds in self._rate_shares.exhausted(
+                request.service, request.priority, now
+            ).items()
+            if target_id in snapshot.targets_by_id
+        }
         result = choose(
             candidates,
             now=now,
--- a/verbenanotch/routing/_rate_limit.py
+++ b/verbenanotch/routing/_rate_limit.py
@@ -26,6 +26,8 @@
 # A proxy that has sent nothing for this time gets no share.
 DEMAND_MEMORY_SECONDS = 10.0
 DEMAND_REFRESH_SECONDS = 0.5
+# A target that has been missing for this time has ended, or its host has.
+GONE_AFTER_SECONDS = 60.0
 # Time constant of the mean rate at which callers ask for a service.
 DEMAND_TIME_CONSTANT_SECONDS = 2.0
 
@@ -198,6 +200,7 @@
     incarnation: int
     limit: float
     bucket: RateBucket
+    seen_at: float
 
 
 class RateShares:
@@ -226,11 +229,13 @@
                 incarnation=record.incarnation,
                 limit=load.limit,
                 bucket=RateBucket(rate=load.share, now=now, tokens=0.0),
+                seen_at=now,
             )
             self._shares_by_target_id[target_id] = share
             self._target_ids_by_service.setdefault(record.service, set()).add(
                 target_id
             )
+        share.seen_at = now
         share.limit = load.limit
         share.incarnation = max(share.incarnation, record.incarnation)
         share.bucket.rate = load.share
@@ -265,10 +270,15 @@
         if share is not None:
             share.bucket.spend(rank, now)
 
-    def retain(self, service_names):
-        """Remove the shares of all services except `service_names`."""
-        for service in self._target_ids_by_service.keys() - service_names:
-            for target_id in list(self._target_ids_by_service[service]):
+    def retain(self, target_ids, now):
+        """Remove the shares of targets that are gone, not in `target_ids`.
+
+        A target is also missing for a moment while its proxy restarts.
+        """
+        for target_id, share in list(self._shares_by_target_id.items()):
+            if target_id in target_ids:
+                share.seen_at = now
+            elif now - share.seen_at > GONE_AFTER_SECONDS:
                 self._remove(target_id)
 
     def _remove(self, target_id):
