--- a/tests/unit/test_routing_rate_limits.py
+++ b/tests/unit/test_routing_rate_limits.py
@@ -15,8 +15,8 @@
 from verbenanotch.routing._rate_limit import (
     DEMAND_MEMORY_SECONDS,
     END_AFTER_SECONDS,
-    GONE_AFTER_SECONDS,
 )
+from verbenanotch.routing._rate_shares import GONE_AFTER_SECONDS
 
 WINDOW_SECONDS = 4.0
 RECORD = TargetRecord(
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -19,11 +19,8 @@
     Queued,
     QueueRefused,
 )
-from verbenanotch.routing._rate_limit import (
-    DemandRate,
-    NamedLimit,
-    RateShares,
-)
+from verbenanotch.routing._rate_limit import NamedLimit
+from verbenanotch.routing._rate_shares import DemandRate, RateShares
 from verbenanotch.routing._retries import (
     AttemptContext,
     NoRetry,
