proxy: leave only once other hosts have the records of keyed requests

Cause: a proxy that was told to stop left while the others still had to agree on the set of holders without the proxy before it. They then counted two lost members and took their records for incomplete; or the proxy took the only copy along.

Change: a stop goes on reconciling until every member of each service with records says that the set seen here is in use (Agreed.in_use), at most shutdown_grace_ms, which now bounds this wait and the one for requests together; event 5030 otherwise. The events of holders give count and digest instead of the list.

--- a/tests/integration/test_request_keys.py
+++ b/tests/integration/test_request_keys.py
@@ -130,6 +130,30 @@
     assert {runs[key] for key in keys} == {1}
 
 
+def test_restarts_right_after_each_other_lose_no_answer(mesh, tmp_path):
+    """Each proxy is told to stop as soon as the one before it is back.
+
+    A proxy that left at once would take records with it that the others have
+    not transferred yet.
+    """
+    keys = [make_key(mesh) for _ in range(20)]
+    answers = {key: pay(mesh, key, PROXIES[0]) for key in keys}
+    assert {answer.outcome for answer in answers.values()} == {"answered"}
+    for proxy in PROXIES:
+        mesh.terminate(proxy)
+        mesh.child(proxy).wait()
+        mesh.restart(proxy)
+    wait_for_records(mesh)
+    for key in keys:
+        repeated = pay(mesh, key, PROXIES[1])
+        assert (repeated.outcome, repeated.body) == (
+            "answered",
+            answers[key].body,
+        )
+    runs = runs_by_key(read_ledgers(tmp_path))
+    assert {runs[key] for key in keys} == {1}
+
+
 def test_a_key_without_its_time_of_issue_is_refused(mesh):
     answer = pay(mesh, "order-1", PROXIES[0])
     assert answer.status == 400
--- a/tests/unit/test_proxy_keyed.py
+++ b/tests/unit/test_proxy_keyed.py
@@ -99,7 +99,7 @@
             for record_server in self.record_servers_by_host.values():
                 record_server.reconcile(self.ask)
 
-    def restart(self, *numbers):
+    def restart(self, *numbers, reconcile=True):
         """Restart hosts without records and with higher incarnations."""
         for number in numbers:
             previous = self.incarnations_by_number[number]
@@ -113,7 +113,8 @@
         for number in numbers:
             name = f"h{number}"
             self.record_servers_by_host[name] = self.make_record_server(name)
-        self.reconcile()
+        if reconcile:
+            self.reconcile()
 
     def key(self):
         """Return a key with the current time of the clock."""
@@ -220,6 +221,36 @@
     assert hosts.pay(hosts.key()) == ANSWER
 
 
+def test_a_host_may_leave_once_the_others_use_the_same_holders(hosts):
+    for _ in range(50):
+        hosts.pay(hosts.key())
+    leaving = hosts.record_servers_by_host["h2"]
+    assert leaving.may_leave(hosts.ask)
+    hosts.restart(1, reconcile=False)
+    assert not leaving.may_leave(hosts.ask)
+    # The records of the others stay incomplete until they agree as well.
+    for _ in range(RECONCILE_ROUNDS):
+        hosts.record_servers_by_host["h1"].reconcile(hosts.ask)
+        leaving.reconcile(hosts.ask)
+    assert not leaving.may_leave(hosts.ask)
+    hosts.reconcile()
+    assert leaving.may_leave(hosts.ask)
+
+
+def test_the_only_holder_of_records_may_not_leave(hosts):
+    for _ in range(50):
+        hosts.pay(hosts.key())
+    hosts.snapshot_store.replace_records([make_record(3)])
+    last = hosts.record_servers_by_host["h3"]
+    last.reconcile(hosts.ask)
+    assert not last.may_leave(hosts.ask)
+
+
+def test_a_host_without_records_may_leave_at_once(hosts):
+    hosts.unreachable.update(("h1", "h3"))
+    assert hosts.record_servers_by_host["h2"].may_leave(hosts.ask)
+
+
 def test_a_key_runs_once_under_two_views_of_the_hosts(hosts):
     """The new hosts see all hosts, the first three see only themselves."""
     all_hosts_store = make_snapshot_store(
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -193,7 +193,8 @@
     which callers may retry. After the signal to stop, the proxy accepts
     callers for another `leave_ms`, while `ready_listen` reports that it is
     not ready, so that callers learn that it is stopping. It then waits up to
-    `shutdown_grace_ms` for the requests in progress.
+    `shutdown_grace_ms` until other hosts have its records of keyed requests
+    and the requests in progress have ended.
     All proxies together send at most about `retry_burst` retries to one
     service in a burst; apart from that, retries are limited to a share of
     its requests. Without `probe_targets`, a target's health is judged by its
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -153,6 +153,7 @@
             local_targets=self._local_targets,
         )
         self._greenthreads = []
+        self._reconciler = None
 
     def start(self):
         """Start serving."""
@@ -169,10 +170,10 @@
             eventlet.spawn(
                 _run_every, EXPIRY_INTERVAL_SECONDS, self._local_targets.expire
             ),
-            eventlet.spawn(
-                _run_every, RECONCILE_INTERVAL_SECONDS, self._reconcile_records
-            ),
         ]
+        self._reconciler = eventlet.spawn(
+            _run_every, RECONCILE_INTERVAL_SECONDS, self._reconcile_records
+        )
         if self._probes_targets:
             self._greenthreads += [
                 eventlet.spawn(
@@ -199,13 +200,20 @@
 
         First continue to serve callers and other proxies for `leave_ms`:
         callers may not know yet that this proxy is leaving. The targets stay
-        announced for that time, so that the mesh keeps their capacity.
+        announced for that time, so that the mesh keeps their capacity. Then
+        wait until other hosts have the records of keyed requests: until then
+        this host must remain one of their holders.
         """
         self._is_leaving = True
         for greenthread in self._greenthreads:
             greenthread.kill()
         self._caller_http.close_after_answers()
         eventlet.sleep(self._leave_seconds)
+        grace_seconds = _shutdown.wait_for_records(
+            lambda: self._record_server.may_leave(self._ask_holder),
+            grace_seconds=self._shutdown_grace_seconds,
+        )
+        self._reconciler.kill()
         self._local_targets.stop_announcing()
         self._subscriber.release()
         self._peer_server.go_away(reason="shutdown")
@@ -214,7 +222,7 @@
         _shutdown.wait_until_idle(
             caller_http=self._caller_http,
             peer_server=self._peer_server,
-            grace_seconds=self._shutdown_grace_seconds,
+            grace_seconds=grace_seconds,
         )
         self._caller_http.close_idle()
         self._target_http.stop()
--- a/verbenanotch/daemon/_shutdown.py
+++ b/verbenanotch/daemon/_shutdown.py
@@ -13,6 +13,7 @@
 # sending requests could delay it indefinitely.
 MAX_TARGET_WAIT_SECONDS = 0.5
 POLL_INTERVAL_SECONDS = 0.02
+RECORDS_POLL_INTERVAL_SECONDS = 0.1
 
 
 def wait_for_targets(local_targets):
@@ -29,6 +30,21 @@
         eventlet.sleep(POLL_INTERVAL_SECONDS)
 
 
+def wait_for_records(may_leave, *, grace_seconds):
+    """Wait until other hosts have all records of keyed requests.
+
+    Returns the seconds that are left of `grace_seconds`. The proxy has to
+    reconcile its records in the meantime.
+    """
+    started = time.monotonic()
+    while not may_leave():
+        if time.monotonic() - started >= grace_seconds:
+            emit(events.RECORDS_NOT_REPLICATED, waited_seconds=grace_seconds)
+            return 0.0
+        eventlet.sleep(RECORDS_POLL_INTERVAL_SECONDS)
+    return max(0.0, grace_seconds - (time.monotonic() - started))
+
+
 def wait_until_idle(*, caller_http, peer_server, grace_seconds):
     """Wait until no request is in flight, for at most `grace_seconds`.
 
--- a/verbenanotch/idempotency/_agreement.py
+++ b/verbenanotch/idempotency/_agreement.py
@@ -22,7 +22,10 @@
 proxy package, which uses the host's lease for this.
 """
 
+import hashlib
+
 import attrs
+import msgpack
 
 from verbenanotch.idempotency._coordinator import HolderTable
 from verbenanotch.idempotency._members import View, identities
@@ -30,6 +33,7 @@
 from verbenanotch.wire import message
 
 NEVER_AGREED = -1
+SET_DIGEST_BYTES = 16
 # The longest lease (`control.lease_ms`). For one lease after its start a
 # control host may know too few hosts, so that several new members may each
 # see only themselves; keys that are issued in this time are not started.
@@ -39,13 +43,13 @@
 @message(514)
 @attrs.frozen(kw_only=True)
 class Agree:
-    """Ask a member whether it agrees to `members`, a set of identities.
+    """Ask a member whether it agrees to the set with this digest.
 
     It agrees if it sees the same members and has transferred its records to
-    their holders under this set.
+    their holders under this set. See `set_digest`.
     """
 
-    members: tuple[tuple[str, int], ...]
+    digest: bytes
 
 
 @message(515)
@@ -53,6 +57,9 @@
 class Agreed:
     """Reply to Agree.
 
+    `in_use` means that the set is in use at the sender, which then has all
+    records of which it is a holder.
+
     `complete_since_ms` is the time since which the records of the sender are
     complete, in milliseconds since 1970, or NEVER_AGREED if no set has been
     in use at the sender since its start or its last reset. The receiver uses
@@ -60,6 +67,7 @@
     """
 
     agreed: bool
+    in_use: bool
     complete_since_ms: int
 
 
@@ -71,11 +79,19 @@
     records: tuple[Record, ...]
 
 
+def set_digest(members):
+    """Return a digest that is equal for equal sets of identities."""
+    return hashlib.blake2b(
+        msgpack.packb(members), digest_size=SET_DIGEST_BYTES
+    ).digest()
+
+
 class HolderAgreement:
     """The agreement from the point of view of one member.
 
     Times are in milliseconds since 1970. Attributes:
 
+    - `digest`: the digest of the set seen now.
     - `complete_since_ms`: a key that was issued after this time and has no
       record here was never started. This stays true over a change in which
       at most one member is lost, since the other holder of each key
@@ -102,6 +118,7 @@
         self._agreed_table = None
         self._possible_sets_in_use = []
         self._pending_identities = set()
+        self.digest = set_digest(())
         # The own time is sent in replies to Agree. The joint time is the
         # maximum of the own time and of those that other members sent.
         self._own_complete_since_ms = NEVER_AGREED
@@ -120,6 +137,15 @@
         """Return whether all members have agreed to the set seen now."""
         return self._agreed_table is self._table
 
+    @property
+    def other_members(self):
+        """Return the members seen now without this host."""
+        return [
+            member
+            for member in self._members
+            if member.identity != self._identity
+        ]
+
     @property
     def pending_members(self):
         """Return the other members that have not agreed yet."""
@@ -144,6 +170,7 @@
         self._identity = identity
         self._members = members
         self._table = table
+        self.digest = set_digest(self.members)
         self._pending_identities = set(self.members) - {self._identity}
         self.transferred = False
         present = set(self.members)
@@ -200,20 +227,22 @@
         whether or not this member receives all replies itself. The set is
         therefore counted for `missing_count` from now on.
         """
-        agreed = self.transferred and request.members == self.members
+        agreed = self.transferred and request.digest == self.digest
         if agreed:
             self._add_possible_set_in_use()
         return Agreed(
-            agreed=agreed, complete_since_ms=self._own_complete_since_ms
+            agreed=agreed,
+            in_use=agreed and self.is_agreed,
+            complete_since_ms=self._own_complete_since_ms,
         )
 
-    def receive_reply(self, identity, members, reply, *, wall_ms):
+    def receive_reply(self, identity, digest, reply, *, wall_ms):
         """Record the reply of the member `identity` to Agree.
 
-        `members` is the set that was asked about; a reply for a set that is
-        no longer seen is ignored.
+        `digest` is that of the set that was asked about; a reply for a set
+        that is no longer seen is ignored.
         """
-        if members != self.members or not reply.agreed:
+        if digest != self.digest or not reply.agreed:
             return
         self._pending_identities.discard(identity)
         self._joint_complete_since_ms = max(
--- a/verbenanotch/proxy/_record_server.py
+++ b/verbenanotch/proxy/_record_server.py
@@ -115,6 +115,22 @@
             if not service_records.agreement.is_agreed:
                 self._reconcile(service, service_records, ask)
 
+    def may_leave(self, ask):
+        """Return whether each record is also at hosts that use the same set.
+
+        Otherwise this host may have the only copy of a record. Other hosts
+        that use an older set would count this host as one more lost member
+        of it, and take their own records for incomplete. `ask` is as in
+        `reconcile`.
+        """
+        self.refresh()
+        return all(
+            self._is_replicated(service, service_records, ask)
+            for service, service_records in list(
+                self._records_by_service.items()
+            )
+        )
+
     def handle(self, service, message):
         """Return the reply to a coordinator's or another holder's message."""
         self.refresh()
@@ -163,7 +179,8 @@
             emit(
                 events.HOLDERS_CHANGED,
                 service=service,
-                holders=_formatted(identities(members)),
+                count=len(members),
+                digest=service_records.agreement.digest.hex(),
                 member=service_records.agreement.is_member,
                 lost=service_records.agreement.missing_count,
                 records=len(service_records.store),
@@ -221,26 +238,47 @@
         if not agreement.is_member:
             self._drop_if_empty(service, service_records)
             return
+        digest = agreement.digest
         for member in agreement.pending_members:
             reply = ask(
                 service,
                 member,
-                Agree(members=members),
+                Agree(digest=digest),
                 RECONCILE_TIMEOUT_SECONDS,
             )
             if isinstance(reply, Agreed):
                 agreement.receive_reply(
-                    member.identity, members, reply, wall_ms=self._now_ms()
+                    member.identity, digest, reply, wall_ms=self._now_ms()
                 )
         if agreement.is_agreed:
             emit(
                 events.HOLDERS_AGREED,
                 service=service,
-                holders=_formatted(members),
+                count=len(members),
+                digest=digest.hex(),
                 complete_since_ms=agreement.complete_since_ms,
                 records=len(service_records.store),
             )
 
+    def _is_replicated(self, service, service_records, ask):
+        service_records.store.expire(self._now_ms())
+        if not len(service_records.store):
+            return True
+        agreement = service_records.agreement
+        if not agreement.is_member:
+            return agreement.transferred
+        others = agreement.other_members
+        if not agreement.is_agreed or not others:
+            return False
+        question = Agree(digest=agreement.digest)
+        replies = (
+            ask(service, member, question, RECONCILE_TIMEOUT_SECONDS)
+            for member in others
+        )
+        return all(
+            isinstance(reply, Agreed) and reply.in_use for reply in replies
+        )
+
     def _drop_if_empty(self, service, service_records):
         """Drop the service once its records are too old to be used.
 
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -158,3 +158,12 @@
     "Send one positive decimal number as limit, and 1 to say that the target "
     "leaves, each in one header.",
 )
+RECORDS_NOT_REPLICATED = event(
+    5030,
+    "records-not-replicated",
+    Level.WARNING,
+    "this proxy stops although it may hold the only copy of records of keyed "
+    "requests; their keys are answered as unknown",
+    "Stop the proxies of a service one after the other, at least "
+    "`shutdown_grace_ms` apart.",
+)
