daemon: run the pipelined safe requests of a connection side by side

Change: the connection's greenthread reads, workers run what it read. Pipeline decides, apart from input and output: safe requests side by side up to proxy.max_pipelined (new setting, checked), any other alone, answers in order, only the last answer closes, nothing starts behind it. Time runs from arrival; unread bytes are read ahead (64 KiB), so that the end of the stream behind them cancels what runs; the connection lingers for 1 s before it is closed. Ruled out: running the first request in the reading greenthread and handing over the reading: more states for a switch saved.

--- a/tests/unit/test_conf_receiving.py
+++ b/tests/unit/test_conf_receiving.py
@@ -1,4 +1,4 @@
-"""The limit of all answers in progress and that of a single one."""
+"""Limits of answers in progress and of pipelined requests."""
 
 import pytest
 
@@ -23,3 +23,17 @@
     assert isinstance(result, expected)
     if expected is Invalid:
         assert "proxy.max_receiving_bytes" in str(result.problems)
+
+
+@pytest.mark.parametrize(
+    ("max_pipelined", "expected"), [(1, Valid), (0, Invalid)]
+)
+def test_at_least_one_request_of_a_connection_runs(
+    tmp_path, max_pipelined, expected
+):
+    result = load_planned(
+        tmp_path, "proxy", proxy={"max_pipelined": max_pipelined}
+    )
+    assert isinstance(result, expected)
+    if expected is Invalid:
+        assert "proxy.max_pipelined" in str(result.problems)
--- a/tests/unit/test_loop.py
+++ b/tests/unit/test_loop.py
@@ -80,6 +80,50 @@
     assert server.recv(100) == b"x"
 
 
+def test_bytes_read_ahead_are_returned_by_later_reads(sockets):
+    client, server = sockets
+    client.sendall(b"abc")
+    eventlet.sleep(0.05)
+    assert not server.read_ahead()
+    client.sendall(b"de")
+    assert server.recv(2) == b"ab"
+    first_received_at = server.received_at
+    buffer = bytearray(10)
+    assert server.recv_into(buffer) == 1
+    assert server.received_at == first_received_at
+    assert server.recv(100) == b"de"
+    assert server.received_at > first_received_at
+
+
+def test_the_end_of_a_stream_is_seen_behind_unread_bytes(sockets):
+    client, server = sockets
+    client.sendall(b"abc")
+    client.close()
+    eventlet.sleep(0.05)
+    assert server.read_ahead()
+    assert server.recv(100) == b"abc"
+    assert server.recv(100) == b""
+
+
+def test_bytes_that_are_read_ahead_are_bounded(sockets):
+    client, server = sockets
+    sender = eventlet.spawn(client.sendall, b"x" * (1024 * 1024))
+    for _ in range(20):
+        eventlet.sleep(0.01)
+        assert not server.read_ahead()
+    assert server.is_ahead_full
+    sender.kill()
+
+
+def test_nothing_is_read_ahead_of_a_greenthread_that_reads(sockets):
+    client, server = sockets
+    reader = eventlet.spawn(server.recv, 100)
+    eventlet.sleep(0.01)
+    client.sendall(b"abc")
+    assert not server.read_ahead()
+    assert reader.wait() == b"abc"
+
+
 def test_a_closed_socket_leaves_no_registration(sockets):
     _, server = sockets
     server.register()
--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -1,5 +1,6 @@
 """Tests of the entry interface, with fake peers in place of targets."""
 
+import functools
 import http.client
 import json
 import socket
@@ -11,7 +12,10 @@
 
 from tests.unit.test_proxy_peers import SETTINGS
 from verbenanotch.catalog import Route, Service, Version
-from verbenanotch.daemon._caller_protocol import CallerProtocol
+from verbenanotch.daemon._caller_protocol import (
+    CallerProtocol,
+    PipelineOptions,
+)
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.distribution import Snapshot
 from verbenanotch.distribution._snapshot import with_mesh, with_targets
@@ -20,6 +24,7 @@
 from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
 
 MAX_BODY_BYTES = 1000
+MAX_PIPELINED = 4
 ANSWER = Answered(status=200, headers=(("X-From", "t"),), body=b"hello")
 
 
@@ -166,14 +171,20 @@
         settings=settings,
         snapshot_store=snapshot_store,
         dispatcher=dispatcher,
-        disconnect_monitor=disconnect_monitor,
         keyed=None,
     )
     server = HttpServer(
         address="127.0.0.1",
         port=0,
         application=interface.application,
-        protocol=CallerProtocol,
+        protocol=functools.partial(
+            CallerProtocol,
+            options=PipelineOptions(
+                is_safe=interface.is_safe,
+                disconnect_monitor=disconnect_monitor,
+                max_concurrent=MAX_PIPELINED,
+            ),
+        ),
     )
     disconnect_monitor.start()
     server.start()
--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -86,6 +86,12 @@
             "the limit of all answers is below that of a single one",
             f"Use at least max_body_bytes, {proxy.max_body_bytes}.",
         )
+    if proxy and proxy.max_pipelined < 1:
+        yield document.problem(
+            "proxy.max_pipelined",
+            "no request of a connection could be run",
+            "Use at least 1, which runs them one after the other.",
+        )
 
 
 def _discovery_problems(settings, document):
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -200,11 +200,13 @@
     its requests. Without `probe_targets`, a target's health is judged by its
     responses to requests alone. `max_in_flight` limits the requests that the
     proxy runs concurrently for callers, and separately those for other
-    proxies. The bodies of all answers that the proxy is receiving from its
-    targets take at most `max_receiving_bytes`, each of them at most
-    `max_body_bytes`. At a start, `floor_wait_ms` limits the wait for a
-    configuration before callers are accepted. It is also the time in which
-    the proxy collects the answers that determine its minimum version.
+    proxies. `max_pipelined` limits the safe requests that it runs
+    concurrently for one connection of a caller. The bodies of all answers
+    that the proxy is receiving from its targets take at most
+    `max_receiving_bytes`, each of them at most `max_body_bytes`. At a start,
+    `floor_wait_ms` limits the wait for a configuration before callers are
+    accepted. It is also the time in which the proxy collects the answers that
+    determine its minimum version.
     """
 
     caller_port: int = 0
@@ -230,6 +232,7 @@
     max_body_bytes: int = 1024 * 1024
     max_receiving_bytes: int = 64 * 1024 * 1024
     max_in_flight: int = 1024
+    max_pipelined: int = 16
     adaptive_limits: bool = True
     shutdown_grace_ms: int = 10_000
     floor_wait_ms: int = 1500
--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -1,15 +1,140 @@
-"""Responses to callers' requests that are not valid HTTP."""
+"""The connections of callers: pipelined requests, and malformed ones."""
 
+import contextlib
+import email.utils
+import http
 import json
+import socket
+import time
+import traceback
 import uuid
 
-from verbenanotch.daemon._http import HttpProtocol
+import attrs
+import eventlet
+from eventlet import event, wsgi
+
+from verbenanotch import loop
+from verbenanotch.daemon import events
+from verbenanotch.daemon._http import KEEP_ALIVE_SECONDS, HttpProtocol
+from verbenanotch.daemon._pipeline import Pipeline
+from verbenanotch.proxy import ARRIVED_AT, CONNECTION
+from verbenanotch.telemetry import emit, metrics
 
 MALFORMED_REQUEST_REMEDY = "Send a well-formed HTTP/1.1 request."
+# RFC 9110, section 9.2.1. A body would have to be read before the next request
+# anyway, so only requests without one run beside others.
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
+# Answers that wait for earlier ones, or for a caller that does not read.
+MAX_UNSENT_BYTES = 1024 * 1024
+# Closing a connection with unread bytes resets it, and a reset discards
+# answers that the caller has not read yet. So the rest is read for this long
+# first.
+LINGER_SECONDS = 1.0
+BODILESS_STATUSES = frozenset((204, 304))
+
+
+@attrs.frozen(kw_only=True)
+class PipelineOptions:
+    """What the connections of one HttpServer for callers share.
+
+    `is_safe(environ)` returns whether a request may be repeated by its route.
+    `disconnect_monitor` watches connections from which nobody reads, `workers`
+    run the requests, at most `max_concurrent` of one connection at once.
+    """
+
+    is_safe: object
+    disconnect_monitor: object
+    max_concurrent: int
+    workers: object = attrs.field(factory=loop.Workers)
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Response:
+    """An answer as the WSGI application gives it."""
+
+    status: str = ""
+    fields: list = attrs.field(factory=list)
+    body: bytes = b""
+
+    def start(self, status, fields, exc_info=None):
+        """Set status and headers; the WSGI callable `start_response`."""
+        self.status = status
+        self.fields = list(fields)
+
+
+@attrs.frozen(kw_only=True)
+class _Request:
+    """A request without a body, and what its answer depends on."""
+
+    environ: dict
+    asks_keep_alive: bool
+
+    @property
+    def method(self):
+        return self.environ["REQUEST_METHOD"]
 
 
 class CallerProtocol(HttpProtocol):
-    """Refuse malformed requests in the JSON format of all other refusals."""
+    """Serve the connection of one caller.
+
+    The greenthread of the connection reads requests; each is run by a worker.
+    One with a body is run by the reader itself. Application and monitor get
+    this object as the connection, see `watch` and `cancel`.
+    """
+
+    def __init__(self, conn_state, server, *, owner, options):
+        """Serve a connection of the HttpServer `owner`."""
+        self._options = options
+        self._pipeline = Pipeline(
+            max_concurrent=options.max_concurrent,
+            max_unsent_bytes=MAX_UNSENT_BYTES,
+        )
+        self._cancellations = set()
+        self._is_gone = False
+        self._is_sending = False
+        self._is_watched = False
+        self._is_reading = False
+        self._was_full = False
+        self._changed = event.Event()
+        self._arrived_at = 0.0
+        super().__init__(conn_state, server, owner=owner)
+
+    def handle(self):
+        """Read requests until the connection is to be closed."""
+        self.close_connection = True
+        while self._wait_for_request():
+            self.handle_one_request()
+            if self.close_connection:
+                break
+        self._drain()
+        self.wfile.flush()
+        self._linger()
+
+    def handle_one_response(self):
+        """Run the request that has been read."""
+        self.environ[CONNECTION] = self
+        self.environ[ARRIVED_AT] = self._arrived_at
+        body = self.environ["wsgi.input"]
+        if body.chunked_input or body.content_length:
+            self._run_with_body()
+            return
+        is_concurrent = self.command in SAFE_METHODS and self._options.is_safe(
+            self.environ
+        )
+        if not self._wait_for_turn(is_concurrent=is_concurrent):
+            self.close_connection = True
+            return
+        if len(self._pipeline):
+            metrics.increment("proxy.pipelined")
+        turn = self._pipeline.start(is_concurrent=is_concurrent)
+        connection = self.headers.get("connection", "").lower()
+        request = _Request(
+            environ=self.environ,
+            asks_keep_alive=connection == "keep-alive",
+        )
+        if self._close_connection:
+            self._pipeline.close()
+        self._options.workers.run(self._run, turn, request)
 
     def parse_request(self):
         """Parse the request line and headers; return False if refused."""
@@ -30,6 +155,7 @@
         `message` is the reason in the answer; the default is `bad-request`.
         """
         self.close_connection = True
+        self._drain()
         request_id = uuid.uuid4().hex
         body = json.dumps(
             {
@@ -48,7 +174,231 @@
             "Connection: close\r\n\r\n"
         )
         self.wfile.write(head.encode() + body)
-        self.wfile.flush()
+
+    def watch(self, cancellation):
+        """Cancel a request once the caller has disconnected."""
+        self._cancellations.add(cancellation)
+        if self._is_gone:
+            cancellation.cancel()
+
+    def unwatch(self, cancellation):
+        """Forget a request that has ended."""
+        self._cancellations.discard(cancellation)
+
+    def cancel(self):
+        """Cancel all requests in progress, as the caller is gone."""
+        self._is_gone = True
+        self._pipeline.close()
+        for cancellation in list(self._cancellations):
+            cancellation.cancel()
+        self._notify()
+
+    def _wait_for_request(self):
+        """Wait for the first byte of a request; return whether there is one.
+
+        An idle connection is closed after KEEP_ALIVE_SECONDS.
+        """
+        self._is_reading = True
+        self._mark_if_idle()
+        try:
+            while not self._pipeline.is_closing:
+                try:
+                    self.connection.settimeout(KEEP_ALIVE_SECONDS)
+                    data = self.rfile.peek(1)
+                except TimeoutError:
+                    if self._pipeline.is_idle:
+                        return False
+                    continue
+                except OSError:
+                    data = b""
+                if not data:
+                    self.cancel()
+                    return False
+                break
+        finally:
+            self._is_reading = False
+        if self.conn_state[2] == wsgi.STATE_CLOSE or self._pipeline.is_closing:
+            return False
+        self.conn_state[2] = wsgi.STATE_REQUEST
+        self._arrived_at = self.connection.received_at
+        return True
+
+    def _mark_if_idle(self):
+        """Show in the state of the connection that it may be closed."""
+        if (
+            self._is_reading
+            and self._pipeline.is_idle
+            and self.conn_state[2] != wsgi.STATE_CLOSE
+        ):
+            self.conn_state[2] = wsgi.STATE_IDLE
+
+    def _wait_for_turn(self, *, is_concurrent):
+        """Wait until the request may start; return False if it must not."""
+        while not self._pipeline.may_start(is_concurrent=is_concurrent):
+            if self._pipeline.is_closing:
+                return False
+            if is_concurrent and not self._was_full:
+                self._was_full = True
+                emit(
+                    events.PIPELINE_FULL,
+                    caller=self.client_address[0],
+                    in_progress=len(self._pipeline),
+                )
+            self._wait_for_change()
+        return True
+
+    def _drain(self):
+        """Wait until every answer has been sent, or the caller is gone."""
+        while not self._pipeline.is_idle:
+            self._wait_for_change()
+
+    def _wait_for_change(self):
+        """Wait until an answer was sent or the caller has disconnected."""
+        with self._watched():
+            self._changed.wait()
+            self._changed = event.Event()
+
+    def _notify(self):
+        if not self._changed.ready():
+            self._changed.send()
+
+    @contextlib.contextmanager
+    def _watched(self):
+        """Let the monitor look for the end of the stream."""
+        if self._is_gone or self._is_watched:
+            yield
+            return
+        monitor = self._options.disconnect_monitor
+        self._is_watched = True
+        monitor.watch(self, self.connection)
+        try:
+            yield
+        finally:
+            monitor.unwatch(self.connection)
+            self._is_watched = False
+
+    def _run_with_body(self):
+        """Run a request with a body alone, by eventlet's own method."""
+        if not self._wait_for_turn(is_concurrent=False):
+            self.close_connection = True
+            return
+        with self._watched():
+            super().handle_one_response()
+
+    def _run(self, turn, request):
+        """Run a request in a worker and send the answers that are ready."""
+        response = _Response()
+        closes = False
+        try:
+            response.body = b"".join(
+                self.server.app(request.environ, response.start)
+            )
+        except Exception:
+            # The application answers its own errors; without an answer only
+            # the end of the connection says that the outcome is unknown.
+            emit(events.ANSWER_FAILED, traceback=traceback.format_exc())
+            response = _Response(
+                status="504 Gateway Timeout",
+                fields=[("Content-Length", "0")],
+            )
+            closes = True
+        self._pipeline.finish(
+            turn,
+            (request, response),
+            size=_size(response),
+            closes=closes,
+        )
+        self._send_answers()
+
+    def _send_answers(self):
+        """Send the answers that are ready, in order, unless one is sending."""
+        if self._is_sending:
+            return
+        self._is_sending = True
+        try:
+            while (following := self._pipeline.take()) is not None:
+                self._send(following)
+        finally:
+            self._is_sending = False
+            self._mark_if_idle()
+            self._notify()
+
+    def _send(self, following):
+        request, response = following.answer
+        if self._owner.stopping:
+            self._pipeline.close()
+        closes = following.closes or (
+            self._pipeline.is_closing and not len(self._pipeline)
+        )
+        try:
+            writer = loop.SocketWriter(self.connection)
+            writer.write(_head(request, response, closes=closes))
+            if request.method != "HEAD":
+                writer.write(response.body)
+            writer.flush()
+        except OSError:
+            self.cancel()
+        finally:
+            self._pipeline.mark_sent(_size(response))
+        if closes:
+            self._finish_sending()
+
+    def _finish_sending(self):
+        """Tell the caller that no more answers come.
+
+        The reader may be waiting for a request that will not be read.
+        """
+        with contextlib.suppress(OSError):
+            self.connection.fd.shutdown(socket.SHUT_WR)
+        eventlet.spawn_after(LINGER_SECONDS, self._abort)
+
+    def _abort(self):
+        if self.conn_state[2] != wsgi.STATE_CLOSE:
+            self.connection.abort()
+
+    def _linger(self):
+        """Read what the caller sent behind the last answer, and drop it."""
+        if self._is_gone:
+            return
+        with contextlib.suppress(OSError, ValueError):
+            self.connection.fd.shutdown(socket.SHUT_WR)
+        end = time.monotonic() + LINGER_SECONDS
+        with contextlib.suppress(OSError, ValueError):
+            while (remaining := end - time.monotonic()) > 0:
+                self.connection.settimeout(remaining)
+                if not self.connection.recv(loop.MAX_JOINED_BYTES):
+                    return
+
+
+def _head(request, response, *, closes):
+    """Return the status line and the headers of an answer."""
+    lines = [f"HTTP/1.1 {response.status}"]
+    lines += [f"{name}: {value}" for name, value in response.fields]
+    names = {name.lower() for name, _ in response.fields}
+    if "date" not in names:
+        lines.append(f"Date: {email.utils.formatdate(usegmt=True)}")
+    if "content-length" not in names and _has_body(request, response):
+        lines.append(f"Content-Length: {len(response.body)}")
+    if closes:
+        lines.append("Connection: close")
+    elif request.asks_keep_alive:
+        lines.append("Connection: keep-alive")
+        lines.append(f"Keep-Alive: timeout={int(KEEP_ALIVE_SECONDS)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def _has_body(request, response):
+    status = int(response.status.split(" ", 1)[0])
+    return (
+        request.method != "HEAD"
+        and status not in BODILESS_STATUSES
+        and status >= http.HTTPStatus.OK
+    )
+
+
+def _size(response):
+    # An empty answer counts as well, until it has been sent.
+    return len(response.body) + 1
 
 
 def _is_valid_length(text):
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -1,5 +1,6 @@
 """The proxy role: callers, peer proxies, local targets, control hosts."""
 
+import functools
 import time
 import traceback
 
@@ -8,7 +9,10 @@
 from verbenanotch.catalog import NO_VERSION
 from verbenanotch.conf import parse_endpoint
 from verbenanotch.daemon import _shutdown, events
-from verbenanotch.daemon._caller_protocol import CallerProtocol
+from verbenanotch.daemon._caller_protocol import (
+    CallerProtocol,
+    PipelineOptions,
+)
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.distribution import (
     MinimumVersionResponder,
@@ -105,11 +109,19 @@
         address, port = parse_endpoint(
             proxy.caller_listen, address=host.address, port=proxy.caller_port
         )
+        entry = self._make_entry(settings)
         self._caller_http = HttpServer(
             address=address,
             port=port,
-            application=self._make_entry(settings).application,
-            protocol=CallerProtocol,
+            application=entry.application,
+            protocol=functools.partial(
+                CallerProtocol,
+                options=PipelineOptions(
+                    is_safe=entry.is_safe,
+                    disconnect_monitor=self._disconnect_monitor,
+                    max_concurrent=proxy.max_pipelined,
+                ),
+            ),
         )
         address, port = parse_endpoint(
             proxy.target_listen, address=host.address, port=proxy.target_port
@@ -248,7 +260,6 @@
             settings=settings,
             snapshot_store=self._snapshot_store,
             dispatcher=dispatcher,
-            disconnect_monitor=self._disconnect_monitor,
             keyed=KeyedRequests(
                 record_server=self._record_server, ask=self._ask_holder
             ),
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -37,3 +37,18 @@
     "Follow the error message; if an address is in use, stop the process "
     "that uses it or correct the settings.",
 )
+ANSWER_FAILED = event(
+    9009,
+    "answer-failed",
+    Level.ERROR,
+    "an internal error left a request without an answer; the connection is "
+    "closed after a 504",
+    "Report the traceback to the project.",
+)
+PIPELINE_FULL = event(
+    9010,
+    "pipeline-full",
+    Level.INFO,
+    "a connection has its maximum of requests in progress, an unsafe one, or "
+    "answers that its caller does not read; logged once a connection",
+)
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -7,14 +7,20 @@
 fails. LoopSocket therefore waits first and keeps the registration.
 """
 
+import collections
 import contextlib
 import socket
+import time
 
 import greenlet
 from eventlet import hubs
 from eventlet.greenio.base import GreenSocket, set_nonblocking
 from eventlet.hubs.hub import BaseHub
 
+# A peer that sends more than this unread is held back by the flow control of
+# the kernel.
+MAX_AHEAD_BYTES = 64 * 1024
+
 
 class LoopSocket(GreenSocket):
     """Wait for data before each read; keep the registration between reads.
@@ -22,6 +28,8 @@
     Only one greenthread may read at once. `on_unread` is called with this
     socket if data, or the end of the stream, arrives while no greenthread
     reads. The descriptor is then unregistered until the next read.
+    `received_at` is when the bytes of the last read arrived, in monotonic
+    seconds.
     """
 
     def __init__(self, *args, **kwargs):
@@ -32,15 +40,56 @@
         self._hub_listener = None
         self._reader = None
         self._is_aborted = False
+        # Pairs of the time of arrival and the bytes that were read ahead.
+        self._ahead = collections.deque()
+        self._ahead_bytes = 0
+        self.received_at = 0.0
         self.on_unread = None
 
     def recv(self, size, flags=0):
         """Return the next bytes, or `b""` at the end of the stream."""
-        return self._read(self.fd.recv, size, flags)
+        if self._ahead:
+            return self._take_ahead(size)
+        data = self._read(self.fd.recv, size, flags)
+        self.received_at = time.monotonic()
+        return data
 
     def recv_into(self, buffer, size=0, flags=0):
         """Read the next bytes into a buffer; return their number."""
-        return self._read(self.fd.recv_into, buffer, size, flags)
+        if self._ahead:
+            data = self._take_ahead(size or len(buffer))
+            buffer[: len(data)] = data
+            return len(data)
+        count = self._read(self.fd.recv_into, buffer, size, flags)
+        self.received_at = time.monotonic()
+        return count
+
+    def read_ahead(self):
+        """Keep the bytes that have arrived; return whether the stream ended.
+
+        They are returned by later reads. At most MAX_AHEAD_BYTES are kept; the
+        end of a stream behind more of them is not seen. Never blocks, and
+        does nothing while a greenthread reads.
+        """
+        while self._reader is None and self._ahead_bytes < MAX_AHEAD_BYTES:
+            try:
+                data = self.fd.recv(
+                    MAX_AHEAD_BYTES - self._ahead_bytes, socket.MSG_DONTWAIT
+                )
+            except BlockingIOError:
+                return False
+            except (OSError, ValueError, AttributeError):
+                return True
+            if not data:
+                return True
+            self._ahead.append((time.monotonic(), data))
+            self._ahead_bytes += len(data)
+        return False
+
+    @property
+    def is_ahead_full(self):
+        """Whether `read_ahead` keeps no further bytes."""
+        return self._ahead_bytes >= MAX_AHEAD_BYTES
 
     def accept(self):
         """Return the next connection as a LoopSocket, and its address."""
@@ -93,6 +142,14 @@
         if self.fd is not None:
             self.fd.close()
 
+    def _take_ahead(self, size):
+        self.received_at, data = self._ahead.popleft()
+        if len(data) > size:
+            self._ahead.appendleft((self.received_at, data[size:]))
+            data = data[:size]
+        self._ahead_bytes -= len(data)
+        return data
+
     def _read(self, read, *args):
         while True:
             if not self.act_non_blocking:
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -8,7 +8,11 @@
 from verbenanotch.proxy._crashes import CrashGuard
 from verbenanotch.proxy._disconnect_monitor import DisconnectMonitor
 from verbenanotch.proxy._dispatcher import Dispatcher
-from verbenanotch.proxy._entry import EntryInterface
+from verbenanotch.proxy._entry import (
+    ARRIVED_AT,
+    CONNECTION,
+    EntryInterface,
+)
 from verbenanotch.proxy._keyed_requests import KeyedRequests
 from verbenanotch.proxy._lease_monitor import LeaseMonitor
 from verbenanotch.proxy._local_targets import LocalTargets
@@ -20,6 +24,8 @@
 from verbenanotch.proxy._target_discovery import TargetDiscovery
 
 __all__ = [
+    "ARRIVED_AT",
+    "CONNECTION",
     "CrashGuard",
     "DisconnectMonitor",
     "Dispatcher",
--- a/verbenanotch/proxy/_disconnect_monitor.py
+++ b/verbenanotch/proxy/_disconnect_monitor.py
@@ -2,23 +2,22 @@
 
 import eventlet
 
-# The loop can't see the end of a stream behind unread bytes. If a caller sent
-# more bytes than its request, the request is cancelled at most this long after
-# the caller has closed the connection.
+# How often sockets whose buffer for unread bytes is full are checked: the loop
+# can't report the end of a stream behind unread bytes.
 SWEEP_INTERVAL_SECONDS = 0.15
 
 
 class DisconnectMonitor:
     """Cancel the requests of callers whose connection has ended.
 
-    The event loop reports the end of a connection unless unread bytes precede
-    it. Sockets with unread bytes are therefore checked periodically.
+    Used while nobody reads from a connection. Bytes that arrive meanwhile are
+    read ahead, as the loop reports the end of a stream only behind them.
     """
 
     def __init__(self):
         """Start without watched sockets."""
         self._cancellations_by_socket = {}
-        self._sockets_with_bytes = set()
+        self._full_sockets = set()
         self._sweeper = None
 
     def start(self):
@@ -43,11 +42,11 @@
         """Stop watching a socket."""
         sock.on_unread = None
         del self._cancellations_by_socket[sock]
-        self._sockets_with_bytes.discard(sock)
+        self._full_sockets.discard(sock)
 
     def sweep(self):
-        """Check every socket with unread bytes once."""
-        for sock in list(self._sockets_with_bytes):
+        """Check every socket with a full buffer once."""
+        for sock in list(self._full_sockets):
             self._check(sock)
 
     def _on_unread(self, sock):
@@ -59,12 +58,14 @@
         cancellation = self._cancellations_by_socket.get(sock)
         if cancellation is None:
             return
-        # An empty result means that the connection has ended.
-        if sock.peek() == b"":
-            self._sockets_with_bytes.discard(sock)
+        if sock.read_ahead():
+            self._full_sockets.discard(sock)
             cancellation.cancel()
+        elif sock.is_ahead_full:
+            self._full_sockets.add(sock)
         else:
-            self._sockets_with_bytes.add(sock)
+            self._full_sockets.discard(sock)
+            sock.register()
 
     def _sweep_forever(self):
         while True:
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -24,6 +24,11 @@
 from verbenanotch.telemetry import emit, metrics
 
 KEY_ENVIRON_NAME = environ_name(KEY_HEADER)
+# Added to the WSGI environment by the server: an object with `watch` and
+# `unwatch` for the Cancellations of requests, and when the request arrived, in
+# monotonic seconds.
+CONNECTION = "verbenanotch.connection"
+ARRIVED_AT = "verbenanotch.arrived_at"
 
 
 class EntryInterface:
@@ -35,14 +40,11 @@
         settings,
         snapshot_store,
         dispatcher,
-        disconnect_monitor,
         keyed,
         caller_service=lambda: "",
     ):
         """Route requests by the active snapshot of `snapshot_store`.
 
-        `disconnect_monitor` is the DisconnectMonitor that cancels requests
-        whose caller has disconnected.
         `keyed` is the KeyedRequests that runs requests with a key.
         `caller_service()` returns the service of this host's targets, which
         is sent to the target as the caller.
@@ -55,7 +57,6 @@
         self._settings = settings
         self._snapshot_store = snapshot_store
         self._dispatcher = dispatcher
-        self._disconnect_monitor = disconnect_monitor
         self._sampler = TraceSampler(
             trace_all=settings.telemetry.log_level == "debug",
             now=time.monotonic(),
@@ -64,7 +65,7 @@
 
     def application(self, environ, start_response):
         """Respond to one request; the WSGI entry point."""
-        started = time.monotonic()
+        started = environ[ARRIVED_AT]
         request_id = self._reader.request_id_of(environ)
         traced = self._sampler.admit(started)
         self.in_flight += 1
@@ -92,6 +93,19 @@
             fractional_retry_after=self._settings.proxy.fractional_retry_after,
         )
 
+    def is_safe(self, environ):
+        """Return whether a request has no route, or may be repeated."""
+        path = environ["RAW_PATH_INFO"]
+        if not path.startswith("/") or KEY_ENVIRON_NAME in environ:
+            return False
+        matched = self._snapshot_store.snapshot.route_table.match(
+            path, environ.get("HTTP_HOST", "")
+        )
+        if matched is None:
+            return True
+        _, route = matched
+        return environ["REQUEST_METHOD"] in route.idempotent_methods
+
     def _outcome(self, environ, request_id, started, traced):
         if self.in_flight > self._settings.proxy.max_in_flight:
             return _refusal(environ, reasons.HOST_FULL)
@@ -155,12 +169,12 @@
                     request, cancellation=cancellation
                 ),
             )
-        sock = environ["eventlet.input"].get_socket()
-        self._disconnect_monitor.watch(cancellation, sock)
+        connection = environ[CONNECTION]
+        connection.watch(cancellation)
         try:
             return self._dispatcher.run(request, cancellation=cancellation)
         finally:
-            self._disconnect_monitor.unwatch(sock)
+            connection.unwatch(cancellation)
 
     def _record(self, environ, request_id, outcome, started, traced):
         name = type(outcome).__name__
