versions, replication: send what has changed

Change: a command has a patch of the newest version's text (zstandard, raw dictionary) where there is one; commands of earlier releases still apply. A Hello that equals the last one on its connection is sent as Unchanged.

--- a/tests/unit/test_proxy_keyed.py
+++ b/tests/unit/test_proxy_keyed.py
@@ -12,6 +12,7 @@
 from verbenanotch.proxy import KeyedRequests, RecordServer
 from verbenanotch.proxy._outcome import Answered, NotRun, Rejected, Unknown
 from verbenanotch.proxy._request import Request
+from verbenanotch.wire import encode
 
 # Wall clock time at which the tests start.
 START_SECONDS = 1_800_000_000.0
@@ -237,6 +238,24 @@
     assert leaving.may_leave(hosts.ask)
 
 
+def test_the_messages_of_an_agreement_do_not_grow_with_the_members(hosts):
+    """They saturated links of 1 Mbit/s in a mesh of 191 proxies."""
+    sizes_by_count = {}
+    for count in (3, 30):
+        sizes = sizes_by_count[count] = []
+        hosts.snapshot_store.replace_records(
+            [make_record(number) for number in range(1, count + 1)]
+        )
+
+        def ask(service, member, message, timeout_seconds, sizes=sizes):
+            sizes.append(len(encode(message)))
+
+        hosts.record_servers_by_host["h1"].refresh()
+        hosts.lease_monitor.lease_gaps += 1
+        hosts.record_servers_by_host["h1"].reconcile(ask)
+    assert max(sizes_by_count[30]) == max(sizes_by_count[3]) < 64
+
+
 def test_the_only_holder_of_records_may_not_leave(hosts):
     for _ in range(50):
         hosts.pay(hosts.key())
--- a/tests/unit/test_versions.py
+++ b/tests/unit/test_versions.py
@@ -1,8 +1,11 @@
 """The state machine of accepted versions, and its service."""
 
+import random
+
 import attrs
 import msgpack
 import pytest
+import zstandard
 
 from verbenanotch.catalog import (
     NO_VERSION,
@@ -20,8 +23,10 @@
 from verbenanotch.versions import (
     VersionService,
     VersionStateMachine,
+    _patches,
     _state_machine,
 )
+from verbenanotch.versions._patches import apply_patch, make_patch
 
 MESH = b'name = "m"\n[services.a]\n'
 
@@ -65,6 +70,15 @@
     )
 
 
+def make_submission(versions, text=MESH):
+    return Submission(
+        submission_id="new",
+        operator="ann",
+        text=text,
+        base=versions.current_version,
+    )
+
+
 def test_versions_increase_and_callbacks_are_called(service, versions):
     seen = []
     versions.on_change(lambda record: seen.append(record.version))
@@ -103,8 +117,10 @@
     assert "rejects the file" in versions.refusal(command)
     valid = attrs.evolve(invalid, text=MESH)
     assert versions.refusal(_state_machine.encode_submission(valid)) == ""
-    *values, digest = msgpack.unpackb(_state_machine.encode_submission(valid))
-    tampered = msgpack.packb([*values, b"0" * len(digest)])
+    *values, digest, patched = msgpack.unpackb(
+        _state_machine.encode_submission(valid)
+    )
+    tampered = msgpack.packb([*values, b"0" * len(digest), patched])
     result = service.replica.propose(
         command=tampered, timeout_seconds=1
     ).result
@@ -186,6 +202,70 @@
     assert versions.current is None
 
 
+def test_a_change_of_one_route_adds_little_to_the_log(service, versions):
+    """The whole file would cross to each control host with each change."""
+    numbers = random.Random(1)
+    routes = [
+        f"[routes.r{number}]\nprefix = '/{numbers.randbytes(16).hex()}'\n"
+        "service = 'a'\n"
+        for number in range(1000)
+    ]
+    submit(service, "first", text=MESH + "".join(routes).encode())
+    whole = _state_machine.encode_submission(
+        make_submission(versions, text=versions.current.text)
+    )
+    routes[500] = "[routes.other]\nprefix = '/other'\nservice = 'a'\n"
+    text = MESH + "".join(routes).encode()
+    command = versions.encode(make_submission(versions, text=text))
+    assert len(command) < 500 < len(whole) / 20
+    assert versions.refusal(command) == ""
+    versions.apply(Position(term=1, index=2), command)
+    assert versions.current.text == text
+
+
+def test_a_patch_of_another_version_is_not_applied(service, versions):
+    submit(service, "first")
+    command = versions.encode(
+        make_submission(versions, text=MESH + b"[services.b]\n")
+    )
+    other = VersionStateMachine()
+    assert other.refusal(command) == "the command is no submission"
+    result = other.apply(Position(term=1, index=2), command)
+    assert isinstance(_state_machine.decode_outcome(result), Rejected)
+    assert other.current is None
+
+
+def test_commands_of_earlier_releases_are_applied(versions):
+    *values, patched = msgpack.unpackb(
+        _state_machine.encode_submission(make_submission(versions))
+    )
+    assert patched == str(NO_VERSION)
+    versions.apply(Position(term=1, index=1), msgpack.packb(values))
+    assert versions.current.text == MESH
+
+
+@pytest.mark.parametrize(
+    ("text", "older"),
+    [(b"", b""), (b"", MESH), (MESH, b""), (MESH, MESH), (MESH * 9, MESH)],
+)
+def test_a_patch_makes_the_text_it_was_made_from(text, older):
+    assert apply_patch(make_patch(text, older), older) == text
+
+
+def test_only_a_patch_can_be_applied():
+    patch = make_patch(MESH * 9, MESH)
+    for data in (b"", b"x", patch[:-1], bytes(100)):
+        with pytest.raises(ValueError):
+            apply_patch(data, MESH)
+
+
+def test_no_patch_is_made_of_a_text_over_the_limit(monkeypatch):
+    monkeypatch.setattr(_patches, "MAX_PATCHED_BYTES", len(MESH) - 1)
+    assert make_patch(MESH, b"") is None
+    with pytest.raises(ValueError):
+        apply_patch(zstandard.compress(MESH), MESH)
+
+
 def test_a_file_too_large_for_the_log_is_rejected(service, monkeypatch):
     monkeypatch.setattr("verbenanotch.versions._service.MAX_COMMAND_BYTES", 10)
     assert isinstance(submit(service, "a"), Rejected)
--- a/verbenanotch/replication/_links.py
+++ b/verbenanotch/replication/_links.py
@@ -2,7 +2,8 @@
 
 Each replica dials its peers and sends messages on the connections that it
 dialled; on the connections that its peers dialled it receives them and
-sends nothing but Hellos in reply. Messages may be lost, but are not
+sends nothing but Hellos in reply. A Hello that has not changed since the last
+one on its connection is sent as Unchanged. Messages may be lost, but are not
 reordered within a connection; the core repeats those that matter.
 """
 
@@ -14,7 +15,7 @@
 
 from verbenanotch import wire
 from verbenanotch.replication import events
-from verbenanotch.replication._messages import Hello
+from verbenanotch.replication._messages import Hello, Unchanged
 from verbenanotch.telemetry import emit
 
 HELLO_INTERVAL_SECONDS = 0.5
@@ -25,6 +26,42 @@
 MAX_QUEUED_MESSAGES = 512
 
 
+class _HelloStream:
+    """The Hellos that one connection carries, in both directions."""
+
+    def __init__(self, make_hello):
+        """Start with a connection that has not carried any."""
+        self._make_hello = make_hello
+        self._sent = None
+        self._received = None
+
+    def next_message(self):
+        """Return the own Hello, or Unchanged."""
+        hello = self._make_hello()
+        if hello == self._sent:
+            return Unchanged()
+        self._sent = hello
+        return hello
+
+    def receive(self, message):
+        """Return the peer's Hello if the message stands for one, else None.
+
+        Raises MalformedFrameError for Unchanged before any Hello.
+        """
+        match message:
+            case Hello():
+                self._received = message
+            case Unchanged():
+                if self._received is None:
+                    raise wire.MalformedFrameError(
+                        "peer sent Unchanged before its Hello; "
+                        "run the same release on every host"
+                    )
+            case _:
+                return None
+        return self._received
+
+
 class Link:
     """A connection to one peer, dialled again whenever it ends.
 
@@ -98,12 +135,13 @@
 
     def _run_connection(self, connection):
         self._last_received_at = time.monotonic()
+        hellos = _HelloStream(self._links.make_hello)
         greenthreads = [
-            eventlet.spawn(self._read_forever, connection),
+            eventlet.spawn(self._read_forever, connection, hellos),
             eventlet.spawn(self._close_when_silent, connection),
         ]
         try:
-            self._write_forever(connection)
+            self._write_forever(connection, hellos)
         finally:
             self.remote_id = ""
             self._drop_queued()
@@ -111,13 +149,13 @@
                 greenthread.kill()
             connection.close()
 
-    def _write_forever(self, connection):
+    def _write_forever(self, connection, hellos):
         next_hello_at = 0.0
         while not connection.closed:
             now = time.monotonic()
             if now >= next_hello_at:
                 next_hello_at = now + HELLO_INTERVAL_SECONDS
-                connection.send(self._links.make_hello())
+                connection.send(hellos.next_message())
             with contextlib.suppress(queue.Empty):
                 connection.send(
                     self._send_queue.get(timeout=next_hello_at - now)
@@ -132,15 +170,15 @@
             eventlet.sleep(HELLO_INTERVAL_SECONDS)
         connection.close()
 
-    def _read_forever(self, connection):
+    def _read_forever(self, connection, hellos):
         try:
             while True:
-                message = connection.receive()
+                hello = hellos.receive(connection.receive())
                 self._last_received_at = time.monotonic()
-                if isinstance(message, Hello):
-                    self._links.accept_hello(message, connection)
-                    self.member = message.member
-                    self.remote_id = message.member.id
+                if hello is not None:
+                    self._links.accept_hello(hello, connection)
+                    self.member = hello.member
+                    self.remote_id = hello.member.id
                     self._was_connected = True
         except wire.WireError:
             connection.close()
@@ -238,14 +276,16 @@
 
     def _receive_forever(self, connection):
         member_id = ""
+        hellos = _HelloStream(self.make_hello)
         while True:
             message = connection.receive()
-            if isinstance(message, Hello):
-                self.accept_hello(message, connection)
-                if message.member.id != member_id:
-                    self._reconnect_now(message.member.name)
-                member_id = message.member.id
-                connection.send(self.make_hello())
+            hello = hellos.receive(message)
+            if hello is not None:
+                self.accept_hello(hello, connection)
+                if hello.member.id != member_id:
+                    self._reconnect_now(hello.member.name)
+                member_id = hello.member.id
+                connection.send(hellos.next_message())
             elif member_id:
                 self._handler.on_message(member_id, message)
             else:
--- a/verbenanotch/replication/_messages.py
+++ b/verbenanotch/replication/_messages.py
@@ -20,6 +20,12 @@
     first_voters: tuple[Member, ...]
 
 
+@message(111)
+@attrs.frozen(kw_only=True)
+class Unchanged:
+    """Sent in place of a Hello that equals the last one on the connection."""
+
+
 @message(101)
 @attrs.frozen(kw_only=True)
 class VoteRequest:
--- a/verbenanotch/versions/_service.py
+++ b/verbenanotch/versions/_service.py
@@ -12,8 +12,8 @@
 from verbenanotch.replication import _outcomes
 from verbenanotch.versions._state_machine import (
     MAX_COMMAND_BYTES,
+    compressed_size,
     decode_outcome,
-    encode_submission,
     rejected,
 )
 
@@ -40,13 +40,14 @@
         parsed = self.versions.check(submission.text)
         if isinstance(parsed, Invalid):
             return Rejected(problems=parsed.problems)
-        command = encode_submission(submission)
-        if len(command) > MAX_COMMAND_BYTES:
+        size = compressed_size(submission.text)
+        if size > MAX_COMMAND_BYTES:
             return rejected(
                 "(document)",
-                f"the compressed file has {len(command)} bytes",
+                f"the compressed file has {size} bytes",
                 f"Keep it within {MAX_COMMAND_BYTES} bytes.",
             )
+        command = self.versions.encode(submission)
         outcome = self.replica.propose(
             command=command, timeout_seconds=timeout_seconds
         )
--- a/verbenanotch/versions/_state_machine.py
+++ b/verbenanotch/versions/_state_machine.py
@@ -28,6 +28,7 @@
 from verbenanotch.documents import Invalid, Problem
 from verbenanotch.telemetry import emit
 from verbenanotch.versions import events
+from verbenanotch.versions._patches import apply_patch, make_patch
 
 MAX_RECORDS = 1024
 MAX_HISTORY_BYTES = 64 * 1024 * 1024
@@ -134,6 +135,14 @@
             )
         return decode_outcome(stored.result)
 
+    def encode(self, submission):
+        """Return the command of a submission for the log.
+
+        It has a patch of the newest version's text if there is one, and the
+        compressed text otherwise.
+        """
+        return encode_submission(submission, older=self.current)
+
     def check(self, text):
         """Return the parse result of a file; the last one is cached."""
         digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
@@ -150,7 +159,7 @@
         entries quickly.
         """
         try:
-            submission = decode_submission(command)
+            submission = decode_submission(command, self._text_of)
         except DECODE_ERRORS:
             return "the command is no submission"
         parsed = self.check(submission.text)
@@ -166,7 +175,7 @@
         """
         version = Version(epoch=position.term, index=position.index)
         try:
-            submission = decode_submission(command)
+            submission = decode_submission(command, self._text_of)
         except DECODE_ERRORS:
             # All replicas must handle such an entry in the same way.
             return encode_outcome(_reject_undecodable())
@@ -205,6 +214,13 @@
         )
         self._notify()
 
+    def _text_of(self, version):
+        """Return the text of a version; raises ValueError if it is unknown."""
+        record = self.records_by_version.get(version)
+        if record is None:
+            raise ValueError(f"version {version} is not in the history")
+        return record.text
+
     def _decide_outcome(self, version, submission):
         current = self.current
         if not self._is_based_on_current(submission):
@@ -285,31 +301,50 @@
     return digest.digest()
 
 
-def encode_submission(submission):
+def compressed_size(text):
+    """Return the size of the file when it is sent without a patch.
+
+    Files that are small enough anyway are not compressed for this.
+    """
+    if len(text) <= MAX_COMMAND_BYTES:
+        return len(text)
+    return len(zlib.compress(text))
+
+
+def encode_submission(submission, *, older=None):
     """Return the command of a submission for the log.
 
     The file must have passed the full check before. The command ends with
-    `digest_of(submission)`, which `decode_submission` verifies.
+    `digest_of(submission)`, which `decode_submission` verifies. `older` is a
+    VersionRecord of which the command has a patch instead of the text.
     """
+    patch = make_patch(submission.text, older.text) if older else None
+    if patch is None:
+        packed, patched = zlib.compress(submission.text), NO_VERSION
+    else:
+        packed, patched = patch, older.version
     return msgpack.packb(
         [
             submission.submission_id,
             submission.operator,
-            zlib.compress(submission.text),
+            packed,
             str(submission.base),
             str(submission.rollback_to),
             submission.submitted_at_ms,
             submission.label,
             submission.base_label,
             digest_of(submission),
+            str(patched),
         ]
     )
 
 
-def decode_submission(command):
+def decode_submission(command, text_of):
     """Return the Submission in a command.
 
-    Raises one of DECODE_ERRORS if the command is not a submission.
+    `text_of(version)` returns the text of an earlier version. Commands without
+    the version that a patch was made of are from earlier releases. Raises one
+    of DECODE_ERRORS if the command is not a submission.
     """
     match msgpack.unpackb(command):
         case [
@@ -322,6 +357,7 @@
             int(label),
             int(base_label),
             bytes(digest),
+            *patched,
         ]:
             pass
         case _:
@@ -329,7 +365,7 @@
     submission = Submission(
         submission_id=submission_id,
         operator=operator,
-        text=zlib.decompress(packed),
+        text=_unpack_text(packed, patched, text_of),
         base=Version.parse(base),
         rollback_to=Version.parse(rollback_to),
         submitted_at_ms=submitted,
@@ -341,6 +377,20 @@
     return submission
 
 
+def _unpack_text(packed, patched, text_of):
+    """Return the text in a command; `patched` has at most one version."""
+    match patched:
+        case []:
+            version = NO_VERSION
+        case [str(text)]:
+            version = Version.parse(text)
+        case _:
+            raise ValueError("the command is no submission")
+    if version == NO_VERSION:
+        return zlib.decompress(packed)
+    return apply_patch(packed, text_of(version))
+
+
 def encode_outcome(outcome):
     """Return the bytes of Accepted, Conflict or Rejected."""
     match outcome:
