daemon: disconnect callers that do not read; don't count lingering ones

A worker that sends an answer had no limit of its own, and its failure did not wake the reader. A connection that lingers after its last answer counted as in flight, which would have held up a stop.

--- a/tests/unit/test_caller_pipelining.py
+++ b/tests/unit/test_caller_pipelining.py
@@ -12,6 +12,7 @@
     MAX_PIPELINED,
     entry,
 )
+from verbenanotch.daemon import _caller_protocol
 from verbenanotch.proxy._outcome import Answered, Unknown
 
 TIMEOUT_SECONDS = 5
@@ -298,6 +299,38 @@
         assert caller.answer()[1] == f"id-{number}"
 
 
+def test_a_caller_that_never_reads_is_disconnected(
+    entry,  # noqa: F811
+    targets,
+    caller,
+    monkeypatch,
+):
+    monkeypatch.setattr(_caller_protocol, "KEEP_ALIVE_SECONDS", 0.2)
+    large = Answered(status=200, headers=(), body=LARGE_BODY * 40)
+    caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    caller.send(request(0), request(1))
+    targets.wait_for(0, 1)
+    targets.finish(0, large)
+    with eventlet.Timeout(TIMEOUT_SECONDS):
+        while not targets.cancelled:
+            eventlet.sleep(0.01)
+    assert targets.cancelled == ["id-1"]
+    eventlet.sleep(0.1)
+    assert entry.http.connection_count == 0
+
+
+def test_a_connection_that_lingers_is_not_in_flight(
+    entry,  # noqa: F811
+    targets,
+    caller,
+):
+    caller.send(request(0, extra="Connection: close\r\n"))
+    targets.wait_for(0)
+    targets.finish(0)
+    caller.answer()
+    assert (entry.http.in_flight, entry.http.connection_count) == (0, 1)
+
+
 def test_the_deadline_of_a_waiting_request_counts_from_its_arrival(
     targets, caller
 ):
--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -335,9 +335,13 @@
             writer.write(_head(request, response, closes=closes))
             if request.method != "HEAD":
                 writer.write(response.body)
+            # Limits each send to a caller that does not read.
+            self.connection.settimeout(KEEP_ALIVE_SECONDS)
             writer.flush()
         except OSError:
+            # Part of an answer may be out, so nothing can follow it.
             self.cancel()
+            self.connection.abort()
         finally:
             self._pipeline.mark_sent(_size(response))
         if closes:
@@ -358,6 +362,7 @@
 
     def _linger(self):
         """Read what the caller sent behind the last answer, and drop it."""
+        self.conn_state[2] = wsgi.STATE_CLOSE
         if self._is_gone:
             return
         with contextlib.suppress(OSError, ValueError):
