idempotency: let one member collect the agreement on the holders

Change: the first member asks all; the others ask it whether the set is in use. A host without a valid lease never says that a set is in use. Sets of over 20 members settle before they are agreed on.

Ruled out: agreeing only once a key comes; the first keys after a quiet time would be unknown for 5 s.

--- a/bench/pipelined_requests.py
+++ b/bench/pipelined_requests.py
@@ -1,8 +1,8 @@
 """Measure how long one connection's pipelined requests take together.
 
-Run: `python -m bench.pipelined_requests`. Sends safe requests in one write to an
-idle proxy, whose target answers each after a fixed time, and prints the time
-until the last answer, for several rounds.
+Run: `python -m bench.pipelined_requests`. Sends safe requests in one write to
+an idle proxy, whose target answers each after a fixed time, and prints the
+time until the last answer, for several rounds.
 """
 
 import contextlib
--- a/tests/unit/test_proxy_keyed.py
+++ b/tests/unit/test_proxy_keyed.py
@@ -1,5 +1,6 @@
 """Tests of keyed requests with the record servers of several hosts."""
 
+import itertools
 import random
 import time
 
@@ -8,7 +9,7 @@
 
 from tests.unit.test_proxy_entry import FakeSnapshotStore, make_record
 from verbenanotch.catalog import Service, Version
-from verbenanotch.idempotency import new_key
+from verbenanotch.idempotency import Agree, new_key, set_digest
 from verbenanotch.proxy import KeyedRequests, RecordServer
 from verbenanotch.proxy._outcome import Answered, NotRun, Rejected, Unknown
 from verbenanotch.proxy._request import Request
@@ -67,6 +68,7 @@
         """Let the holders agree, and wait until their records are complete."""
         self.now = START_SECONDS
         self.random = random.Random(1)
+        self.ticks = itertools.count()
         self.unreachable = set()
         self.lease_monitor = FakeLeaseMonitor()
         self.incarnations_by_number = {1: 1, 2: 1, 3: 1}
@@ -90,6 +92,8 @@
             snapshot_store=snapshot_store or self.snapshot_store,
             lease_monitor=self.lease_monitor,
             wall_clock=lambda: self.now,
+            # Large sets settle between two calls.
+            clock=lambda: next(self.ticks),
         )
         record_server.refresh()
         return record_server
@@ -256,6 +260,62 @@
     assert max(sizes_by_count[30]) == max(sizes_by_count[3]) < 64
 
 
+def make_large_set(hosts, count=40):
+    """Let `count` hosts see each other; return the Agrees that they send."""
+    hosts.incarnations_by_number = dict.fromkeys(range(1, count + 1), 1)
+    hosts.snapshot_store.replace_records(
+        [make_record(number) for number in range(1, count + 1)]
+    )
+    for number in range(4, count + 1):
+        hosts.record_servers_by_host[f"h{number}"] = hosts.make_record_server(
+            f"h{number}"
+        )
+    asked = []
+    ask = hosts.ask
+
+    def count_agrees(service, member, message, timeout_seconds):
+        if isinstance(message, Agree):
+            asked.append(member.host)
+        return ask(service, member, message, timeout_seconds)
+
+    hosts.ask = count_agrees
+    return asked
+
+
+def test_an_agreement_takes_messages_in_proportion_to_the_members(hosts):
+    """Each member asked each other one: 10,506 messages of 103 members."""
+    count = 40
+    asked = make_large_set(hosts, count)
+    hosts.reconcile()
+    hosts.now += 10
+    for _ in range(20):
+        assert hosts.pay(hosts.key()) == ANSWER
+    assert len(asked) < 4 * count
+
+
+def test_a_large_set_is_agreed_on_once_it_has_settled(hosts):
+    hosts.ticks = itertools.repeat(50.0)
+    asked = make_large_set(hosts)
+    hosts.reconcile()
+    assert asked == []
+    hosts.ticks = itertools.repeat(50.2)
+    hosts.reconcile()
+    assert asked != []
+
+
+def test_a_host_without_a_lease_does_not_say_that_a_set_is_in_use(hosts):
+    """Others may have left it out, and use a set that it doesn't see."""
+    server = hosts.record_servers_by_host["h1"]
+    question = Agree(
+        digest=set_digest((("h1", 1), ("h2", 1), ("h3", 1))),
+    )
+    assert server.handle("pay", question).in_use
+    server._lease_monitor = FakeLeaseMonitor()
+    server._lease_monitor.lease_valid = False
+    reply = server.handle("pay", question)
+    assert (reply.agreed, reply.in_use) == (True, False)
+
+
 def test_the_only_holder_of_records_may_not_leave(hosts):
     for _ in range(50):
         hosts.pay(hosts.key())
--- a/verbenanotch/idempotency/__init__.py
+++ b/verbenanotch/idempotency/__init__.py
@@ -20,6 +20,7 @@
     Agreed,
     HolderAgreement,
     RecordBatch,
+    set_digest,
 )
 from verbenanotch.idempotency._coordinator import (
     Coordinator,
@@ -94,6 +95,7 @@
     "identities",
     "issued_at_ms",
     "new_key",
+    "set_digest",
     "next_view",
     "push_transfers",
     "shard_of",
--- a/verbenanotch/idempotency/_agreement.py
+++ b/verbenanotch/idempotency/_agreement.py
@@ -8,7 +8,9 @@
 - A member replies that it agrees to a set only if it sees this set itself
   and has transferred its records to their holders under it.
 - A set is agreed, and in use at a member, once this member has transferred
-  its own records and all other members have replied to it that they agree.
+  its own records and all other members have agreed to it. One member, the
+  collector, asks all others; the others learn from the collector that the set
+  is in use there. So a change takes messages in proportion to the members.
 - A holder starts a key only if the coordinator names the holders that the
   key has both under the set that this holder sees now and under the last set
   in use at this holder.
@@ -92,6 +94,7 @@
     Times are in milliseconds since 1970. Attributes:
 
     - `digest`: the digest of the set seen now.
+    - `is_collector`: whether this member collects the agreement of all.
     - `complete_since_ms`: a key that was issued after this time and has no
       record here was never started. This stays true over a change in which
       at most one member is lost, since the other holder of each key
@@ -119,6 +122,7 @@
         self._possible_sets_in_use = []
         self._pending_identities = set()
         self.digest = set_digest(())
+        self.is_collector = False
         # The own time is sent in replies to Agree. The joint time is the
         # maximum of the own time and of those that other members sent.
         self._own_complete_since_ms = NEVER_AGREED
@@ -148,7 +152,10 @@
 
     @property
     def pending_members(self):
-        """Return the other members that have not agreed yet."""
+        """Return the members to ask: all others, or just the collector.
+
+        Those whose reply is not needed any more are left out.
+        """
         return [
             member
             for member in self._members
@@ -171,7 +178,12 @@
         self._members = members
         self._table = table
         self.digest = set_digest(self.members)
-        self._pending_identities = set(self.members) - {self._identity}
+        # All members have to choose the same one.
+        collector = min(self.members, default=None)
+        self.is_collector = self._identity == collector
+        self._pending_identities = (
+            set(self.members) if self.is_collector else {collector}
+        ) - {self._identity, None}
         self.transferred = False
         present = set(self.members)
         self.missing_count = max(
@@ -244,6 +256,8 @@
         """
         if digest != self.digest or not reply.agreed:
             return
+        if not self.is_collector and not reply.in_use:
+            return
         self._pending_identities.discard(identity)
         self._joint_complete_since_ms = max(
             self._joint_complete_since_ms, reply.complete_since_ms
--- a/verbenanotch/proxy/_record_server.py
+++ b/verbenanotch/proxy/_record_server.py
@@ -2,6 +2,8 @@
 
 import time
 
+import attrs
+
 from verbenanotch.idempotency import (
     Acknowledged,
     Agree,
@@ -32,6 +34,12 @@
 RECONCILE_TIMEOUT_SECONDS = 0.5
 REFUSED_RETRY_AFTER_MS = 1000
 MILLISECONDS_PER_SECOND = 1000
+# When many hosts start or restart, each change of a large set is followed by
+# others. Agreement on it begins once the set has not changed for this long for
+# each member beyond a small number, and is tried again as often.
+SETTLE_SECONDS_PER_MEMBER = 0.005
+MEMBERS_WITHOUT_SETTLING = 20
+MAX_SETTLE_SECONDS = 1.0
 
 
 class _ServiceRecords:
@@ -45,6 +53,8 @@
             clock_margin_ms=self.store.clock_margin_ms
         )
         self.lease_gaps = 0
+        # In monotonic seconds.
+        self.next_attempt_at = 0.0
 
 
 class RecordServer:
@@ -65,18 +75,21 @@
         snapshot_store,
         lease_monitor,
         wall_clock=time.time,
+        clock=time.monotonic,
     ):
         """Use the hosts in the snapshot of `snapshot_store`.
 
         `incarnation()` returns the incarnation that this host announces now.
         A host of this name with another incarnation in the snapshot is an
         earlier process, whose records this process does not have.
-        `wall_clock()` returns the seconds since 1970.
+        `wall_clock()` returns the seconds since 1970, `clock()` monotonic
+        seconds.
         """
         self._host_name = host_name
         self._incarnation = incarnation
         self._snapshot_store = snapshot_store
         self._wall_clock = wall_clock
+        self._clock = clock
         self._lease_monitor = lease_monitor
         self._snapshot = None
         self._tables_by_service = {}
@@ -112,8 +125,12 @@
         self.refresh()
         for service, service_records in list(self._records_by_service.items()):
             self._reset_after_lease_gap(service_records)
-            if not service_records.agreement.is_agreed:
+            if (
+                not service_records.agreement.is_agreed
+                and self._clock() >= service_records.next_attempt_at
+            ):
                 self._reconcile(service, service_records, ask)
+                self._postpone(service_records)
 
     def may_leave(self, ask):
         """Return whether each record is also at hosts that use the same set.
@@ -142,7 +159,7 @@
             case Begin():
                 return self._begin(service_records, message)
             case Agree():
-                return service_records.agreement.answer(message)
+                return self._answer_agree(service_records, message)
             case Lookup(key=key, digest=digest):
                 return service_records.store.lookup(
                     key, digest, wall_ms=self._now_ms()
@@ -176,6 +193,7 @@
                 table=table,
                 wall_ms=self._now_ms(),
             )
+            self._postpone(service_records)
             emit(
                 events.HOLDERS_CHANGED,
                 service=service,
@@ -191,6 +209,26 @@
             service_records.lease_gaps = self._lease_monitor.lease_gaps
             service_records.agreement.reset(wall_ms=self._now_ms())
 
+    def _postpone(self, service_records):
+        """Delay the next attempt to agree on a large set."""
+        excess_count = (
+            len(service_records.agreement.members) - MEMBERS_WITHOUT_SETTLING
+        )
+        service_records.next_attempt_at = self._clock() + min(
+            MAX_SETTLE_SECONDS,
+            SETTLE_SECONDS_PER_MEMBER * max(0, excess_count),
+        )
+
+    def _answer_agree(self, service_records, message):
+        """Return the reply to Agree; without a lease no set is in use here.
+
+        Others may have left this host out by then, and may use another set.
+        """
+        reply = service_records.agreement.answer(message)
+        if reply.in_use and not self._lease_monitor.is_lease_valid():
+            return attrs.evolve(reply, in_use=False)
+        return reply
+
     def _begin(self, service_records, message):
         refusal_reason = service_records.agreement.refusal_reason(
             message.key, message.holders
