--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -1,8 +1,6 @@
 """The connections of callers: pipelined requests, and malformed ones."""
 
 import contextlib
-import email.utils
-import http
 import json
 import socket
 import time
@@ -15,6 +13,7 @@
 
 from verbenanotch import loop
 from verbenanotch.daemon import events
+from verbenanotch.daemon._answer import Answer
 from verbenanotch.daemon._http import KEEP_ALIVE_SECONDS, HttpProtocol
 from verbenanotch.daemon._pipeline import Pipeline
 from verbenanotch.proxy import ARRIVED_AT, CONNECTION
@@ -30,7 +29,6 @@
 # answers that the caller has not read yet. So the rest is read for this long
 # first.
 LINGER_SECONDS = 1.0
-BODILESS_STATUSES = frozenset((204, 304))
 
 
 @attrs.frozen(kw_only=True)
@@ -48,32 +46,6 @@
     workers: object = attrs.field(factory=loop.Workers)
 
 
-@attrs.define(kw_only=True, eq=False)
-class _Response:
-    """An answer as the WSGI application gives it."""
-
-    status: str = ""
-    fields: list = attrs.field(factory=list)
-    body: bytes = b""
-
-    def start(self, status, fields, exc_info=None):
-        """Set status and headers; the WSGI callable `start_response`."""
-        self.status = status
-        self.fields = list(fields)
-
-
-@attrs.frozen(kw_only=True)
-class _Request:
-    """A request without a body, and what its answer depends on."""
-
-    environ: dict
-    asks_keep_alive: bool
-
-    @property
-    def method(self):
-        return self.environ["REQUEST_METHOD"]
-
-
 class CallerProtocol(HttpProtocol):
     """Serve the connection of one caller.
 
@@ -127,14 +99,13 @@
         if len(self._pipeline):
             metrics.increment("proxy.pipelined")
         turn = self._pipeline.start(is_concurrent=is_concurrent)
-        connection = self.headers.get("connection", "").lower()
-        request = _Request(
-            environ=self.environ,
-            asks_keep_alive=connection == "keep-alive",
-        )
         if self._close_connection:
             self._pipeline.close()
-        self._options.workers.run(self._run, turn, request)
+        connection = self.headers.get("connection", "").lower()
+        answer = Answer(
+            method=self.command, asks_keep_alive=connection == "keep-alive"
+        )
+        self._options.workers.run(self._run, turn, self.environ, answer)
 
     def parse_request(self):
         """Parse the request line and headers; return False if refused."""
@@ -285,29 +256,19 @@
         with self._watched():
             super().handle_one_response()
 
-    def _run(self, turn, request):
+    def _run(self, turn, environ, answer):
         """Run a request in a worker and send the answers that are ready."""
-        response = _Response()
         closes = False
         try:
-            response.body = b"".join(
-                self.server.app(request.environ, response.start)
-            )
+            answer.body = b"".join(self.server.app(environ, answer.start))
         except Exception:
-            # The application answers its own errors; without an answer only
-            # the end of the connection says that the outcome is unknown.
+            # The application answers its own errors, so the outcome of the
+            # request is unknown.
             emit(events.ANSWER_FAILED, traceback=traceback.format_exc())
-            response = _Response(
-                status="504 Gateway Timeout",
-                fields=[("Content-Length", "0")],
-            )
+            answer.start("504 Gateway Timeout", [])
+            answer.body = b""
             closes = True
-        self._pipeline.finish(
-            turn,
-            (request, response),
-            size=_size(response),
-            closes=closes,
-        )
+        self._pipeline.finish(turn, answer, size=answer.size, closes=closes)
         self._send_answers()
 
     def _send_answers(self):
@@ -324,7 +285,7 @@
             self._notify()
 
     def _send(self, following):
-        request, response = following.answer
+        answer = following.answer
         if self._owner.stopping:
             self._pipeline.close()
         closes = following.closes or (
@@ -332,9 +293,7 @@
         )
         try:
             writer = loop.SocketWriter(self.connection)
-            writer.write(_head(request, response, closes=closes))
-            if request.method != "HEAD":
-                writer.write(response.body)
+            writer.writelines(answer.chunks(closes=closes))
             # Limits each send to a caller that does not read.
             self.connection.settimeout(KEEP_ALIVE_SECONDS)
             writer.flush()
@@ -343,7 +302,7 @@
             self.cancel()
             self.connection.abort()
         finally:
-            self._pipeline.mark_sent(_size(response))
+            self._pipeline.mark_sent(answer.size)
         if closes:
             self._finish_sending()
 
@@ -375,36 +334,5 @@
                     return
 
 
-def _head(request, response, *, closes):
-    """Return the status line and the headers of an answer."""
-    lines = [f"HTTP/1.1 {response.status}"]
-    lines += [f"{name}: {value}" for name, value in response.fields]
-    names = {name.lower() for name, _ in response.fields}
-    if "date" not in names:
-        lines.append(f"Date: {email.utils.formatdate(usegmt=True)}")
-    if "content-length" not in names and _has_body(request, response):
-        lines.append(f"Content-Length: {len(response.body)}")
-    if closes:
-        lines.append("Connection: close")
-    elif request.asks_keep_alive:
-        lines.append("Connection: keep-alive")
-        lines.append(f"Keep-Alive: timeout={int(KEEP_ALIVE_SECONDS)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-
-
-def _has_body(request, response):
-    status = int(response.status.split(" ", 1)[0])
-    return (
-        request.method != "HEAD"
-        and status not in BODILESS_STATUSES
-        and status >= http.HTTPStatus.OK
-    )
-
-
-def _size(response):
-    # An empty answer counts as well, until it has been sent.
-    return len(response.body) + 1
-
-
 def _is_valid_length(text):
     return text.isascii() and text.isdigit()
