tests: expect the zone of a control host first on a connection to it

Since control hosts tell their zone, it precedes the digest of crashes. The test expects exactly this message now, so it checks as much as before.

--- a/tests/integration/test_sessions_resubscribe.py
+++ b/tests/integration/test_sessions_resubscribe.py
@@ -14,6 +14,7 @@
 from verbenanotch.catalog import NO_VERSION
 from verbenanotch.crashes import CrashDigest
 from verbenanotch.distribution._messages import (
+    ControlHostZone,
     MinimumVersionUnknown,
     Subscribe,
     Update,
@@ -73,6 +74,8 @@
     connection.send(make_subscription(starting=False))
     eventlet.sleep(0.1)
     quorum_answer.send(False)
+    zone = connection.receive()
+    assert zone == ControlHostZone(availability_zone="z1")
     assert isinstance(connection.receive(), CrashDigest)
     received = connection.receive()
     if isinstance(received, MinimumVersionUnknown):
