daemon, tests: one rule for the last answer, one check of repeated keys

Cause: CallerProtocol decided a second time, beside Pipeline.take, which answer closes the connection; two tests of keys had the same loop. Change: a server that stops closes the pipeline before the next answer is taken; the pipeline alone decides.

--- a/tests/integration/test_request_keys.py
+++ b/tests/integration/test_request_keys.py
@@ -55,6 +55,12 @@
     return mesh.call("POST", path, proxy=proxy, key=key, body=body)
 
 
+def assert_answered_again(mesh, answers_by_key, proxy):
+    for key, answer in answers_by_key.items():
+        repeated = pay(mesh, key, proxy)
+        assert (repeated.outcome, repeated.body) == ("answered", answer.body)
+
+
 def test_a_repeated_key_gets_the_first_answer_in_every_zone(mesh, tmp_path):
     keys = [make_key(mesh) for _ in range(20)]
     for number, key in enumerate(keys):
@@ -120,12 +126,7 @@
         mesh.child(proxy).wait()
         mesh.restart(proxy)
         wait_for_records(mesh)
-        for key in keys:
-            repeated = pay(mesh, key, proxy)
-            assert (repeated.outcome, repeated.body) == (
-                "answered",
-                answers[key].body,
-            )
+        assert_answered_again(mesh, answers, proxy)
     runs = runs_by_key(read_ledgers(tmp_path))
     assert {runs[key] for key in keys} == {1}
 
@@ -144,12 +145,7 @@
         mesh.child(proxy).wait()
         mesh.restart(proxy)
     wait_for_records(mesh)
-    for key in keys:
-        repeated = pay(mesh, key, PROXIES[1])
-        assert (repeated.outcome, repeated.body) == (
-            "answered",
-            answers[key].body,
-        )
+    assert_answered_again(mesh, answers, PROXIES[1])
     runs = runs_by_key(read_ledgers(tmp_path))
     assert {runs[key] for key in keys} == {1}
 
--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -277,23 +277,27 @@
             return
         self._is_sending = True
         try:
-            while (following := self._pipeline.take()) is not None:
+            while (following := self._take()) is not None:
                 self._send(following)
         finally:
             self._is_sending = False
             self._mark_if_idle()
             self._notify()
 
-    def _send(self, following):
-        answer = following.answer
+    def _take(self):
+        """Return the next answer; a server that stops takes no more requests.
+
+        The pipeline then closes the connection with the last answer.
+        """
         if self._owner.stopping:
             self._pipeline.close()
-        closes = following.closes or (
-            self._pipeline.is_closing and not len(self._pipeline)
-        )
+        return self._pipeline.take()
+
+    def _send(self, following):
+        answer = following.answer
         try:
             writer = loop.SocketWriter(self.connection)
-            writer.writelines(answer.chunks(closes=closes))
+            writer.writelines(answer.chunks(closes=following.closes))
             # Limits each send to a caller that does not read.
             self.connection.settimeout(KEEP_ALIVE_SECONDS)
             writer.flush()
@@ -303,7 +307,7 @@
             self.connection.abort()
         finally:
             self._pipeline.mark_sent(answer.size)
-        if closes:
+        if following.closes:
             self._finish_sending()
 
     def _finish_sending(self):
