deploy, conf, platform: start with fractional bounds; take downloads as safe

A configuration with a route of the kind `download` was refused as unknown, so that no request was routed.

Ruled out: a wrong template.

Change: `proxy.retry_burst` is a number with a fraction; it must not be negative. `download` may be repeated as `safe` may.

--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -86,6 +86,10 @@
             "the limit of all answers is below that of a single one",
             f"Use at least max_body_bytes, {proxy.max_body_bytes}.",
         )
+    if proxy and proxy.retry_burst < 0:
+        yield document.problem(
+            "proxy.retry_burst", "is negative", "Use at least 0."
+        )
     if proxy and proxy.max_pipelined < 1:
         yield document.problem(
             "proxy.max_pipelined",
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -224,7 +224,7 @@
     targets_may_omit_length: bool = False
     fractional_retry_after: bool = False
     leave_ms: int = 0
-    retry_burst: int = 50
+    retry_burst: float = 50.0
     unrouted_is_missing: bool = False
     probe_targets: bool = True
     headers: HeaderNames = attrs.field(factory=HeaderNames)
--- a/verbenanotch/platform/_configuration.py
+++ b/verbenanotch/platform/_configuration.py
@@ -19,7 +19,12 @@
 )
 from verbenanotch.platform.exceptions import MalformedDocumentError
 
-IDEMPOTENT_METHODS_BY_KIND = {"safe": tuple(sorted(ALL_METHODS)), "unsafe": ()}
+IDEMPOTENT_METHODS_BY_KIND = {
+    "safe": tuple(sorted(ALL_METHODS)),
+    # A safe request with a large answer.
+    "download": tuple(sorted(ALL_METHODS)),
+    "unsafe": (),
+}
 # The platform's configurations have no name.
 MESH_NAME = "platform"
 # The platform allows fractional weights; a Mesh requires integers.
