distribution: channels between the leader of the log and all proxies

Cause: limits of client accounts and rollouts are decided by one place for the whole mesh, from what all proxies see; today nothing goes from the proxies to the leader but leases and acknowledgements.

Ruled out: messages of their own for each feature in publisher and subscriber (both are the largest files of the package), and gossip between proxies (it has no place that sees all).

Change: `ProxyChannel` at the control host and `LeaderChannel` at the proxy carry messages of features in two envelopes, over the connections that exist. A message of an ended term is ignored. Nothing is sent while no feature uses them.

--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -10,7 +10,7 @@
 from verbenanotch.crashes import CrashExchange, CrashStorage, CrashTable
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon.exceptions import StartError
-from verbenanotch.distribution import Publisher
+from verbenanotch.distribution import ProxyChannel, Publisher
 from verbenanotch.membership import TargetRegistry, ZoneExchange, ZoneTable
 from verbenanotch.membership import events as membership_events
 from verbenanotch.replication import ReadConfirmed, Replica, StorageError
@@ -49,6 +49,9 @@
         self._target_registry = TargetRegistry(zone_table=self._zone_table)
         self._data_folder = control.data_folder
         self._crash_exchange = CrashExchange(table=CrashTable())
+        self._proxy_channel = ProxyChannel(
+            leading_term=self._replica.leading_term
+        )
         self._publisher = Publisher(
             settings=settings,
             versions=self._versions,
@@ -56,6 +59,7 @@
             confirm=self._confirm,
             on_zone_change=self._on_zone_change,
             crash_exchange=self._crash_exchange,
+            proxy_channel=self._proxy_channel,
         )
         self._zone_exchange = ZoneExchange(
             settings=settings,
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -15,6 +15,7 @@
 )
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.distribution import (
+    LeaderChannel,
     MinimumVersionResponder,
     SnapshotStore,
     Subscriber,
@@ -70,6 +71,7 @@
                 self._snapshot_store.snapshot.services_by_name
             ),
         )
+        self._leader_channel = LeaderChannel()
         lease_monitor = LeaseMonitor()
         self._subscriber = Subscriber(
             settings=settings,
@@ -79,6 +81,7 @@
             on_renewed=lease_monitor.record_renewal,
             on_stale_incarnation=self._local_targets.raise_incarnation_above,
             crash_exchange=self._crash_guard.exchange,
+            leader_channel=self._leader_channel,
         )
         self._record_server = RecordServer(
             host_name=host.name,
--- a/verbenanotch/distribution/__init__.py
+++ b/verbenanotch/distribution/__init__.py
@@ -1,5 +1,9 @@
 """Distribution of mesh versions and targets from control hosts to proxies."""
 
+from verbenanotch.distribution._leader_channel import (
+    LeaderChannel,
+    ProxyChannel,
+)
 from verbenanotch.distribution._minimum_version import MinimumVersionResponder
 from verbenanotch.distribution._publisher import Publisher
 from verbenanotch.distribution._snapshot import Snapshot
@@ -17,8 +21,10 @@
     "Applied",
     "BelowMinimumVersion",
     "DanglingReference",
+    "LeaderChannel",
     "MinimumVersionResponder",
     "Outdated",
+    "ProxyChannel",
     "Publisher",
     "Snapshot",
     "SnapshotStore",
--- a/verbenanotch/distribution/_messages.py
+++ b/verbenanotch/distribution/_messages.py
@@ -159,6 +159,26 @@
     availability_zone: str
 
 
+@message(313)
+@attrs.frozen(kw_only=True)
+class FromLeader:
+    """A message of the leader of the log to a proxy.
+
+    `term` is the leader's term, `payload` the encoded message of a feature.
+    """
+
+    term: int
+    payload: bytes
+
+
+@message(314)
+@attrs.frozen(kw_only=True)
+class ToLeader:
+    """A proxy's message to the leader; `payload` is as in FromLeader."""
+
+    payload: bytes
+
+
 @message(309)
 @attrs.frozen(kw_only=True)
 class MinimumVersionRequest:
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -20,6 +20,7 @@
     Admitted,
     Refused,
 )
+from verbenanotch.distribution._leader_channel import ProxyChannel
 from verbenanotch.distribution._mesh_state import MeshState, encode_mesh
 from verbenanotch.distribution._messages import (
     Acknowledge,
@@ -34,6 +35,7 @@
     MinimumVersionUnknown,
     Resync,
     Subscribe,
+    ToLeader,
     Unsubscribe,
 )
 from verbenanotch.distribution._minimum_version import MinimumVersionConfirmer
@@ -67,7 +69,8 @@
     `confirm` takes a timeout in seconds and returns whether a quorum has
     confirmed that the local versions are current. `on_zone_change` is
     called after the own zone's table has changed. `crash_exchange` is the
-    CrashExchange that the connections are links of.
+    CrashExchange that the connections are links of, `proxy_channel` the
+    ProxyChannel that uses them.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         confirm,
         on_zone_change=lambda: None,
         crash_exchange=None,
+        proxy_channel=None,
     ):
         """Register for the changes of `versions`."""
         control = settings.control
@@ -89,6 +93,9 @@
         self._crash_exchange = crash_exchange or CrashExchange(
             table=CrashTable()
         )
+        self._proxy_channel = proxy_channel or ProxyChannel(
+            leading_term=lambda: None
+        )
         self._confirmer = MinimumVersionConfirmer(
             confirm=confirm, timeout_seconds=MINIMUM_VERSION_TIMEOUT_SECONDS
         )
@@ -126,6 +133,7 @@
         self.sessions_by_host[session.host] = session
         sender = eventlet.spawn(self._send_forever, session)
         self._crash_exchange.connect(connection)
+        self._proxy_channel.connect(session.host, connection)
         try:
             connection.send(
                 ControlHostZone(
@@ -137,6 +145,7 @@
         finally:
             sender.kill()
             self._crash_exchange.disconnect(connection)
+            self._proxy_channel.disconnect(session.host, connection)
             self._finish_start(session)
             if self.sessions_by_host.get(session.host) is session:
                 del self.sessions_by_host[session.host]
@@ -225,6 +234,8 @@
                 session.connection.send(self._minimum_version_reply())
             case Announce() | RenewLease() | ReleaseLease():
                 self._receive_lease_message(session, message)
+            case ToLeader():
+                self._proxy_channel.receive(session.host, message)
             case CrashDigest() | CrashRecords():
                 self._crash_exchange.receive(session.connection, message)
 
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -22,12 +22,14 @@
     choose_control_host,
     is_unresponsive,
 )
+from verbenanotch.distribution._leader_channel import LeaderChannel
 from verbenanotch.distribution._messages import (
     Acknowledge,
     Busy,
     ControlHosts,
     ControlHostZone,
     DrainTarget,
+    FromLeader,
     MinimumVersionConfirmed,
     MinimumVersionReply,
     MinimumVersionUnknown,
@@ -85,7 +87,8 @@
     has confirmed the lease, with the time in monotonic seconds at which the
     announcement or renewal was sent. `on_stale_incarnation` is called with
     the incarnation that the own one must exceed. `crash_exchange` is the
-    CrashExchange that the connections are links of.
+    CrashExchange that the connections are links of, `leader_channel` the
+    LeaderChannel that uses them.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         on_renewed=lambda sent_at: None,
         on_stale_incarnation=lambda incarnation: None,
         crash_exchange=None,
+        leader_channel=None,
     ):
         """Do nothing until `start`."""
         self._settings = settings
@@ -109,6 +113,7 @@
         self._crash_exchange = crash_exchange or CrashExchange(
             table=CrashTable()
         )
+        self._leader_channel = leader_channel or LeaderChannel()
         self._connections_by_name = {}
         self._configured_peers = dict(settings.proxy.control_hosts_by_name)
         self._peers_by_name = {}
@@ -276,6 +281,7 @@
         self._closed_connection_bytes += control.control_bytes
         control.connection.close()
         self._crash_exchange.disconnect(control.connection)
+        self._leader_channel.disconnect(control)
         if self._subscribed is control:
             self._subscribed = None
             self._delay_choice()
@@ -427,6 +433,19 @@
                 self._on_drain(target_id)
             case Busy(retry_after_ms=retry_after_ms):
                 self._postpone(control, retry_after_ms)
+            case (
+                MinimumVersionConfirmed()
+                | MinimumVersionUnknown()
+                | MinimumVersionReply()
+            ):
+                self._receive_minimum_version(control, message)
+            case FromLeader():
+                self._leader_channel.receive(control, message)
+            case CrashDigest() | CrashRecords():
+                self._crash_exchange.receive(control.connection, message)
+
+    def _receive_minimum_version(self, control, message):
+        match message:
             case MinimumVersionConfirmed(version=version):
                 self._snapshot_store.raise_minimum_version(version)
                 emit(events.MINIMUM_VERSION_CONFIRMED, version=str(version))
@@ -434,8 +453,6 @@
                 self._search.start(message.peers_by_host)
             case MinimumVersionReply():
                 self._search.receive_reply(control.name, message)
-            case CrashDigest() | CrashRecords():
-                self._crash_exchange.receive(control.connection, message)
 
     def _receive_description(self, control, message):
         match message:
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -33,6 +33,7 @@
 )
 from verbenanotch.replication._outcomes import ReplicaStatus
 from verbenanotch.replication._requests import Requests
+from verbenanotch.replication._roles import Role
 from verbenanotch.replication._storage import Storage
 from verbenanotch.replication.exceptions import (
     DiskFailedError,
@@ -150,6 +151,12 @@
         """
         return self._requests.change_voters(add, remove, timeout_seconds)
 
+    def leading_term(self):
+        """Return the term in which this replica leads, None if it doesn't."""
+        if not self._running or self._driver.core.role != Role.LEADER:
+            return None
+        return self._driver.core.term
+
     def status(self):
         """Return a ReplicaStatus."""
         core = self._driver.core
