catalog, membership, proxy: types of client accounts and exposures

Cause: the parts for the new customers are built side by side and need their common types first.

Change: `ClientAccount` and `Exposure`, `Mesh.client_accounts`, `Route.public`, `Service.exposure` (refused in an operator's file), `TargetRecord.software_version`, and the account of a request and of a call. Nothing sets or reads them yet.

--- a/verbenanotch/catalog/_mesh.py
+++ b/verbenanotch/catalog/_mesh.py
@@ -17,6 +17,36 @@
 )
 
 
+@attrs.frozen(kw_only=True)
+class ClientAccount:
+    """A customer whose callers are known by the keys that they send.
+
+    Requests of an account with a lower `priority` number are run first,
+    before the priority of their routes counts. All proxies together run at
+    most `rate` of its requests a second, and a burst of `burst` more; a rate
+    of 0 means no limit.
+    """
+
+    keys: tuple[str, ...] = attrs.field(default=(), repr=False)
+    priority: int = 0
+    rate: float = 0.0
+    burst: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Exposure:
+    """How a service's requests are divided between two software versions.
+
+    Targets of the version `candidate` receive `share_ppm` millionths of the
+    requests, all others the rest. Targets of the versions in `rejected`
+    receive none.
+    """
+
+    candidate: str
+    share_ppm: int = 0
+    rejected: tuple[str, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class Service:
     """Properties of the targets of one service.
@@ -25,7 +55,7 @@
     `max_connections` the number of connections that it accepts. `calls` are
     the names of the services that its targets call through the mesh.
     `cold_start_ms` is the time over which the load on a new target is
-    increased.
+    increased. `exposure` is set by a rollout, never by an operator's file.
     """
 
     slots: int = 16
@@ -34,6 +64,7 @@
     load_path: str = "/load"
     calls: tuple[str, ...] = ()
     cold_start_ms: int = 2000
+    exposure: Exposure | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -60,7 +91,8 @@
     even if they may have run. `max_attempts` includes the first attempt.
     `timeout_ms` is the default and the upper limit of callers' timeouts.
     `objective_ms` is the desired response time, 0 if none is set. Requests
-    with a lower `priority` number are run first.
+    with a lower `priority` number are run first. The requests of a `public`
+    route need no key of a client account.
     """
 
     prefix: str
@@ -73,6 +105,7 @@
     needs_slash: bool = False
     objective_ms: int = 0
     priority: int = 0
+    public: bool = False
 
     @property
     def services(self):
@@ -86,11 +119,15 @@
 
 @attrs.frozen(kw_only=True)
 class Mesh:
-    """One complete configuration, as an operator submits it."""
+    """One complete configuration, as an operator submits it.
+
+    Without `client_accounts`, requests need no key.
+    """
 
     name: str
     services: dict[str, Service] = attrs.field(factory=dict)
     routes: dict[str, Route] = attrs.field(factory=dict)
+    client_accounts: dict[str, ClientAccount] = attrs.field(factory=dict)
 
     @property
     def services_by_name(self):
@@ -102,6 +139,11 @@
         """Routes keyed by name."""
         return self.routes
 
+    @property
+    def accounts_by_name(self):
+        """Client accounts keyed by name."""
+        return self.client_accounts
+
 
 def parse_mesh(data):
     """Parse a mesh file and check it.
@@ -156,6 +198,12 @@
             yield document.problem(
                 f"{key}.{field}", "must be positive", "Use at least 1."
             )
+    if service.exposure is not None:
+        yield document.problem(
+            f"{key}.exposure",
+            "exposures are set by rollouts alone",
+            "Remove it, and start a rollout.",
+        )
     if service.cold_start_ms < 0:
         yield document.problem(
             f"{key}.cold_start_ms", "is negative", "Use at least 0."
--- a/verbenanotch/membership/_records.py
+++ b/verbenanotch/membership/_records.py
@@ -9,7 +9,8 @@
 
     `target_id` is `service/address:port` unless the target announces its own
     id. `slots` is the number of requests that it runs at once. `incarnation`
-    increases with each restart of the target.
+    increases with each restart of the target. `software_version` is what the
+    target says of the software that it runs, empty if it says nothing.
     """
 
     target_id: str
@@ -19,6 +20,7 @@
     slots: int
     incarnation: int
     draining: bool = False
+    software_version: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -379,6 +379,7 @@
         fingerprint=request.fingerprint,
         demand_mrps=to_mrps(demand),
         known_limit_mrps=to_mrps(known_limit),
+        account=request.account,
     )
 
 
--- a/verbenanotch/proxy/_outcome.py
+++ b/verbenanotch/proxy/_outcome.py
@@ -36,6 +36,7 @@
     `demand_mrps` is the rate at which the sending proxy's callers ask for the
     service, and `known_limit_mrps` the rate that the target has named, as far
     as that proxy knows, or 0; both are in thousandths of a request per second.
+    `account` is the name of the caller's client account, empty without one.
     """
 
     request_id: str
@@ -58,6 +59,7 @@
     fingerprint: bytes = b""
     demand_mrps: int = 0
     known_limit_mrps: int = 0
+    account: str = ""
 
     @property
     def objective_seconds(self):
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -31,7 +31,7 @@
     `arrived_at`, or 0 if the route sets none. `retries` limits how often the
     request may be repeated, at this hop and at the hops below it. `key` is the
     caller's idempotency key, or empty. `fingerprint` is equal for all repeats
-    of the request.
+    of the request. `account` is the name of the caller's client account.
     """
 
     request_id: str
@@ -52,6 +52,7 @@
     objective_seconds: float = 0.0
     arrived_at: float = 0.0
     fingerprint: bytes = b""
+    account: str = ""
 
     def objective_ms(self, now):
         """Return the remaining time of the objective in milliseconds.
