proxy, routing: send large answers in turn, and keep them in their zone

Reports have some 90 KB, all are sent at once, and they spill to other zones that are as full.

Ruled out: a lack of slots at the targets (the calls waited for the link after the answer was made).

Change: with `proxy.link_mbps`, answers that don't fit into a frame leave one after the other at 0.8 of the link; a request whose answer could not be sent in time is refused at once (`link-full`). A request whose bytes cost more than its objective stays in its zone while a target there is in service. Deployments whose answers fit into one frame are served as before.

--- a/tests/unit/test_deploy_templates.py
+++ b/tests/unit/test_deploy_templates.py
@@ -27,6 +27,7 @@
         "Control": f"{ADDRESS}:8620",
     },
     "Tolerate": {"Machines": 1, "Zones": 1, "Regions": 0},
+    "Limits": {"LinkMbps": 5.5},
 }
 # Every bound that the users' pages name.
 BOUNDS = (
--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -86,6 +86,12 @@
             "the limit of all answers is below that of a single one",
             f"Use at least max_body_bytes, {proxy.max_body_bytes}.",
         )
+    if proxy and proxy.link_mbps < 0:
+        yield document.problem(
+            "proxy.link_mbps",
+            "is negative",
+            "Use the rate of the link, or 0 if it is not known.",
+        )
     if proxy and proxy.retry_burst < 0:
         yield document.problem(
             "proxy.retry_burst", "is negative", "Use at least 0."
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -200,7 +200,9 @@
     its requests. Without `probe_targets`, a target's health is judged by its
     responses to requests alone. `max_in_flight` limits the requests that the
     proxy runs concurrently for callers, and separately those for other
-    proxies. `max_pipelined` limits the safe requests that it runs
+    proxies. `link_mbps` is the rate of the host's link in million bits per
+    second: large answers to other proxies are sent no faster than a share of
+    it; 0 turns that off. `max_pipelined` limits the safe requests that it runs
     concurrently for one connection of a caller. The bodies of all answers
     that the proxy is receiving from its targets take at most
     `max_receiving_bytes`, each of them at most `max_body_bytes`. At a start,
@@ -232,6 +234,7 @@
     max_body_bytes: int = 1024 * 1024
     max_receiving_bytes: int = 64 * 1024 * 1024
     max_in_flight: int = 1024
+    link_mbps: float = 0.0
     max_pipelined: int = 16
     adaptive_limits: bool = True
     shutdown_grace_ms: int = 10_000
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -95,6 +95,7 @@
             guard=self._crash_guard,
             max_body_bytes=proxy.max_body_bytes,
             max_in_flight=proxy.max_in_flight,
+            link_mbps=proxy.link_mbps,
         )
         self._disconnect_monitor = DisconnectMonitor()
         self._listener = Listener(
--- a/verbenanotch/proxy/_body_frames.py
+++ b/verbenanotch/proxy/_body_frames.py
@@ -2,6 +2,7 @@
 
 import time
 
+import eventlet
 from eventlet import event
 
 from verbenanotch.proxy._messages import BodyChunk
@@ -94,16 +95,30 @@
             changed.send()
 
 
-def send_remaining_chunks(connection, *, stream_id, body, window, deadline):
+def send_remaining_chunks(
+    connection,
+    *,
+    stream_id,
+    body,
+    window,
+    deadline,
+    sent_bytes=CHUNK_BYTES,
+    chunk_bytes=CHUNK_BYTES,
+    pause_seconds=0.0,
+):
     """Send the part of a body that did not fit into its opening frame.
 
-    Returns False if the window is closed, or still too small at `deadline`
-    (monotonic seconds). Raises WireError if the connection fails.
+    That frame had the first `sent_bytes`. A pause of `pause_seconds` follows
+    each frame of `chunk_bytes`. Returns False if the window is closed, or
+    still too small at `deadline` (monotonic seconds). Raises WireError if the
+    connection fails.
     """
     view = memoryview(body)
-    for start in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
-        data = bytes(view[start : start + CHUNK_BYTES])
+    for start in range(sent_bytes, len(body), chunk_bytes):
+        data = bytes(view[start : start + chunk_bytes])
         if not window.reserve(len(data), deadline=deadline):
             return False
         connection.send(BodyChunk(stream_id=stream_id, data=data))
+        if pause_seconds:
+            eventlet.sleep(pause_seconds)
     return True
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -33,6 +33,7 @@
     choose,
     cross_zone_penalty_seconds,
     decide_retry,
+    keep_in_zone,
 )
 from verbenanotch.telemetry import emit, metrics
 
@@ -208,6 +209,14 @@
         size = self._route_sizes.expected(
             request.route_name, len(request.body)
         )
+        penalty_seconds = cross_zone_penalty_seconds(size, objective_seconds)
+        candidates = keep_in_zone(
+            candidates,
+            availability_zone=self._settings.host.availability_zone,
+            now=now,
+            cross_zone_penalty=penalty_seconds,
+            objective=objective_seconds,
+        )
         waits_by_target_id = {
             target_id: seconds
             for target_id, seconds in self._rate_shares.exhausted(
@@ -223,9 +232,7 @@
             exclude=tried | waits_by_target_id.keys(),
             host=self._settings.host.name,
             objective_seconds=objective_seconds,
-            cross_zone_penalty_seconds=cross_zone_penalty_seconds(
-                size, objective_seconds
-            ),
+            cross_zone_penalty_seconds=penalty_seconds,
         )
         return _explain_no_target(result, waits_by_target_id)
 
@@ -405,9 +412,9 @@
 
 
 def _is_full(outcome):
-    """Return whether the target had no capacity for the request."""
+    """Return whether the target or its link had no capacity for it."""
     match outcome:
-        case NotRun(reason=reasons.TARGET_FULL):
+        case NotRun(reason=reasons.TARGET_FULL | reasons.LINK_FULL):
             return True
         case _:
             return False
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -14,9 +14,9 @@
     CHUNK_BYTES,
     BodyAssembler,
     FlowControlWindow,
-    send_remaining_chunks,
 )
 from verbenanotch.proxy._cancellation import Cancellation
+from verbenanotch.proxy._large_answers import LargeAnswers
 from verbenanotch.proxy._messages import (
     BodyChunk,
     Cancel,
@@ -60,9 +60,13 @@
         guard,
         max_body_bytes,
         max_in_flight,
+        link_mbps=0.0,
     ):
         """Run at most `max_in_flight` calls at once at `local_targets`.
 
+        `link_mbps` is the rate of the host's link in million bits per second,
+        0 if it is not known.
+
         `record_server` handles the record requests of other hosts. `guard`
         is the CrashGuard that receives the crashes that they report.
         """
@@ -75,6 +79,7 @@
         self.leaving = False
         self._sessions = set()
         self.workers = Workers()
+        self.large_answers = LargeAnswers(link_mbps=link_mbps)
 
     def handle(self, connection):
         """Serve one peer until its connection closes."""
@@ -228,12 +233,15 @@
 
     def _run_call(self, stream_id, stream):
         try:
-            outcome = self._server.local_targets.run(
+            outcome = self._server.large_answers.refusal(
+                stream.call, stream.deadline
+            ) or self._server.local_targets.run(
                 stream.call,
                 sender=self._connection.peer_name,
                 deadline=stream.deadline,
                 cancellation=stream.cancellation,
             )
+            self._server.large_answers.observe(stream.call, outcome)
             if not stream.cancellation.cancelled:
                 self._reply(stream_id, stream, outcome)
         except WireError:
@@ -253,13 +261,14 @@
             self._server.in_flight -= 1
 
     def _reply(self, stream_id, stream, outcome):
+        large_answers = self._server.large_answers
+        body = getattr(outcome, "body", b"")
         reply = reply_from_outcome(
-            stream_id, outcome, inline_bytes=CHUNK_BYTES
+            stream_id, outcome, inline_bytes=large_answers.inline_bytes(body)
         )
         self._connection.send(reply)
-        body = getattr(outcome, "body", b"")
         if len(body) > CHUNK_BYTES:
-            send_remaining_chunks(
+            large_answers.send(
                 self._connection,
                 stream_id=stream_id,
                 body=body,
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -15,6 +15,9 @@
 TARGET_UNREACHABLE = "target-unreachable"
 TARGET_BROKE_OFF = "target-broke-off"
 
+# Large answers that are ready occupy the link of the target's host.
+LINK_FULL = "link-full"
+
 HOST_LEAVING = "host-leaving"
 HOST_FULL = "host-full"
 
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -12,6 +12,7 @@
     cross_zone_penalty_seconds,
 )
 from verbenanotch.routing._limit import AdaptiveLimit
+from verbenanotch.routing._link import LinkPacer
 from verbenanotch.routing._outliers import Ejected, OutlierDetector
 from verbenanotch.routing._queue import (
     DeadlineQueue,
@@ -30,6 +31,7 @@
 )
 from verbenanotch.routing._routes import RouteTable, choose_service
 from verbenanotch.routing._target import OutcomeKind, TargetLoad, TargetState
+from verbenanotch.routing._zones import keep_in_zone
 
 __all__ = [
     "AdaptiveLimit",
@@ -40,6 +42,7 @@
     "DeadlineQueue",
     "Dequeued",
     "Ejected",
+    "LinkPacer",
     "NamedLimit",
     "NoRetry",
     "NoTarget",
@@ -60,4 +63,5 @@
     "choose_service",
     "cross_zone_penalty_seconds",
     "decide_retry",
+    "keep_in_zone",
 ]
--- /dev/null
+++ b/verbenanotch/routing/_zones.py
@@ -0,0 +1,30 @@
+"""Whether a request may leave its availability zone.
+
+The load pattern: all targets of a service are full in a zone. Requests with
+large answers then spill over to other zones, where their answers fill links
+of low bandwidth and delay everything else, while the targets there are just as
+full.
+"""
+
+from verbenanotch.routing._choice import Candidates
+
+
+def keep_in_zone(
+    candidates, *, availability_zone, now, cross_zone_penalty, objective
+):
+    """Return the Candidates that a request may be sent to.
+
+    Those are the targets of its own zone, if crossing zones would cost more
+    than the whole objective and a target of the zone is in service. Times
+    are in seconds; an `objective` of 0 means that there is none.
+    """
+    if not objective or cross_zone_penalty < objective:
+        return candidates
+    same_zone = candidates.in_zone(availability_zone)
+    if any(_is_in_service(target, now) for target in same_zone):
+        return Candidates(targets=same_zone)
+    return candidates
+
+
+def _is_in_service(target, now):
+    return not target.draining and not target.looks_unhealthy(now)
