accounts: check callers' keys at the entry, distribute digests, rank by account

Cause: callers of a mesh with customers of their own cannot be told apart. Change: client accounts in mesh files and the platform's configurations, a third set of entries in versions with digests of keys, the check of a key at the entry proxy, and the account's priority before the route's.

--- a/verbenanotch/catalog/_mesh.py
+++ b/verbenanotch/catalog/_mesh.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from verbenanotch.catalog._account_checks import account_problems
 from verbenanotch.documents import Invalid, Valid, parse
 
 # Maximum number of services in a chain, each of which calls the next.
@@ -177,6 +178,7 @@
         yield from _service_problems(name, service, mesh, document)
     for name, route in mesh.routes.items():
         yield from _route_problems(name, route, mesh, document)
+    yield from account_problems(mesh.client_accounts, document)
     yield from _duplicate_prefix_problems(mesh, document)
     yield from _call_problems(mesh, document)
 
--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -1,6 +1,7 @@
 """Validation of the settings; reports all problems at once."""
 
 import ipaddress
+import math
 
 MIN_KEY_CHARACTERS = 16
 # Proxies rely on their lease for MAX_RENEWAL_AGE_SECONDS (2 s, in `proxy`)
@@ -11,6 +12,7 @@
 # one lease, so the lease must not be longer than the wait.
 MAX_LEASE_MS = 3000
 ROLES = ("control", "proxy")
+KEYLESS_REQUESTS = ("local-calls", "reject")
 LOG_FORMATS = ("console", "json")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
@@ -58,6 +60,7 @@
         )
     yield from _discovery_problems(settings, document)
     yield from _proxy_problems(settings.proxy, document)
+    yield from _account_problems(settings.proxy, document)
     control = settings.control
     if control and control.lease_ms < MIN_LEASE_MS:
         yield document.problem(
@@ -98,6 +101,27 @@
         )
 
 
+def _account_problems(proxy, document):
+    if proxy and proxy.keyless_requests not in KEYLESS_REQUESTS:
+        yield document.problem(
+            "proxy.keyless_requests",
+            f"unknown value {proxy.keyless_requests!r}",
+            f"Use one of {', '.join(KEYLESS_REQUESTS)}.",
+        )
+    if proxy and not proxy.headers.account_key:
+        yield document.problem(
+            "proxy.headers.account_key",
+            "is empty, so that no caller could send a key",
+            "Name a header, or omit the setting.",
+        )
+    if proxy and not 0 <= proxy.accounts_lease_seconds < math.inf:
+        yield document.problem(
+            "proxy.accounts_lease_seconds",
+            "is negative or not finite",
+            "Use a number of seconds, or 0 for no limit.",
+        )
+
+
 def _discovery_problems(settings, document):
     seeds = settings.discovery.control_hosts_by_name
     for address in seeds:
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -150,7 +150,8 @@
     load, as `running,waiting,slots`, in `target_load`. Any of its responses
     may name the requests per second that it takes from the whole mesh in
     `target_limit`, and say with `1` in `target_leaving` that it is about to
-    exit.
+    exit. A caller's request has a key of a client account in `account_key`,
+    which no target receives; targets receive the account's name in `account`.
     """
 
     request_id: str = "X-Request-Id"
@@ -165,6 +166,8 @@
     target_load: str = ""
     target_limit: str = "X-Verbenanotch-Target-Limit"
     target_leaving: str = "X-Verbenanotch-Target-Leaving"
+    account_key: str = "X-Verbenanotch-Account-Key"
+    account: str = "X-Verbenanotch-Account"
 
 
 @attrs.frozen(kw_only=True)
@@ -207,6 +210,13 @@
     `floor_wait_ms` limits the wait for a configuration before callers are
     accepted. It is also the time in which the proxy collects the answers that
     determine its minimum version.
+    In a mesh with client accounts, `keyless_requests` says what a request
+    without a key is on a route that is not public: with "local-calls" it is
+    taken for a call of this host's targets, which have no key, and runs
+    without an account; with "reject" it is refused. With an
+    `accounts_lease_seconds` above 0, such routes are refused while no control
+    host has confirmed for that time that the proxy's version is the newest
+    one, as keys may have been withdrawn since.
     """
 
     caller_port: int = 0
@@ -236,6 +246,8 @@
     adaptive_limits: bool = True
     shutdown_grace_ms: int = 10_000
     floor_wait_ms: int = 1500
+    keyless_requests: str = "reject"
+    accounts_lease_seconds: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from verbenanotch.accounts import VersionFreshness
 from verbenanotch.catalog import NO_VERSION
 from verbenanotch.conf import parse_endpoint
 from verbenanotch.daemon import _shutdown, events
@@ -21,6 +22,7 @@
     Subscriber,
 )
 from verbenanotch.proxy import (
+    AccountGate,
     CrashGuard,
     DisconnectMonitor,
     Dispatcher,
@@ -72,6 +74,9 @@
             ),
         )
         self._leader_channel = LeaderChannel()
+        self._freshness = VersionFreshness(
+            own_version=lambda: self._snapshot_store.snapshot.version
+        )
         lease_monitor = LeaseMonitor()
         self._subscriber = Subscriber(
             settings=settings,
@@ -79,6 +84,7 @@
             announcement=self._local_targets.announcement,
             on_drain=self._local_targets.drain,
             on_renewed=lease_monitor.record_renewal,
+            on_version_reported=self._freshness.record,
             on_stale_incarnation=self._local_targets.raise_incarnation_above,
             crash_exchange=self._crash_guard.exchange,
             leader_channel=self._leader_channel,
@@ -267,6 +273,9 @@
                 record_server=self._record_server, ask=self._ask_holder
             ),
             caller_service=lambda: self._local_targets.service,
+            account_gate=AccountGate(
+                settings=settings, freshness=self._freshness
+            ),
         )
 
     def _is_ready(self):
--- a/verbenanotch/distribution/_mesh_state.py
+++ b/verbenanotch/distribution/_mesh_state.py
@@ -2,29 +2,37 @@
 
 import attrs
 
+from verbenanotch.accounts import account_record
 from verbenanotch.catalog import NO_VERSION, Version
 from verbenanotch.distribution._messages import MeshUpdate
 from verbenanotch.membership import EntrySet, encode_entry
 
 ENTRIES_PER_STEP = 250
 DIGEST_MASK = (1 << 64) - 1
-# Distinguishes routes from services in the sum of their digests.
+# Distinguish routes and accounts from services in the sum of their digests.
 ROUTES_DIGEST_FACTOR = 3
+ACCOUNTS_DIGEST_FACTOR = 5
 
 
 @attrs.frozen(kw_only=True, eq=False)
 class MeshSubset:
-    """The services and routes of a version that a proxy needs."""
+    """The services and routes of a version that a proxy needs.
+
+    Every proxy needs all client accounts, as any key may be sent to it.
+    """
 
     version: Version = NO_VERSION
     services: EntrySet = attrs.field(factory=EntrySet)
     routes: EntrySet = attrs.field(factory=EntrySet)
+    accounts: EntrySet = attrs.field(factory=EntrySet)
 
     @property
     def digest(self):
         """Return the digest of the content, without the version."""
         total = (
-            self.services.digest + ROUTES_DIGEST_FACTOR * self.routes.digest
+            self.services.digest
+            + ROUTES_DIGEST_FACTOR * self.routes.digest
+            + ACCOUNTS_DIGEST_FACTOR * self.accounts.digest
         )
         return total & DIGEST_MASK
 
@@ -33,8 +41,8 @@
 class MeshState:
     """A full version, encoded once for all proxies.
 
-    `full` has all services and routes of `mesh`; `routes_by_service` has the
-    names of the routes that lead to each service.
+    `full` has all services, routes and client accounts of `mesh`;
+    `routes_by_service` has the names of the routes that lead to each service.
     """
 
     version: Version = NO_VERSION
@@ -87,6 +95,7 @@
                 version=self.version,
                 services=self.full.services.subset(services),
                 routes=self.full.routes.subset(routes),
+                accounts=self.full.accounts,
             )
         return self._subsets_by_services[services]
 
@@ -105,6 +114,7 @@
         version=version,
         services=_encode(mesh.services_by_name, pause),
         routes=_encode(mesh.routes_by_name, pause),
+        accounts=_encode(mesh.accounts_by_name, pause, convert=account_record),
     )
     return MeshState(
         version=version,
@@ -122,6 +132,7 @@
     base_subset = MeshSubset() if base is None else base
     services = base_subset.services.delta_to(subset.services)
     routes = base_subset.routes.delta_to(subset.routes)
+    accounts = base_subset.accounts.delta_to(subset.accounts)
     return MeshUpdate(
         version=subset.version,
         full=base is None,
@@ -132,16 +143,22 @@
         removed_services=services.removed,
         routes=routes.changed,
         removed_routes=routes.removed,
+        accounts=accounts.changed,
+        removed_accounts=accounts.removed,
     )
 
 
-def _encode(items_by_name, pause):
+def _encode(items_by_name, pause, *, convert=lambda item: item):
+    """Return the EntrySet of all items, each changed by `convert`."""
     entries = EntrySet()
     names = list(items_by_name)
     for start in range(0, len(names), ENTRIES_PER_STEP):
         step = names[start : start + ENTRIES_PER_STEP]
         entries = entries.evolve(
-            changed={name: encode_entry(items_by_name[name]) for name in step}
+            changed={
+                name: encode_entry(convert(items_by_name[name]))
+                for name in step
+            }
         )
         pause()
     return entries
--- a/verbenanotch/distribution/_messages.py
+++ b/verbenanotch/distribution/_messages.py
@@ -30,9 +30,9 @@
 class MeshUpdate:
     """The change from the subset of version `base` to that of `version`.
 
-    A `full` update replaces all services and routes. `services` and `routes`
-    are encoded, by name. `base_digest` and `digest` are those of the subset
-    before and after.
+    A `full` update replaces all services, routes and client accounts. These
+    are encoded, by name; the accounts are AccountRecords, without keys.
+    `base_digest` and `digest` are those of the subset before and after.
     """
 
     version: Version
@@ -44,6 +44,8 @@
     removed_services: tuple[str, ...]
     routes: dict[str, bytes]
     removed_routes: tuple[str, ...]
+    accounts: dict[str, bytes]
+    removed_accounts: tuple[str, ...]
 
 
 @attrs.frozen(kw_only=True)
--- a/verbenanotch/distribution/_snapshot.py
+++ b/verbenanotch/distribution/_snapshot.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from verbenanotch.accounts import AccountRecord, account_names_by_key_digest
 from verbenanotch.catalog import NO_VERSION, Route, Service, Version
 from verbenanotch.membership import HostRecord, TargetRecord
 from verbenanotch.routing import RouteTable
@@ -9,11 +10,18 @@
 
 @attrs.frozen(kw_only=True)
 class Snapshot:
-    """One complete version with the targets known at the time."""
+    """One complete version with the targets known at the time.
+
+    Without `accounts_by_name`, requests need no key of a client account.
+    """
 
     version: Version = NO_VERSION
     services_by_name: dict[str, Service] = attrs.field(factory=dict)
     routes_by_name: dict[str, Route] = attrs.field(factory=dict)
+    accounts_by_name: dict[str, AccountRecord] = attrs.field(factory=dict)
+    account_names_by_key_digest: dict[bytes, str] = attrs.field(
+        factory=dict, repr=False
+    )
     hosts_by_name: dict[str, HostRecord] = attrs.field(factory=dict)
     targets_by_id: dict[str, TargetRecord] = attrs.field(factory=dict)
     host_names_by_target_id: dict[str, str] = attrs.field(factory=dict)
@@ -25,13 +33,25 @@
     )
 
 
-def with_mesh(snapshot, *, version, services_by_name, routes_by_name):
+def with_mesh(
+    snapshot,
+    *,
+    version,
+    services_by_name,
+    routes_by_name,
+    accounts_by_name=None,
+):
     """Return the snapshot with another version of the mesh."""
+    accounts_by_name = accounts_by_name or {}
     return attrs.evolve(
         snapshot,
         version=version,
         services_by_name=services_by_name,
         routes_by_name=routes_by_name,
+        accounts_by_name=accounts_by_name,
+        account_names_by_key_digest=account_names_by_key_digest(
+            accounts_by_name
+        ),
         route_table=RouteTable(routes_by_name=routes_by_name),
     )
 
--- a/verbenanotch/distribution/_snapshot_store.py
+++ b/verbenanotch/distribution/_snapshot_store.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from verbenanotch.accounts import AccountRecord
 from verbenanotch.catalog import Route, Service, Version
 from verbenanotch.distribution._mesh_state import MeshSubset
 from verbenanotch.distribution._snapshot import (
@@ -164,7 +165,7 @@
     def _replace_state(self, state, update, subset, tables, decoded):
         if self._state is not state:
             return WrongBase(mesh=bool(update.mesh), services=())
-        services, routes, records = decoded
+        services, routes, accounts, records = decoded
         dangling_reference = _dangling_reference(services, routes, tables)
         if dangling_reference is not None:
             return dangling_reference
@@ -182,6 +183,7 @@
                 version=subset.version,
                 services_by_name=services,
                 routes_by_name=routes,
+                accounts_by_name=accounts,
             )
         if changed:
             snapshot = with_targets(
@@ -213,6 +215,9 @@
             routes=base.routes.evolve(
                 changed=update.routes, removed=update.removed_routes
             ),
+            accounts=base.accounts.evolve(
+                changed=update.accounts, removed=update.removed_accounts
+            ),
         )
         return subset, subset.digest == update.digest
     return current, True
@@ -238,9 +243,10 @@
 
 
 def _decode(update, state, pause):
-    """Return the decoded services, routes and records after an update."""
+    """Return the services, routes, accounts and records after an update."""
     services = state.snapshot.services_by_name
     routes = state.snapshot.routes_by_name
+    accounts = state.snapshot.accounts_by_name
     for mesh_update in update.mesh:
         services = _decode_entries(
             {} if mesh_update.full else services,
@@ -256,6 +262,13 @@
             Route,
             pause,
         )
+        accounts = _decode_entries(
+            {} if mesh_update.full else accounts,
+            mesh_update.accounts,
+            mesh_update.removed_accounts,
+            AccountRecord,
+            pause,
+        )
     records = dict(state.records_by_service)
     for targets_update in update.targets:
         current = records.get(targets_update.service, {})
@@ -267,7 +280,7 @@
             pause,
         )
         records[targets_update.service] = _keep_latest(current, new)
-    return services, routes, records
+    return services, routes, accounts, records
 
 
 def _decode_entries(current, changed, removed, cls, pause):
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -85,7 +85,9 @@
     HostRecord to announce. `on_drain` is called with the id of a target that
     must receive no new requests. `on_renewed` is called when a control host
     has confirmed the lease, with the time in monotonic seconds at which the
-    announcement or renewal was sent. `on_stale_incarnation` is called with
+    announcement or renewal was sent. `on_version_reported` is called with
+    the version of each control host that confirms a lease, and that time or
+    None. `on_stale_incarnation` is called with
     the incarnation that the own one must exceed. `crash_exchange` is the
     CrashExchange that the connections are links of, `leader_channel` the
     LeaderChannel that uses them.
@@ -99,6 +101,7 @@
         announcement,
         on_drain,
         on_renewed=lambda sent_at: None,
+        on_version_reported=lambda version, sent_at: None,
         on_stale_incarnation=lambda incarnation: None,
         crash_exchange=None,
         leader_channel=None,
@@ -109,6 +112,7 @@
         self._announcement = announcement
         self._on_drain = on_drain
         self._on_renewed = on_renewed
+        self._on_version_reported = on_version_reported
         self._on_stale_incarnation = on_stale_incarnation
         self._crash_exchange = crash_exchange or CrashExchange(
             table=CrashTable()
@@ -477,6 +481,7 @@
         match message:
             case LeaseRenewed(current=current):
                 control.current = current
+                self._on_version_reported(current, sent_at)
                 if sent_at is not None:
                     self._on_renewed(sent_at)
                 self._choose_event.set()
--- a/verbenanotch/documents/_document.py
+++ b/verbenanotch/documents/_document.py
@@ -166,6 +166,9 @@
     for expected in (str, int, bool):
         converter.register_structure_hook(expected, _exact_type_hook(expected))
     converter.register_structure_hook(float, _structure_number)
+    converter.register_structure_hook_func(
+        lambda expected: expected == tuple[str, ...], _structure_texts
+    )
     converter.register_structure_hook_factory(
         attrs.has,
         lambda cls: make_dict_structure_fn(
@@ -184,6 +187,21 @@
     return structure
 
 
+def _structure_texts(value, _):
+    """Return a list of texts as a tuple.
+
+    The error does not quote the value, which may be a list of secrets.
+    """
+    if type(value) is not list:
+        raise ValueError(f"expected a list, got {type(value).__name__}")
+    for item in value:
+        if type(item) is not str:
+            raise ValueError(
+                f"expected a list of str, got one of {type(item).__name__}"
+            )
+    return tuple(value)
+
+
 def _structure_number(value, _):
     if type(value) not in (int, float):
         raise ValueError(f"expected a number, got {value!r}")
--- a/verbenanotch/platform/_configuration.py
+++ b/verbenanotch/platform/_configuration.py
@@ -4,6 +4,7 @@
 
 from verbenanotch.catalog import METHODS as ALL_METHODS
 from verbenanotch.catalog import (
+    ClientAccount,
     Mesh,
     Route,
     Service,
@@ -14,6 +15,7 @@
 from verbenanotch.platform._fields import (
     get_field,
     get_milliseconds,
+    get_secret_field,
     load_object,
     parse_label,
 )
@@ -66,6 +68,7 @@
     values = load_object(data)
     routes = get_field(values, "Routes", dict)
     services = get_field(values, "Services", dict)
+    accounts = get_secret_field(values, "Tenants", dict, default={})
     return Configuration(
         label=parse_label(get_field(values, "Version", str)),
         mesh=Mesh(
@@ -77,6 +80,10 @@
                 name: _service(name, fields)
                 for name, fields in services.items()
             },
+            client_accounts={
+                name: _client_account(name, fields)
+                for name, fields in accounts.items()
+            },
         ),
     )
 
@@ -107,9 +114,34 @@
         # The maximum number of targets that one request may be sent to.
         max_attempts=get_field(values, "Attempts", int, default=1),
         priority=get_field(values, "Priority", int, default=0),
+        public=get_field(values, "Public", bool, default=False),
+    )
+
+
+def _client_account(name, values):
+    if not isinstance(values, dict):
+        raise MalformedDocumentError(f"tenant {name!r} is not an object")
+    keys = get_secret_field(values, "ApiKeys", list, default=[])
+    if not all(isinstance(key, str) for key in keys):
+        raise MalformedDocumentError(
+            f"an item of ApiKeys of tenant {name!r} is not a text"
+        )
+    return ClientAccount(
+        keys=tuple(keys),
+        priority=get_secret_field(values, "Priority", int, default=0),
+        rate=_number(values, "RatePerS"),
+        burst=_number(values, "Burst"),
     )
 
 
+def _number(values, name):
+    """Return an optional number as a float; 0 if it is absent."""
+    try:
+        return float(get_secret_field(values, name, int, float, default=0))
+    except OverflowError as error:
+        raise MalformedDocumentError(f"{name} is too large") from error
+
+
 def _weighted_service(values):
     if not isinstance(values, dict):
         raise MalformedDocumentError("an item of a split is not an object")
--- a/verbenanotch/platform/_fields.py
+++ b/verbenanotch/platform/_fields.py
@@ -34,6 +34,17 @@
     return value
 
 
+def get_secret_field(values, name, *types, default=None):
+    """Return a field like `get_field`; the error does not quote its value."""
+    value = values.get(name, default)
+    if type(value) not in types:
+        expected = " or ".join(accepted.__name__ for accepted in types)
+        raise MalformedDocumentError(
+            f"{name} is of type {type(value).__name__}, not {expected}"
+        )
+    return value
+
+
 def get_milliseconds(values, name, default=None):
     """Return a field given in seconds as integer milliseconds.
 
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -4,6 +4,7 @@
 proxies, the access to the host's targets and the records of keyed requests.
 """
 
+from verbenanotch.proxy._account_gate import AccountGate
 from verbenanotch.proxy._announcements import TargetInterface
 from verbenanotch.proxy._crashes import CrashGuard
 from verbenanotch.proxy._disconnect_monitor import DisconnectMonitor
@@ -26,6 +27,7 @@
 __all__ = [
     "ARRIVED_AT",
     "CONNECTION",
+    "AccountGate",
     "CrashGuard",
     "DisconnectMonitor",
     "Dispatcher",
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -4,14 +4,15 @@
 import time
 import traceback
 
+from verbenanotch.accounts import VersionFreshness
 from verbenanotch.catalog import NO_VERSION
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
+from verbenanotch.proxy._account_gate import AccountGate, AccountPass
 from verbenanotch.proxy._caller_body import read_body
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._headers import KEY_HEADER, environ_name
 from verbenanotch.proxy._outcome import (
-    DEFAULT_RETRY_AFTER_MS,
     Answered,
     NotRun,
     Rejected,
@@ -42,13 +43,21 @@
         dispatcher,
         keyed,
         caller_service=lambda: "",
+        account_gate=None,
     ):
         """Route requests by the active snapshot of `snapshot_store`.
 
         `keyed` is the KeyedRequests that runs requests with a key.
         `caller_service()` returns the service of this host's targets, which
-        is sent to the target as the caller.
+        is sent to the target as the caller. `account_gate` is the
+        AccountGate that checks the keys of client accounts.
         """
+        self._account_gate = account_gate or AccountGate(
+            settings=settings,
+            freshness=VersionFreshness(
+                own_version=lambda: snapshot_store.snapshot.version
+            ),
+        )
         self._caller_service = caller_service
         self._header_names = settings.proxy.headers
         self._reader = RequestReader(names=self._header_names)
@@ -121,6 +130,12 @@
         if matched is None:
             return self._unrouted(environ, snapshot)
         route_name, route = matched
+        access = self._account_gate.check(
+            environ, snapshot, route_name, route, request_id
+        )
+        if not isinstance(access, AccountPass):
+            return _without_run(environ, access)
+        # Limits of the account apply from here on.
         request = self._reader.read(
             environ,
             request_id=request_id,
@@ -135,6 +150,9 @@
                 deadline=deadline,
             ),
             traced=traced,
+            has_accounts=bool(snapshot.accounts_by_name),
+            account=access.account,
+            priority=access.priority,
         )
         if isinstance(request, Rejected):
             return request
@@ -208,13 +226,19 @@
 
 
 def _refusal(environ, reason):
-    """Return the outcome of a request that is refused before dispatch.
+    """Return the outcome of a request that is refused before dispatch."""
+    return _without_run(environ, NotRun(reason=reason))
+
+
+def _without_run(environ, outcome):
+    """Return an outcome before dispatch, Unknown in place of NotRun if keyed.
 
-    With a key the outcome is unknown: an earlier attempt may have run, and
-    the key's holders were not asked.
+    With an idempotency key the outcome is unknown: an earlier attempt may
+    have run, and the key's holders were not asked.
     """
-    if KEY_ENVIRON_NAME in environ:
+    if isinstance(outcome, NotRun) and KEY_ENVIRON_NAME in environ:
         return Unknown(
-            reason=f"key-{reason}", retry_after_ms=DEFAULT_RETRY_AFTER_MS
+            reason=f"key-{outcome.reason}",
+            retry_after_ms=outcome.retry_after_ms,
         )
-    return NotRun(reason=reason)
+    return outcome
--- a/verbenanotch/proxy/_headers.py
+++ b/verbenanotch/proxy/_headers.py
@@ -40,6 +40,25 @@
     )
 
 
+def account_headers(names):
+    """Return the lower-case names of the headers about client accounts."""
+    return frozenset(
+        name.lower() for name in (names.account_key, names.account) if name
+    )
+
+
+def without_headers(headers, excluded):
+    """Return the headers without those in `excluded`, lower-case names.
+
+    Underscores count as hyphens, as some targets treat both alike.
+    """
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower().replace("_", "-") not in excluded
+    )
+
+
 def environ_name(name):
     """Return the name of a request header in the WSGI environ."""
     return "HTTP_" + name.upper().replace("-", "_")
@@ -92,4 +111,6 @@
         (names.target, call.target_id),
         (names.caller, call.caller),
     )
+    if call.account:
+        added = (*added, (names.account, call.account))
     return (*call.headers, *[header for header in added if header[0]])
--- a/verbenanotch/proxy/_keyed_requests.py
+++ b/verbenanotch/proxy/_keyed_requests.py
@@ -113,12 +113,16 @@
 
 
 def _digest(request):
-    """Return the digest of the request's method, path and body.
+    """Return the digest of the request's method, path, account and body.
 
-    All requests with the same key must have the same digest.
+    All requests with the same key must have the same digest. Thus no account
+    gets the stored answer of another one.
     """
     digest = xxhash.xxh3_128()
-    for part in (request.method.encode(), request.path.encode()):
+    parts = [request.method.encode(), request.path.encode()]
+    if request.account:
+        parts.append(request.account.encode())
+    for part in parts:
         digest.update(len(part).to_bytes(4, "big"))
         digest.update(part)
     digest.update(request.body)
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -6,6 +6,8 @@
 CANCELLED = "cancelled"
 INTERNAL_ERROR = "internal-error"
 CRASHES_TARGETS = "crashes-targets"
+ACCOUNT_KEY_MISSING = "account-key-missing"
+ACCOUNT_KEY_UNKNOWN = "account-key-unknown"
 
 TARGET_GONE = "target-gone"
 TARGET_DRAINING = "target-draining"
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -11,9 +11,11 @@
 from verbenanotch.idempotency import issued_at_ms
 from verbenanotch.proxy._headers import (
     KEY_HEADER,
+    account_headers,
     caller_headers,
     environ_name,
     mesh_headers,
+    without_headers,
 )
 from verbenanotch.proxy._outcome import Rejected
 
@@ -73,6 +75,7 @@
         """Use the header names in `names`, a HeaderNames."""
         self._header_names = names
         self._mesh_headers = mesh_headers(names)
+        self._account_headers = account_headers(names)
         self._request_id_name = environ_name(names.request_id)
 
     def request_id_of(self, environ):
@@ -82,14 +85,22 @@
             return caller_id
         return uuid.uuid4().hex
 
-    def read(self, environ, **values):
-        """Return a Request or Rejected; see `check_request`."""
-        return check_request(
+    def read(self, environ, *, has_accounts=False, **values):
+        """Return a Request or Rejected; see `check_request`.
+
+        In a mesh that `has_accounts`, the key and a name of an account that
+        the caller sent are removed.
+        """
+        request = check_request(
             environ,
             names=self._header_names,
             mesh_header_names=self._mesh_headers,
             **values,
         )
+        if has_accounts and isinstance(request, Request):
+            headers = without_headers(request.headers, self._account_headers)
+            return attrs.evolve(request, headers=headers)
+        return request
 
 
 def check_request(
@@ -105,6 +116,8 @@
     read_body,
     traced=False,
     caller="",
+    account="",
+    priority=None,
 ):
     """Return a Request with its body, or Rejected.
 
@@ -112,7 +125,8 @@
     for it. `service` is the one of the route's services that the request is
     sent to. `now` is the time of arrival in monotonic seconds.
     `read_body(deadline)` returns the body, or Rejected. A timeout that the
-    caller sends can shorten the route's timeout, but not extend it.
+    caller sends can shorten the route's timeout, but not extend it. Without
+    `priority` the request has that of the route.
     """
     timeout_ms = _header_number(environ, names.timeout, route.timeout_ms)
     depth = _header_number(environ, names.depth, 0)
@@ -146,12 +160,13 @@
         key=key,
         traced=traced,
         caller=caller,
-        priority=route.priority,
+        priority=route.priority if priority is None else priority,
         objective_seconds=route.objective_ms / MILLISECONDS_PER_SECOND,
         arrived_at=now,
         fingerprint=fingerprint(
             route_host=route.host, method=method, path=path, body=body
         ),
+        account=account,
     )
 
 
