--- a/examples/stand_in_target.py
+++ b/examples/stand_in_target.py
@@ -136,7 +136,10 @@
         if not _simulate_work(environ, behaviour):
             self._ledger.write("cancelled", request)
             return _respond(start_response, 499, {"kind": "cancelled"})
-        value = attrs.asdict(request) | {"target": self.name}
+        value = attrs.asdict(request) | {
+            "target": self.name,
+            "account": environ.get("HTTP_X_VERBENANOTCH_ACCOUNT", ""),
+        }
         if behaviour.call_on:
             value["called"] = self._call_mesh(environ, behaviour, request)
         self._ledger.write("finished", request)
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -37,12 +37,14 @@
     body=None,
     request_id=None,
     timeout_ms=None,
+    account_key=None,
     timeout_seconds=CALL_TIMEOUT_SECONDS,
 ):
     """Send a request to a proxy at `address:port`; return its Answer."""
     values_by_header = {
         "Idempotency-Key": key,
         "X-Request-Id": request_id,
+        "X-Verbenanotch-Account-Key": account_key,
         "X-Request-Timeout-Ms": timeout_ms and str(timeout_ms),
     }
     response = pool.request(
--- a/tests/support/harness.py
+++ b/tests/support/harness.py
@@ -273,6 +273,7 @@
         body=None,
         request_id=None,
         timeout_ms=None,
+        account_key=None,
         timeout_seconds=CALL_TIMEOUT_SECONDS,
     ):
         """Send a caller's request to a proxy; return its Answer."""
@@ -285,6 +286,7 @@
             body=body,
             request_id=request_id,
             timeout_ms=timeout_ms,
+            account_key=account_key,
             timeout_seconds=timeout_seconds,
         )
 
--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -1,5 +1,6 @@
 """Tests of the entry interface, with fake peers in place of targets."""
 
+import contextlib
 import functools
 import http.client
 import json
@@ -159,6 +160,13 @@
         SETTINGS,
         proxy=attrs.evolve(SETTINGS.proxy, max_body_bytes=MAX_BODY_BYTES),
     )
+    with run_entry(settings, snapshot_store) as running:
+        yield running
+
+
+@contextlib.contextmanager
+def run_entry(settings, snapshot_store, **options):
+    """Run an Entry; `options` are those of its EntryInterface."""
     peers = FakePeers()
     disconnect_monitor = DisconnectMonitor()
     dispatcher = Dispatcher(
@@ -172,6 +180,7 @@
         snapshot_store=snapshot_store,
         dispatcher=dispatcher,
         keyed=None,
+        **options,
     )
     server = HttpServer(
         address="127.0.0.1",
--- a/verbenanotch/cli/_explanation.py
+++ b/verbenanotch/cli/_explanation.py
@@ -35,6 +35,17 @@
 LIMIT_REASONS = frozenset(("rate-limited", "target-limited"))
 # Reasons for refusing a request without trying a target.
 NO_TARGET_REASONS = frozenset(("no-target", "draining", "unhealthy"))
+# What the reasons of the check of callers' keys mean.
+ACCOUNT_FINDINGS_BY_REASON = {
+    "account-key-missing": "its route is not public, and it had no key of a "
+    "client account",
+    "account-key-unknown": "no client account of that version holds its key, "
+    "and a control host had confirmed that version as the newest one",
+    "accounts-behind": "its key is unknown to that version, which may not "
+    "have been the newest one: the key was not refused for good",
+    "accounts-unconfirmed": "no control host had confirmed that version "
+    "within proxy.accounts_lease_seconds, so that its key may be withdrawn",
+}
 # Maximum number of events about unavailable targets in an explanation;
 # enough for the targets of a small service.
 MAX_UNAVAILABLE_TARGETS = 10
@@ -89,6 +100,7 @@
     limit_events = _limit_events(earlier_entries, request_end)
     findings = [
         *_outcome_findings(request_end, calls),
+        *_account_findings(request_end),
         *_target_findings(target_events, request_end),
         *_limit_findings(limit_events, request_end),
         *_crash_findings(crash_events, request_end),
@@ -212,6 +224,13 @@
         yield "it did not run"
 
 
+def _account_findings(request_end):
+    # The reason of a request with an idempotency key has a prefix.
+    reason = request_end.fields.get("reason", "").removeprefix("key-")
+    if reason in ACCOUNT_FINDINGS_BY_REASON:
+        yield ACCOUNT_FINDINGS_BY_REASON[reason]
+
+
 def _target_findings(target_events, request_end):
     for entry in target_events:
         if entry.name == TARGET_ANNOUNCED:
