accounts: only control hosts in contact with a quorum confirm a version

Cause: a control host in a minority confirmed its old version to proxies, which then answered 401 for keys that the majority had added. Ruled out: a quorum read for each renewal, which costs a round at 4 renewals a second of each proxy.

--- a/tests/unit/test_cli_explanation.py
+++ b/tests/unit/test_cli_explanation.py
@@ -186,3 +186,17 @@
     )
     assert "it did not run" in output
     assert "the same request crashed target t2 as r0, 51 ms before" in output
+
+
+@pytest.mark.parametrize(
+    ("outcome", "reason", "finding"),
+    [
+        ("Rejected", "account-key-missing", "it had no key"),
+        ("Rejected", "account-key-unknown", "no client account of that"),
+        ("NotRun", "accounts-behind", "not refused for good"),
+        ("Unknown", "key-accounts-behind", "not refused for good"),
+        ("NotRun", "accounts-unconfirmed", "accounts_lease_seconds"),
+    ],
+)
+def test_the_check_of_a_key_is_explained(explain, outcome, reason, finding):
+    assert finding in explain(request_ended(1000, outcome, reason))
--- a/tests/unit/test_replication_core.py
+++ b/tests/unit/test_replication_core.py
@@ -260,6 +260,22 @@
     assert (read.token, read.index) == ("early", 1)
 
 
+def test_a_member_is_in_contact_while_a_leader_has_a_quorum():
+    core = make_core(terms=(1,), term=1, own=C)
+    assert not core.is_in_contact(0.0)
+    receive_heartbeat(core, 0.0)
+    assert core.is_in_contact(0.9)
+    assert not core.is_in_contact(1.0)
+
+
+def test_a_leader_is_in_contact_while_a_quorum_replies():
+    core = make_core()
+    lead(core, 3.0)
+    assert core.is_in_contact(3.9)
+    # No tick has made it step down yet, as after a pause of its process.
+    assert not core.is_in_contact(4.1)
+
+
 def test_deposed_leader_refuses_pending_reads():
     core = make_core()
     lead(core)
--- a/verbenanotch/accounts/_freshness.py
+++ b/verbenanotch/accounts/_freshness.py
@@ -22,8 +22,9 @@
     def record(self, version, sent_at):
         """Record the version of a control host.
 
-        `sent_at` is when the renewal that it answers was sent, or None. The
-        answer of a control host that is behind confirms nothing.
+        `sent_at` is when the renewal that it answers was sent, or None if
+        the control host is not in contact with a quorum. Such an answer
+        confirms nothing, nor does that of a control host that is behind.
         """
         self._newest = max(self._newest, version)
         own = self._own_version()
--- a/verbenanotch/cli/_explanation.py
+++ b/verbenanotch/cli/_explanation.py
@@ -46,6 +46,8 @@
     "accounts-unconfirmed": "no control host had confirmed that version "
     "within proxy.accounts_lease_seconds, so that its key may be withdrawn",
 }
+# Reasons for which the proxy's contact with control hosts matters.
+POSTPONED_REASONS = frozenset(("accounts-behind", "accounts-unconfirmed"))
 # Maximum number of events about unavailable targets in an explanation;
 # enough for the targets of a small service.
 MAX_UNAVAILABLE_TARGETS = 10
@@ -140,7 +142,7 @@
         > _parse_version(used_version)
     ]
     events = [*activated[-1:], *accepted[-1:]]
-    if accepted:
+    if accepted or _account_reason(request_end) in POSTPONED_REASONS:
         events += [e for e in proxy_entries if e.name in CONTROL_EVENTS][-1:]
     return events
 
@@ -225,12 +227,16 @@
 
 
 def _account_findings(request_end):
-    # The reason of a request with an idempotency key has a prefix.
-    reason = request_end.fields.get("reason", "").removeprefix("key-")
+    reason = _account_reason(request_end)
     if reason in ACCOUNT_FINDINGS_BY_REASON:
         yield ACCOUNT_FINDINGS_BY_REASON[reason]
 
 
+def _account_reason(request_end):
+    """Return the reason without the prefix for idempotency keys."""
+    return request_end.fields.get("reason", "").removeprefix("key-")
+
+
 def _target_findings(target_events, request_end):
     for entry in target_events:
         if entry.name == TARGET_ANNOUNCED:
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -57,6 +57,7 @@
             versions=self._versions,
             target_registry=self._target_registry,
             confirm=self._confirm,
+            is_in_contact=self._replica.is_in_contact,
             on_zone_change=self._on_zone_change,
             crash_exchange=self._crash_exchange,
             proxy_channel=self._proxy_channel,
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -67,7 +67,8 @@
 
     `versions` has the accepted versions, `target_registry` the targets.
     `confirm` takes a timeout in seconds and returns whether a quorum has
-    confirmed that the local versions are current. `on_zone_change` is
+    confirmed that the local versions are current. `is_in_contact()` returns
+    whether a leader with a quorum was active recently. `on_zone_change` is
     called after the own zone's table has changed. `crash_exchange` is the
     CrashExchange that the connections are links of, `proxy_channel` the
     ProxyChannel that uses them.
@@ -80,6 +81,7 @@
         versions,
         target_registry,
         confirm,
+        is_in_contact=lambda: True,
         on_zone_change=lambda: None,
         crash_exchange=None,
         proxy_channel=None,
@@ -89,6 +91,7 @@
         self._settings = settings
         self._versions = versions
         self._target_registry = target_registry
+        self._is_in_contact = is_in_contact
         self._on_zone_change = on_zone_change
         self._crash_exchange = crash_exchange or CrashExchange(
             table=CrashTable()
@@ -285,7 +288,12 @@
                 )
 
     def _send_lease_renewed(self, session):
-        session.connection.send(LeaseRenewed(current=self._current_version()))
+        session.connection.send(
+            LeaseRenewed(
+                current=self._current_version(),
+                is_in_contact=self._is_in_contact(),
+            )
+        )
 
     def _publish_host_change(self, host):
         if self._target_registry.refresh({host}):
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -86,11 +86,11 @@
     must receive no new requests. `on_renewed` is called when a control host
     has confirmed the lease, with the time in monotonic seconds at which the
     announcement or renewal was sent. `on_version_reported` is called with
-    the version of each control host that confirms a lease, and that time or
-    None. `on_stale_incarnation` is called with
-    the incarnation that the own one must exceed. `crash_exchange` is the
-    CrashExchange that the connections are links of, `leader_channel` the
-    LeaderChannel that uses them.
+    the version of each control host that confirms a lease, and that time, or
+    None if the control host is not in contact with a quorum.
+    `on_stale_incarnation` is called with the incarnation that the own one
+    must exceed. `crash_exchange` is the CrashExchange that the connections
+    are links of, `leader_channel` the LeaderChannel that uses them.
     """
 
     def __init__(
@@ -479,9 +479,11 @@
     def _receive_lease_message(self, control, message):
         sent_at = control.sent_at.popleft() if control.sent_at else None
         match message:
-            case LeaseRenewed(current=current):
+            case LeaseRenewed(current=current, is_in_contact=is_in_contact):
                 control.current = current
-                self._on_version_reported(current, sent_at)
+                self._on_version_reported(
+                    current, sent_at if is_in_contact else None
+                )
                 if sent_at is not None:
                     self._on_renewed(sent_at)
                 self._choose_event.set()
--- a/verbenanotch/membership/_messages.py
+++ b/verbenanotch/membership/_messages.py
@@ -48,9 +48,14 @@
 @message(204)
 @attrs.frozen(kw_only=True)
 class LeaseRenewed:
-    """The lease is renewed; `current` is the control host's version."""
+    """The lease is renewed; `current` is the control host's version.
+
+    `is_in_contact` is whether the control host was recently in contact with
+    a leader that has a quorum, so that no newer version can be much older.
+    """
 
     current: Version
+    is_in_contact: bool
 
 
 @message(205)
--- a/verbenanotch/replication/_core.py
+++ b/verbenanotch/replication/_core.py
@@ -90,6 +90,20 @@
         """Return whether `take_effects` would return empty Effects."""
         return self._effects.is_empty
 
+    def is_in_contact(self, now):
+        """Return whether a leader with a quorum was active recently.
+
+        A leader without a quorum may still be followed for two election
+        timeouts: its own until it steps down, and its followers'.
+        """
+        if self.role == Role.LEADER:
+            return self._leader_state.has_active_quorum(
+                self.log.configuration,
+                now=now,
+                timeout=self._timing.election_timeout,
+            )
+        return self._has_leader(now)
+
     def take_effects(self):
         """Return the Effects since the last call and clear them."""
         effects = self._effects
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -157,6 +157,12 @@
             return None
         return self._driver.core.term
 
+    def is_in_contact(self):
+        """Return whether a leader with a quorum was active recently."""
+        return self._running and self._driver.core.is_in_contact(
+            time.monotonic()
+        )
+
     def status(self):
         """Return a ReplicaStatus."""
         core = self._driver.core
