--- a/tests/unit/test_accounts.py
+++ b/tests/unit/test_accounts.py
@@ -25,6 +25,7 @@
 )
 from verbenanotch.catalog import NO_VERSION, ClientAccount, Version
 from verbenanotch.membership import encode_entry
+from verbenanotch.routing import DeadlineQueue
 
 KEY = "key-of-the-first"
 ACCOUNTS = {
@@ -179,3 +180,21 @@
 
 def test_calls_keep_the_order_of_their_routes():
     assert combined_priority(None, 1) < combined_priority(None, 2)
+
+
+def test_calls_and_urgent_accounts_leave_a_full_queue_first():
+    queue = DeadlineQueue(max_length=3, slots=1, service_seconds=0.01)
+    refused = []
+    for item, account_priority, route_priority in (
+        ("later account", 2, 0),
+        ("low route", 1, 5),
+        ("urgent account", 0, 9),
+        ("call", None, 9),
+        ("high route", 1, 0),
+    ):
+        rank = combined_priority(account_priority, route_priority)
+        queued = queue.offer(item, 10.0, 0.0, rank=rank)
+        refused += queued.refused
+    assert refused == ["later account", "low route"]
+    order = [queue.dequeue(0.0).item for _ in range(3)]
+    assert order == ["call", "urgent account", "high route"]
