--- a/verbenanotch/cli/_explanation.py
+++ b/verbenanotch/cli/_explanation.py
@@ -35,6 +35,19 @@
 LIMIT_REASONS = frozenset(("rate-limited", "target-limited"))
 # Reasons for refusing a request without trying a target.
 NO_TARGET_REASONS = frozenset(("no-target", "draining", "unhealthy"))
+# What the reasons of the check of callers' keys mean.
+ACCOUNT_FINDINGS_BY_REASON = {
+    "account-key-missing": "its route is not public, and it had no key of a "
+    "client account",
+    "account-key-unknown": "no client account of that version holds its key, "
+    "and a control host had confirmed that version as the newest one",
+    "accounts-behind": "its key is unknown to that version, which may not "
+    "have been the newest one: the key was not refused for good",
+    "accounts-unconfirmed": "no control host had confirmed that version "
+    "within proxy.accounts_lease_seconds, so that its key may be withdrawn",
+}
+# Reasons for which the proxy's contact with control hosts matters.
+POSTPONED_REASONS = frozenset(("accounts-behind", "accounts-unconfirmed"))
 # Maximum number of events about unavailable targets in an explanation;
 # enough for the targets of a small service.
 MAX_UNAVAILABLE_TARGETS = 10
@@ -89,6 +102,7 @@
     limit_events = _limit_events(earlier_entries, request_end)
     findings = [
         *_outcome_findings(request_end, calls),
+        *_account_findings(request_end),
         *_target_findings(target_events, request_end),
         *_limit_findings(limit_events, request_end),
         *_crash_findings(crash_events, request_end),
@@ -128,7 +142,7 @@
         > _parse_version(used_version)
     ]
     events = [*activated[-1:], *accepted[-1:]]
-    if accepted:
+    if accepted or _account_reason(request_end) in POSTPONED_REASONS:
         events += [e for e in proxy_entries if e.name in CONTROL_EVENTS][-1:]
     return events
 
@@ -212,6 +226,17 @@
         yield "it did not run"
 
 
+def _account_findings(request_end):
+    reason = _account_reason(request_end)
+    if reason in ACCOUNT_FINDINGS_BY_REASON:
+        yield ACCOUNT_FINDINGS_BY_REASON[reason]
+
+
+def _account_reason(request_end):
+    """Return the reason without the prefix for idempotency keys."""
+    return request_end.fields.get("reason", "").removeprefix("key-")
+
+
 def _target_findings(target_events, request_end):
     for entry in target_events:
         if entry.name == TARGET_ANNOUNCED:
