routing: let client accounts share the queue of a full target

Cause: within a rank, requests waited by deadline alone.

Ruled out: a turn for each account, which would give up the order by deadline that keeps calls of running requests first.

Change: a full queue refuses the last request of the account with the most of the last rank; a request that would wait too long takes the place of one of an account with at least two more. Without accounts the queue decides as before.

--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -359,6 +359,7 @@
                 rank=call.priority,
                 route_name=call.route_name,
                 objective_seconds=call.objective_seconds,
+                account=call.account,
             )
         if refusal is not None:
             metrics.increment(f"proxy.refused.{refusal.reason}")
--- a/verbenanotch/proxy/_slots.py
+++ b/verbenanotch/proxy/_slots.py
@@ -47,12 +47,14 @@
         rank=0,
         route_name="",
         objective_seconds=math.inf,
+        account="",
     ):
         """Wait for a slot; return None with a slot or NotRun without one.
 
         `deadline` is in monotonic seconds. The lowest `rank`, the priority
         of the call, is served first. `objective_seconds` is the time from now
-        within which the call should be answered.
+        within which the call should be answered. The client `account`s share
+        the places of the queue.
         """
         if self.in_flight < self._count and not len(self._queue):
             self.in_flight += 1
@@ -66,6 +68,7 @@
             rank=rank,
             objective=now + objective_seconds,
             seconds=self._service_times.expected(route_name),
+            account=account,
         )
         refusal = NotRun(
             reason=reasons.TARGET_FULL, retry_after_ms=queued.retry_after_ms
--- a/verbenanotch/routing/_queue.py
+++ b/verbenanotch/routing/_queue.py
@@ -7,8 +7,14 @@
 same number of requests with a long queue as with a short one; with a short
 queue the answered requests meet their objective, and the others are refused
 early and can be retried sooner.
+
+Client accounts share the places of their rank. The load pattern: one account
+sends several times as much as all others, and their requests find the queue
+full of its own.
 """
 
+import bisect
+import collections
 import dataclasses
 import itertools
 import math
@@ -65,7 +71,8 @@
 class _Entry:
     """A waiting request, ordered by rank, then deadline, then arrival.
 
-    `seconds` is its expected service time.
+    `seconds` is its expected service time, `account` the client account that
+    it belongs to.
     """
 
     rank: int
@@ -73,6 +80,7 @@
     ticket: int
     item: Any = dataclasses.field(compare=False)
     seconds: float = dataclasses.field(compare=False)
+    account: str = dataclasses.field(compare=False)
 
 
 class DeadlineQueue:
@@ -107,7 +115,15 @@
         )
 
     def offer(
-        self, item, deadline, now, *, rank=0, objective=math.inf, seconds=None
+        self,
+        item,
+        deadline,
+        now,
+        *,
+        rank=0,
+        objective=math.inf,
+        seconds=None,
+        account="",
     ):
         """Add a request; return Queued, or QueueRefused without waiting.
 
@@ -121,6 +137,10 @@
         before it. Among requests of equal rank the last one has the latest
         deadline: calls made by running requests have the earliest deadlines,
         and refusing them would waste the work of the requests that made them.
+
+        The last request is that of the `account` with the most requests of
+        the last rank, and a request that would be refused for its wait takes
+        the place of one of an account with at least two more of its rank.
         """
         entry = _Entry(
             rank=rank,
@@ -128,21 +148,29 @@
             ticket=next(self._tickets),
             item=item,
             seconds=self.service_seconds if seconds is None else seconds,
+            account=account,
         )
-        ahead_count = sum(other < entry for other in self._entries)
-        if not self._can_meet_deadline(entry, ahead_count, now):
-            return self._refused("deadline")
-        if self._misses_objective_by_waiting(
-            entry, ahead_count, objective - now
-        ):
-            return self._refused("objective")
         refused = []
+        reason = self._refusal_by_wait(entry, objective, now)
+        if reason:
+            displaced = self._larger_account_ahead(entry)
+            if displaced is None:
+                return self._refused(reason)
+            self._entries.remove(displaced)
+            reason = self._refusal_by_wait(entry, objective, now)
+            if reason:
+                bisect.insort(self._entries, displaced)
+                return self._refused(reason)
+            refused.append(displaced)
         if len(self._entries) >= self._max_length:
-            if self._entries[-1] < entry:
+            last = self._last_of_largest_account(entry)
+            if last is entry:
                 return self._refused("queue-full")
-            refused.append(self._entries.pop())
-        self._entries.insert(ahead_count, entry)
-        refused += self._drop_expired(ahead_count + 1, now)
+            self._entries.remove(last)
+            refused.append(last)
+        index = bisect.bisect(self._entries, entry)
+        self._entries.insert(index, entry)
+        refused += self._drop_expired(index + 1, now)
         return Queued(
             ticket=entry.ticket,
             refused=tuple(other.item for other in refused),
@@ -182,6 +210,60 @@
             MIN_RETRY_AFTER_MS, int(wait_seconds * MILLISECONDS_PER_SECOND)
         )
 
+    def _refusal_by_wait(self, entry, objective, now):
+        """Return why a request would wait too long, or ""."""
+        ahead_count = bisect.bisect(self._entries, entry)
+        if not self._can_meet_deadline(entry, ahead_count, now):
+            return "deadline"
+        if self._misses_objective_by_waiting(
+            entry, ahead_count, objective - now
+        ):
+            return "objective"
+        return ""
+
+    def _larger_account_ahead(self, entry):
+        """Return a request whose place a new one may take, or None.
+
+        It is the last one, ahead of the new one, of the account with the most
+        requests of the same rank, at least two more than that of the new one.
+        """
+        if not entry.account:
+            return None
+        counts = self._counts_by_account(entry.rank)
+        own_count = counts[entry.account]
+        ahead = [
+            other
+            for other in self._entries
+            if other < entry
+            and other.rank == entry.rank
+            and counts[other.account] >= own_count + 2
+        ]
+        return max(
+            ahead,
+            key=lambda other: (counts[other.account], other),
+            default=None,
+        )
+
+    def _last_of_largest_account(self, entry):
+        """Return the request that a full queue with a new one refuses.
+
+        It is the last request of the account that has the most of the last
+        rank.
+        """
+        entries = [*self._entries, entry]
+        rank = max(other.rank for other in entries)
+        counts = self._counts_by_account(rank)
+        counts[entry.account] += entry.rank == rank
+        return max(
+            (other for other in entries if other.rank == rank),
+            key=lambda other: (counts[other.account], other),
+        )
+
+    def _counts_by_account(self, rank):
+        return collections.Counter(
+            other.account for other in self._entries if other.rank == rank
+        )
+
     def _can_meet_deadline(self, entry, ahead_count, now):
         expected_end = now + self._wait_seconds(ahead_count) + entry.seconds
         return expected_end <= entry.deadline
