routing, proxy, rollouts: divide requests between software versions

Cause: while a new version of a service is rolled out, its targets may get only a small share of the service's requests, and none once it is rejected; and the leader that judges the version must know its outcomes.

Ruled out: a random draw for each request (its sum exceeds the share by chance, by much on a proxy with little load), shares that the leader hands to each proxy (late news of a change adds up to more), and a share of the requests that arrive (under overload, that is a larger one of those that reach targets).

Change: targets announce their `software_version`. Each proxy meters the calls to a candidate by the calls of its own that have reached the service; the sum over all proxies keeps the share without a word between them. A target's own proxy refuses calls to a rejected version. With `proxy.hold_new_versions` a version that nobody asked for gets nothing; the deployment sets it where the platform bounds canaries. Outcomes by route and version go to the leader every 250 ms while it watches the service. Without an exposure, and with the setting off, targets are chosen as before.

--- a/examples/announcer.py
+++ b/examples/announcer.py
@@ -12,22 +12,33 @@
 class Announcer:
     """Client of the local proxy's interface for targets."""
 
-    def __init__(self, *, proxy, service, address, port, slots, incarnation):
+    def __init__(
+        self,
+        *,
+        proxy,
+        service,
+        address,
+        port,
+        slots,
+        incarnation,
+        software_version="",
+    ):
         """Prepare the announcement of the target at `address:port`.
 
         `proxy` is the `address:port` of the proxy's interface for targets.
         """
         self._url = f"http://{proxy}/v1/targets"
         self._target_id = f"{service}/{address}:{port}"
-        self._body = json.dumps(
-            {
-                "service": service,
-                "address": address,
-                "port": port,
-                "slots": slots,
-                "incarnation": incarnation,
-            }
-        )
+        announcement = {
+            "service": service,
+            "address": address,
+            "port": port,
+            "slots": slots,
+            "incarnation": incarnation,
+        }
+        if software_version:
+            announcement["software_version"] = software_version
+        self._body = json.dumps(announcement)
         self._pool = urllib3.PoolManager(
             retries=False, timeout=ANNOUNCE_TIMEOUT_SECONDS
         )
--- a/examples/behaviour.py
+++ b/examples/behaviour.py
@@ -24,6 +24,8 @@
     the start. `named_limit` is the rate that all answers name as the target's
     limit, in requests per second; a comma makes two headers of it. With
     `says_leaving`, all answers say that the target is about to exit.
+    `software_version` is in the announcement unless it is empty; it is read
+    only at the start.
     """
 
     latency_ms: int = 0
@@ -40,6 +42,7 @@
     announced_slots: int = 0
     named_limit: str = ""
     says_leaving: bool = False
+    software_version: str = ""
 
     def with_changes(self, values):
         """Return a copy with the given values by field name.
--- a/examples/stand_in_target.py
+++ b/examples/stand_in_target.py
@@ -281,6 +281,7 @@
         port=announced_port or port,
         slots=target.behaviour.announced_slots or slots,
         incarnation=time.time_ns() // 1_000_000,
+        software_version=target.behaviour.software_version,
     )
     renewal = eventlet.spawn(announcer.run_forever)
     sock = eventlet.listen((address, port), reuse_port=False)
--- a/tests/unit/test_local_targets.py
+++ b/tests/unit/test_local_targets.py
@@ -7,10 +7,11 @@
 import eventlet
 import pytest
 
-from tests.unit.test_proxy_peers import SETTINGS
+from tests.unit.test_proxy_peers import SETTINGS, make_call
 from verbenanotch.conf import HeaderNames
 from verbenanotch.membership import TargetRecord
 from verbenanotch.proxy import LocalTargets, TargetDiscovery
+from verbenanotch.proxy._cancellation import Cancellation
 
 RECORD = TargetRecord(
     target_id="i-1",
@@ -126,6 +127,69 @@
     assert not targets.announce(make_record(incarnation=0))
 
 
+def test_the_first_announcement_tells_the_version_of_a_discovered_target(
+    targets,
+):
+    targets.announce(make_record(incarnation=0))
+    discovered = targets.targets_by_id["i-1"]
+    named = make_record(software_version="v2")
+    assert targets.announce(named, sequence=5)
+    announced = targets.targets_by_id["i-1"]
+    assert announced.slots is discovered.slots
+    assert announced.record == named
+    assert targets.announcement().targets == (named,)
+
+
+def test_a_target_of_a_rejected_version_refuses_calls_as_not_run():
+    """Its proxy alone stops senders that do not know of the rejection."""
+    rejected = set()
+    targets = LocalTargets(
+        settings=SETTINGS,
+        incarnation=1,
+        on_change=lambda: None,
+        is_rejected=lambda record: record.software_version in rejected,
+    )
+    targets.announce(make_record(software_version="v2"))
+
+    def run():
+        return targets.run(
+            make_call(target_id="i-1", service="pay"),
+            sender="z1-proxy-2",
+            deadline=time.monotonic() + 5,
+            cancellation=Cancellation(),
+        )
+
+    assert run().reason != "target-rejected"
+    rejected.add("v2")
+    assert run().reason == "target-rejected"
+
+
+def test_a_version_that_is_rejected_while_a_call_waits_does_not_run_it():
+    rejected = set()
+    targets = LocalTargets(
+        settings=SETTINGS,
+        incarnation=1,
+        on_change=lambda: None,
+        is_rejected=lambda record: record.software_version in rejected,
+    )
+    targets.announce(make_record(software_version="v2", slots=1))
+    slots = targets.targets_by_id["i-1"].slots
+    deadline = time.monotonic() + 5
+    options = {"rank": 0, "route_name": "", "objective_seconds": 0.0}
+    slots.acquire(deadline=deadline, cancellation=Cancellation(), **options)
+    waiting = eventlet.spawn(
+        targets.run,
+        make_call(target_id="i-1", service="pay"),
+        sender="z1-proxy-2",
+        deadline=deadline,
+        cancellation=Cancellation(),
+    )
+    eventlet.sleep(0)
+    rejected.add("v2")
+    slots.release(0.0, "")
+    assert waiting.wait().reason == "target-rejected"
+
+
 def test_discovery_does_not_replace_an_announced_target(targets):
     targets.announce(RECORD, sequence=1)
     assert not targets.announce(make_record(target_id="i-2", incarnation=0))
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -190,6 +190,18 @@
     assert report.target.incarnation == REPORT["born"]
     assert (report.target.address, report.target.port) == ("10.0.0.1", 8080)
     assert not report.target.draining
+    assert report.target.software_version == "v1"
+
+
+@pytest.mark.parametrize("version", [None, 7, ["v1"], {}, 1.5, True])
+def test_a_report_without_a_readable_version_is_accepted(version):
+    report = read_report(
+        "i-1", json.dumps({**REPORT, "Version": version}).encode()
+    )
+    assert report.target.software_version == ""
+    without = {key: REPORT[key] for key in REPORT if key != "Version"}
+    report = read_report("i-1", json.dumps(without).encode())
+    assert report.target.software_version == ""
 
 
 @pytest.mark.parametrize(
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -206,7 +206,10 @@
     `max_receiving_bytes`, each of them at most `max_body_bytes`. At a start,
     `floor_wait_ms` limits the wait for a configuration before callers are
     accepted. It is also the time in which the proxy collects the answers that
-    determine its minimum version.
+    determine its minimum version. With `hold_new_versions`, targets of a
+    software version that starts beside the one in use get no requests before
+    a rollout gives them some; without it, all versions are equal outside of
+    rollouts.
     """
 
     caller_port: int = 0
@@ -236,6 +239,7 @@
     adaptive_limits: bool = True
     shutdown_grace_ms: int = 10_000
     floor_wait_ms: int = 1500
+    hold_new_versions: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -28,6 +28,7 @@
     KeyedRequests,
     LeaseMonitor,
     LocalTargets,
+    OutcomeReporter,
     PeerPool,
     PeerServer,
     ReadinessInterface,
@@ -35,6 +36,8 @@
     TargetDiscovery,
     TargetProbe,
 )
+from verbenanotch.rollouts import OutcomeCounter, RolloutsWatched
+from verbenanotch.routing import is_rejected
 from verbenanotch.telemetry import emit
 from verbenanotch.wire import Listener, Purpose
 
@@ -43,6 +46,7 @@
 PROBE_INTERVAL_SECONDS = 1.0
 POLL_INTERVAL_SECONDS = 0.02
 RECONCILE_INTERVAL_SECONDS = 0.1
+OUTCOME_REPORT_INTERVAL_SECONDS = 0.25
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -70,8 +74,17 @@
             known_services=lambda: (
                 self._snapshot_store.snapshot.services_by_name
             ),
+            is_rejected=self._is_version_rejected,
         )
         self._leader_channel = LeaderChannel()
+        self._outcome_counter = OutcomeCounter()
+        self._outcome_reporter = OutcomeReporter(
+            counter=self._outcome_counter,
+            send=self._leader_channel.send,
+            proxy_incarnation=incarnation,
+            monotonic=time.monotonic,
+        )
+        self._leader_channel.on(RolloutsWatched, self._outcome_reporter.watch)
         lease_monitor = LeaseMonitor()
         self._subscriber = Subscriber(
             settings=settings,
@@ -185,6 +198,11 @@
             eventlet.spawn(
                 _run_every, EXPIRY_INTERVAL_SECONDS, self._local_targets.expire
             ),
+            eventlet.spawn(
+                _run_every,
+                OUTCOME_REPORT_INTERVAL_SECONDS,
+                self._outcome_reporter.report,
+            ),
         ]
         self._reconciler = eventlet.spawn(
             _run_every, RECONCILE_INTERVAL_SECONDS, self._reconcile_records
@@ -255,6 +273,7 @@
             local_targets=self._local_targets,
             peers=self._peers,
             guard=self._crash_guard,
+            outcome_counter=self._outcome_counter,
         )
         self._dispatcher = dispatcher
         self._peers.on_report = dispatcher.record_report
@@ -269,6 +288,15 @@
             caller_service=lambda: self._local_targets.service,
         )
 
+    def _is_version_rejected(self, record):
+        """Return whether a local target's version gets no requests."""
+        service = self._snapshot_store.snapshot.services_by_name.get(
+            record.service
+        )
+        return service is not None and is_rejected(
+            record.software_version, service.exposure
+        )
+
     def _is_ready(self):
         return not self._is_leaving and _is_routable(
             self._snapshot_store.snapshot
--- a/verbenanotch/platform/_targets.py
+++ b/verbenanotch/platform/_targets.py
@@ -85,6 +85,13 @@
             # The start time of the target in milliseconds since 1970.
             incarnation=get_field(values, "born", int),
             draining=DRAINING_BY_STATE[state],
+            software_version=_software_version(values),
         ),
         sequence=get_field(values, "Seq", int),
     )
+
+
+def _software_version(values):
+    """Return the version in a report; empty if it is missing or no text."""
+    value = values.get("Version", "")
+    return value if type(value) is str else ""
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -22,6 +22,7 @@
 from verbenanotch.proxy._readiness import ReadinessInterface
 from verbenanotch.proxy._record_server import RecordServer
 from verbenanotch.proxy._target_discovery import TargetDiscovery
+from verbenanotch.proxy._version_calls import OutcomeReporter
 
 __all__ = [
     "ARRIVED_AT",
@@ -33,6 +34,7 @@
     "KeyedRequests",
     "LeaseMonitor",
     "LocalTargets",
+    "OutcomeReporter",
     "PeerPool",
     "PeerServer",
     "ReadinessInterface",
--- a/verbenanotch/proxy/_announcements.py
+++ b/verbenanotch/proxy/_announcements.py
@@ -74,6 +74,7 @@
         port=port,
         slots=int(document["slots"]),
         incarnation=int(document.get("incarnation", 0)),
+        software_version=str(document.get("software_version", "")),
     )
 
 
--- a/verbenanotch/proxy/_candidates.py
+++ b/verbenanotch/proxy/_candidates.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from verbenanotch.proxy._version_groups import VersionGroups
 from verbenanotch.routing import Candidates, TargetState
 
 # Bounds the memory of targets that have said that they leave.
@@ -17,12 +18,16 @@
     leaves stays draining, whatever its proxy announces after a restart.
     """
 
-    def __init__(self, *, snapshot_store, adaptive_limits=True):
+    def __init__(
+        self, *, snapshot_store, adaptive_limits=True, version_groups=None
+    ):
         """Follow the active snapshot of `snapshot_store`.
 
         Without `adaptive_limits`, the limit of concurrent requests to a
-        target is always its number of slots.
+        target is always its number of slots. `version_groups` are the
+        VersionGroups that may keep requests from targets.
         """
+        self._version_groups = version_groups or VersionGroups()
         self._snapshot_store = snapshot_store
         self._adaptive_limits = adaptive_limits
         self._snapshot = None
@@ -52,6 +57,11 @@
         current = self._snapshot_store.snapshot
         if current is not self._snapshot:
             self._rebuild(current, now)
+        divided = self._version_groups.candidates(
+            service, None if snapshot is current else snapshot
+        )
+        if divided is not None:
+            return divided
         if snapshot is current:
             return self._candidates_by_service.get(service, NO_CANDIDATES)
         states = self.states_by_target_id
@@ -83,6 +93,7 @@
             )
             for service, target_ids in snapshot.target_ids_by_service.items()
         }
+        self._version_groups.rebuild(snapshot, states, now)
         self._snapshot = snapshot
 
     def _state_for(self, snapshot, target_id, now, had_no_targets):
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -17,6 +17,8 @@
     to_mrps,
 )
 from verbenanotch.proxy._retries import combine_outcomes
+from verbenanotch.proxy._version_calls import VersionCalls
+from verbenanotch.proxy._version_groups import VersionGroups, steady_targets
 from verbenanotch.routing import (
     AttemptContext,
     Chosen,
@@ -30,7 +32,7 @@
     RetryBudget,
     RouteDurations,
     RouteSizes,
-    choose,
+    choose_by_version,
     cross_zone_penalty_seconds,
     decide_retry,
 )
@@ -53,14 +55,28 @@
     """Choose a target for each request and send the request there."""
 
     def __init__(
-        self, *, settings, snapshot_store, local_targets, peers, guard=None
+        self,
+        *,
+        settings,
+        snapshot_store,
+        local_targets,
+        peers,
+        guard=None,
+        outcome_counter=None,
     ):
         """Choose among the targets in the snapshot of `snapshot_store`.
 
         `local_targets` is the LocalTargets of this host, `peers` the PeerPool
         for targets of other hosts. `guard` is the CrashGuard that blocks
-        requests, or None.
+        requests, or None. `outcome_counter` is the OutcomeCounter of the
+        calls to services that are rolled out, or None.
         """
+        version_groups = VersionGroups(
+            hold_new_versions=settings.proxy.hold_new_versions
+        )
+        self._version_calls = VersionCalls(
+            groups=version_groups, counter=outcome_counter
+        )
         self._guard = guard
         self._settings = settings
         self._snapshot_store = snapshot_store
@@ -70,6 +86,7 @@
         self._candidate_cache = CandidateCache(
             snapshot_store=snapshot_store,
             adaptive_limits=settings.proxy.adaptive_limits,
+            version_groups=version_groups,
         )
         self._route_durations = RouteDurations()
         self._route_sizes = RouteSizes()
@@ -196,7 +213,7 @@
                 request,
                 (
                     state.target_id
-                    for state in candidates.targets
+                    for state in steady_targets(candidates)
                     if not state.draining and state.target_id not in tried
                 ),
             )
@@ -215,7 +232,7 @@
             ).items()
             if target_id in snapshot.targets_by_id
         }
-        result = choose(
+        result = choose_by_version(
             candidates,
             now=now,
             random=self._random,
@@ -233,6 +250,7 @@
         state = self._candidate_cache.states_by_target_id[call.target_id]
         started = time.monotonic()
         state.record_start(started)
+        metered = self._version_calls.record_start(call)
         outcome = Unknown(reason=reasons.INTERNAL_ERROR)
         try:
             outcome = self._send(snapshot, call, request, cancellation)
@@ -240,6 +258,15 @@
             now = time.monotonic()
             kind = _outcome_kind(outcome, cancellation)
             state.record_outcome(now, now - started, kind)
+            self._version_calls.record_end(
+                metered,
+                snapshot.targets_by_id[call.target_id],
+                request,
+                outcome,
+                cancelled=cancellation.cancelled,
+                started=started,
+                now=now,
+            )
             if outcome.load is not None:
                 self._observe_load(state, request, outcome, now, now - started)
                 self._observe_notices(snapshot, call, outcome.load, now)
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -96,13 +96,17 @@
         on_change,
         guard=None,
         known_services=frozenset,
+        is_rejected=lambda record: False,
     ):
         """Call `on_change` whenever the announcement changes.
 
         `guard` is the CrashGuard that refuses requests which crash targets,
         and to which crashes and answers are reported.
         `known_services` returns the names of the services of the mesh.
+        `is_rejected(record)` returns whether a target's software version
+        gets no requests.
         """
+        self._is_rejected = is_rejected
         self._known_services = known_services
         self._removed_orders_by_id = {}
         self._early_removals_by_id = {}
@@ -348,7 +352,7 @@
         if target is not None:
             self._adopt_limit(target, call, sender)
         refusal = (
-            _refusal(target)
+            self._refusal(target)
             or self._blocked(call)
             or target.limit_refusal(call)
         )
@@ -399,6 +403,19 @@
         if notices.is_leaving and current is target:
             self.drain(call.target_id)
 
+    def _refusal(self, target):
+        """Return NotRun if a target accepts no calls at present, else None.
+
+        The sender of a call may not know yet that a version was rejected.
+        """
+        if target is None:
+            return NotRun(reason=reasons.TARGET_GONE)
+        if target.record.draining:
+            return NotRun(reason=reasons.TARGET_DRAINING)
+        if self._is_rejected(target.record):
+            return NotRun(reason=reasons.TARGET_REJECTED)
+        return None
+
     def _blocked(self, call):
         """Return NotRun if the call's request crashes targets, else None."""
         return None if self._guard is None else self._guard.refusal(call)
@@ -417,7 +434,7 @@
 
     def _run_in_slot(self, target, call, deadline, cancellation):
         # The target may have been drained while the call waited for its slot.
-        refusal = _refusal(target) or target.limit_refusal(call)
+        refusal = self._refusal(target) or target.limit_refusal(call)
         if refusal is not None:
             return refusal
         target.limit.spend(call.priority, time.monotonic())
@@ -478,14 +495,18 @@
 def _is_first_announcement(current, record):
     """Return whether a discovered target announces itself for the first time.
 
-    `current` is the record made by TargetDiscovery. Apart from the incarnation
-    and draining it must be equal to `record`.
+    `current` is the record made by TargetDiscovery. Apart from what the
+    target alone can tell (incarnation, draining and software version), it
+    must be equal to `record`.
     """
     return (
         current.incarnation == UNKNOWN_INCARNATION
         and current
         == attrs.evolve(
-            record, incarnation=UNKNOWN_INCARNATION, draining=False
+            record,
+            incarnation=UNKNOWN_INCARNATION,
+            draining=False,
+            software_version=current.software_version,
         )
     )
 
@@ -495,12 +516,3 @@
     if target is None:
         return outcome
     return dataclasses.replace(outcome, load=target.load_for(call, sender))
-
-
-def _refusal(target):
-    """Return NotRun if a target accepts no calls at present, else None."""
-    if target is None:
-        return NotRun(reason=reasons.TARGET_GONE)
-    if target.record.draining:
-        return NotRun(reason=reasons.TARGET_DRAINING)
-    return None
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -10,6 +10,7 @@
 TARGET_GONE = "target-gone"
 TARGET_DRAINING = "target-draining"
 TARGET_FULL = "target-full"
+TARGET_REJECTED = "target-rejected"
 TARGET_REFUSED = "target-refused"
 TARGET_LIMITED = "target-limited"
 TARGET_UNREACHABLE = "target-unreachable"
@@ -37,6 +38,7 @@
 # capacity, so that the request can move to another target at no cost.
 RETRYABLE_ON_ANOTHER_TARGET = UNREACHABLE | {
     TARGET_DRAINING,
+    TARGET_REJECTED,
     HOST_LEAVING,
     PEER_LEAVING,
 }
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -11,6 +11,18 @@
     ServiceTimes,
     cross_zone_penalty_seconds,
 )
+from verbenanotch.routing._exposure import (
+    FULL_SHARE_PPM,
+    UNKNOWN_VERSION,
+    CandidatesWithFallback,
+    ExposureMeter,
+    TargetGroups,
+    choose_by_version,
+    divide_targets,
+    established_targets,
+    established_version,
+    is_rejected,
+)
 from verbenanotch.routing._limit import AdaptiveLimit
 from verbenanotch.routing._outliers import Ejected, OutlierDetector
 from verbenanotch.routing._queue import (
@@ -35,11 +47,14 @@
     "AdaptiveLimit",
     "AttemptContext",
     "Candidates",
+    "CandidatesWithFallback",
     "Chosen",
     "DemandRate",
     "DeadlineQueue",
     "Dequeued",
     "Ejected",
+    "ExposureMeter",
+    "FULL_SHARE_PPM",
     "NamedLimit",
     "NoRetry",
     "NoTarget",
@@ -54,10 +69,17 @@
     "RouteSizes",
     "RouteTable",
     "ServiceTimes",
+    "TargetGroups",
     "TargetLoad",
     "TargetState",
+    "UNKNOWN_VERSION",
     "choose",
+    "choose_by_version",
     "choose_service",
     "cross_zone_penalty_seconds",
     "decide_retry",
+    "divide_targets",
+    "established_targets",
+    "established_version",
+    "is_rejected",
 ]
