proxy: forget versions that targets no longer name; skip leaving candidates

Cause: a restarted target that names no version kept that of its predecessor; and while all targets of a candidate leave, each call that the meter allowed cost a second choice.

Change: an announcement with an incarnation and without a version is taken at its word. A candidate without a target that stays gets no first choice.

Measured: the unit tests of versions, entry and candidates pass.

--- a/tests/unit/test_version_groups.py
+++ b/tests/unit/test_version_groups.py
@@ -136,6 +136,24 @@
     assert ids(cache, store) == {"pay/1"}
 
 
+def test_a_restarted_target_that_names_no_version_has_none():
+    store = Store([host(1, "v1"), host(2, "v2")])
+    cache = make_cache(store)
+    store.expose(candidate="v2", rejected=("v2",))
+    assert ids(cache, store) == {"pay/1"}
+    store.replace_records([host(1, "v1"), host(2, "", incarnation=9)])
+    assert ids(cache, store) == {"pay/1", "pay/2"}
+
+
+def test_a_leaving_candidate_costs_no_second_choice():
+    store = Store([host(1, "v1"), host(2, "v2", draining=True)])
+    cache = make_cache(store)
+    store.expose(candidate="v2", share_ppm=500_000)
+    assert ids(cache, store) == {"pay/1"}
+    candidates = cache.candidates(store.snapshot, "pay", now=0.0)
+    assert not isinstance(candidates, CandidatesWithFallback)
+
+
 def test_a_request_that_began_earlier_follows_the_latest_exposure():
     store = Store([host(1, "v1"), host(2, "v2")])
     cache = make_cache(store)
--- a/verbenanotch/proxy/_version_groups.py
+++ b/verbenanotch/proxy/_version_groups.py
@@ -4,6 +4,7 @@
 
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy._outcome import NotRun
+from verbenanotch.proxy._target_discovery import UNKNOWN_INCARNATION
 from verbenanotch.routing import (
     FULL_SHARE_PPM,
     UNKNOWN_VERSION,
@@ -26,21 +27,21 @@
 class _Division:
     """The candidates of one service in the active snapshot.
 
-    `meter` is None, and `candidate` is empty, without an Exposure.
+    `old` may get any call, `exposed` those that the candidate may get; it is
+    None if no target may get them. `meter` is None without an Exposure.
     """
 
     old: Candidates
-    candidate: Candidates
-    both: Candidates
+    exposed: Candidates | None
     candidate_ids: frozenset
     share_ppm: int = 0
     meter: ExposureMeter | None = None
 
     def candidates(self):
         """Return the Candidates of the next call."""
-        if not self.candidate_ids or not self.meter.allows(self.share_ppm):
+        if self.exposed is None or not self.meter.allows(self.share_ppm):
             return self.old
-        return self.both
+        return self.exposed
 
 
 @attrs.frozen(kw_only=True)
@@ -208,6 +209,8 @@
         for target_id, record in snapshot.targets_by_id.items():
             if record.software_version:
                 versions[target_id] = record.software_version
+            elif record.incarnation != UNKNOWN_INCARNATION:
+                versions.pop(target_id, None)
         excess = (
             len(versions)
             - len(snapshot.targets_by_id)
@@ -240,14 +243,14 @@
 
 def _division(groups, states_by_target_id, **metering):
     old = _candidates(groups.old, states_by_target_id)
-    candidate = _candidates(groups.candidate, states_by_target_id)
-    both = candidate
-    if groups.old:
-        both = CandidatesWithFallback(targets=candidate.targets, fallback=old)
+    exposed = _candidates(groups.candidate, states_by_target_id)
+    if all(state.draining for state in exposed.targets):
+        exposed = None
+    elif groups.old:
+        exposed = CandidatesWithFallback(targets=exposed.targets, fallback=old)
     return _Division(
         old=old,
-        candidate=candidate,
-        both=both,
+        exposed=exposed,
         candidate_ids=frozenset(groups.candidate),
         **metering,
     )
