proxy: log by which rule a service's versions are divided

Cause: a target that gets no requests because its version is held or rejected could not be told in the logs from one that nobody knows.

Change: event 5031 `versions-divided`, at each change of the rule at a proxy, not of its targets. Its test showed that of two versions with equally many targets of the same age the later name was taken as the established one; it is the earlier name now.

Measured: unit tests, and the tests of processes of software versions, target limits and the whole path pass.

--- a/tests/unit/test_version_groups.py
+++ b/tests/unit/test_version_groups.py
@@ -136,6 +136,35 @@
     assert ids(cache, store) == {"pay/1"}
 
 
+def test_each_other_division_is_logged_once(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        "verbenanotch.proxy._version_groups.emit",
+        lambda event, **fields: logged.append(fields),
+    )
+    store = Store([host(1, "v1"), host(2, "v1"), host(3, "v2")])
+    cache = make_cache(store, hold=True)
+    ids(cache, store)
+    store.replace_records([host(1, "v1"), host(3, "v2")])
+    ids(cache, store)
+    store.expose(candidate="v2", share_ppm=10_000, rejected=("v0",))
+    ids(cache, store)
+    store.replace_records([host(1, "v1")])
+    ids(cache, store)
+    store.expose()
+    ids(cache, store)
+    assert logged == [
+        {"service": "pay", "established": "v1"},
+        {
+            "service": "pay",
+            "candidate": "v2",
+            "share_ppm": 10_000,
+            "rejected": "v0",
+        },
+        {"service": "pay"},
+    ]
+
+
 def test_a_restarted_target_that_names_no_version_has_none():
     store = Store([host(1, "v1"), host(2, "v2")])
     cache = make_cache(store)
--- a/verbenanotch/proxy/_version_groups.py
+++ b/verbenanotch/proxy/_version_groups.py
@@ -3,6 +3,7 @@
 import attrs
 
 from verbenanotch.proxy import _reasons as reasons
+from verbenanotch.proxy import events
 from verbenanotch.proxy._outcome import NotRun
 from verbenanotch.proxy._target_discovery import UNKNOWN_INCARNATION
 from verbenanotch.routing import (
@@ -15,6 +16,7 @@
     established_targets,
     established_version,
 )
+from verbenanotch.telemetry import emit
 
 # Bounds the memory of software versions of targets that are gone.
 MAX_REMEMBERED_VERSIONS = 4096
@@ -34,7 +36,9 @@
     old: Candidates
     exposed: Candidates | None
     candidate_ids: frozenset
+    established: str = ""
     share_ppm: int = 0
+    rejected: tuple[str, ...] = ()
     meter: ExposureMeter | None = None
 
     def candidates(self):
@@ -83,8 +87,8 @@
             if service.exposure is not None
         }
         if not exposures_by_service and not self._hold_new_versions:
-            self._divisions_by_service = {}
             self._meters_by_service = {}
+            self._replace_divisions({})
             return
         self._remember_versions(snapshot)
         self._meters_by_service = {
@@ -98,7 +102,7 @@
             )
         if self._hold_new_versions:
             divisions |= self._hold(snapshot, states_by_target_id, now)
-        self._divisions_by_service = divisions
+        self._replace_divisions(divisions)
 
     def candidates(self, service, snapshot=None):
         """Return the Candidates of the next call, None if all are equal.
@@ -142,6 +146,15 @@
         elif metered.is_candidate:
             metered.meter.record_not_reached()
 
+    def _replace_divisions(self, divisions_by_service):
+        """Use new divisions; log those that follow another rule."""
+        before = self._divisions_by_service
+        self._divisions_by_service = divisions_by_service
+        for service in before.keys() | divisions_by_service.keys():
+            rule = _rule(divisions_by_service.get(service))
+            if rule != _rule(before.get(service)):
+                emit(events.VERSIONS_DIVIDED, service=service, **rule)
+
     def _meter(self, service, exposure):
         meter = self._meters_by_service.get(service)
         if meter is not None and meter.candidate == exposure.candidate:
@@ -158,6 +171,7 @@
             groups,
             states_by_target_id,
             share_ppm=exposure.share_ppm,
+            rejected=exposure.rejected,
             meter=self._meters_by_service[service],
         )
 
@@ -185,7 +199,9 @@
             groups = established_targets(versions, established)
             is_divided = len(groups.old) < len(target_ids)
             if is_divided and service not in self._meters_by_service:
-                divisions[service] = _division(groups, states_by_target_id)
+                divisions[service] = _division(
+                    groups, states_by_target_id, established=established
+                )
         self._established_by_service = established_by_service
         self._shifted_services &= established_by_service.keys()
         return divisions
@@ -241,7 +257,20 @@
     return candidates.targets
 
 
-def _division(groups, states_by_target_id, **metering):
+def _rule(division):
+    """Return by which rule a division, or None, was made."""
+    if division is None:
+        return {}
+    if division.meter is None:
+        return {"established": division.established}
+    return {
+        "candidate": division.meter.candidate,
+        "share_ppm": division.share_ppm,
+        "rejected": ",".join(division.rejected),
+    }
+
+
+def _division(groups, states_by_target_id, **rule):
     old = _candidates(groups.old, states_by_target_id)
     exposed = _candidates(groups.candidate, states_by_target_id)
     if all(state.draining for state in exposed.targets):
@@ -252,7 +281,7 @@
         old=old,
         exposed=exposed,
         candidate_ids=frozenset(groups.candidate),
-        **metering,
+        **rule,
     )
 
 
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -167,3 +167,11 @@
     "Stop the proxies of a service one after the other, at least "
     "`shutdown_grace_ms` apart.",
 )
+VERSIONS_DIVIDED = event(
+    5031,
+    "versions-divided",
+    Level.INFO,
+    "this proxy divides a service's requests otherwise between the software "
+    "versions of its targets: by a rollout, or by the version in use if it "
+    "holds new ones; with neither, all are equal",
+)
--- a/verbenanotch/routing/_exposure.py
+++ b/verbenanotch/routing/_exposure.py
@@ -91,11 +91,11 @@
             )
     if current in incarnations_by_version or not incarnations_by_version:
         return current
-    return max(
+    return min(
         incarnations_by_version,
         key=lambda version: (
-            len(incarnations_by_version[version]),
-            -min(incarnations_by_version[version]),
+            -len(incarnations_by_version[version]),
+            min(incarnations_by_version[version]),
             version,
         ),
     )
