--- a/tests/support/deploy_templates.py
+++ b/tests/support/deploy_templates.py
@@ -16,7 +16,8 @@
 def render(template, fields):
     """Return the text of `deploy/<template>`, filled in with nested fields."""
     text = (DEPLOY / template).read_text(encoding="utf-8")
-    text = SECTION.sub(lambda found: _section(found, fields), text)
+    while SECTION.search(text):
+        text = SECTION.sub(lambda found: _section(found, fields), text)
     return VALUE.sub(lambda found: _value(found, fields), text)
 
 
--- a/tests/unit/test_large_answers.py
+++ b/tests/unit/test_large_answers.py
@@ -9,7 +9,12 @@
 from verbenanotch.proxy._large_answers import LargeAnswers
 from verbenanotch.proxy._messages import BodyChunk
 from verbenanotch.proxy._outcome import Answered, Call, NotRun
-from verbenanotch.routing import Candidates, LinkPacer, TargetState
+from verbenanotch.routing import (
+    Candidates,
+    CandidatesWithFallback,
+    LinkPacer,
+    TargetState,
+)
 from verbenanotch.routing import keep_in_zone as choose_zone
 
 LINK_MBPS = 8.0
@@ -259,3 +264,20 @@
         target.draining = True
     assert zone_ids(candidates) == {"t1", "t2", "t3"}
     assert zone_ids(candidates, zone="z9") == {"t1", "t2", "t3"}
+
+
+def test_fallback_candidates_stay_in_the_zone_as_well(candidates):
+    """Load: as above, while a service's versions are told apart."""
+    new = make_state("new", "z2")
+    kept = choose_zone(
+        CandidatesWithFallback(targets=(new,), fallback=candidates),
+        availability_zone="z1",
+        now=10.0,
+        cross_zone_penalty=2.0,
+        objective=1.0,
+    )
+    assert kept.targets == (new,)
+    assert {target.target_id for target in kept.fallback.targets} == {
+        "t1",
+        "t2",
+    }
