--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -218,10 +218,10 @@
     without an account; with "reject" it is refused. With an
     `accounts_lease_seconds` above 0, such routes are refused while no control
     host has confirmed for that time that the proxy's version is the newest
-    one, as keys may have been withdrawn since. With `hold_new_versions`, targets of a
-    software version that starts beside the one in use get no requests before
-    a rollout gives them some; without it, all versions are equal outside of
-    rollouts.
+    one, as keys may have been withdrawn since. With `hold_new_versions`,
+    targets of a software version that starts beside the one in use get no
+    requests before a rollout gives them some; without it, all versions are
+    equal outside of rollouts.
     """
 
     caller_port: int = 0
