routing, proxy: even load by old reports, and moves away from queues

Cause: proxies choose the target with the lowest reported load. Reports come with answers and are old; targets are overrun in turns while others idle.

Change: services whose targets tell a pace (fourth figure of the load header), or all with proxy.even_load, are chosen by loads drawn from an estimate that widens with the age of the report. Other services are chosen as before. A fourth figure was taken as the slots when a target was discovered; that is mended. The gain by which a cross-zone target is chosen moves to routing/_durations.py.

--- a/tests/unit/test_local_target_limits.py
+++ b/tests/unit/test_local_target_limits.py
@@ -13,10 +13,13 @@
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._outcome import Answered, to_mrps
 
-NAMES = HeaderNames(target_limit="X-Limit", target_leaving="X-Leaving")
+NAMES = HeaderNames(
+    target_limit="X-Limit", target_leaving="X-Leaving", target_load="X-Load"
+)
 # One request in 100 s, so that a second one is refused however slow the test.
 LIMIT = b"X-Limit: 0.01\r\n"
 LEAVING = b"X-Leaving: 1\r\n"
+SLOWED = b"X-Load: 1,0,4,300\r\n"
 
 
 def answer(*headers, request_id=b"r1"):
@@ -144,3 +147,32 @@
         attrs.evolve(record, incarnation=record.incarnation + 1)
     )
     assert proxy.targets.targets_by_id["i-1"].limit.rate == 0.0
+
+
+def test_the_pace_in_an_answer_is_reported_with_the_load(proxy_with):
+    proxy = proxy_with(answer(SLOWED), answer(b"X-Load: 1,0,4,x\r\n"))
+    load = proxy.run().load
+    assert 200 < load.pace_percent <= 300
+    assert 0 < load.usual_seconds < load.service_seconds
+    assert load.reported_ms > 0
+    assert 100 <= proxy.run().load.pace_percent <= 300
+
+
+def test_without_a_pace_the_load_is_as_before(proxy_with):
+    proxy = proxy_with(answer(b"X-Load: 1,0,4\r\n"))
+    load = proxy.run().load
+    assert (load.pace_percent, load.usual_seconds, load.reported_ms) == (
+        0,
+        0.0,
+        0,
+    )
+
+
+def test_another_start_of_the_target_has_no_pace(proxy_with):
+    proxy = proxy_with(answer(SLOWED))
+    proxy.run()
+    record = proxy.targets.targets_by_id["i-1"].record
+    proxy.targets.announce(
+        attrs.evolve(record, incarnation=record.incarnation + 1)
+    )
+    assert proxy.targets.targets_by_id["i-1"].pace.percent == 0
--- a/tests/unit/test_local_targets.py
+++ b/tests/unit/test_local_targets.py
@@ -172,9 +172,10 @@
         listening.close()
 
 
-def test_a_healthy_target_is_discovered(discover):
+@pytest.mark.parametrize("load", [b"3,0,8", b"3, 0, 8, 250"])
+def test_a_healthy_target_is_discovered(discover, load):
     targets_by_id = discover(
-        b"HTTP/1.1 200 OK\r\nX-Id: i-1\r\nX-Load: 3,0,8\r\n"
+        b"HTTP/1.1 200 OK\r\nX-Id: i-1\r\nX-Load: " + load + b"\r\n"
         b"Content-Length: 0\r\n\r\n"
     )
     record = targets_by_id["i-1"].record
--- /dev/null
+++ b/tests/unit/test_request_moves.py
@@ -0,0 +1,170 @@
+"""A request moves on from a target at which it would wait."""
+
+import dataclasses
+import time
+
+import attrs
+import pytest
+
+from tests.unit.test_proxy_entry import (
+    ANSWER,
+    FakePeers,
+    FakeSnapshotStore,
+    make_record,
+)
+from tests.unit.test_proxy_peers import SETTINGS
+from verbenanotch.catalog import Route, Service, Version
+from verbenanotch.proxy import Dispatcher
+from verbenanotch.proxy._cancellation import Cancellation
+from verbenanotch.proxy._messages import (
+    outcome_from_reply,
+    reply_from_outcome,
+)
+from verbenanotch.proxy._outcome import NotRun
+from verbenanotch.proxy._request import Request
+from verbenanotch.proxy._slots import Slots
+from verbenanotch.proxy._tried_targets import MAX_MOVES
+from verbenanotch.routing import TargetLoad
+from verbenanotch.wire import from_plain, to_plain
+
+LOAD = TargetLoad(
+    busy=6, service_seconds=0.2, pace_percent=100, usual_seconds=0.2
+)
+BUSY = NotRun(reason="target-busy", load=LOAD)
+ANSWER_WITH_PACE = dataclasses.replace(ANSWER, load=LOAD)
+
+
+@pytest.fixture
+def make_dispatcher():
+    def make(count, **proxy):
+        peers = FakePeers()
+        dispatcher = Dispatcher(
+            settings=attrs.evolve(
+                SETTINGS, proxy=attrs.evolve(SETTINGS.proxy, **proxy)
+            ),
+            snapshot_store=FakeSnapshotStore(
+                [make_record(number) for number in range(1, count + 1)],
+                version=Version(epoch=1, index=1),
+                services_by_name={"pay": Service(cold_start_ms=0)},
+                routes_by_name={"pay": Route(prefix="/pay", service="pay")},
+            ),
+            local_targets=None,
+            peers=peers,
+        )
+        return dispatcher, peers
+
+    return make
+
+
+def run(dispatcher, **fields):
+    """Run one request that is not idempotent; return its outcome."""
+    request = Request(
+        request_id="r1",
+        route_name="pay",
+        service="pay",
+        method="POST",
+        path="/pay",
+        headers=(),
+        body=b"",
+        deadline=time.monotonic() + 5,
+        idempotent=False,
+        retries=0,
+        **fields,
+    )
+    return dispatcher.run(request, cancellation=Cancellation())
+
+
+def learn_loads(dispatcher, peers, *, calls=40):
+    """Let the targets answer with a load and a pace; forget the calls."""
+    peers.outcomes = [ANSWER_WITH_PACE]
+    for _ in range(calls):
+        run(dispatcher)
+    peers.calls.clear()
+
+
+def test_without_a_pace_calls_wait_for_any_time(make_dispatcher):
+    dispatcher, peers = make_dispatcher(4)
+    without_pace = attrs.evolve(LOAD, pace_percent=0, usual_seconds=0.0)
+    peers.outcomes = [dataclasses.replace(ANSWER, load=without_pace)]
+    for _ in range(20):
+        run(dispatcher)
+    assert {call.max_wait_ms for call in peers.calls} == {0}
+
+
+def test_the_setting_applies_to_targets_without_a_pace(make_dispatcher):
+    dispatcher, peers = make_dispatcher(4, even_load=True)
+    without_pace = attrs.evolve(LOAD, pace_percent=0, usual_seconds=0.0)
+    peers.outcomes = [dataclasses.replace(ANSWER, load=without_pace)]
+    for _ in range(20):
+        run(dispatcher)
+    assert peers.calls[-1].max_wait_ms > 0
+
+
+def test_a_request_moves_on_from_busy_targets_and_then_waits(make_dispatcher):
+    dispatcher, peers = make_dispatcher(4)
+    learn_loads(dispatcher, peers)
+    peers.outcomes = [BUSY] * MAX_MOVES + [ANSWER]
+    assert run(dispatcher) == ANSWER
+    assert len({call.target_id for call in peers.calls}) == MAX_MOVES + 1
+    *moved, last = (call.max_wait_ms for call in peers.calls)
+    assert min(moved) > 0
+    assert last == 0
+
+
+def test_a_request_waits_at_a_busy_target_if_no_other_is_left(
+    make_dispatcher,
+):
+    dispatcher, peers = make_dispatcher(2)
+    learn_loads(dispatcher, peers)
+    peers.outcomes = [BUSY, NotRun(reason="target-draining"), ANSWER]
+    assert run(dispatcher) == ANSWER
+    first, second, third = peers.calls
+    assert first.target_id == third.target_id != second.target_id
+    assert third.max_wait_ms == 0
+
+
+def test_a_target_that_is_always_busy_ends_the_request(make_dispatcher):
+    dispatcher, peers = make_dispatcher(4)
+    learn_loads(dispatcher, peers)
+    peers.outcomes = [BUSY]
+    assert run(dispatcher).reason == "target-busy"
+    assert len(peers.calls) == MAX_MOVES + 1
+
+
+def test_a_move_is_no_failure_of_the_target(make_dispatcher):
+    dispatcher, peers = make_dispatcher(3)
+    learn_loads(dispatcher, peers)
+    states = dispatcher._candidate_cache.states_by_target_id
+    limits = {id_: state.limit.value for id_, state in states.items()}
+    peers.outcomes = [BUSY, ANSWER]
+    run(dispatcher)
+    busy = states[peers.calls[0].target_id]
+    assert busy.limit.value == limits[busy.target_id]
+    assert busy.error_share == 0.0
+    assert busy.in_flight == 0
+    assert busy.load == LOAD
+
+
+def test_a_pace_is_sent_with_the_load():
+    load = attrs.evolve(LOAD, pace_percent=250, reported_ms=864_000_000)
+    outcome = dataclasses.replace(BUSY, load=load)
+    reply = reply_from_outcome(7, outcome, inline_bytes=0)
+    received = from_plain(to_plain(reply), type(reply))
+    assert outcome_from_reply(received).load == load
+
+
+def acquire(slots, **fields):
+    return slots.acquire(
+        deadline=time.monotonic() + 0.01, cancellation=Cancellation(), **fields
+    )
+
+
+def test_a_call_that_would_wait_too_long_is_refused_at_once():
+    slots = Slots(count=1)
+    assert acquire(slots, max_wait_seconds=0.05) is None
+    slots.release(0.2)
+    assert acquire(slots, max_wait_seconds=0.05) is None
+    refusal = acquire(slots, max_wait_seconds=0.05)
+    assert (refusal.reason, refusal.retry_after_ms) == ("target-busy", 200)
+    assert slots.load.busy == 1
+    assert acquire(slots, max_wait_seconds=0.3).reason != "target-busy"
--- a/tests/unit/test_target_notices.py
+++ b/tests/unit/test_target_notices.py
@@ -13,7 +13,9 @@
     read_notices,
 )
 
-NAMES = HeaderNames(target_limit="X-Limit", target_leaving="X-Leaving")
+NAMES = HeaderNames(
+    target_limit="X-Limit", target_leaving="X-Leaving", target_load="X-Load"
+)
 
 
 def make_headers(*pairs):
@@ -72,8 +74,55 @@
     assert notices.has_invalid("X-Leaving") == is_invalid
 
 
+@pytest.mark.parametrize(
+    ("text", "percent"),
+    [("3,0,8,100", 100), (" 3, 0, 8, 62.5 ", 62), ("0,0,5,1000", 1000)],
+)
+def test_the_fourth_figure_of_a_load_is_the_pace(text, percent):
+    notices = read_notices(make_headers(("x-load", text)), NAMES)
+    assert notices == TargetNotices(pace_percent=percent)
+
+
+@pytest.mark.parametrize(
+    "texts",
+    [
+        ("3,0,8,",),
+        ("3,0,8,0",),
+        ("3,0,8,0.0",),
+        ("3,0,8,-5",),
+        ("3,0,8,1e3",),
+        ("3,0,8,nan",),
+        ("3,0,8,10000",),
+        ("3,0,8," + "9" * 400,),
+        ("3,0,8,٣",),
+        ("3,0,8,100,7",),
+        ("3,0,8,100", "3,0,8,100"),
+    ],
+)
+def test_a_pace_that_is_no_positive_number_is_ignored(texts):
+    headers = make_headers(*[("X-Load", text) for text in texts])
+    notices = read_notices(headers, NAMES)
+    assert notices.pace_percent is None
+    assert notices.has_invalid("X-Load")
+
+
+@pytest.mark.parametrize("text", ["3,0,8", "", "many", "3"])
+def test_a_load_without_a_pace_tells_nothing(text):
+    notices = read_notices(make_headers(("X-Load", text)), NAMES)
+    assert notices == TargetNotices()
+
+
+def test_an_invalid_pace_leaves_the_limit_valid():
+    headers = make_headers(("X-Load", "3,0,8,x"), ("X-Limit", "5"))
+    notices = read_notices(headers, NAMES)
+    assert notices.limit == 5.0
+    assert notices.invalid_headers == (("X-Load", "3,0,8,x"),)
+
+
 def test_headers_without_a_name_are_not_read():
-    headers = make_headers(("X-Limit", "5"), ("", "5"))
+    headers = make_headers(
+        ("X-Limit", "5"), ("", "5"), ("X-Load", "3,0,8,100")
+    )
     names = HeaderNames(target_limit="", target_leaving="")
     assert read_notices(headers, names) == TargetNotices()
 
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -147,7 +147,9 @@
     host whose proxy accepted the request from its caller. A target's
     response with the header `not_run` means that the request was not run. A
     target's response to a health check has its id in `target_id` and its
-    load, as `running,waiting,slots`, in `target_load`. Any of its responses
+    load, as `running,waiting,slots`, in `target_load`. In any response, a
+    fourth figure in that header is the pace of the target's machine: how long
+    work takes there now, in percent of the usual time. Any of its responses
     may name the requests per second that it takes from the whole mesh in
     `target_limit`, and say with `1` in `target_leaving` that it is about to
     exit.
@@ -175,6 +177,8 @@
     availability zone. `entry_services` are the services that callers reach
     through this proxy; empty means all services. Without
     `adaptive_limits` a target's limit stays at the slots that it announces.
+    With `even_load`, the loads of all targets are estimated from old reports;
+    without it, only those of services whose targets tell their pace.
     `caller_listen` and `target_listen` are `IP:PORT` and replace
     `caller_port` and `target_port` at the host's address. `ready_listen` is
     the `IP:PORT` that reports whether callers are served; an empty value
@@ -234,6 +238,7 @@
     max_in_flight: int = 1024
     max_pipelined: int = 16
     adaptive_limits: bool = True
+    even_load: bool = False
     shutdown_grace_ms: int = 10_000
     floor_wait_ms: int = 1500
 
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -17,6 +17,7 @@
     to_mrps,
 )
 from verbenanotch.proxy._retries import combine_outcomes
+from verbenanotch.proxy._tried_targets import TriedTargets
 from verbenanotch.routing import (
     AttemptContext,
     Chosen,
@@ -75,6 +76,8 @@
         self._route_sizes = RouteSizes()
         self._routes_version = None
         self._last_snapshot = None
+        # Services of which a target has told its pace.
+        self._paced_services = set()
         self._rate_shares = RateShares()
         self._demands_by_service = {}
         self._budgets_by_service = {}
@@ -94,6 +97,7 @@
         if snapshot is not self._last_snapshot:
             self._last_snapshot = snapshot
             self._rate_shares.retain(snapshot.targets_by_id, time.monotonic())
+            self._paced_services &= snapshot.services_by_name.keys()
         budget = self._budget(request.service)
         budget.record_first_attempt(time.monotonic())
         self._demand(request.service).record(time.monotonic())
@@ -102,7 +106,7 @@
             attempts_left=request.retries + 1,
             deadline=request.deadline,
         )
-        tried = set()
+        tried = TriedTargets()
         outcome = None
         while True:
             result = self._attempt(
@@ -111,11 +115,17 @@
             outcome = combine_outcomes(outcome, result)
             if isinstance(result, Answered) or cancellation.cancelled:
                 return outcome
+            if _is_busy(result) and tried.record_move():
+                metrics.increment("proxy.moves")
+                continue
             if (
                 _is_retryable_on_another_target(result) or _is_limited(result)
-            ) and len(tried) <= MAX_FREE_RETRIES:
+            ) and len(tried.target_ids) <= MAX_FREE_RETRIES:
                 continue
-            if _is_full(result) and len(tried) <= MAX_FREE_RETRIES_WHEN_FULL:
+            if (
+                _is_full(result)
+                and len(tried.target_ids) <= MAX_FREE_RETRIES_WHEN_FULL
+            ):
                 continue
             decision = decide_retry(
                 context,
@@ -145,17 +155,17 @@
             )
 
     def _attempt(self, snapshot, request, context, tried, cancellation):
-        """Run the request once, at a target that is not in `tried`."""
+        """Run the request once, at a target that is not in TriedTargets."""
         if time.monotonic() >= request.deadline or cancellation.cancelled:
             return NotRun(reason=reasons.DEADLINE_PASSED)
         if self._guard is not None:
             refusal = self._guard.refusal(request)
             if refusal is not None:
                 return refusal
-        match self._choose_target(snapshot, request, tried):
+        match self._choose_target_or_return(snapshot, request, tried):
             case NoTarget(reason=reason, retry_after_ms=retry_after_ms):
                 return NotRun(reason=reason, retry_after_ms=retry_after_ms)
-            case Chosen(target_id=target_id):
+            case Chosen(target_id=target_id) as chosen:
                 tried.add(target_id)
         now = time.monotonic()
         self._rate_shares.spend(target_id, request.priority, now)
@@ -167,6 +177,7 @@
             known_limit=self._rate_shares.known_limit(
                 snapshot.targets_by_id[target_id]
             ),
+            max_wait_ms=tried.max_wait_ms(chosen.max_wait_seconds),
         )
         return self._run_call(snapshot, request, call, cancellation)
 
@@ -186,6 +197,13 @@
         budget.limit(self._settings.proxy.retry_burst / max(1, hosts))
         return budget
 
+    def _choose_target_or_return(self, snapshot, request, tried):
+        """Choose a target, if need be one that was only too busy before."""
+        result = self._choose_target(snapshot, request, tried.target_ids)
+        if isinstance(result, NoTarget) and tried.restore_busy():
+            return self._choose_target(snapshot, request, tried.target_ids)
+        return result
+
     def _choose_target(self, snapshot, request, tried):
         now = time.monotonic()
         candidates = self._candidate_cache.candidates(
@@ -226,6 +244,10 @@
             cross_zone_penalty_seconds=cross_zone_penalty_seconds(
                 size, objective_seconds
             ),
+            even_load=(
+                self._settings.proxy.even_load
+                or request.service in self._paced_services
+            ),
         )
         return _explain_no_target(result, waits_by_target_id)
 
@@ -254,7 +276,8 @@
                     self._guard.record_answer(call, status)
                 case Unknown(crashes=crashes) if crashes:
                     self._guard.merge_records(crashes)
-        if call.traced or not isinstance(outcome, Answered):
+        is_usual = isinstance(outcome, Answered) or _is_busy(outcome)
+        if call.traced or not is_usual:
             emit(
                 events.CALL_ENDED,
                 request=call.request_id,
@@ -280,6 +303,8 @@
 
     def _observe_load(self, state, request, outcome, now, elapsed_seconds):
         state.observe_load(now, outcome.load)
+        if outcome.load.pace_percent:
+            self._paced_services.add(request.service)
         if isinstance(outcome, Answered):
             self._route_sizes.observe(request.route_name, len(outcome.body))
             self._route_durations.observe(
@@ -355,7 +380,9 @@
     return result
 
 
-def _make_call(request, target_id, context, *, demand, known_limit):
+def _make_call(
+    request, target_id, context, *, demand, known_limit, max_wait_ms
+):
     now = time.monotonic()
     remaining = request.deadline - now
     return Call(
@@ -380,6 +407,7 @@
         demand_mrps=to_mrps(demand),
         known_limit_mrps=to_mrps(known_limit),
         account=request.account,
+        max_wait_ms=max_wait_ms,
     )
 
 
@@ -404,6 +432,15 @@
             return False
 
 
+def _is_busy(outcome):
+    """Return whether the request would have waited too long."""
+    match outcome:
+        case NotRun(reason=reasons.TARGET_BUSY):
+            return True
+        case _:
+            return False
+
+
 def _is_full(outcome):
     """Return whether the target had no capacity for the request."""
     match outcome:
@@ -424,8 +461,9 @@
 
 def _outcome_kind(outcome, cancellation):
     """Return the OutcomeKind that is recorded for the target."""
-    # A limit that is used up tells nothing of the target's health or speed.
-    if cancellation.cancelled or _is_limited(outcome):
+    # A limit that is used up tells nothing of the target's health or speed,
+    # and the load of a busy target comes with its refusal.
+    if cancellation.cancelled or _is_limited(outcome) or _is_busy(outcome):
         return OutcomeKind.CANCELLED
     match outcome:
         case Answered(status=status):
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -17,7 +17,11 @@
 from verbenanotch.proxy._target_connection import TargetConnections
 from verbenanotch.proxy._target_discovery import UNKNOWN_INCARNATION
 from verbenanotch.proxy._target_notices import NoticeLog, read_notices
-from verbenanotch.routing import NamedLimit
+from verbenanotch.routing import (
+    SERVICE_TIME_EWMA_WEIGHT,
+    NamedLimit,
+    PaceMeter,
+)
 from verbenanotch.telemetry import emit, metrics
 
 MILLISECONDS_PER_SECOND = 1000
@@ -37,7 +41,8 @@
 
     `expires_at` is in monotonic seconds. `sequence` is that of the latest
     announcement. `crash_detector` is None without a CrashGuard. `limit` is
-    the request rate that the target names in its answers.
+    the request rate that the target names in its answers, and `pace` how
+    long work takes there.
     """
 
     record: TargetRecord
@@ -48,6 +53,9 @@
     sequence: int = 0
     limit: NamedLimit = attrs.field(factory=NamedLimit)
     notice_log: NoticeLog = attrs.field(factory=NoticeLog)
+    pace: PaceMeter = attrs.field(
+        factory=lambda: PaceMeter(ewma_weight=SERVICE_TIME_EWMA_WEIGHT)
+    )
 
     @property
     def order(self):
@@ -56,7 +64,7 @@
 
     def load_for(self, call, sender):
         """Return the TargetLoad for the proxy that has sent a Call."""
-        load = self.slots.load
+        load = self._load()
         if not self.limit.rate and not self.record.draining:
             return load
         share = self.limit.share(
@@ -69,6 +77,21 @@
             is_leaving=self.record.draining,
         )
 
+    def _load(self):
+        load = self.slots.load
+        if not self.pace.percent:
+            return load
+        return attrs.evolve(
+            load,
+            pace_percent=self.pace.percent_at(time.monotonic()),
+            usual_seconds=self.pace.usual_seconds(load.service_seconds),
+            reported_ms=int(time.monotonic() * MILLISECONDS_PER_SECOND),
+        )
+
+    def max_wait_seconds(self, call):
+        """Return the longest wait of a Call at the mean service time."""
+        return call.max_wait_seconds / self.pace.slowdown(time.monotonic())
+
     def limit_refusal(self, call):
         """Return NotRun if the target's limit has no room for a Call."""
         wait_seconds = self.limit.wait_seconds(call.priority, time.monotonic())
@@ -359,6 +382,7 @@
                 rank=call.priority,
                 route_name=call.route_name,
                 objective_seconds=call.objective_seconds,
+                max_wait_seconds=target.max_wait_seconds(call),
             )
         if refusal is not None:
             metrics.increment(f"proxy.refused.{refusal.reason}")
@@ -395,6 +419,8 @@
                 source=names.target_limit,
                 now=now,
             )
+        if notices.pace_percent is not None:
+            target.pace.observe(notices.pace_percent, now)
         current = self.targets_by_id.get(call.target_id)
         if notices.is_leaving and current is target:
             self.drain(call.target_id)
--- a/verbenanotch/proxy/_messages.py
+++ b/verbenanotch/proxy/_messages.py
@@ -40,7 +40,8 @@
     """A TargetLoad in wire format; `busy` is negative if the load is unknown.
 
     `service_us` is in microseconds, `limit_mrps` and `share_mrps` are in
-    thousandths of a request per second.
+    thousandths of a request per second. `pace_percent` is 0 if the target
+    tells no pace; `usual_us` is then 0, too, and so is `reported_ms`.
     """
 
     busy: int
@@ -48,6 +49,9 @@
     limit_mrps: int = 0
     share_mrps: int = 0
     is_leaving: bool = False
+    pace_percent: int = 0
+    usual_us: int = 0
+    reported_ms: int = 0
 
 
 UNKNOWN_LOAD = ReportedLoad(busy=-1, service_us=0)
@@ -238,6 +242,9 @@
         limit_mrps=to_mrps(load.limit),
         share_mrps=to_mrps(load.share),
         is_leaving=load.is_leaving,
+        pace_percent=load.pace_percent,
+        usual_us=int(load.usual_seconds * MICROSECONDS_PER_SECOND),
+        reported_ms=load.reported_ms,
     )
 
 
@@ -250,4 +257,7 @@
         limit=reported.limit_mrps / MRPS_PER_RPS,
         share=reported.share_mrps / MRPS_PER_RPS,
         is_leaving=reported.is_leaving,
+        pace_percent=reported.pace_percent,
+        usual_seconds=reported.usual_us / MICROSECONDS_PER_SECOND,
+        reported_ms=reported.reported_ms,
     )
--- a/verbenanotch/proxy/_outcome.py
+++ b/verbenanotch/proxy/_outcome.py
@@ -36,7 +36,9 @@
     `demand_mrps` is the rate at which the sending proxy's callers ask for the
     service, and `known_limit_mrps` the rate that the target has named, as far
     as that proxy knows, or 0; both are in thousandths of a request per second.
-    `account` is the name of the caller's client account, empty without one.
+    Unless it is 0, the call is refused if it would wait for a slot for over
+    `max_wait_ms`. `account` is the name of the caller's client account, empty
+    without one.
     """
 
     request_id: str
@@ -60,6 +62,14 @@
     demand_mrps: int = 0
     known_limit_mrps: int = 0
     account: str = ""
+    max_wait_ms: int = 0
+
+    @property
+    def max_wait_seconds(self):
+        """The longest wait for a slot, infinite without a limit."""
+        if self.max_wait_ms == 0:
+            return math.inf
+        return self.max_wait_ms / MILLISECONDS_PER_SECOND
 
     @property
     def objective_seconds(self):
--- a/verbenanotch/proxy/_slots.py
+++ b/verbenanotch/proxy/_slots.py
@@ -15,6 +15,8 @@
     TargetLoad,
 )
 
+MILLISECONDS_PER_SECOND = 1000
+
 
 class Slots:
     """Limit the concurrent calls to the number of slots of the target.
@@ -47,16 +49,22 @@
         rank=0,
         route_name="",
         objective_seconds=math.inf,
+        max_wait_seconds=math.inf,
     ):
         """Wait for a slot; return None with a slot or NotRun without one.
 
         `deadline` is in monotonic seconds. The lowest `rank`, the priority
         of the call, is served first. `objective_seconds` is the time from now
-        within which the call should be answered.
+        within which the call should be answered. A call that would wait for
+        longer than `max_wait_seconds` is refused, so that it can move to
+        another target.
         """
         if self.in_flight < self._count and not len(self._queue):
             self.in_flight += 1
             return None
+        wait_ms = self._queue.retry_after_ms()
+        if wait_ms > max_wait_seconds * MILLISECONDS_PER_SECOND:
+            return NotRun(reason=reasons.TARGET_BUSY, retry_after_ms=wait_ms)
         admission = event.Event()
         now = time.monotonic()
         queued = self._queue.offer(
--- a/verbenanotch/proxy/_target_discovery.py
+++ b/verbenanotch/proxy/_target_discovery.py
@@ -26,6 +26,8 @@
 REQUEST_TIMEOUT_SECONDS = 0.5
 SNAPSHOT_POLL_SECONDS = 0.02
 OK_STATUS = 200
+# Position of the slots in the load header.
+SLOTS_FIELD = 2
 # Lower than that of any announcement, so that announcements take precedence.
 UNKNOWN_INCARNATION = 0
 
@@ -127,7 +129,7 @@
     """Return the TargetIdentity in an answer, or None if there is none.
 
     `header_names` is a HeaderNames. The load header has the form
-    `running,waiting,slots`.
+    `running,waiting,slots` or `running,waiting,slots,pace`.
     """
     target_id = (
         headers.get(header_names.target_id) if header_names.target_id else None
@@ -137,7 +139,9 @@
         if header_names.target_load
         else ""
     )
-    slots = load.rpartition(",")[2].strip()
+    fields = load.split(",")
+    # Without a comma, the one figure is taken as the slots.
+    slots = fields[min(SLOTS_FIELD, len(fields) - 1)].strip()
     if status != OK_STATUS or not target_id or not slots.isdecimal():
         return None
     if int(slots) < 1:
--- a/verbenanotch/proxy/_target_notices.py
+++ b/verbenanotch/proxy/_target_notices.py
@@ -10,6 +10,9 @@
 
 # A positive decimal number of at most nine digits on each side of the point.
 RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+# A positive decimal number below 10,000 with at most nine decimal places.
+PACE_PATTERN = re.compile(r"[0-9]{1,4}(\.[0-9]{1,9})?")
+LOAD_FIELDS_WITHOUT_PACE = 3
 LEAVING_VALUE = "1"
 MAX_LOGGED_CHARACTERS = 64
 LOG_INTERVAL_SECONDS = 1.0
@@ -20,12 +23,15 @@
     """The notices in one answer.
 
     `limit` is the requests per second that the target takes from the whole
-    mesh, None if it names none. A header that can't be read is listed in
-    `invalid_headers`, with its value; `limit` then says nothing.
+    mesh, and `pace_percent` how long work takes there now, 100 as usual; each
+    is None if the target tells none. A header that can't be read is listed in
+    `invalid_headers`, with its value; what it tells is
+    then None.
     """
 
     limit: float | None = None
     is_leaving: bool = False
+    pace_percent: int | None = None
     invalid_headers: tuple[tuple[str, str], ...] = ()
 
     def has_invalid(self, header):
@@ -43,7 +49,8 @@
     """
     limits = _values(headers, names.target_limit)
     leaving = _values(headers, names.target_leaving)
-    if not limits and not leaving:
+    loads = _values(headers, names.target_load)
+    if not limits and not leaving and not loads:
         return NO_NOTICES
     invalid = []
     limit = None
@@ -54,8 +61,16 @@
     is_leaving = leaving == [LEAVING_VALUE]
     if leaving and not is_leaving:
         invalid.append((names.target_leaving, ", ".join(leaving)))
+    pace_percent = None
+    if _have_pace(loads):
+        pace_percent = _parse_pace(loads)
+        if pace_percent is None:
+            invalid.append((names.target_load, ", ".join(loads)))
     return TargetNotices(
-        limit=limit, is_leaving=is_leaving, invalid_headers=tuple(invalid)
+        limit=limit,
+        is_leaving=is_leaving,
+        pace_percent=pace_percent,
+        invalid_headers=tuple(invalid),
     )
 
 
@@ -119,3 +134,20 @@
     if len(values) != 1 or not RATE_PATTERN.fullmatch(values[0].strip()):
         return None
     return float(values[0]) or None
+
+
+def _have_pace(loads):
+    """Return whether a target tells more than its requests and slots."""
+    return any(load.count(",") >= LOAD_FIELDS_WITHOUT_PACE for load in loads)
+
+
+def _parse_pace(loads):
+    """Return the fourth figure of the one load, at least 1, or None."""
+    if len(loads) != 1:
+        return None
+    *_, pace = fields = [field.strip() for field in loads[0].split(",")]
+    if len(fields) != LOAD_FIELDS_WITHOUT_PACE + 1:
+        return None
+    if not PACE_PATTERN.fullmatch(pace):
+        return None
+    return round(float(pace)) or None
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -4,8 +4,10 @@
 request is queued, retried or refused.
 """
 
-from verbenanotch.routing._choice import Candidates, Chosen, NoTarget, choose
+from verbenanotch.routing._choice import Candidates, choose
+from verbenanotch.routing._choice_outcomes import Chosen, NoTarget
 from verbenanotch.routing._durations import (
+    SERVICE_TIME_EWMA_WEIGHT,
     RouteDurations,
     RouteSizes,
     ServiceTimes,
@@ -13,6 +15,7 @@
 )
 from verbenanotch.routing._limit import AdaptiveLimit
 from verbenanotch.routing._outliers import Ejected, OutlierDetector
+from verbenanotch.routing._pace import PaceMeter
 from verbenanotch.routing._queue import (
     DeadlineQueue,
     Dequeued,
@@ -45,6 +48,7 @@
     "NoTarget",
     "OutcomeKind",
     "OutlierDetector",
+    "PaceMeter",
     "QueueRefused",
     "Queued",
     "RateShares",
@@ -53,6 +57,7 @@
     "RouteDurations",
     "RouteSizes",
     "RouteTable",
+    "SERVICE_TIME_EWMA_WEIGHT",
     "ServiceTimes",
     "TargetLoad",
     "TargetState",
--- a/verbenanotch/routing/_choice.py
+++ b/verbenanotch/routing/_choice.py
@@ -9,11 +9,19 @@
 Randomized Load Balancing", 2001.
 """
 
-import dataclasses
-
 import attrs
 
-from verbenanotch.routing._durations import OBJECTIVE_MARGIN
+from verbenanotch.routing._choice_outcomes import Chosen, NoTarget
+from verbenanotch.routing._durations import (
+    OBJECTIVE_MARGIN,
+    is_worth_crossing,
+)
+from verbenanotch.routing._even_choice import choose_evenly
+from verbenanotch.routing._sample import (
+    MAX_SAMPLED,
+    is_usable,
+    usable_sample,
+)
 
 # In a choice by pressure (`TargetState.pressure`), cross-zone targets are
 # considered only if the best same-zone target has at least this pressure, and
@@ -23,14 +31,8 @@
 # Health may be ignored if less than this share of the targets looks healthy.
 PANIC_HEALTHY_SHARE = 0.5
 # Maximum number of targets examined, separately for same-zone and cross-zone
-# targets: in the usual sample, and in the scan that follows if the sample has
-# no usable target.
-MAX_SAMPLED = 6
+# targets, in the scan that follows if the usual sample has no usable target.
 MAX_SCANNED = 32
-# A cross-zone target must be expected to be faster by this share of its own
-# time plus this time, which two hops between zones take (about 1.5 ms each).
-MIN_CROSS_ZONE_GAIN_SHARE = 0.15
-MIN_CROSS_ZONE_GAIN_SECONDS = 0.003
 # A target without a known load is assumed to take this share of the service
 # time of the fastest sampled target with a known one, so that it is tried. Its
 # expected time grows with this proxy's requests in flight to it.
@@ -44,28 +46,6 @@
 NO_TARGET_RETRY_AFTER_MS = 250
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Chosen:
-    """The request goes to this target.
-
-    `panicked` is True if the target was chosen without regard to health.
-    """
-
-    target_id: str
-    panicked: bool = False
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NoTarget:
-    """No target can accept the request now; it was not run.
-
-    `reason` is `no-target`, `excluded`, `unhealthy` or `overloaded`.
-    """
-
-    reason: str
-    retry_after_ms: int
-
-
 @attrs.frozen(kw_only=True)
 class Candidates:
     """The targets of a service, a tuple of TargetState.
@@ -111,6 +91,7 @@
     objective_seconds=0.0,
     host="",
     cross_zone_penalty_seconds=0.0,
+    even_load=False,
 ):
     """Return Chosen or NoTarget for one request.
 
@@ -121,12 +102,26 @@
     has tried. `objective_seconds` is the time within which the request
     should be answered, as scaled by `RouteDurations.scaled_objective`; 0
     means as soon as possible. A cross-zone target has to be faster by
-    `cross_zone_penalty_seconds`. A draining target is never chosen.
+    `cross_zone_penalty_seconds`. With `even_load`, loads are estimated by
+    `choose_evenly`. A draining target is never chosen.
     """
     if not isinstance(candidates, Candidates):
         candidates = Candidates(targets=tuple(candidates))
     same_zone = candidates.in_zone(availability_zone)
     cross_zone = candidates.outside_zone(availability_zone)
+    if even_load:
+        chosen = choose_evenly(
+            same_zone,
+            cross_zone,
+            now=now,
+            random=random,
+            exclude=exclude,
+            host=host,
+            objective_seconds=objective_seconds,
+            cross_zone_penalty_seconds=cross_zone_penalty_seconds,
+        )
+        if chosen is not None:
+            return chosen
     fastest = _choose_by_load(
         same_zone,
         cross_zone,
@@ -173,14 +168,14 @@
     Returns None if no load is known, or if no sampled target can accept the
     request.
     """
-    same_zone = _usable_sample(same_zone, now, random, exclude)
+    same_zone = usable_sample(same_zone, now, random, exclude)
     local = next((target for target in same_zone if target.host == host), None)
     # In the usual case no other target has to be examined.
     if local is not None and local.is_load_known(now):
         expected = local.expected_seconds(now, assumed_seconds=0.0)
         if expected * OBJECTIVE_MARGIN <= objective_seconds:
             return local
-    cross_zone = _usable_sample(cross_zone, now, random, exclude)
+    cross_zone = usable_sample(cross_zone, now, random, exclude)
     known_service_seconds = [
         target.load.service_seconds
         for target in (*same_zone, *cross_zone)
@@ -222,21 +217,15 @@
         return min(drawn, key=expected_seconds, default=None)
     if cross_zone:
         drawn = cross_zone[int(random.random() * len(cross_zone))]
-        gain = expected_seconds(best) - expected_seconds(drawn) * (
-            1 + MIN_CROSS_ZONE_GAIN_SHARE
-        )
-        if gain > MIN_CROSS_ZONE_GAIN_SECONDS + cross_zone_penalty_seconds:
+        if is_worth_crossing(
+            expected_seconds(best),
+            expected_seconds(drawn),
+            cross_zone_penalty_seconds,
+        ):
             return drawn
     return best
 
 
-def _usable_sample(targets, now, random, exclude):
-    """Return the usable targets, out of at most `MAX_SAMPLED` random ones."""
-    if len(targets) > MAX_SAMPLED:
-        targets = random.sample(targets, MAX_SAMPLED)
-    return [target for target in targets if _is_usable(target, now, exclude)]
-
-
 def _best_of_sample(targets, now, random, exclude):
     """Return the one of two random usable targets with less pressure.
 
@@ -246,13 +235,13 @@
     count = len(targets)
     if count <= MAX_SAMPLED:
         usable = [
-            target for target in targets if _is_usable(target, now, exclude)
+            target for target in targets if is_usable(target, now, exclude)
         ]
         return _best_of_two(usable, now, random)
     first = None
     for _ in range(MAX_SAMPLED):
         target = targets[int(random.random() * count)]
-        if target is first or not _is_usable(target, now, exclude):
+        if target is first or not is_usable(target, now, exclude):
             continue
         if first is None:
             first = target
@@ -261,15 +250,6 @@
     return first
 
 
-def _is_usable(target, now, exclude):
-    return (
-        not target.draining
-        and target.target_id not in exclude
-        and target.has_capacity(now)
-        and not target.looks_unhealthy(now)
-    )
-
-
 def _prefer_same_zone(same_zone, cross_zone, now):
     """Return the cross-zone target only if it has clearly less pressure."""
     if same_zone is None or cross_zone is None:
--- a/verbenanotch/routing/_durations.py
+++ b/verbenanotch/routing/_durations.py
@@ -16,6 +16,10 @@
 # not.
 CROSS_ZONE_SHARE_PER_KB = 0.15
 BYTES_PER_KB = 1000
+# A cross-zone target must be expected to be faster by this share of its own
+# time plus this time, which two hops between zones take (about 1.5 ms each).
+MIN_CROSS_ZONE_GAIN_SHARE = 0.15
+MIN_CROSS_ZONE_GAIN_SECONDS = 0.003
 DEFAULT_EWMA_WEIGHT = 0.05
 SERVICE_TIME_EWMA_WEIGHT = 0.1
 # Assumed size of the headers of a request plus those of its answer, between
@@ -126,3 +130,15 @@
         / BYTES_PER_KB
         * objective_seconds
     )
+
+
+def is_worth_crossing(same_zone_seconds, cross_zone_seconds, penalty_seconds):
+    """Return whether a cross-zone target is fast enough for its cost.
+
+    The arguments are the expected times of a request at a target of each
+    kind and the result of `cross_zone_penalty_seconds`.
+    """
+    gain = same_zone_seconds - cross_zone_seconds * (
+        1 + MIN_CROSS_ZONE_GAIN_SHARE
+    )
+    return gain > MIN_CROSS_ZONE_GAIN_SECONDS + penalty_seconds
--- a/verbenanotch/routing/_target.py
+++ b/verbenanotch/routing/_target.py
@@ -26,6 +26,10 @@
 # An older load gives no information about the target's current state. The
 # target then counts as one without a load, so that one or two requests try it.
 LOAD_MAX_AGE_SECONDS = 1.5
+# Loads of a target may arrive in another order than they were sent, within
+# this time. After that, an earlier time of a report means that its host was
+# restarted.
+MAX_REORDERING_SECONDS = 5.0
 # A target with all slots in use has no capacity for the next burst: it counts
 # as slower than an idle one by this share.
 FULL_TARGET_PENALTY = 0.5
@@ -63,6 +67,11 @@
     mesh, and `share` the part of it that the receiving proxy may send; both
     are 0 if it names no limit. `is_leaving` tells that the target has said
     that it is about to exit.
+
+    The rest is 0 for a target that tells no pace. `pace_percent` is how long
+    work takes there now, 100 as usual, and `usual_seconds` the mean service
+    time at the usual pace. `reported_ms` is the monotonic time of the report
+    on the target's host.
     """
 
     busy: int
@@ -70,6 +79,9 @@
     limit: float = 0.0
     share: float = 0.0
     is_leaving: bool = False
+    pace_percent: int = 0
+    usual_seconds: float = 0.0
+    reported_ms: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -148,11 +160,23 @@
         self.reported_at = now
 
     def observe_load(self, now, load):
-        """Record the TargetLoad that came with a reply."""
+        """Record the TargetLoad that came with a reply.
+
+        A long answer may arrive after a short one that was sent later.
+        """
+        if self._is_outdated(now, load):
+            return
         self.load = load
         self.load_received_at = now
         self.in_flight_at_load = self.in_flight
 
+    def _is_outdated(self, now, load):
+        return (
+            self.load is not None
+            and 0 < load.reported_ms < self.load.reported_ms
+            and now - self.load_received_at < MAX_REORDERING_SECONDS
+        )
+
     def is_load_known(self, now):
         """Return whether a load was received and is not too old."""
         return (
@@ -178,11 +202,12 @@
             expected = self.load.service_seconds * (
                 1 + FULL_TARGET_PENALTY * busy_share**2 + wait_factor
             )
-        slow_start_share = self.slow_start_share(now)
-        return (
-            expected
-            * (1 + ERROR_PENALTY * self.error_share)
-            / slow_start_share
+        return expected * self.reluctance(now)
+
+    def reluctance(self, now):
+        """Return by what errors and the slow start multiply its times."""
+        return (1 + ERROR_PENALTY * self.error_share) / self.slow_start_share(
+            now
         )
 
     def looks_unhealthy(self, now):
