--- a/examples/behaviour.py
+++ b/examples/behaviour.py
@@ -23,7 +23,8 @@
     replaces the true number of slots in the announcement; it is read only at
     the start. `named_limit` is the rate that all answers name as the target's
     limit, in requests per second; a comma makes two headers of it. With
-    `says_leaving`, all answers say that the target is about to exit.
+    `says_leaving`, all answers say that the target is about to exit. With
+    `told_pace`, all answers tell the target's load with that pace.
     """
 
     latency_ms: int = 0
@@ -40,6 +41,7 @@
     announced_slots: int = 0
     named_limit: str = ""
     says_leaving: bool = False
+    told_pace: str = ""
 
     def with_changes(self, values):
         """Return a copy with the given values by field name.
--- a/examples/stand_in_target.py
+++ b/examples/stand_in_target.py
@@ -39,6 +39,7 @@
 CRASH_EXIT_CODE = 70
 LIMIT_HEADER = "X-Verbenanotch-Target-Limit"
 LEAVING_HEADER = "X-Verbenanotch-Target-Leaving"
+LOAD_HEADER = "X-Verbenanotch-Target-Load"
 MESH_HEADER_PREFIX = "HTTP_X_VERBENANOTCH_"
 DEFAULT_CALL_TIMEOUT_MS = 2000
 
@@ -88,6 +89,11 @@
         ]
         if self.behaviour.says_leaving:
             headers.append((LEAVING_HEADER, "1"))
+        if self.behaviour.told_pace:
+            running = min(self.in_flight, self._slots)
+            waiting = self.in_flight - running
+            load = f"{running},{waiting},{self._slots}"
+            headers.append((LOAD_HEADER, f"{load},{self.behaviour.told_pace}"))
         return headers
 
     def _answer(self, environ, start_response):
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -162,7 +162,7 @@
             refusal = self._guard.refusal(request)
             if refusal is not None:
                 return refusal
-        match self._choose_target_or_return(snapshot, request, tried):
+        match self._choose_or_return(snapshot, request, tried):
             case NoTarget(reason=reason, retry_after_ms=retry_after_ms):
                 return NotRun(reason=reason, retry_after_ms=retry_after_ms)
             case Chosen(target_id=target_id) as chosen:
@@ -197,7 +197,7 @@
         budget.limit(self._settings.proxy.retry_burst / max(1, hosts))
         return budget
 
-    def _choose_target_or_return(self, snapshot, request, tried):
+    def _choose_or_return(self, snapshot, request, tried):
         """Choose a target, if need be one that was only too busy before."""
         result = self._choose_target(snapshot, request, tried.target_ids)
         if isinstance(result, NoTarget) and tried.restore_busy():
