--- a/tests/unit/test_replication_core.py
+++ b/tests/unit/test_replication_core.py
@@ -36,7 +36,9 @@
 A, B, C = (member(name) for name in "abc")
 
 
-def make_core(*, voters=(A, B, C), terms=(), term=0, vote="", own=A):
+def make_core(
+    *, voters=(A, B, C), terms=(), term=0, vote="", own=A, timing=TIMING
+):
     """Return a core whose log holds entries of these terms."""
     configuration = Configuration(voters=tuple(voters))
     log = Log(
@@ -55,7 +57,7 @@
         log=log,
         term=term,
         vote=vote,
-        timing=TIMING,
+        timing=timing,
         random=random.Random(1),
         now=0.0,
     )
