proxy: remember the order of a target whose announcement expired

LocalTargets.expire forgot it. A late announcement of the same or an earlier incarnation then restored the target, which may no longer run, for another lease. Before the fix, the new tests of late announcements failed for an earlier sequence, the last one again, and an earlier incarnation.

Expiry isn't an exit: a higher sequence or incarnation restores the target at once. The project's own interface has no sequences, so its renewals are all equal; there, only earlier incarnations are rejected. To reject equal ones too was ruled out: a target whose announcer paused for over 4 s would never return.

What this can't answer: the memory is lost with the proxy's own restart.

--- a/tests/unit/test_local_targets.py
+++ b/tests/unit/test_local_targets.py
@@ -52,6 +52,48 @@
     assert targets.targets_by_id == {}
 
 
+def expire(targets):
+    """Let the announcement of each target expire."""
+    for target in targets.targets_by_id.values():
+        target.expires_at = 0.0
+    targets.expire()
+    assert targets.targets_by_id == {}
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "sequence"), [(100, 4), (100, 5), (99, 9)]
+)
+def test_a_late_announcement_does_not_restore_an_expired_target(
+    targets, incarnation, sequence
+):
+    targets.announce(RECORD, sequence=5)
+    expire(targets)
+    late = make_record(incarnation=incarnation)
+    assert not targets.announce(late, sequence=sequence)
+    assert targets.targets_by_id == {}
+
+
+@pytest.mark.parametrize(("incarnation", "sequence"), [(100, 6), (101, 1)])
+def test_an_expired_target_returns_with_its_next_announcement(
+    targets, incarnation, sequence
+):
+    targets.announce(RECORD, sequence=5)
+    expire(targets)
+    later = make_record(incarnation=incarnation)
+    assert targets.announce(later, sequence=sequence)
+    assert targets.targets_by_id["i-1"].record == later
+
+
+def test_an_expired_target_that_sends_no_sequence_returns(targets):
+    """Its renewals are all equal, as on the project's own interface."""
+    targets.announce(RECORD)
+    expire(targets)
+    assert not targets.announce(make_record(incarnation=99))
+    assert targets.announce(RECORD)
+    targets.remove("i-1")
+    assert not targets.announce(RECORD)
+
+
 def test_a_restarted_target_is_accepted_under_the_same_id(targets):
     targets.announce(RECORD, sequence=9)
     targets.remove("i-1")
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -21,9 +21,11 @@
 from verbenanotch.telemetry import emit, metrics
 
 MILLISECONDS_PER_SECOND = 1000
-# Removed targets that are remembered so that late announcements of them are
-# rejected.
+# Removed and expired targets that are remembered so that late announcements
+# of them are rejected.
 MAX_REMOVED_TARGETS = 64
+# Less than any sequence of an announcement.
+BEFORE_FIRST_SEQUENCE = -1
 CRASH_ID_BYTES = 8
 # For this time after the removal of a target that was not known yet, its
 # announcements from before the removal are rejected: they may arrive some
@@ -321,8 +323,7 @@
         if target is None:
             return None
         target.connections.close()
-        self._removed_orders_by_id[target_id] = target.order
-        _drop_oldest(self._removed_orders_by_id)
+        self._remember_order(target_id, target.order)
         emit(events.TARGET_LEFT, target=target_id)
         self._announcement_changed()
         return target
@@ -334,9 +335,15 @@
             if target.expires_at <= now:
                 del self.targets_by_id[target_id]
                 target.connections.close()
+                self._remember_order(target_id, _order_before_renewal(target))
                 emit(events.TARGET_EXPIRED, target=target_id)
                 self._announcement_changed()
 
+    def _remember_order(self, target_id, order):
+        """Reject announcements up to `order` of a target that is removed."""
+        self._removed_orders_by_id[target_id] = order
+        _drop_oldest(self._removed_orders_by_id)
+
     def preconnect(self):
         """Open idle connections to each target in advance."""
         for target in list(self.targets_by_id.values()):
@@ -487,6 +494,16 @@
         self._on_change()
 
 
+def _order_before_renewal(target):
+    """Return the order that the next renewal of a target exceeds.
+
+    Without sequences, all announcements of one incarnation are equal.
+    """
+    if target.sequence:
+        return target.order
+    return (target.record.incarnation, BEFORE_FIRST_SEQUENCE)
+
+
 def _drop_oldest(removals_by_id):
     """Drop the oldest entry if there are over `MAX_REMOVED_TARGETS`."""
     if len(removals_by_id) > MAX_REMOVED_TARGETS:
