proxy: answer 409 to an announcement that is refused, with the remedy

TargetInterface ignored the result of LocalTargets.announce: a target that was refused got 200, and its operator could not see why it got no requests.

It now gets 409 with kind, problem and remedy: outdated-announcement or unknown-service. 409 as on the platform's interface: the request is well formed and conflicts with the present state. 400 was ruled out for the unknown service, since the same announcement is accepted once the mesh has it. The proxy's decisions are the same; examples/announcer.py prints the answer and goes on announcing.

--- a/examples/announcer.py
+++ b/examples/announcer.py
@@ -69,4 +69,5 @@
             print(f"{method} {url}: {error}", flush=True)
             return
         if response.status >= 400:
-            print(f"{method} {url}: {response.status}", flush=True)
+            answer = response.data.decode(errors="replace")
+            print(f"{method} {url}: {response.status} {answer}", flush=True)
--- a/verbenanotch/proxy/_announcements.py
+++ b/verbenanotch/proxy/_announcements.py
@@ -4,6 +4,10 @@
 import re
 
 from verbenanotch.membership import TargetRecord
+from verbenanotch.proxy._announcement_refusals import (
+    Outdated,
+    UnknownService,
+)
 
 MAX_BODY_BYTES = 16 * 1024
 DRAIN_PATH = re.compile(r"/v1/targets/(.+)/drain")
@@ -59,10 +63,39 @@
                 "problem": repr(error),
                 "remedy": "Send service, address, port and slots.",
             }
-        self._local_targets.announce(record)
+        refusal = self._local_targets.announce_or_explain(record)
+        if refusal is not None:
+            return "409 Conflict", _describe(refusal)
         return "200 OK", {"target_id": record.target_id}
 
 
+def _describe(refusal):
+    """Return the document that explains why an announcement is refused."""
+    match refusal:
+        case UnknownService(service=service):
+            return {
+                "kind": "unknown-service",
+                "problem": f"the mesh has no service {service!r}",
+                "remedy": (
+                    "Add the service to the mesh configuration or correct "
+                    "its name; then announce the target again."
+                ),
+            }
+        case Outdated(target_id=target_id, incarnation=incarnation):
+            return {
+                "kind": "outdated-announcement",
+                "problem": (
+                    f"incarnation {incarnation} of target {target_id!r} was "
+                    "removed, or a later one is known under its id or at its "
+                    "address"
+                ),
+                "remedy": (
+                    "Announce each start of a target with a higher "
+                    "incarnation, such as milliseconds since 1970."
+                ),
+            }
+
+
 def _parse_record(document):
     service = str(document["service"])
     address = str(document["address"])
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -9,6 +9,10 @@
 from verbenanotch.membership import HostRecord, TargetRecord
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
+from verbenanotch.proxy._announcement_refusals import (
+    Outdated,
+    UnknownService,
+)
 from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._crash_detection import CrashDetector
 from verbenanotch.proxy._exchange import exchange
@@ -182,9 +186,14 @@
         Returns False and ignores the announcement if its service is unknown
         or if it is older than the current state of its target or address.
         """
-        if not self._is_current(record, sequence):
+        return self.announce_or_explain(record, sequence=sequence) is None
+
+    def announce_or_explain(self, record, *, sequence=0):
+        """Do what `announce` does; return None, UnknownService or Outdated."""
+        refusal = self._announcement_refusal(record, sequence)
+        if refusal is not None:
             metrics.increment("proxy.announcements_outdated")
-            return False
+            return refusal
         expires_at = time.monotonic() + (
             self._settings.proxy.announcement_lease_ms
             / MILLISECONDS_PER_SECOND
@@ -203,13 +212,21 @@
         current.sequence = sequence
         if record.draining:
             self.drain(record.target_id)
-        return True
+        return None
 
-    def _is_current(self, record, sequence):
-        """Return whether an announcement is valid and not outdated."""
+    def _announcement_refusal(self, record, sequence):
+        """Return why an announcement is ignored; None if it is current."""
         service_names = self._known_services()
         if service_names and record.service not in service_names:
-            return False
+            return UnknownService(service=record.service)
+        if not self._is_current(record, sequence):
+            return Outdated(
+                target_id=record.target_id, incarnation=record.incarnation
+            )
+        return None
+
+    def _is_current(self, record, sequence):
+        """Return whether an announcement is not outdated."""
         order = (record.incarnation, sequence)
         removed_order = self._removed_orders_by_id.get(record.target_id)
         if removed_order is not None and order <= removed_order:
