--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -9,6 +9,10 @@
 from verbenanotch.membership import HostRecord, TargetRecord
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
+from verbenanotch.proxy._announcement_refusals import (
+    Outdated,
+    UnknownService,
+)
 from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._crash_detection import CrashDetector
 from verbenanotch.proxy._exchange import exchange
@@ -25,9 +29,11 @@
 from verbenanotch.telemetry import emit, metrics
 
 MILLISECONDS_PER_SECOND = 1000
-# Removed targets that are remembered so that late announcements of them are
-# rejected.
+# Removed and expired targets that are remembered so that late announcements
+# of them are rejected.
 MAX_REMOVED_TARGETS = 64
+# Less than any sequence of an announcement.
+BEFORE_FIRST_SEQUENCE = -1
 CRASH_ID_BYTES = 8
 # For this time after the removal of a target that was not known yet, its
 # announcements from before the removal are rejected: they may arrive some
@@ -203,9 +209,14 @@
         Returns False and ignores the announcement if its service is unknown
         or if it is older than the current state of its target or address.
         """
-        if not self._is_current(record, sequence):
+        return self.announce_or_explain(record, sequence=sequence) is None
+
+    def announce_or_explain(self, record, *, sequence=0):
+        """Do what `announce` does; return None, UnknownService or Outdated."""
+        refusal = self._announcement_refusal(record, sequence)
+        if refusal is not None:
             metrics.increment("proxy.announcements_outdated")
-            return False
+            return refusal
         expires_at = time.monotonic() + (
             self._settings.proxy.announcement_lease_ms
             / MILLISECONDS_PER_SECOND
@@ -224,13 +235,21 @@
         current.sequence = sequence
         if record.draining:
             self.drain(record.target_id)
-        return True
+        return None
 
-    def _is_current(self, record, sequence):
-        """Return whether an announcement is valid and not outdated."""
+    def _announcement_refusal(self, record, sequence):
+        """Return why an announcement is ignored; None if it is current."""
         service_names = self._known_services()
         if service_names and record.service not in service_names:
-            return False
+            return UnknownService(service=record.service)
+        if not self._is_current(record, sequence):
+            return Outdated(
+                target_id=record.target_id, incarnation=record.incarnation
+            )
+        return None
+
+    def _is_current(self, record, sequence):
+        """Return whether an announcement is not outdated."""
         order = (record.incarnation, sequence)
         removed_order = self._removed_orders_by_id.get(record.target_id)
         if removed_order is not None and order <= removed_order:
@@ -344,8 +363,7 @@
         if target is None:
             return None
         target.connections.close()
-        self._removed_orders_by_id[target_id] = target.order
-        _drop_oldest(self._removed_orders_by_id)
+        self._remember_order(target_id, target.order)
         emit(events.TARGET_LEFT, target=target_id)
         self._announcement_changed()
         return target
@@ -357,9 +375,15 @@
             if target.expires_at <= now:
                 del self.targets_by_id[target_id]
                 target.connections.close()
+                self._remember_order(target_id, _order_before_renewal(target))
                 emit(events.TARGET_EXPIRED, target=target_id)
                 self._announcement_changed()
 
+    def _remember_order(self, target_id, order):
+        """Reject announcements up to `order` of a target that is removed."""
+        self._removed_orders_by_id[target_id] = order
+        _drop_oldest(self._removed_orders_by_id)
+
     def preconnect(self):
         """Open idle connections to each target in advance."""
         for target in list(self.targets_by_id.values()):
@@ -513,6 +537,16 @@
         self._on_change()
 
 
+def _order_before_renewal(target):
+    """Return the order that the next renewal of a target exceeds.
+
+    Without sequences, all announcements of one incarnation are equal.
+    """
+    if target.sequence:
+        return target.order
+    return (target.record.incarnation, BEFORE_FIRST_SEQUENCE)
+
+
 def _drop_oldest(removals_by_id):
     """Drop the oldest entry if there are over `MAX_REMOVED_TARGETS`."""
     if len(removals_by_id) > MAX_REMOVED_TARGETS:
