rollouts, versions: orders of rollouts on the log, and the exposures they set

Cause: an operator wants a service's traffic moved to another software version within a time; nothing of the kind existed. Ruled out: exposures as submissions (they would be in the history, use up labels and make operators' bases outdated); a log of their own. Change: the log's state machine has a table of rollouts beside the versions. A step that changes an exposure is a version with the text of the current configuration. Orders are idempotent, at most one runs a service, a version that was rolled back is rejected for good. HTTP for operators and for the platform. Nothing decides steps yet: an order stays running. Measured: tests/unit/test_rollouts_state.py and the tests of versions, platform and operator interface pass.

--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -14,6 +14,11 @@
 from verbenanotch.membership import TargetRegistry, ZoneExchange, ZoneTable
 from verbenanotch.membership import events as membership_events
 from verbenanotch.replication import ReadConfirmed, Replica, StorageError
+from verbenanotch.rollouts import (
+    MeshStateMachine,
+    RolloutService,
+    RolloutTable,
+)
 from verbenanotch.telemetry import emit, metrics
 from verbenanotch.versions import VersionService, VersionStateMachine
 from verbenanotch.wire import Listener, Purpose
@@ -36,9 +41,12 @@
         control = settings.control
         self._uses_discovery = bool(settings.discovery.seeds)
         self._versions = VersionStateMachine(parse=interfaces.parse)
+        state = MeshStateMachine(
+            versions=self._versions, rollouts=RolloutTable()
+        )
         self._replica = Replica(
             settings=settings,
-            state_machine=self._versions,
+            state_machine=state,
             random=random.Random(),
         )
         self._zone_table = ZoneTable(
@@ -92,7 +100,10 @@
             address=address,
             port=port,
             application=interfaces.make_operator(
-                token=control.operator_token, versions=service, control=self
+                token=control.operator_token,
+                versions=service,
+                control=self,
+                rollouts=RolloutService(replica=self._replica, state=state),
             ),
         )
         self._greenthreads = []
--- a/verbenanotch/operator/_interface.py
+++ b/verbenanotch/operator/_interface.py
@@ -20,6 +20,7 @@
     to_json,
     voters_response,
 )
+from verbenanotch.operator._rollouts import RolloutResources
 from verbenanotch.operator.exceptions import (
     InvalidRequestError,
     MethodNotAllowedError,
@@ -39,10 +40,11 @@
     and changes of voters, and lists the history of versions. `control` is
     the ControlHost, which reports its replica's state, the proxies of its
     availability zone, all zones and all known targets, and drains targets.
-    `token` is a secret shared with the operators.
+    `token` is a secret shared with the operators. `rollouts` is the
+    RolloutService; without it, there are no resources of rollouts.
     """
 
-    def __init__(self, *, token, versions, control):
+    def __init__(self, *, token, versions, control, rollouts=None):
         """Store the collaborators without opening a socket."""
         self._token = token
         self._versions = versions
@@ -58,6 +60,7 @@
             (r"/v1/targets/(.+)/drain", {"POST": self._drain}),
             (r"/v1/metrics", {"GET": self._show_metrics}),
             (r"/v1/ready", {"GET": self._show_ready}),
+            *(RolloutResources(rollouts).handlers if rollouts else ()),
         )
 
     def application(self, environ, start_response):
--- a/verbenanotch/operator/_responses.py
+++ b/verbenanotch/operator/_responses.py
@@ -84,12 +84,12 @@
         case Unavailable(reason=reason, remedy=remedy):
             return Response(
                 status=503,
-                value=_failure_value("unavailable", reason, remedy),
+                value=failure_value("unavailable", reason, remedy),
                 headers=(("Retry-After", str(RETRY_AFTER_SECONDS)),),
             )
         case Unknown(reason=reason, remedy=remedy):
             return Response(
-                status=504, value=_failure_value("unknown", reason, remedy)
+                status=504, value=failure_value("unknown", reason, remedy)
             )
 
 
@@ -104,7 +104,7 @@
         case replication.Unavailable(reason=reason):
             return Response(
                 status=503,
-                value=_failure_value(
+                value=failure_value(
                     "unavailable",
                     reason,
                     "Check the voters in the status, then retry.",
@@ -114,7 +114,7 @@
         case replication.Unknown(reason=reason):
             return Response(
                 status=504,
-                value=_failure_value(
+                value=failure_value(
                     "unknown", reason, "Check the voters in the status."
                 ),
             )
@@ -127,7 +127,7 @@
         headers = (("WWW-Authenticate", "Bearer"),)
     return Response(
         status=error.status,
-        value=_failure_value(error.kind, error.text, error.remedy),
+        value=failure_value(error.kind, error.text, error.remedy),
         headers=headers,
     )
 
@@ -141,5 +141,6 @@
     }
 
 
-def _failure_value(kind, reason, remedy):
+def failure_value(kind, reason, remedy):
+    """Return the JSON value of a failure."""
     return {"kind": kind, "reason": reason, "remedy": remedy}
--- a/verbenanotch/platform/__init__.py
+++ b/verbenanotch/platform/__init__.py
@@ -9,10 +9,22 @@
 from verbenanotch.platform._configuration import parse_configuration
 
 
-def _make_operator_application(*, token, versions, control):
+def _make_operator_application(*, token, versions, control, rollouts=None):
     from verbenanotch.platform._operator import ConfigurationInterface
+    from verbenanotch.platform._rollouts import (
+        ROLLOUTS_PATH,
+        RolloutInterface,
+    )
 
-    return ConfigurationInterface(versions=versions).application
+    configurations = ConfigurationInterface(versions=versions)
+    rollout_interface = RolloutInterface(rollouts=rollouts)
+
+    def application(environ, start_response):
+        if environ["PATH_INFO"].startswith(ROLLOUTS_PATH):
+            return rollout_interface.application(environ, start_response)
+        return configurations.application(environ, start_response)
+
+    return application
 
 
 def _make_target_application(*, local_targets):
--- a/verbenanotch/versions/_state_machine.py
+++ b/verbenanotch/versions/_state_machine.py
@@ -28,6 +28,7 @@
 from verbenanotch.documents import Invalid, Problem
 from verbenanotch.telemetry import emit
 from verbenanotch.versions import events
+from verbenanotch.versions._exposures import with_exposures
 from verbenanotch.versions._patches import apply_patch, make_patch
 
 MAX_RECORDS = 1024
@@ -46,7 +47,8 @@
     `packed_text` is the operator's file, compressed. `rollback_to` is the
     version that it restores, NO_VERSION if it is not a rollback. `label` is
     the operator's own number of the file, NO_LABEL without one. `parse` makes
-    `mesh` from the text.
+    `mesh` from the text. If rollouts have set exposures, `configured` is the
+    record as it was accepted, and `mesh` has the exposures.
     """
 
     version: Version
@@ -57,6 +59,8 @@
     rollback_to: Version = NO_VERSION
     label: int = NO_LABEL
     parse: object = attrs.field(default=parse_mesh, repr=False, eq=False)
+    configured: object = attrs.field(default=None, repr=False)
+    exposures_by_service: dict = attrs.field(factory=dict)
 
     @property
     def text(self):
@@ -65,7 +69,11 @@
 
     @functools.cached_property
     def mesh(self):
-        """Return the Mesh parsed from the text."""
+        """Return the Mesh parsed from the text, with the exposures."""
+        if self.configured is not None:
+            return with_exposures(
+                self.configured.mesh, self.exposures_by_service
+            )
         return self.parse(self.text).value
 
 
@@ -78,7 +86,12 @@
 
 
 class VersionStateMachine:
-    """The accepted versions, in the order of the log."""
+    """The accepted versions, in the order of the log.
+
+    `records_by_version` has the operators' configurations alone. `current`
+    may be newer than the last of them: it also has the exposures that
+    rollouts have set.
+    """
 
     def __init__(self, *, parse=parse_mesh):
         """Start without versions.
@@ -91,10 +104,18 @@
         self._history_bytes = 0
         self._callbacks = []
         self._cached_check = (b"", None)
+        self._exposed = NO_VERSION
+        self._exposures_by_service = {}
+        self._current = None
 
     @property
     def current(self):
         """Return the newest VersionRecord, or None."""
+        return self._current
+
+    @property
+    def configuration(self):
+        """Return the record of the last accepted configuration, or None."""
         if not self.records_by_version:
             return None
         return next(reversed(self.records_by_version.values()))
@@ -138,10 +159,10 @@
     def encode(self, submission):
         """Return the command of a submission for the log.
 
-        It has a patch of the newest version's text if there is one, and the
-        compressed text otherwise.
+        It has a patch of the newest configuration's text if there is one, and
+        the compressed text otherwise.
         """
-        return encode_submission(submission, older=self.current)
+        return encode_submission(submission, older=self.configuration)
 
     def check(self, text):
         """Return the parse result of a file; the last one is cached."""
@@ -201,8 +222,21 @@
         ]
         return msgpack.packb([SNAPSHOT_FORMAT, records, stored_outcomes])
 
-    def restore(self, data):
-        """Replace the full state by that of a snapshot."""
+    def expose(self, version, exposures_by_service):
+        """Make `version` current: the same text with these exposures.
+
+        They stay for the versions that are accepted later.
+        """
+        self._exposed = version
+        self._exposures_by_service = exposures_by_service
+        self._update_current()
+        self._notify()
+
+    def restore(self, data, *, exposed=NO_VERSION, exposures_by_service=None):
+        """Replace the full state by that of a snapshot.
+
+        `exposed` is the version that has set the exposures.
+        """
         _, records, stored_outcomes = msgpack.unpackb(data)
         self.records_by_version.clear()
         self._history_bytes = 0
@@ -212,6 +246,9 @@
             (submission_id, StoredOutcome(digest=digest, result=result))
             for submission_id, digest, result in stored_outcomes
         )
+        self._exposed = exposed
+        self._exposures_by_service = exposures_by_service or {}
+        self._update_current()
         self._notify()
 
     def _text_of(self, version):
@@ -222,10 +259,10 @@
         return record.text
 
     def _decide_outcome(self, version, submission):
-        current = self.current
+        current = self.configuration
         if not self._is_based_on_current(submission):
             return Conflict(
-                winner=self.current_version,
+                winner=current.version if current else NO_VERSION,
                 winner_operator=current.operator if current else "",
             )
         if submission.label != NO_LABEL and submission.label <= (
@@ -242,7 +279,11 @@
     def _is_based_on_current(self, submission):
         if submission.base_label != NO_LABEL:
             return submission.base_label == self.current_label
-        return submission.base == self.current_version
+        configuration = self.configuration
+        if configuration is None:
+            return submission.base == NO_VERSION
+        # Versions since then have the same text with other exposures.
+        return configuration.version <= submission.base <= self.current_version
 
     def _accept(self, version, submission):
         record = VersionRecord(
@@ -256,6 +297,7 @@
             parse=self._parse,
         )
         self._add_to_history(record)
+        self._update_current()
         emit(
             events.VERSION_ACCEPTED,
             version=str(version),
@@ -275,6 +317,19 @@
             dropped = self.records_by_version.pop(oldest)
             self._history_bytes -= len(dropped.packed_text)
 
+    def _update_current(self):
+        record = self.configuration
+        if record is not None and (
+            self._exposures_by_service or self._exposed > record.version
+        ):
+            record = attrs.evolve(
+                record,
+                version=max(record.version, self._exposed),
+                configured=record,
+                exposures_by_service=self._exposures_by_service,
+            )
+        self._current = record
+
     def _store_outcome(self, submission, result):
         self._outcomes_by_id[submission.submission_id] = StoredOutcome(
             digest=digest_of(submission), result=result
