rollouts: the steps and the judge, made by the leader of the log

Cause: an order was kept, but nothing was decided. Ruled out: counting the shift apart from the limit (a version that turns bad in the shift would exceed it); one threshold for failures and late answers (new targets are slow for seconds); wall clocks. Change: the leader collects the proxies' counts, compares candidate and old targets on the same route over the same time with an exact test, and spreads what the limit leaves beside the shift. Completion waits for the acknowledgements of all proxies in touch and for requests at the old targets. Settings control.max_rollout_share and rollout_allowance.

--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -57,6 +57,7 @@
             "proxy", "the section is missing", "Add [proxy]."
         )
     yield from _discovery_problems(settings, document)
+    yield from _control_problems(settings.control, document)
     yield from _proxy_problems(settings.proxy, document)
     control = settings.control
     if control and control.lease_ms < MIN_LEASE_MS:
@@ -79,6 +80,19 @@
         )
 
 
+def _control_problems(control, document):
+    if control and not 0 < control.max_rollout_share <= 1:
+        yield document.problem(
+            "control.max_rollout_share",
+            f"{control.max_rollout_share} is not a share",
+            "Use a number above 0, at most 1.",
+        )
+    if control and control.rollout_allowance < 0:
+        yield document.problem(
+            "control.rollout_allowance", "is negative", "Use at least 0."
+        )
+
+
 def _proxy_problems(proxy, document):
     if proxy and proxy.max_receiving_bytes < proxy.max_body_bytes:
         yield document.problem(
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -77,6 +77,9 @@
     With `tolerated_losses` above 0, the leader automatically keeps twice
     that number plus one voters: it replaces voters that have been
     unreachable for `voter_patience_ms` by control hosts that have caught up.
+    Until the deadline of a rollout, a bad software version gets at most the
+    share `max_rollout_share` of its service's requests, and
+    `rollout_allowance` more.
     """
 
     data_folder: str
@@ -97,6 +100,8 @@
     may_create_cluster: bool = True
     tolerated_losses: int = 0
     voter_patience_ms: int = 1500
+    max_rollout_share: float = 0.1
+    rollout_allowance: float = 50.0
 
 
 def parse_endpoint(listen, *, address, port):
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -15,7 +15,10 @@
 from verbenanotch.membership import events as membership_events
 from verbenanotch.replication import ReadConfirmed, Replica, StorageError
 from verbenanotch.rollouts import (
+    Limits,
     MeshStateMachine,
+    MeshView,
+    RolloutConductor,
     RolloutService,
     RolloutTable,
 )
@@ -41,12 +44,12 @@
         control = settings.control
         self._uses_discovery = bool(settings.discovery.seeds)
         self._versions = VersionStateMachine(parse=interfaces.parse)
-        state = MeshStateMachine(
+        self._state = MeshStateMachine(
             versions=self._versions, rollouts=RolloutTable()
         )
         self._replica = Replica(
             settings=settings,
-            state_machine=state,
+            state_machine=self._state,
             random=random.Random(),
         )
         self._zone_table = ZoneTable(
@@ -77,6 +80,7 @@
             on_drain=self._publisher.drain,
             crash_exchange=self._crash_exchange,
         )
+        self._rollouts = self._make_rollout_conductor(control)
         self._listener = Listener(
             address=host.address,
             port=host.peer_port,
@@ -103,7 +107,9 @@
                 token=control.operator_token,
                 versions=service,
                 control=self,
-                rollouts=RolloutService(replica=self._replica, state=state),
+                rollouts=RolloutService(
+                    replica=self._replica, state=self._state
+                ),
             ),
         )
         self._greenthreads = []
@@ -124,6 +130,7 @@
         self._listener.start()
         self._zone_exchange.start()
         self._http.start()
+        self._rollouts.start()
         self._greenthreads = [
             eventlet.spawn(self._expire_hosts_forever),
             eventlet.spawn(self._follow_members_forever),
@@ -133,6 +140,7 @@
         """Stop serving; committed entries are already on disk."""
         for greenthread in self._greenthreads:
             greenthread.kill()
+        self._rollouts.stop()
         self._http.stop()
         self._zone_exchange.stop()
         self._publisher.stop()
@@ -190,6 +198,22 @@
                 return True
         return False
 
+    def _make_rollout_conductor(self, control):
+        return RolloutConductor(
+            replica=self._replica,
+            state=self._state,
+            channel=self._proxy_channel,
+            view=MeshView(
+                target_registry=self._target_registry,
+                acknowledgements=self._publisher.acknowledgements,
+                summaries_by_zone=self._zone_exchange.summaries_by_zone,
+            ),
+            limits=Limits(
+                max_share=control.max_rollout_share,
+                allowance=control.rollout_allowance,
+            ),
+        )
+
     def _proxy_statuses(self):
         acknowledgements = self._publisher.acknowledgements
         suspects = self._zone_table.suspect_hosts
--- a/verbenanotch/membership/_zone_table.py
+++ b/verbenanotch/membership/_zone_table.py
@@ -174,6 +174,19 @@
             if lease.direct and lease.suspect_since is None
         }
 
+    def hosts_renewed_since(self, since):
+        """Return the hosts whose direct lease was renewed after `since`.
+
+        `since` is in monotonic seconds.
+        """
+        return frozenset(
+            host
+            for host, lease in self._leases_by_host.items()
+            if lease.direct
+            and lease.suspect_since is None
+            and lease.expires_at - self.lease_seconds >= since
+        )
+
     @property
     def suspect_hosts(self):
         """Return the hosts whose lease ended together with many others."""
--- a/verbenanotch/rollouts/events.py
+++ b/verbenanotch/rollouts/events.py
@@ -52,6 +52,13 @@
     Level.INFO,
     "a rollout can't go on yet; `reason` says why",
 )
+ROLLOUT_FAILED = event(
+    7509,
+    "rollout-failed",
+    Level.ERROR,
+    "deciding the steps of rollouts failed; it will be tried again",
+    "Report the traceback to the project.",
+)
 EVENTS_BY_ACTION = {
     "expose": ROLLOUT_EXPOSED,
     "shift": ROLLOUT_SHIFTED,
