rollouts: judge lateness once new targets are warm

Cause: new targets are slow for seconds; with a burst at the same time their answers are late at a sound version, too. Change: late answers and mean times are compared from 3 s after the first call to the candidate; failures from the start. Proxies that are no longer connected to the leader are not waited for. Measured: the tests of the judge and the conductor, with a burst at the start added, pass.

--- a/tests/unit/test_rollouts_conductor.py
+++ b/tests/unit/test_rollouts_conductor.py
@@ -229,6 +229,7 @@
         target_registry=TargetRegistry(zone_table=table),
         acknowledgements=Acknowledgements(),
         summaries_by_zone={},
+        proxy_channel=ProxyChannel(leading_term=lambda: 1),
         monotonic=lambda: 20.0,
     )
 
@@ -245,6 +246,7 @@
     )
     view.target_registry.zone_table.announce(record, now=now)
     view.target_registry.refresh({host})
+    view.proxy_channel.connect(host, None)
 
 
 def make_target(number, version, *, draining=False, service="a"):
@@ -278,6 +280,11 @@
     # One that has not renewed its lease is out of touch.
     announce(view, "p3", now=18.0)
     assert view.has_acknowledged(VERSION)
+    # So is one that is no longer connected.
+    announce(view, "p4")
+    assert not view.has_acknowledged(VERSION)
+    view.proxy_channel.disconnect("p4", None)
+    assert view.has_acknowledged(VERSION)
 
 
 def test_other_zones_are_waited_for_unless_they_are_silent(view):
--- a/tests/unit/test_rollouts_judge.py
+++ b/tests/unit/test_rollouts_judge.py
@@ -56,6 +56,7 @@
 GOOD = {
     "usual": {},
     "burst": {"burst_at": 6.0},
+    "burst at the start": {"burst_at": 2.0},
     "burst in the shift": {"burst_at": 10.5},
     "old version fails": {"old_failure_rate": 0.3},
     "both fail a little": {"failure_rate": 0.04, "old_failure_rate": 0.04},
@@ -131,6 +132,8 @@
     )
     return Evidence(
         total=(item,),
+        warm=(item,),
+        warm_seconds=1.0,
         **{"calls_per_second": 100.0, "report_age_seconds": 0.1, **fields},
     )
 
@@ -192,6 +195,12 @@
     assert (total.calls, total.failures) == (39, 2)
 
 
+def test_new_targets_may_be_late_for_a_while():
+    late = {"calls": 60, "late": 30, "milliseconds": 60_000}
+    cold = attrs.evolve(make_evidence(late, OLD), warm=(), warm_seconds=-1.0)
+    assert isinstance(judge(cold), Undecided)
+
+
 def test_windows_leave_out_what_is_older():
     history = OutcomeHistory(candidate="v2")
     history.receive("p", outcomes(100), now=1.0)
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -207,6 +207,7 @@
                 target_registry=self._target_registry,
                 acknowledgements=self._publisher.acknowledgements,
                 summaries_by_zone=self._zone_exchange.summaries_by_zone,
+                proxy_channel=self._proxy_channel,
             ),
             limits=Limits(
                 max_share=control.max_rollout_share,
--- a/verbenanotch/rollouts/_evidence.py
+++ b/verbenanotch/rollouts/_evidence.py
@@ -7,6 +7,8 @@
 BUCKET_SECONDS = 0.1
 # Over these last times the judge looks for a version that has turned bad.
 WINDOW_SECONDS = (1.0, 3.0)
+# New targets are slow for this long; failures count from the start.
+COLD_SECONDS = 3.0
 RATE_SECONDS = 3.0
 # Reports of a shorter time say little of the rate, which is 0 until then.
 MIN_RATE_SECONDS = 0.8
@@ -73,13 +75,17 @@
     """The samples of a rollout.
 
     `total` has those since the reports began, `recent` one tuple for each of
-    the last WINDOW_SECONDS. `calls_per_second` is the rate of all calls and
+    the last WINDOW_SECONDS. `warm` has those since COLD_SECONDS after the
+    first call to the candidate, `warm_seconds` is the time since then, below
+    0 before. `calls_per_second` is the rate of all calls and
     `busy` the mean number of them in progress, over the last seconds.
     `report_age_seconds` is the time since the last report, None without one.
     """
 
     total: tuple[RouteEvidence, ...] = ()
     recent: tuple[tuple[RouteEvidence, ...], ...] = ()
+    warm: tuple[RouteEvidence, ...] = ()
+    warm_seconds: float = -1.0
     calls_per_second: float = 0.0
     busy: float = 0.0
     report_age_seconds: float | None = None
@@ -119,6 +125,8 @@
         self._incarnations_by_host = {}
         self._samples_by_host = {}
         self._totals_by_key = {}
+        self._warm_by_key = {}
+        self._warm_at = None
         self._buckets_by_number = collections.OrderedDict()
 
     def receive(self, host, message, *, now):
@@ -133,10 +141,18 @@
             self._incarnations_by_host[host] = message.proxy_incarnation
             self._samples_by_host[host] = {}
         samples = self._samples_by_host[host]
-        bucket = self._bucket(now) if known is not None else {}
+        counts_by_key = [self._totals_by_key]
+        if known is not None:
+            counts_by_key.append(self._bucket(now))
+            if self._warm_at is not None and now >= self._warm_at:
+                counts_by_key.append(self._warm_by_key)
         for count in message.counts:
-            key = (count.route, count.software_version == self._candidate)
-            self._add(samples, bucket, count, key)
+            self._add(samples, counts_by_key, count)
+        if self._warm_at is None and any(
+            is_candidate and sample.calls
+            for (_, is_candidate), sample in self._totals_by_key.items()
+        ):
+            self._warm_at = now + COLD_SECONDS
 
     def evidence(self, *, now):
         """Return the Evidence at `now`."""
@@ -148,6 +164,10 @@
         recent = merge(rate_window.values())
         return Evidence(
             total=_by_route(self._totals_by_key),
+            warm=_by_route(self._warm_by_key),
+            warm_seconds=-1.0
+            if self._warm_at is None
+            else now - self._warm_at,
             recent=tuple(
                 _by_route(self._window(now, seconds))
                 for seconds in WINDOW_SECONDS
@@ -163,7 +183,7 @@
             ),
         )
 
-    def _add(self, samples, bucket, count, key):
+    def _add(self, samples, counts_by_key, count):
         sample = Sample(
             calls=count.calls,
             failures=count.failures,
@@ -176,7 +196,8 @@
             # Messages of an old and a new connection overtook each other.
             return
         samples[counted_as] = sample
-        for counts in (self._totals_by_key, bucket):
+        key = (count.route, count.software_version == self._candidate)
+        for counts in counts_by_key:
             counts[key] = counts.get(key, NOTHING).plus(increase)
 
     def _bucket(self, now):
--- a/verbenanotch/rollouts/_view.py
+++ b/verbenanotch/rollouts/_view.py
@@ -15,12 +15,14 @@
 class MeshView:
     """The targets of all zones, and the versions that proxies acknowledged.
 
-    `summaries_by_zone` has the ReceivedSummary of each other zone.
+    `summaries_by_zone` has the ReceivedSummary of each other zone,
+    `proxy_channel` the connected proxies.
     """
 
     target_registry: object
     acknowledgements: object
     summaries_by_zone: object
+    proxy_channel: object
     monotonic: object = time.monotonic
 
     def slots(self, service, candidate):
@@ -43,6 +45,7 @@
         if table.warm_up_remaining_seconds(now=now) > 0:
             return False
         hosts = table.hosts_renewed_since(now - MAX_SILENCE_SECONDS)
+        hosts &= set(self.proxy_channel.hosts)
         if any(
             self.acknowledgements.version(host) < version for host in hosts
         ):
