rollouts: raise a share that brings no calls; the proxies' messages

Cause: a proxy sends its first call to the candidate after 1 / share calls to others. With 75 proxies, a share of 1.4% of 500 calls a second brought none for ten seconds, and the share never grew without calls. Change: without enough calls the share is raised by half each 1.5 s, within the limit. RolloutsWatched as the proxies have it. A service of 20 calls a second at 75 proxies still gets no call to judge by (model): it is rolled back at the deadline.

--- a/verbenanotch/rollouts/__init__.py
+++ b/verbenanotch/rollouts/__init__.py
@@ -6,7 +6,6 @@
     OutcomeCount,
     RolloutsWatched,
     VersionOutcomes,
-    WatchedRollout,
 )
 from verbenanotch.rollouts._rollout import Phase, Rollout
 from verbenanotch.rollouts._service import RolloutService
@@ -31,5 +30,4 @@
     "RolloutTable",
     "RolloutsWatched",
     "VersionOutcomes",
-    "WatchedRollout",
 ]
--- a/verbenanotch/rollouts/_conductor.py
+++ b/verbenanotch/rollouts/_conductor.py
@@ -12,7 +12,6 @@
 from verbenanotch.rollouts._messages import (
     RolloutsWatched,
     VersionOutcomes,
-    WatchedRollout,
 )
 from verbenanotch.rollouts._rollout import MILLISECONDS_PER_SECOND
 from verbenanotch.rollouts._steps import (
@@ -59,7 +58,7 @@
         self._acknowledged_by_exposed = {}
         self._reasons_by_order = {}
         self._proposing = set()
-        self._watched = ()
+        self._watched = {}
         self._watched_at = 0.0
         self._greenthread = None
         channel.on(VersionOutcomes, self._receive)
@@ -106,7 +105,7 @@
         self._histories_by_order.clear()
         self._acknowledged_by_exposed.clear()
         self._reasons_by_order.clear()
-        self._watched = ()
+        self._watched = {}
 
     def _retain(self, unfinished):
         """Forget the reports of rollouts that have ended."""
@@ -122,18 +121,16 @@
 
     def _watch(self, unfinished, now):
         """Tell the proxies periodically, and of changes at once."""
-        watched = tuple(
-            WatchedRollout(
-                service=rollout.service, candidate=rollout.candidate
-            )
+        watched = {
+            rollout.service: rollout.candidate
             for rollout in unfinished
             if not rollout.has_ended
-        )
+        }
         is_due = now - self._watched_at >= WATCH_INTERVAL_SECONDS
         if watched == self._watched and not (watched and is_due):
             return
         self._watched, self._watched_at = watched, now
-        self._channel.broadcast(RolloutsWatched(rollouts=watched))
+        self._channel.broadcast(RolloutsWatched(services=watched))
 
     def _advance(self, rollout, now):
         situation = self._situation(rollout, now)
--- a/verbenanotch/rollouts/_messages.py
+++ b/verbenanotch/rollouts/_messages.py
@@ -1,4 +1,4 @@
-"""Messages between the leader of the log and the proxies about rollouts."""
+"""Messages between the leader, which judges rollouts, and the proxies."""
 
 import attrs
 
@@ -7,13 +7,13 @@
 
 @attrs.frozen(kw_only=True)
 class OutcomeCount:
-    """What became of a proxy's calls to one software version on one route.
+    """Outcomes of the calls of one route at targets of one software version.
 
-    The counts are cumulative since the proxy first counted for the service.
-    `calls` are those that have ended. `failures` are those that got a server
-    error from the target, a broken connection, or no answer. `late` are those
-    that were answered, but took over 3 times the route's expected time, and
-    `milliseconds` is the total time of the answered ones.
+    All numbers are totals since the proxy first counted for the service:
+    `calls` that were sent to targets of the version and have ended,
+    `failures` among them (server error of the target, connection broken, or
+    no answer), `late` ones that were answered but took over three times the
+    route's expected time, and the `milliseconds` of all answered ones.
     """
 
     route: str
@@ -27,24 +27,19 @@
 @message(750)
 @attrs.frozen(kw_only=True)
 class VersionOutcomes:
-    """A proxy's counts of one service, sent to the leader."""
+    """What one proxy has counted for a service."""
 
     service: str
     proxy_incarnation: int
     counts: tuple[OutcomeCount, ...]
 
 
-@attrs.frozen(kw_only=True)
-class WatchedRollout:
-    """A service with a rollout, and the version that is brought in."""
-
-    service: str
-    candidate: str
-
-
 @message(751)
 @attrs.frozen(kw_only=True)
 class RolloutsWatched:
-    """The services whose outcomes the leader wants to know."""
+    """The services whose outcomes the leader wants to know.
+
+    `services` has the candidate of each; the leader repeats the message.
+    """
 
-    rollouts: tuple[WatchedRollout, ...]
+    services: dict[str, str]
--- a/verbenanotch/rollouts/_rollout.py
+++ b/verbenanotch/rollouts/_rollout.py
@@ -24,7 +24,8 @@
     """The order of a rollout, and what the steps so far made of it.
 
     `order` is the position of the order in the log, `exposed` that of the
-    last step that changed the exposure, `step` the number of steps so far.
+    last step that changed the exposure, `exposed_at_ms` the time of that step
+    since the order, `step` the number of steps so far.
     `finish_by_ms` is the time from the order to the deadline, `elapsed_ms`
     that from the order to the last step. `ordered_at_ms` is in milliseconds
     since 1970, for display alone. `reason` says why the last step was made,
@@ -43,6 +44,7 @@
     share_ppm: int = 0
     step: int = 0
     elapsed_ms: int = 0
+    exposed_at_ms: int = 0
     reason: str = ""
     evidence: str = ""
     settled: bool = False
--- a/verbenanotch/rollouts/_state_machine.py
+++ b/verbenanotch/rollouts/_state_machine.py
@@ -245,7 +245,9 @@
             **_changes(step),
         )
         if exposes:
-            rollout = attrs.evolve(rollout, exposed=version)
+            rollout = attrs.evolve(
+                rollout, exposed=version, exposed_at_ms=rollout.elapsed_ms
+            )
         if step.action is Action.ROLL_BACK:
             self._reject(rollout)
         self._store(version, rollout, exposes=exposes)
--- a/verbenanotch/rollouts/_steps.py
+++ b/verbenanotch/rollouts/_steps.py
@@ -28,6 +28,7 @@
 # Proxies report the load within this time after the order, if there is any.
 FIRST_REPORT_SECONDS = 1.5
 MIN_STEP_SECONDS = 0.5
+RAISE_FACTOR = 1.5
 # A change of the share by less is not worth a version.
 MIN_CHANGE = 1.3
 # Until a shift is usually acknowledged.
@@ -257,14 +258,20 @@
         if not (is_rate_known or waited):
             return current
         return _first_share_ppm(evidence.calls_per_second, planned)
-    if planned * MIN_CHANGE <= current:
-        is_due = situation.since_step_seconds >= MIN_STEP_SECONDS
-    else:
-        is_due = (
-            planned >= current * MIN_CHANGE
-            and evidence.candidate.calls >= FIRST_LOOK_CALLS
-        )
-    return planned if is_due else current
+    exposed_seconds = situation.elapsed_seconds - (
+        rollout.exposed_at_ms / MILLISECONDS_PER_SECOND
+    )
+    if exposed_seconds < MIN_STEP_SECONDS:
+        return current
+    if evidence.candidate.calls < FIRST_LOOK_CALLS:
+        # Proxies with few requests send the first one late.
+        if exposed_seconds < FIRST_LOOK_SECONDS:
+            return current
+        most = round(limits.max_share * USED_PART * FULL_SHARE_PPM)
+        return min(most, max(planned, round(current * RAISE_FACTOR)))
+    if planned * MIN_CHANGE <= current or planned >= current * MIN_CHANGE:
+        return planned
+    return current
 
 
 def _flight_seconds(situation):
