--- a/tests/unit/test_rollouts_judge.py
+++ b/tests/unit/test_rollouts_judge.py
@@ -282,6 +282,8 @@
             False,
         ),
         ({"elapsed_seconds": 11.4, "evidence": Evidence()}, False),
+        # Most new targets have gone.
+        ({"elapsed_seconds": 11.4, "candidate_slots": 10}, False),
     ],
 )
 def test_a_shift_is_completed_once_nothing_is_at_the_old_targets(
--- a/verbenanotch/rollouts/_steps.py
+++ b/verbenanotch/rollouts/_steps.py
@@ -161,8 +161,9 @@
         )
     if situation.acknowledged_seconds is None:
         return Stay(reason="not all proxies have acknowledged the shift")
-    if not isinstance(verdict, Sound):
-        return Stay(reason=verdict.reason)
+    obstacle = _find_obstacle(situation, verdict)
+    if obstacle:
+        return Stay(reason=obstacle)
     return Stay(reason="requests at the old targets have their time")
 
 
@@ -170,7 +171,7 @@
     left = rollout.finish_by_seconds - situation.elapsed_seconds
     age = situation.evidence.report_age_seconds
     return (
-        isinstance(verdict, Sound)
+        not _find_obstacle(situation, verdict)
         and left <= SPARE_SECONDS + SHIFT_SECONDS
         and situation.acknowledged_seconds is not None
         and situation.acknowledged_seconds >= _flight_seconds(situation)
