--- a/verbenanotch/rollouts/_evidence.py
+++ b/verbenanotch/rollouts/_evidence.py
@@ -95,6 +95,11 @@
         """Return the total Sample of the candidate."""
         return merge(item.candidate for item in self.total)
 
+    @property
+    def warm_candidate(self):
+        """Return the Sample of the candidate's warm targets."""
+        return merge(item.candidate for item in self.warm)
+
     @property
     def old(self):
         """Return the total Sample of the old versions."""
--- a/verbenanotch/rollouts/_steps.py
+++ b/verbenanotch/rollouts/_steps.py
@@ -22,6 +22,8 @@
 MIN_SHARE = 0.01
 # Calls at the candidate that are wanted before the shift.
 WANTED_CALLS = 60
+# Those among them that are to come when its targets are warm.
+WANTED_WARM_CALLS = 25
 # The first share is one that brings this many calls in this time.
 FIRST_LOOK_CALLS = 10
 FIRST_LOOK_SECONDS = 1.5
@@ -234,7 +236,10 @@
         - situation.evidence.candidate.calls
         - rate * _shift_seconds(rollout, situation, limits)
     )
-    wanted = WANTED_CALLS - situation.evidence.candidate.calls
+    wanted = max(
+        WANTED_CALLS - situation.evidence.candidate.calls,
+        WANTED_WARM_CALLS - situation.evidence.warm_candidate.calls,
+    )
     share = max(budget, wanted) / (rate * seconds)
     share = min(max(share, MIN_SHARE), max_share)
     return round(share * FULL_SHARE_PPM)
