--- a/tests/unit/test_rollouts_conductor.py
+++ b/tests/unit/test_rollouts_conductor.py
@@ -19,7 +19,7 @@
 )
 from verbenanotch.membership._exchange import ReceivedSummary
 from verbenanotch.replication import Unavailable
-from verbenanotch.rollouts import (
+from verbenanotch.rollouts.control import (
     Limits,
     MeshView,
     Phase,
--- a/tests/unit/test_rollouts_state.py
+++ b/tests/unit/test_rollouts_state.py
@@ -24,14 +24,6 @@
     ReadUnavailable,
 )
 from verbenanotch.replication import Unavailable as ReplicaUnavailable
-from verbenanotch.rollouts import (
-    MeshStateMachine,
-    Ordered,
-    Phase,
-    Refused,
-    RolloutService,
-    RolloutTable,
-)
 from verbenanotch.rollouts._commands import (
     Action,
     Outdated,
@@ -39,6 +31,14 @@
     decode_outcome,
     encode_command,
 )
+from verbenanotch.rollouts.control import (
+    MeshStateMachine,
+    Ordered,
+    Phase,
+    Refused,
+    RolloutService,
+    RolloutTable,
+)
 from verbenanotch.versions import VersionService, VersionStateMachine
 
 MESH = b'name = "m"\n[services.a]\n[services.b]\n'
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -155,7 +155,8 @@
     load, as `running,waiting,slots`, in `target_load`. Any of its responses
     may name the requests per second that it takes from the whole mesh in
     `target_limit`, and say with `1` in `target_leaving` that it is about to
-    exit.
+    exit. A caller's request has a key of a client account in `account_key`,
+    which no target receives; targets receive the account's name in `account`.
     """
 
     request_id: str = "X-Request-Id"
@@ -170,6 +171,8 @@
     target_load: str = ""
     target_limit: str = "X-Verbenanotch-Target-Limit"
     target_leaving: str = "X-Verbenanotch-Target-Leaving"
+    account_key: str = "X-Verbenanotch-Account-Key"
+    account: str = "X-Verbenanotch-Account"
 
 
 @attrs.frozen(kw_only=True)
@@ -205,13 +208,25 @@
     its requests. Without `probe_targets`, a target's health is judged by its
     responses to requests alone. `max_in_flight` limits the requests that the
     proxy runs concurrently for callers, and separately those for other
-    proxies. `max_pipelined` limits the safe requests that it runs
+    proxies. `link_mbps` is the rate of the host's link in million bits per
+    second: large answers to other proxies are sent no faster than a share of
+    it; 0 turns that off. `max_pipelined` limits the safe requests that it runs
     concurrently for one connection of a caller. The bodies of all answers
     that the proxy is receiving from its targets take at most
     `max_receiving_bytes`, each of them at most `max_body_bytes`. At a start,
     `floor_wait_ms` limits the wait for a configuration before callers are
     accepted. It is also the time in which the proxy collects the answers that
     determine its minimum version.
+    In a mesh with client accounts, `keyless_requests` says what a request
+    without a key is on a route that is not public: with "local-calls" it is
+    taken for a call of this host's targets, which have no key, and runs
+    without an account; with "reject" it is refused. With an
+    `accounts_lease_seconds` above 0, such routes are refused while no control
+    host has confirmed for that time that the proxy's version is the newest
+    one, as keys may have been withdrawn since. With `hold_new_versions`,
+    targets of a software version that starts beside the one in use get no
+    requests before a rollout gives them some; without it, all versions are
+    equal outside of rollouts.
     """
 
     caller_port: int = 0
@@ -237,10 +252,14 @@
     max_body_bytes: int = 1024 * 1024
     max_receiving_bytes: int = 64 * 1024 * 1024
     max_in_flight: int = 1024
+    link_mbps: float = 0.0
     max_pipelined: int = 16
     adaptive_limits: bool = True
     shutdown_grace_ms: int = 10_000
     floor_wait_ms: int = 1500
+    keyless_requests: str = "reject"
+    accounts_lease_seconds: float = 0.0
+    hold_new_versions: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -14,7 +14,7 @@
 from verbenanotch.membership import TargetRegistry, ZoneExchange, ZoneTable
 from verbenanotch.membership import events as membership_events
 from verbenanotch.replication import ReadConfirmed, Replica, StorageError
-from verbenanotch.rollouts import (
+from verbenanotch.rollouts.control import (
     Limits,
     MeshStateMachine,
     MeshView,
@@ -68,6 +68,7 @@
             versions=self._versions,
             target_registry=self._target_registry,
             confirm=self._confirm,
+            is_in_contact=self._replica.is_in_contact,
             on_zone_change=self._on_zone_change,
             crash_exchange=self._crash_exchange,
             proxy_channel=self._proxy_channel,
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from verbenanotch.accounts import VersionFreshness
 from verbenanotch.catalog import NO_VERSION
 from verbenanotch.conf import parse_endpoint
 from verbenanotch.daemon import _shutdown, events
@@ -21,6 +22,7 @@
     Subscriber,
 )
 from verbenanotch.proxy import (
+    AccountGate,
     CrashGuard,
     DisconnectMonitor,
     Dispatcher,
@@ -28,6 +30,7 @@
     KeyedRequests,
     LeaseMonitor,
     LocalTargets,
+    OutcomeReporter,
     PeerPool,
     PeerServer,
     ReadinessInterface,
@@ -35,6 +38,8 @@
     TargetDiscovery,
     TargetProbe,
 )
+from verbenanotch.rollouts import OutcomeCounter, RolloutsWatched
+from verbenanotch.routing import is_rejected
 from verbenanotch.telemetry import emit
 from verbenanotch.wire import Listener, Purpose
 
@@ -43,6 +48,7 @@
 PROBE_INTERVAL_SECONDS = 1.0
 POLL_INTERVAL_SECONDS = 0.02
 RECONCILE_INTERVAL_SECONDS = 0.1
+OUTCOME_REPORT_INTERVAL_SECONDS = 0.25
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -70,8 +76,20 @@
             known_services=lambda: (
                 self._snapshot_store.snapshot.services_by_name
             ),
+            is_rejected=self._is_version_rejected,
         )
         self._leader_channel = LeaderChannel()
+        self._freshness = VersionFreshness(
+            own_version=lambda: self._snapshot_store.snapshot.version
+        )
+        self._outcome_counter = OutcomeCounter()
+        self._outcome_reporter = OutcomeReporter(
+            counter=self._outcome_counter,
+            send=self._leader_channel.send,
+            proxy_incarnation=incarnation,
+            monotonic=time.monotonic,
+        )
+        self._leader_channel.on(RolloutsWatched, self._outcome_reporter.watch)
         lease_monitor = LeaseMonitor()
         self._subscriber = Subscriber(
             settings=settings,
@@ -79,6 +97,7 @@
             announcement=self._local_targets.announcement,
             on_drain=self._local_targets.drain,
             on_renewed=lease_monitor.record_renewal,
+            on_version_reported=self._freshness.record,
             on_stale_incarnation=self._local_targets.raise_incarnation_above,
             crash_exchange=self._crash_guard.exchange,
             leader_channel=self._leader_channel,
@@ -95,6 +114,7 @@
             guard=self._crash_guard,
             max_body_bytes=proxy.max_body_bytes,
             max_in_flight=proxy.max_in_flight,
+            link_mbps=proxy.link_mbps,
         )
         self._disconnect_monitor = DisconnectMonitor()
         self._listener = Listener(
@@ -185,6 +205,11 @@
             eventlet.spawn(
                 _run_every, EXPIRY_INTERVAL_SECONDS, self._local_targets.expire
             ),
+            eventlet.spawn(
+                _run_every,
+                OUTCOME_REPORT_INTERVAL_SECONDS,
+                self._outcome_reporter.report,
+            ),
         ]
         self._reconciler = eventlet.spawn(
             _run_every, RECONCILE_INTERVAL_SECONDS, self._reconcile_records
@@ -255,6 +280,7 @@
             local_targets=self._local_targets,
             peers=self._peers,
             guard=self._crash_guard,
+            outcome_counter=self._outcome_counter,
         )
         self._dispatcher = dispatcher
         self._peers.on_report = dispatcher.record_report
@@ -267,6 +293,18 @@
                 record_server=self._record_server, ask=self._ask_holder
             ),
             caller_service=lambda: self._local_targets.service,
+            account_gate=AccountGate(
+                settings=settings, freshness=self._freshness
+            ),
+        )
+
+    def _is_version_rejected(self, record):
+        """Return whether a local target's version gets no requests."""
+        service = self._snapshot_store.snapshot.services_by_name.get(
+            record.service
+        )
+        return service is not None and is_rejected(
+            record.software_version, service.exposure
         )
 
     def _is_ready(self):
--- a/verbenanotch/operator/_rollouts.py
+++ b/verbenanotch/operator/_rollouts.py
@@ -13,7 +13,7 @@
     NotCurrentError,
     NotFoundError,
 )
-from verbenanotch.rollouts import Ordered, Refused
+from verbenanotch.rollouts.control import Ordered, Refused
 
 
 class RolloutResources:
--- a/verbenanotch/platform/_rollouts.py
+++ b/verbenanotch/platform/_rollouts.py
@@ -8,7 +8,7 @@
 )
 from verbenanotch.platform._responses import read_body, respond_json
 from verbenanotch.platform.exceptions import MalformedDocumentError
-from verbenanotch.rollouts import Ordered, Phase, Refused
+from verbenanotch.rollouts.control import Ordered, Phase, Refused
 
 ROLLOUTS_PATH = "/rollouts"
 MAX_BODY_BYTES = 64 * 1024
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -4,6 +4,7 @@
 proxies, the access to the host's targets and the records of keyed requests.
 """
 
+from verbenanotch.proxy._account_gate import AccountGate
 from verbenanotch.proxy._announcements import TargetInterface
 from verbenanotch.proxy._crashes import CrashGuard
 from verbenanotch.proxy._disconnect_monitor import DisconnectMonitor
@@ -22,10 +23,12 @@
 from verbenanotch.proxy._readiness import ReadinessInterface
 from verbenanotch.proxy._record_server import RecordServer
 from verbenanotch.proxy._target_discovery import TargetDiscovery
+from verbenanotch.proxy._version_calls import OutcomeReporter
 
 __all__ = [
     "ARRIVED_AT",
     "CONNECTION",
+    "AccountGate",
     "CrashGuard",
     "DisconnectMonitor",
     "Dispatcher",
@@ -33,6 +36,7 @@
     "KeyedRequests",
     "LeaseMonitor",
     "LocalTargets",
+    "OutcomeReporter",
     "PeerPool",
     "PeerServer",
     "ReadinessInterface",
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -17,6 +17,8 @@
     to_mrps,
 )
 from verbenanotch.proxy._retries import combine_outcomes
+from verbenanotch.proxy._version_calls import VersionCalls
+from verbenanotch.proxy._version_groups import VersionGroups, steady_targets
 from verbenanotch.routing import (
     AttemptContext,
     Chosen,
@@ -30,9 +32,10 @@
     RetryBudget,
     RouteDurations,
     RouteSizes,
-    choose,
+    choose_by_version,
     cross_zone_penalty_seconds,
     decide_retry,
+    keep_in_zone,
 )
 from verbenanotch.telemetry import emit, metrics
 
@@ -53,14 +56,28 @@
     """Choose a target for each request and send the request there."""
 
     def __init__(
-        self, *, settings, snapshot_store, local_targets, peers, guard=None
+        self,
+        *,
+        settings,
+        snapshot_store,
+        local_targets,
+        peers,
+        guard=None,
+        outcome_counter=None,
     ):
         """Choose among the targets in the snapshot of `snapshot_store`.
 
         `local_targets` is the LocalTargets of this host, `peers` the PeerPool
         for targets of other hosts. `guard` is the CrashGuard that blocks
-        requests, or None.
+        requests, or None. `outcome_counter` is the OutcomeCounter of the
+        calls to services that are rolled out, or None.
         """
+        version_groups = VersionGroups(
+            hold_new_versions=settings.proxy.hold_new_versions
+        )
+        self._version_calls = VersionCalls(
+            groups=version_groups, counter=outcome_counter
+        )
         self._guard = guard
         self._settings = settings
         self._snapshot_store = snapshot_store
@@ -70,6 +87,7 @@
         self._candidate_cache = CandidateCache(
             snapshot_store=snapshot_store,
             adaptive_limits=settings.proxy.adaptive_limits,
+            version_groups=version_groups,
         )
         self._route_durations = RouteDurations()
         self._route_sizes = RouteSizes()
@@ -196,7 +214,7 @@
                 request,
                 (
                     state.target_id
-                    for state in candidates.targets
+                    for state in steady_targets(candidates)
                     if not state.draining and state.target_id not in tried
                 ),
             )
@@ -208,6 +226,14 @@
         size = self._route_sizes.expected(
             request.route_name, len(request.body)
         )
+        penalty_seconds = cross_zone_penalty_seconds(size, objective_seconds)
+        candidates = keep_in_zone(
+            candidates,
+            availability_zone=self._settings.host.availability_zone,
+            now=now,
+            cross_zone_penalty=penalty_seconds,
+            objective=objective_seconds,
+        )
         waits_by_target_id = {
             target_id: seconds
             for target_id, seconds in self._rate_shares.exhausted(
@@ -215,7 +241,7 @@
             ).items()
             if target_id in snapshot.targets_by_id
         }
-        result = choose(
+        result = choose_by_version(
             candidates,
             now=now,
             random=self._random,
@@ -223,9 +249,7 @@
             exclude=tried | waits_by_target_id.keys(),
             host=self._settings.host.name,
             objective_seconds=objective_seconds,
-            cross_zone_penalty_seconds=cross_zone_penalty_seconds(
-                size, objective_seconds
-            ),
+            cross_zone_penalty_seconds=penalty_seconds,
         )
         return _explain_no_target(result, waits_by_target_id)
 
@@ -233,6 +257,7 @@
         state = self._candidate_cache.states_by_target_id[call.target_id]
         started = time.monotonic()
         state.record_start(started)
+        metered = self._version_calls.record_start(call)
         outcome = Unknown(reason=reasons.INTERNAL_ERROR)
         try:
             outcome = self._send(snapshot, call, request, cancellation)
@@ -240,6 +265,15 @@
             now = time.monotonic()
             kind = _outcome_kind(outcome, cancellation)
             state.record_outcome(now, now - started, kind)
+            self._version_calls.record_end(
+                metered,
+                snapshot.targets_by_id[call.target_id],
+                request,
+                outcome,
+                cancelled=cancellation.cancelled,
+                started=started,
+                now=now,
+            )
             if outcome.load is not None:
                 self._observe_load(state, request, outcome, now, now - started)
                 self._observe_notices(snapshot, call, outcome.load, now)
@@ -405,9 +439,9 @@
 
 
 def _is_full(outcome):
-    """Return whether the target had no capacity for the request."""
+    """Return whether the target or its link had no capacity for it."""
     match outcome:
-        case NotRun(reason=reasons.TARGET_FULL):
+        case NotRun(reason=reasons.TARGET_FULL | reasons.LINK_FULL):
             return True
         case _:
             return False
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -6,15 +6,21 @@
 CANCELLED = "cancelled"
 INTERNAL_ERROR = "internal-error"
 CRASHES_TARGETS = "crashes-targets"
+ACCOUNT_KEY_MISSING = "account-key-missing"
+ACCOUNT_KEY_UNKNOWN = "account-key-unknown"
 
 TARGET_GONE = "target-gone"
 TARGET_DRAINING = "target-draining"
 TARGET_FULL = "target-full"
+TARGET_REJECTED = "target-rejected"
 TARGET_REFUSED = "target-refused"
 TARGET_LIMITED = "target-limited"
 TARGET_UNREACHABLE = "target-unreachable"
 TARGET_BROKE_OFF = "target-broke-off"
 
+# Large answers that are ready occupy the link of the target's host.
+LINK_FULL = "link-full"
+
 HOST_LEAVING = "host-leaving"
 HOST_FULL = "host-full"
 
@@ -37,6 +43,7 @@
 # capacity, so that the request can move to another target at no cost.
 RETRYABLE_ON_ANOTHER_TARGET = UNREACHABLE | {
     TARGET_DRAINING,
+    TARGET_REJECTED,
     HOST_LEAVING,
     PEER_LEAVING,
 }
--- a/verbenanotch/rollouts/__init__.py
+++ b/verbenanotch/rollouts/__init__.py
@@ -1,33 +1,15 @@
-"""Rollouts of software versions: their state, steps and judge."""
+"""Rollouts of new software versions of a service's targets."""
 
-from verbenanotch.rollouts._commands import Ordered, Refused
-from verbenanotch.rollouts._conductor import RolloutConductor
 from verbenanotch.rollouts._messages import (
     OutcomeCount,
     RolloutsWatched,
     VersionOutcomes,
 )
-from verbenanotch.rollouts._rollout import Phase, Rollout
-from verbenanotch.rollouts._service import RolloutService
-from verbenanotch.rollouts._state_machine import (
-    MeshStateMachine,
-    RolloutTable,
-)
-from verbenanotch.rollouts._steps import Limits
-from verbenanotch.rollouts._view import MeshView
+from verbenanotch.rollouts._outcome_counter import OutcomeCounter
 
 __all__ = [
-    "Limits",
-    "MeshStateMachine",
-    "MeshView",
-    "Ordered",
     "OutcomeCount",
-    "Phase",
-    "Refused",
-    "Rollout",
-    "RolloutConductor",
-    "RolloutService",
-    "RolloutTable",
+    "OutcomeCounter",
     "RolloutsWatched",
     "VersionOutcomes",
 ]
--- a/verbenanotch/routing/__init__.py
+++ b/verbenanotch/routing/__init__.py
@@ -11,7 +11,20 @@
     ServiceTimes,
     cross_zone_penalty_seconds,
 )
+from verbenanotch.routing._exposure import (
+    FULL_SHARE_PPM,
+    UNKNOWN_VERSION,
+    CandidatesWithFallback,
+    ExposureMeter,
+    TargetGroups,
+    choose_by_version,
+    divide_targets,
+    established_targets,
+    established_version,
+    is_rejected,
+)
 from verbenanotch.routing._limit import AdaptiveLimit
+from verbenanotch.routing._link import LinkPacer
 from verbenanotch.routing._outliers import Ejected, OutlierDetector
 from verbenanotch.routing._queue import (
     DeadlineQueue,
@@ -30,16 +43,21 @@
 )
 from verbenanotch.routing._routes import RouteTable, choose_service
 from verbenanotch.routing._target import OutcomeKind, TargetLoad, TargetState
+from verbenanotch.routing._zones import keep_in_zone
 
 __all__ = [
     "AdaptiveLimit",
     "AttemptContext",
     "Candidates",
+    "CandidatesWithFallback",
     "Chosen",
     "DemandRate",
     "DeadlineQueue",
     "Dequeued",
     "Ejected",
+    "LinkPacer",
+    "ExposureMeter",
+    "FULL_SHARE_PPM",
     "NamedLimit",
     "NoRetry",
     "NoTarget",
@@ -54,10 +72,18 @@
     "RouteSizes",
     "RouteTable",
     "ServiceTimes",
+    "TargetGroups",
     "TargetLoad",
     "TargetState",
+    "UNKNOWN_VERSION",
     "choose",
+    "choose_by_version",
     "choose_service",
     "cross_zone_penalty_seconds",
     "decide_retry",
+    "keep_in_zone",
+    "divide_targets",
+    "established_targets",
+    "established_version",
+    "is_rejected",
 ]
