--- a/tests/unit/test_rollouts_judge.py
+++ b/tests/unit/test_rollouts_judge.py
@@ -24,6 +24,7 @@
 )
 from verbenanotch.rollouts._steps import (
     SETTLE_SECONDS,
+    Limits,
     Make,
     Situation,
     Stay,
@@ -324,6 +325,20 @@
     assert step.action is Action.SETTLE
 
 
+@pytest.mark.parametrize(
+    ("max_share", "shares"), [(0.0, {0}), (0.1, {10_000}), (33.3, {10_000})]
+)
+def test_any_limit_gives_a_share(max_share, shares):
+    limits = Limits(max_share=max_share, allowance=0.0)
+    situation = make_situation(
+        elapsed_seconds=2.0,
+        evidence=attrs.evolve(GOOD_EVIDENCE, calls_per_second=2000.0),
+    )
+    step = decide_step(ROLLOUT, situation, limits)
+    assert {getattr(step, "share_ppm", 0)} == shares
+    assert 0 <= planned_share_ppm(ROLLOUT, situation, limits) <= 1_000_000
+
+
 def test_the_share_grows_to_the_cap_in_a_long_rollout():
     rollout = attrs.evolve(ROLLOUT, finish_by_ms=600_000)
     situation = make_situation(
--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -84,16 +84,11 @@
 
 
 def _control_problems(control, document):
-    if control and not 0 < control.max_rollout_share <= 1:
-        yield document.problem(
-            "control.max_rollout_share",
-            f"{control.max_rollout_share} is not a share",
-            "Use a number above 0, at most 1.",
-        )
-    if control and control.rollout_allowance < 0:
-        yield document.problem(
-            "control.rollout_allowance", "is negative", "Use at least 0."
-        )
+    for field in ("max_rollout_share", "rollout_allowance"):
+        if control and not getattr(control, field) >= 0:
+            yield document.problem(
+                f"control.{field}", "is not a limit", "Use at least 0."
+            )
 
 
 def _proxy_problems(proxy, document):
--- a/verbenanotch/rollouts/_steps.py
+++ b/verbenanotch/rollouts/_steps.py
@@ -54,9 +54,13 @@
 
 @attrs.frozen(kw_only=True)
 class Limits:
-    """How many of the requests a bad version may get until the deadline."""
+    """How many of the requests a bad version may get until the deadline.
 
-    max_share: float
+    With a `max_share` of 0 nothing is tried out, and every rollout ends by
+    its deadline. From 1 on, it is no limit.
+    """
+
+    max_share: float = attrs.field(converter=lambda share: min(share, 1.0))
     allowance: float
 
 
