--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -9,6 +9,10 @@
 from verbenanotch.membership import HostRecord, TargetRecord
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
+from verbenanotch.proxy._announcement_refusals import (
+    Outdated,
+    UnknownService,
+)
 from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._crash_detection import CrashDetector
 from verbenanotch.proxy._exchange import exchange
@@ -17,13 +21,19 @@
 from verbenanotch.proxy._target_connection import TargetConnections
 from verbenanotch.proxy._target_discovery import UNKNOWN_INCARNATION
 from verbenanotch.proxy._target_notices import NoticeLog, read_notices
-from verbenanotch.routing import NamedLimit
+from verbenanotch.routing import (
+    SERVICE_TIME_EWMA_WEIGHT,
+    NamedLimit,
+    PaceMeter,
+)
 from verbenanotch.telemetry import emit, metrics
 
 MILLISECONDS_PER_SECOND = 1000
-# Removed targets that are remembered so that late announcements of them are
-# rejected.
+# Removed and expired targets that are remembered so that late announcements
+# of them are rejected.
 MAX_REMOVED_TARGETS = 64
+# Less than any sequence of an announcement.
+BEFORE_FIRST_SEQUENCE = -1
 CRASH_ID_BYTES = 8
 # For this time after the removal of a target that was not known yet, its
 # announcements from before the removal are rejected: they may arrive some
@@ -37,7 +47,8 @@
 
     `expires_at` is in monotonic seconds. `sequence` is that of the latest
     announcement. `crash_detector` is None without a CrashGuard. `limit` is
-    the request rate that the target names in its answers.
+    the request rate that the target names in its answers, and `pace` how
+    long work takes there.
     """
 
     record: TargetRecord
@@ -48,6 +59,9 @@
     sequence: int = 0
     limit: NamedLimit = attrs.field(factory=NamedLimit)
     notice_log: NoticeLog = attrs.field(factory=NoticeLog)
+    pace: PaceMeter = attrs.field(
+        factory=lambda: PaceMeter(ewma_weight=SERVICE_TIME_EWMA_WEIGHT)
+    )
 
     @property
     def order(self):
@@ -56,7 +70,7 @@
 
     def load_for(self, call, sender):
         """Return the TargetLoad for the proxy that has sent a Call."""
-        load = self.slots.load
+        load = self._load()
         if not self.limit.rate and not self.record.draining:
             return load
         share = self.limit.share(
@@ -69,6 +83,21 @@
             is_leaving=self.record.draining,
         )
 
+    def _load(self):
+        load = self.slots.load
+        if not self.pace.percent:
+            return load
+        return attrs.evolve(
+            load,
+            pace_percent=self.pace.percent_at(time.monotonic()),
+            usual_seconds=self.pace.usual_seconds(load.service_seconds),
+            reported_ms=int(time.monotonic() * MILLISECONDS_PER_SECOND),
+        )
+
+    def max_wait_seconds(self, call):
+        """Return the longest wait of a Call at the mean service time."""
+        return call.max_wait_seconds / self.pace.slowdown(time.monotonic())
+
     def limit_refusal(self, call):
         """Return NotRun if the target's limit has no room for a Call."""
         wait_seconds = self.limit.wait_seconds(call.priority, time.monotonic())
@@ -180,9 +209,14 @@
         Returns False and ignores the announcement if its service is unknown
         or if it is older than the current state of its target or address.
         """
-        if not self._is_current(record, sequence):
+        return self.announce_or_explain(record, sequence=sequence) is None
+
+    def announce_or_explain(self, record, *, sequence=0):
+        """Do what `announce` does; return None, UnknownService or Outdated."""
+        refusal = self._announcement_refusal(record, sequence)
+        if refusal is not None:
             metrics.increment("proxy.announcements_outdated")
-            return False
+            return refusal
         expires_at = time.monotonic() + (
             self._settings.proxy.announcement_lease_ms
             / MILLISECONDS_PER_SECOND
@@ -201,13 +235,21 @@
         current.sequence = sequence
         if record.draining:
             self.drain(record.target_id)
-        return True
+        return None
 
-    def _is_current(self, record, sequence):
-        """Return whether an announcement is valid and not outdated."""
+    def _announcement_refusal(self, record, sequence):
+        """Return why an announcement is ignored; None if it is current."""
         service_names = self._known_services()
         if service_names and record.service not in service_names:
-            return False
+            return UnknownService(service=record.service)
+        if not self._is_current(record, sequence):
+            return Outdated(
+                target_id=record.target_id, incarnation=record.incarnation
+            )
+        return None
+
+    def _is_current(self, record, sequence):
+        """Return whether an announcement is not outdated."""
         order = (record.incarnation, sequence)
         removed_order = self._removed_orders_by_id.get(record.target_id)
         if removed_order is not None and order <= removed_order:
@@ -321,8 +363,7 @@
         if target is None:
             return None
         target.connections.close()
-        self._removed_orders_by_id[target_id] = target.order
-        _drop_oldest(self._removed_orders_by_id)
+        self._remember_order(target_id, target.order)
         emit(events.TARGET_LEFT, target=target_id)
         self._announcement_changed()
         return target
@@ -334,9 +375,15 @@
             if target.expires_at <= now:
                 del self.targets_by_id[target_id]
                 target.connections.close()
+                self._remember_order(target_id, _order_before_renewal(target))
                 emit(events.TARGET_EXPIRED, target=target_id)
                 self._announcement_changed()
 
+    def _remember_order(self, target_id, order):
+        """Reject announcements up to `order` of a target that is removed."""
+        self._removed_orders_by_id[target_id] = order
+        _drop_oldest(self._removed_orders_by_id)
+
     def preconnect(self):
         """Open idle connections to each target in advance."""
         for target in list(self.targets_by_id.values()):
@@ -364,6 +411,7 @@
                 route_name=call.route_name,
                 objective_seconds=call.objective_seconds,
                 account=call.account,
+                max_wait_seconds=target.max_wait_seconds(call),
             )
         if refusal is not None:
             metrics.increment(f"proxy.refused.{refusal.reason}")
@@ -400,6 +448,8 @@
                 source=names.target_limit,
                 now=now,
             )
+        if notices.pace_percent is not None:
+            target.pace.observe(notices.pace_percent, now)
         current = self.targets_by_id.get(call.target_id)
         if notices.is_leaving and current is target:
             self.drain(call.target_id)
@@ -487,6 +537,16 @@
         self._on_change()
 
 
+def _order_before_renewal(target):
+    """Return the order that the next renewal of a target exceeds.
+
+    Without sequences, all announcements of one incarnation are equal.
+    """
+    if target.sequence:
+        return target.order
+    return (target.record.incarnation, BEFORE_FIRST_SEQUENCE)
+
+
 def _drop_oldest(removals_by_id):
     """Drop the oldest entry if there are over `MAX_REMOVED_TARGETS`."""
     if len(removals_by_id) > MAX_REMOVED_TARGETS:
