--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -59,6 +59,7 @@
             "proxy", "the section is missing", "Add [proxy]."
         )
     yield from _discovery_problems(settings, document)
+    yield from _control_problems(settings.control, document)
     yield from _proxy_problems(settings.proxy, document)
     yield from _account_problems(settings.proxy, document)
     control = settings.control
@@ -82,6 +83,14 @@
         )
 
 
+def _control_problems(control, document):
+    for field in ("max_rollout_share", "rollout_allowance"):
+        if control and not getattr(control, field) >= 0:
+            yield document.problem(
+                f"control.{field}", "is not a limit", "Use at least 0."
+            )
+
+
 def _proxy_problems(proxy, document):
     if proxy and proxy.max_receiving_bytes < proxy.max_body_bytes:
         yield document.problem(
