--- /dev/null
+++ b/verbenanotch/quotas/_leader.py
@@ -0,0 +1,109 @@
+"""The leader's part in limits of client accounts."""
+
+import time
+import traceback
+
+import eventlet
+
+from verbenanotch.quotas import events
+from verbenanotch.quotas._ledger import LimitLedger
+from verbenanotch.quotas._messages import (
+    PPM,
+    LimitHeartbeat,
+    UsageReport,
+)
+from verbenanotch.quotas._pace import LinePace
+from verbenanotch.telemetry import emit, metrics
+
+DECISION_INTERVAL_SECONDS = 0.25
+
+
+class LeaderLimits:
+    """Decide limits while this host leads and an account has a rate."""
+
+    def __init__(
+        self, *, channel, accounts, known_hosts, monotonic=time.monotonic
+    ):
+        """Use a ProxyChannel.
+
+        `accounts()` returns the ClientAccount by name of the newest accepted
+        mesh, `known_hosts()` the names of the hosts with a proxy.
+        """
+        self._channel = channel
+        self._accounts = accounts
+        self._known_hosts = known_hosts
+        self._monotonic = monotonic
+        self._term = None
+        self._ledger = None
+        self._connected = frozenset()
+        self._logged = {}
+        self._pace = LinePace()
+        self._greenthread = None
+        channel.on(UsageReport, self._observe)
+
+    def start(self):
+        """Start to decide."""
+        self._greenthread = eventlet.spawn(self._run)
+
+    def stop(self):
+        """Stop deciding; the proxies' leases end."""
+        if self._greenthread is not None:
+            self._greenthread.kill()
+
+    def decide(self):
+        """Decide once and tell the proxies; do nothing without a rate."""
+        term = self._channel.term
+        limits_by_account = {
+            name: account
+            for name, account in self._accounts().items()
+            if account.rate > 0
+        }
+        if term is None or not limits_by_account:
+            self._term = self._ledger = None
+            return
+        now = self._monotonic()
+        if term != self._term:
+            self._term = term
+            self._ledger = LimitLedger(term=term, now=now)
+        connected = frozenset(self._channel.hosts)
+        message = self._ledger.decide(
+            limits_by_account, self._known_hosts(), connected, now
+        )
+        self._channel.broadcast(message)
+        if isinstance(message, LimitHeartbeat):
+            # A host that has just connected may not know the table.
+            self._channel.send(
+                connected - self._connected, self._ledger.table()
+            )
+        self._connected = connected
+        self._log(now)
+
+    def _run(self):
+        while True:
+            eventlet.sleep(DECISION_INTERVAL_SECONDS)
+            try:
+                self.decide()
+            except Exception:
+                emit(events.DECISION_FAILED, traceback=traceback.format_exc())
+
+    def _observe(self, host, report):
+        if self._ledger is not None:
+            self._ledger.observe(host, report, self._monotonic())
+
+    def _log(self, now):
+        """Log accounts that became limited or are no longer."""
+        limited = {item.name: item for item in self._ledger.limited}
+        metrics.gauge("quotas.limited_accounts", len(limited))
+        for name, item in limited.items():
+            if name not in self._logged and self._pace.admit(name, now):
+                self._logged[name] = True
+                emit(
+                    events.ACCOUNT_LIMITED,
+                    account=name,
+                    fraction=item.admitted_ppm / PPM,
+                    debt_ms=item.debt_ms,
+                )
+        for name in tuple(self._logged):
+            if name not in limited and self._pace.admit(name, now):
+                del self._logged[name]
+                emit(events.ACCOUNT_UNLIMITED, account=name)
