--- a/verbenanotch/quotas/_account_limits.py
+++ b/verbenanotch/quotas/_account_limits.py
@@ -12,9 +12,9 @@
 from verbenanotch.quotas._window import WINDOW_SECONDS, SlidingCount
 
 # A decision of the leader holds for this long.
-LEASE_SECONDS = 0.8
-# A proxy without a leader admits one request of each account beyond its share
-# in each window, for this long.
+LEASE_SECONDS = 0.45
+# A proxy that has just lost the leader admits at least one request of each
+# account in a window, for this long.
 ALLOWANCE_SECONDS = 3.0
 # With usage in the last window, a report is sent this often even if nothing
 # has changed, so that the leader can tell a lost proxy from an idle one.
@@ -88,12 +88,13 @@
         self._drawn_at = now
         self._rounding = random.random()
 
-    def requests(self, rate, host_count, now):
+    def requests(self, limit, host_count, now):
         """Return how many requests may run in a window."""
         if now - self._drawn_at > WINDOW_SECONDS:
             self._drawn_at = now
             self._rounding = self._random.random()
-        equal_part = rate * WINDOW_SECONDS / max(1, host_count)
+        whole = limit.rate * WINDOW_SECONDS + limit.burst
+        equal_part = whole / max(1, host_count)
         return max(self._repeated, math.floor(equal_part + self._rounding))
 
 
@@ -200,7 +201,7 @@
             name=account,
             asked=usage.asked,
             admitted=usage.admitted,
-            recent=usage.recent.total(now),
+            recent=usage.recent.totals(now),
         )
 
     def _needs_keepalive(self, now):
@@ -249,13 +250,13 @@
             usage.share = _SilentShare(
                 repeated=recent, random=self._random, now=now
             )
-        requests = usage.share.requests(limit.rate, self._host_count(), now)
+        requests = usage.share.requests(limit, self._host_count(), now)
         silent_seconds = now - self._received_at - LEASE_SECONDS
         if (
             account not in self._limited_by_account
             and silent_seconds < ALLOWANCE_SECONDS
         ):
-            requests += 1
+            requests = max(1, requests)
         if recent < requests:
             return None
         return self._limited(
--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -12,7 +12,7 @@
     LimitUpdate,
     UsageRequest,
 )
-from verbenanotch.quotas._window import WINDOW_SECONDS
+from verbenanotch.quotas._window import RECENT_SECONDS, WINDOW_SECONDS
 
 # A new leader listens for this long before it decides.
 WARM_UP_SECONDS = 0.5
@@ -62,6 +62,7 @@
         self.usages_by_host = {}
         self.demand = collections.deque()
         self.charged = 0.0
+        self.early = [0] * len(RECENT_SECONDS)
         self.level = None
         self.fraction = 1.0
 
@@ -70,7 +71,8 @@
         known = self.usages_by_host.get(host)
         if known is None or known.incarnation != incarnation:
             # What it admitted before the window is of no effect any more.
-            asked, admitted, reserved = usage.recent, usage.recent, 0.0
+            asked, admitted, reserved = usage.recent[0], 0, 0.0
+            self._charge_recent(usage.recent)
         else:
             asked = usage.asked - known.asked
             admitted = usage.admitted - known.admitted
@@ -81,11 +83,18 @@
             incarnation=incarnation,
             asked=usage.asked,
             admitted=usage.admitted,
-            recent=usage.recent,
+            recent=usage.recent[0],
             reported_at=now,
             reserved_until=now,
         )
 
+    def _charge_recent(self, recent):
+        if self.level is not None:
+            self.charged += recent[0]
+            return
+        for index, count in enumerate(recent):
+            self.early[index] += count
+
     def demand_rate(self, now):
         """Return the requests a second that all proxies were asked for."""
         while self.demand and self.demand[0][0] < now - DEMAND_SECONDS[-1]:
@@ -103,9 +112,13 @@
     def refill(self, limit, seconds, reserve):
         """Add the rate of some time, less a reserve and what was charged."""
         if self.level is None:
-            # A window at the full rate is allowed; what was admitted in it
-            # was charged with the first reports.
-            self.level = limit.burst + limit.rate * WINDOW_SECONDS
+            # The bucket was full at most before each of the times.
+            self.level = min(
+                limit.burst + limit.rate * recent_seconds - count
+                for recent_seconds, count in zip(
+                    RECENT_SECONDS, self.early, strict=True
+                )
+            )
             seconds = 0.0
         level = self.level + limit.rate * seconds - reserve - self.charged
         self.charged = 0.0
@@ -123,7 +136,7 @@
         rate = limit.rate - reserve_rate
         unreported = (rate - demand * self.fraction) * DELAY_SECONDS
         target = rate + (self.level + unreported) / HORIZON_SECONDS
-        if demand <= target:
+        if demand <= max(0.0, target):
             return 1.0
         return max(0.0, target / demand)
 
--- a/verbenanotch/quotas/_messages.py
+++ b/verbenanotch/quotas/_messages.py
@@ -54,14 +54,14 @@
     """A proxy's requests of one account.
 
     `asked` and `admitted` are cumulative for the incarnation, so that a
-    report that is lost or repeated does no harm. `recent` is the number
-    admitted in the last WINDOW_SECONDS.
+    report that is lost or repeated does no harm. `recent` has the
+    numbers admitted in each of RECENT_SECONDS.
     """
 
     name: str
     asked: int
     admitted: int
-    recent: int
+    recent: tuple[int, ...]
 
 
 @message(703)
--- a/verbenanotch/quotas/_window.py
+++ b/verbenanotch/quotas/_window.py
@@ -4,6 +4,9 @@
 
 # Bursts are bounded over any window of this length.
 WINDOW_SECONDS = 5.0
+# Usage before the first report is known over these times: a short one shows a
+# surge that the whole window hides.
+RECENT_SECONDS = (WINDOW_SECONDS, 2.0, 1.0)
 SLOT_SECONDS = 0.25
 
 
@@ -31,6 +34,20 @@
             self._total -= self._slots.popleft()[1]
         return max(0, self._total)
 
+    def totals(self, now):
+        """Return the number of events in each of `RECENT_SECONDS`."""
+        whole = self.total(now)
+        return (
+            whole,
+            *(self._count_since(now - s) for s in RECENT_SECONDS[1:]),
+        )
+
+    def _count_since(self, time):
+        first = int(time / SLOT_SECONDS)
+        return max(
+            0, sum(count for slot, count in self._slots if slot >= first)
+        )
+
     def seconds_until_below(self, count, now):
         """Return the time until fewer than `count` events remain."""
         remaining = self.total(now)
