--- a/verbenanotch/quotas/_account_limits.py
+++ b/verbenanotch/quotas/_account_limits.py
@@ -19,6 +19,9 @@
 # With usage in the last window, a report is sent this often even if nothing
 # has changed, so that the leader can tell a lost proxy from an idle one.
 KEEPALIVE_SECONDS = 1.0
+# Proxies with less than an equal part of a limit move this far towards it. All
+# of the way, the sum would exceed the limit by those that have more.
+EQUAL_PART_WEIGHT = 0.75
 MIN_RETRY_AFTER_MS = 250
 MAX_RETRY_AFTER_MS = 10_000
 # Retry-After varies by this fraction, so that refused callers spread out.
@@ -78,12 +81,13 @@
 
     It repeats the window that it had when the lease ended. The sum of these
     over all proxies kept to the limit, so their repetition does, too. A
-    proxy with little usage has an equal part of the limit instead, rounded
-    at random: otherwise no proxy could use a part below one request.
+    proxy with little usage has most of an equal part instead, rounded at
+    random: otherwise no proxy could use a part below one request.
     """
 
-    def __init__(self, *, repeated, random, now):
+    def __init__(self, *, repeated, limit, random, now):
         self._repeated = repeated
+        self._rate = limit.rate
         self._random = random
         self._drawn_at = now
         self._rounding = random.random()
@@ -95,7 +99,10 @@
             self._rounding = self._random.random()
         whole = limit.rate * WINDOW_SECONDS + limit.burst
         equal_part = whole / max(1, host_count)
-        return max(self._repeated, math.floor(equal_part + self._rounding))
+        # A limit that was lowered meanwhile lowers this part, too.
+        repeated = self._repeated * min(1.0, limit.rate / self._rate)
+        part = repeated + EQUAL_PART_WEIGHT * (equal_part - repeated)
+        return math.floor(max(repeated, part + self._rounding))
 
 
 class AccountLimits:
@@ -248,7 +255,7 @@
         recent = usage.recent.total(now)
         if usage.share is None:
             usage.share = _SilentShare(
-                repeated=recent, random=self._random, now=now
+                repeated=recent, limit=limit, random=self._random, now=now
             )
         requests = usage.share.requests(limit, self._host_count(), now)
         silent_seconds = now - self._received_at - LEASE_SECONDS
--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -71,8 +71,8 @@
         known = self.usages_by_host.get(host)
         if known is None or known.incarnation != incarnation:
             # What it admitted before the window is of no effect any more.
-            asked, admitted, reserved = usage.recent[0], 0, 0.0
-            self._charge_recent(usage.recent)
+            asked, admitted, reserved = 0, 0, 0.0
+            self._observe_recent(usage.recent, now)
         else:
             asked = usage.asked - known.asked
             admitted = usage.admitted - known.admitted
@@ -88,12 +88,20 @@
             reserved_until=now,
         )
 
-    def _charge_recent(self, recent):
+    def _observe_recent(self, recent, now):
+        """Charge what a host had admitted when it was first heard."""
         if self.level is not None:
             self.charged += recent[0]
+            self.demand.append((now, recent[0]))
             return
         for index, count in enumerate(recent):
             self.early[index] += count
+        # As demand it counts when it was asked for: all at once, it would
+        # look like a surge.
+        _, two_seconds, one_second = recent
+        self.demand.append((now - 1.5, two_seconds - one_second))
+        self.demand.append((now - 0.75, one_second / 2))
+        self.demand.append((now, one_second / 2))
 
     def demand_rate(self, now):
         """Return the requests a second that all proxies were asked for."""
