quotas: wire limits of client accounts into proxies and control hosts

The entry asks where a request would be dispatched: a keyed request is refused only after its holders know of no earlier attempt, so that 429 is true. With a refusal nothing is sent; a request that was not run is given back.

--- /dev/null
+++ b/tests/unit/test_account_limits.py
@@ -0,0 +1,387 @@
+"""Parts of the limits of client accounts."""
+
+import random
+
+import attrs
+import eventlet
+import pytest
+
+from tests.unit.test_proxy_entry import ANSWER, entry  # noqa: F401
+from verbenanotch.catalog import ClientAccount
+from verbenanotch.distribution import LeaderChannel, ProxyChannel
+from verbenanotch.distribution._messages import FromLeader, ToLeader
+from verbenanotch.proxy._outcome import NotRun
+from verbenanotch.quotas import (
+    AccountLimits,
+    AccountUsage,
+    LeaderLimits,
+    Limited,
+    LimitedAccount,
+    LimitHeartbeat,
+    LimitLedger,
+    LimitUpdate,
+    ProxyLimits,
+    UsageReport,
+    UsageRequest,
+)
+
+HOSTS = 10
+RATE = 10.0
+
+
+@pytest.fixture
+def accounts():
+    return {
+        "a": ClientAccount(rate=RATE, burst=RATE),
+        "free": ClientAccount(),
+    }
+
+
+@pytest.fixture
+def limits(accounts):
+    return AccountLimits(
+        limits=lambda: accounts,
+        host_count=lambda: HOSTS,
+        incarnation=1,
+        random=random.Random(1),
+    )
+
+
+@pytest.fixture
+def ledger():
+    return LimitLedger(term=1, now=0.0)
+
+
+def make_update(number=1, ppm=None, term=1):
+    limited = ()
+    if ppm is not None:
+        limited = (LimitedAccount(name="a", admitted_ppm=ppm, debt_ms=0),)
+    return LimitUpdate(
+        term=term, number=number, host_count=HOSTS, limited=limited
+    )
+
+
+def make_report(number, asked, admitted, incarnation=1, recent=0):
+    usage = AccountUsage(
+        name="a", asked=asked, admitted=admitted, recent=(recent,) * 3
+    )
+    return UsageReport(
+        incarnation=incarnation, number=number, accounts=(usage,)
+    )
+
+
+def admit_many(limits, count, start, seconds):
+    """Return how many of some requests, evenly spread, are admitted."""
+    return sum(
+        limits.admit("a", start + index * seconds / count) is None
+        for index in range(count)
+    )
+
+
+def decide_until(ledger, accounts, end, hosts=("p1",), start=0.0):
+    """Decide every quarter second; return the last message."""
+    limited = {name: a for name, a in accounts.items() if a.rate > 0}
+    now = start
+    while now < end:
+        now += 0.25
+        message = ledger.decide(limited, hosts, hosts, now)
+    return message
+
+
+def test_an_account_without_a_rate_has_no_state(limits):
+    for account in ("free", "", "unknown"):
+        assert limits.admit(account, 0.0) is None
+    assert limits.is_unused
+    assert limits.report(0.0) is None
+
+
+def test_one_proxy_admits_at_most_the_whole_limit(limits):
+    limits.receive(make_update(), 0.0)
+    admitted = 0
+    for step in range(100):
+        limits.receive(make_update(), step * 0.01)
+        admitted += limits.admit("a", step * 0.01) is None
+    assert admitted == pytest.approx(RATE + RATE, abs=1)
+
+
+def test_the_fraction_is_admitted_without_rounding(limits, accounts):
+    accounts["a"] = ClientAccount(rate=1000.0, burst=1000.0)
+    limits.receive(make_update(ppm=30_000), 0.0)
+    assert admit_many(limits, 1000, 0.0, 0.4) == pytest.approx(30, abs=1)
+
+
+def test_a_late_update_is_ignored(limits):
+    limits.receive(make_update(number=2, ppm=0), 0.0)
+    limits.receive(make_update(number=1), 0.1)
+    assert isinstance(limits.admit("a", 0.2), Limited)
+    limits.receive(make_update(term=2), 0.3)
+    assert limits.admit("a", 0.3) is None
+
+
+def test_a_heartbeat_renews_only_the_table_that_it_names(limits):
+    limits.receive(make_update(number=1), 0.0)
+    limits.receive(LimitHeartbeat(term=1, number=2), 0.4)
+    assert not limits.has_lease(0.5)
+    limits.receive(LimitHeartbeat(term=1, number=1), 0.6)
+    assert limits.has_lease(0.7)
+
+
+def test_a_restarted_proxy_without_a_leader_admits_its_part(accounts):
+    admitted = 0
+    for seed in range(HOSTS):
+        limits = AccountLimits(
+            limits=lambda: accounts,
+            host_count=lambda: HOSTS,
+            incarnation=1,
+            random=random.Random(seed),
+        )
+        admitted += admit_many(limits, 1000, 0.0, 4.9)
+    whole = accounts["a"].rate * 5 + accounts["a"].burst
+    assert whole / 2 < admitted <= whole
+
+
+def test_a_lowered_limit_applies_at_once_without_a_leader(limits, accounts):
+    limits.receive(make_update(), 0.0)
+    admit_many(limits, 10, 0.0, 0.4)
+    assert isinstance(limits.admit("a", 1.0), Limited)
+    accounts["a"] = ClientAccount(rate=1.0, burst=1.0)
+    assert admit_many(limits, 100, 6.0, 4.0) <= 1
+
+
+def test_a_refunded_request_leaves_room_for_another(limits):
+    limits.receive(make_update(ppm=0), 0.0)
+    limits.receive(make_update(number=2, ppm=500_000), 0.0)
+    while limits.admit("a", 0.0) is not None:
+        pass
+    limits.refund("a", 0.0)
+    assert limits.admit("a", 0.0) is None
+    assert limits.report(0.0).accounts[0].admitted == 1
+
+
+def test_retry_after_is_longer_where_less_is_admitted(limits):
+    waits = []
+    for number, ppm in enumerate((900_000, 500_000, 100_000)):
+        limits.receive(make_update(number=number, ppm=ppm), 0.0)
+        refusal = None
+        while refusal is None:
+            refusal = limits.admit("a", 0.0)
+        waits.append(refusal.retry_after_ms)
+    assert waits == sorted(waits)
+    assert 800 <= waits[1] <= 1200
+
+
+def test_reports_stop_once_the_usage_is_old(limits):
+    limits.receive(make_update(), 0.0)
+    assert limits.admit("a", 0.0) is None
+    assert limits.report(0.1).accounts[0].recent == (1, 1, 1)
+    assert limits.report(0.2) is None
+    assert limits.report(1.2).accounts == ()
+    assert limits.report(6.0) is None
+
+
+def test_a_removed_account_is_forgotten(limits, accounts):
+    limits.admit("a", 0.0)
+    accounts.clear()
+    limits.report(0.1)
+    assert limits.is_unused
+
+
+def test_a_new_leader_listens_before_it_decides(ledger, accounts):
+    assert isinstance(decide_until(ledger, accounts, 0.25), UsageRequest)
+    assert isinstance(decide_until(ledger, accounts, 0.75), LimitUpdate)
+
+
+def test_a_paused_leader_listens_again(ledger, accounts):
+    decide_until(ledger, accounts, 1.0)
+    message = decide_until(ledger, accounts, 3.25, start=3.0)
+    assert isinstance(message, UsageRequest)
+
+
+def test_lost_and_repeated_reports_do_no_harm(ledger, accounts):
+    decide_until(ledger, accounts, 1.0)
+    ledger.observe("p1", make_report(1, 0, 0), 1.0)
+    # Reports 2 and 3 are lost.
+    last = make_report(4, 100, 100)
+    ledger.observe("p1", last, 1.1)
+    ledger.observe("p1", last, 1.15)
+    ledger.observe("p1", make_report(2, 30, 30), 1.2)
+    decide_until(ledger, accounts, 1.25, start=1.0)
+    # A level of 10 and 2.5 more, less 100, is not below -50.
+    assert [item.name for item in ledger.limited] == ["a"]
+    assert ledger.limited[0].debt_ms == 5000
+
+
+def test_a_new_leader_charges_what_was_admitted_before(ledger, accounts):
+    report = make_report(9, 900, 900, recent=100)
+    ledger.observe("p1", report, 0.1)
+    decide_until(ledger, accounts, 0.75)
+    assert ledger.limited[0].admitted_ppm == 0
+
+
+def test_a_host_that_is_cut_off_has_a_reserve(ledger, accounts):
+    limited = {"a": accounts["a"]}
+    decide_until(ledger, accounts, 0.75)
+    number, asked = 0, 0
+    now = 0.75
+    while now < 8.0:
+        now += 0.25
+        number, asked = number + 1, asked + 2
+        ledger.observe("p1", make_report(number, asked, asked), now)
+        ledger.decide(limited, ("p1", "p2"), ("p1",), now)
+    # 8 a second of 10 are asked for, of which 5 are left.
+    assert ledger.limited[0].admitted_ppm < 800_000
+
+
+def test_an_unchanged_table_is_sent_once_a_second(ledger, accounts):
+    ledger.observe("p1", make_report(1, 900, 900, recent=100), 0.1)
+    messages = [
+        decide_until(ledger, accounts, step / 4 + 0.25, start=step / 4)
+        for step in range(9)
+    ]
+    assert [type(message) for message in messages[1:8]] == [
+        LimitUpdate,
+        LimitHeartbeat,
+        LimitHeartbeat,
+        LimitHeartbeat,
+        LimitUpdate,
+        LimitHeartbeat,
+        LimitHeartbeat,
+    ]
+
+
+class LoopbackControl:
+    """Connects a ProxyChannel and a LeaderChannel in one process."""
+
+    def __init__(self, proxy_channel, leader_channel):
+        """Connect them as host `p1`."""
+        self._proxy_channel = proxy_channel
+        self._leader_channel = leader_channel
+        self.messages = []
+
+    def send(self, message):
+        """Pass a message on to the other side."""
+        self.messages.append(message)
+        if isinstance(message, FromLeader):
+            self._leader_channel.receive(self, message)
+        elif isinstance(message, ToLeader):
+            self._proxy_channel.receive("p1", message)
+
+
+@attrs.define(kw_only=True)
+class Store:
+    """A snapshot store with accounts."""
+
+    snapshot: object
+
+
+@attrs.define(kw_only=True)
+class AccountsSnapshot:
+    """The fields of a snapshot that the limits read."""
+
+    accounts_by_name: dict
+    hosts_by_name: dict
+
+
+def test_proxy_and_leader_agree_over_their_channels(accounts):
+    now = 0.0
+
+    def monotonic():
+        return now
+
+    proxy_channel = ProxyChannel(leading_term=lambda: 1)
+    leader_channel = LeaderChannel()
+    loopback = LoopbackControl(proxy_channel, leader_channel)
+    proxy_channel.connect("p1", loopback)
+    snapshot = AccountsSnapshot(
+        accounts_by_name=accounts, hosts_by_name={"p1": None}
+    )
+    proxy = ProxyLimits(
+        channel=leader_channel,
+        snapshot_store=Store(snapshot=snapshot),
+        incarnation=1,
+        monotonic=monotonic,
+    )
+    in_mesh = {}
+    leader = LeaderLimits(
+        channel=proxy_channel,
+        accounts=lambda: in_mesh,
+        known_hosts=lambda: ("p1",),
+        monotonic=monotonic,
+    )
+    leader.decide()
+    eventlet.sleep(0)
+    assert loopback.messages == []
+    in_mesh.update(accounts)
+    causes = set()
+    for _ in range(40):
+        now += 0.25
+        leader.decide()
+        for _ in range(10):
+            limited = proxy.admit("a", now)
+            causes.add(limited and limited.cause)
+        proxy.report()
+        eventlet.sleep(0)
+    assert {None, "fraction"} <= causes
+
+
+class FakeAccountLimits:
+    """Returns a set answer and records refunds."""
+
+    def __init__(self, refusal=None):
+        """Admit all requests, or refuse them with `refusal`."""
+        self.refusal = refusal
+        self.admitted = []
+        self.refunded = []
+
+    def admit(self, account, now):
+        """Return the set answer."""
+        self.admitted.append(account)
+        return self.refusal
+
+    def refund(self, account, now):
+        """Record a refund."""
+        self.refunded.append(account)
+
+
+@pytest.fixture
+def account_entry(entry, monkeypatch):  # noqa: F811
+    """Return an entry whose requests belong to the account `a`."""
+    read = entry.interface._reader.read
+    monkeypatch.setattr(
+        entry.interface._reader,
+        "read",
+        lambda *args, **kwargs: attrs.evolve(
+            read(*args, **kwargs), account="a"
+        ),
+    )
+    return entry
+
+
+def test_a_refused_account_gets_429(account_entry):
+    limits = FakeAccountLimits(Limited(retry_after_ms=1500))
+    account_entry.interface._account_limits = limits
+    answer = account_entry.send_request()
+    assert (answer.status, answer.outcome) == (429, "not-run")
+    assert answer.reason == "account-limited"
+    assert answer.headers["Retry-After"] == "2"
+    assert account_entry.peers.calls == []
+    assert limits.refunded == []
+
+
+def test_only_a_request_that_was_not_run_is_refunded(account_entry):
+    limits = FakeAccountLimits()
+    account_entry.interface._account_limits = limits
+    account_entry.peers.outcomes = [NotRun(reason="overloaded"), ANSWER]
+    account_entry.send_request()
+    assert limits.refunded == ["a"]
+    account_entry.peers.outcomes = [ANSWER]
+    account_entry.send_request()
+    assert limits.refunded == ["a"]
+    assert limits.admitted == ["a", "a"]
+
+
+def test_requests_without_an_account_are_not_counted(entry):  # noqa: F811
+    limits = FakeAccountLimits()
+    entry.interface._account_limits = limits
+    entry.send_request()
+    assert limits.admitted == []
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -13,6 +13,7 @@
 from verbenanotch.distribution import ProxyChannel, Publisher
 from verbenanotch.membership import TargetRegistry, ZoneExchange, ZoneTable
 from verbenanotch.membership import events as membership_events
+from verbenanotch.quotas import LeaderLimits
 from verbenanotch.replication import ReadConfirmed, Replica, StorageError
 from verbenanotch.telemetry import emit, metrics
 from verbenanotch.versions import VersionService, VersionStateMachine
@@ -52,6 +53,11 @@
         self._proxy_channel = ProxyChannel(
             leading_term=self._replica.leading_term
         )
+        self._account_limits = LeaderLimits(
+            channel=self._proxy_channel,
+            accounts=self._accounts_by_name,
+            known_hosts=lambda: tuple(self._target_registry.records_by_host),
+        )
         self._publisher = Publisher(
             settings=settings,
             versions=self._versions,
@@ -110,6 +116,7 @@
             CrashStorage.in_folder(self._data_folder)
         )
         self._publisher.start()
+        self._account_limits.start()
         self._listener.start()
         self._zone_exchange.start()
         self._http.start()
@@ -123,6 +130,7 @@
         for greenthread in self._greenthreads:
             greenthread.kill()
         self._http.stop()
+        self._account_limits.stop()
         self._zone_exchange.stop()
         self._publisher.stop()
         self._replica.stop()
@@ -217,6 +225,11 @@
         outcome = self._replica.confirm_read(timeout_seconds=timeout_seconds)
         return isinstance(outcome, ReadConfirmed)
 
+    def _accounts_by_name(self):
+        """Return the client accounts of the newest accepted version."""
+        current = self._versions.current
+        return current.mesh.accounts_by_name if current else {}
+
     def _on_zone_change(self):
         self._zone_exchange.wake()
 
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -35,6 +35,7 @@
     TargetDiscovery,
     TargetProbe,
 )
+from verbenanotch.quotas import ProxyLimits
 from verbenanotch.telemetry import emit
 from verbenanotch.wire import Listener, Purpose
 
@@ -72,6 +73,11 @@
             ),
         )
         self._leader_channel = LeaderChannel()
+        self._account_limits = ProxyLimits(
+            channel=self._leader_channel,
+            snapshot_store=self._snapshot_store,
+            incarnation=incarnation,
+        )
         lease_monitor = LeaseMonitor()
         self._subscriber = Subscriber(
             settings=settings,
@@ -176,6 +182,7 @@
         self._peers.start()
         self._disconnect_monitor.start()
         self._subscriber.start()
+        self._account_limits.start()
         self._target_http.start()
         if self._ready_http is not None:
             self._ready_http.start()
@@ -243,6 +250,7 @@
         self._target_http.stop()
         if self._ready_http is not None:
             self._ready_http.stop()
+        self._account_limits.stop()
         self._subscriber.stop()
         self._listener.stop()
         self._disconnect_monitor.stop()
@@ -267,6 +275,7 @@
                 record_server=self._record_server, ask=self._ask_holder
             ),
             caller_service=lambda: self._local_targets.service,
+            account_limits=self._account_limits,
         )
 
     def _is_ready(self):
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -42,10 +42,12 @@
         dispatcher,
         keyed,
         caller_service=lambda: "",
+        account_limits=None,
     ):
         """Route requests by the active snapshot of `snapshot_store`.
 
         `keyed` is the KeyedRequests that runs requests with a key.
+        `account_limits` admits the requests of client accounts.
         `caller_service()` returns the service of this host's targets, which
         is sent to the target as the caller.
         """
@@ -54,6 +56,7 @@
         self._reader = RequestReader(names=self._header_names)
         self._random = random.Random()
         self._keyed = keyed
+        self._account_limits = account_limits
         self._settings = settings
         self._snapshot_store = snapshot_store
         self._dispatcher = dispatcher
@@ -165,17 +168,35 @@
             # request runs to its end even if this caller disconnects.
             return self._keyed.run(
                 request,
-                lambda: self._dispatcher.run(
-                    request, cancellation=cancellation
-                ),
+                lambda: self._dispatch(request, cancellation),
             )
         connection = environ[CONNECTION]
         connection.watch(cancellation)
         try:
-            return self._dispatcher.run(request, cancellation=cancellation)
+            return self._dispatch(request, cancellation)
         finally:
             connection.unwatch(cancellation)
 
+    def _dispatch(self, request, cancellation):
+        """Run a request unless its client account has used up its rate.
+
+        A keyed request comes here only if its holders know of no earlier
+        attempt that may have run, so that the refusal is true.
+        """
+        account = request.account
+        if not account or self._account_limits is None:
+            return self._dispatcher.run(request, cancellation=cancellation)
+        limited = self._account_limits.admit(account, time.monotonic())
+        if limited is not None:
+            return NotRun(
+                reason=reasons.ACCOUNT_LIMITED,
+                retry_after_ms=limited.retry_after_ms,
+            )
+        outcome = self._dispatcher.run(request, cancellation=cancellation)
+        if isinstance(outcome, NotRun):
+            self._account_limits.refund(account, time.monotonic())
+        return outcome
+
     def _record(self, environ, request_id, outcome, started, traced):
         name = type(outcome).__name__
         milliseconds = (time.monotonic() - started) * 1000
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -44,6 +44,9 @@
 # All targets that could run the request have used up the limits they named.
 RATE_LIMITED = "rate-limited"
 
+# The caller's client account has used up its rate over all proxies.
+ACCOUNT_LIMITED = "account-limited"
+
 # The request has already been tried at every available target.
 EXCLUDED = "excluded"
 
@@ -58,5 +61,6 @@
         "overloaded",
         CRASHES_TARGETS,
         RATE_LIMITED,
+        ACCOUNT_LIMITED,
     )
 )
--- a/verbenanotch/proxy/_response.py
+++ b/verbenanotch/proxy/_response.py
@@ -4,6 +4,7 @@
 import json
 import math
 
+from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy._outcome import Answered, NotRun, Rejected, Unknown
 
 MILLISECONDS_PER_SECOND = 1000
@@ -50,7 +51,8 @@
     fields = [("Content-Type", "application/json")]
     match outcome:
         case NotRun(reason=reason, retry_after_ms=retry_after_ms):
-            status, name = 503, "not-run"
+            status = 429 if reason == reasons.ACCOUNT_LIMITED else 503
+            name = "not-run"
             fields.append(_retry_after(retry_after_ms, fractional_retry_after))
             document["reason"] = reason
             document["retry_after_ms"] = retry_after_ms
--- a/verbenanotch/quotas/_account_limits.py
+++ b/verbenanotch/quotas/_account_limits.py
@@ -98,7 +98,7 @@
             self._drawn_at = now
             self._rounding = self._random.random()
         whole = limit.rate * WINDOW_SECONDS + limit.burst
-        equal_part = whole / max(1, host_count)
+        equal_part = whole / host_count
         # A limit that was lowered meanwhile lowers this part, too.
         repeated = self._repeated * min(1.0, limit.rate / self._rate)
         part = repeated + EQUAL_PART_WEIGHT * (equal_part - repeated)
@@ -118,7 +118,7 @@
         """Start without a lease.
 
         `limits()` returns the ClientAccount by name, `host_count()` the
-        number of known hosts.
+        number of hosts that this proxy knows; the leader may know more.
         """
         self._limits = limits
         self._host_count = host_count
@@ -126,6 +126,7 @@
         self._random = random
         self._usages_by_account = {}
         self._limited_by_account = {}
+        self._leader_host_count = 1
         self._table = None
         self._received_at = -math.inf
         self._report_number = 0
@@ -163,6 +164,7 @@
             if self._table is not None and table < self._table:
                 return
             self._table = table
+            self._leader_host_count = message.host_count
             self._limited_by_account = {
                 limited.name: limited for limited in message.limited
             }
@@ -257,7 +259,8 @@
             usage.share = _SilentShare(
                 repeated=recent, limit=limit, random=self._random, now=now
             )
-        requests = usage.share.requests(limit, self._host_count(), now)
+        host_count = max(self._host_count(), self._leader_host_count)
+        requests = usage.share.requests(limit, host_count, now)
         silent_seconds = now - self._received_at - LEASE_SECONDS
         if (
             account not in self._limited_by_account
--- a/verbenanotch/quotas/_leader.py
+++ b/verbenanotch/quotas/_leader.py
@@ -36,7 +36,7 @@
         self._term = None
         self._ledger = None
         self._connected = frozenset()
-        self._logged = {}
+        self._logged = set()
         self._pace = LinePace()
         self._greenthread = None
         channel.on(UsageReport, self._observe)
@@ -53,13 +53,10 @@
     def decide(self):
         """Decide once and tell the proxies; do nothing without a rate."""
         term = self._channel.term
-        limits_by_account = {
-            name: account
-            for name, account in self._accounts().items()
-            if account.rate > 0
-        }
-        if term is None or not limits_by_account:
+        limits_by_account = {} if term is None else self._limits()
+        if not limits_by_account:
             self._term = self._ledger = None
+            self._logged.clear()
             return
         now = self._monotonic()
         if term != self._term:
@@ -78,6 +75,13 @@
         self._connected = connected
         self._log(now)
 
+    def _limits(self):
+        return {
+            name: account
+            for name, account in self._accounts().items()
+            if account.rate > 0
+        }
+
     def _run(self):
         while True:
             eventlet.sleep(DECISION_INTERVAL_SECONDS)
@@ -96,7 +100,7 @@
         metrics.gauge("quotas.limited_accounts", len(limited))
         for name, item in limited.items():
             if name not in self._logged and self._pace.admit(name, now):
-                self._logged[name] = True
+                self._logged.add(name)
                 emit(
                     events.ACCOUNT_LIMITED,
                     account=name,
@@ -105,5 +109,5 @@
                 )
         for name in tuple(self._logged):
             if name not in limited and self._pace.admit(name, now):
-                del self._logged[name]
+                self._logged.discard(name)
                 emit(events.ACCOUNT_UNLIMITED, account=name)
--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -177,6 +177,7 @@
         self._listens_until = now + WARM_UP_SECONDS
         self._decided_at = now
         self._refilled_at = now
+        self._host_count = 0
         self._table = ()
         self._table_sent_at = -math.inf
         self._forgot_at = now
@@ -189,7 +190,10 @@
     def table(self):
         """Return the message with the table of the last decision."""
         return LimitUpdate(
-            term=self._term, number=self._number, limited=self._table
+            term=self._term,
+            number=self._number,
+            host_count=self._host_count,
+            limited=self._table,
         )
 
     def observe(self, host, report, now):
@@ -215,9 +219,8 @@
         if now < self._listens_until:
             return UsageRequest()
         lost = self._lost_hosts(known_hosts, connected_hosts, now)
-        table = self._decide_accounts(
-            limits_by_account, lost, max(1, len(known_hosts)), now
-        )
+        self._host_count = max(len(known_hosts), len(connected_hosts))
+        table = self._decide_accounts(limits_by_account, lost, now)
         self._refilled_at = now
         self._forget(limits_by_account, known_hosts, now)
         return self._message(table, now)
@@ -239,7 +242,7 @@
             for ledger in self._ledgers_by_account.values()
         )
 
-    def _decide_accounts(self, limits_by_account, lost, host_count, now):
+    def _decide_accounts(self, limits_by_account, lost, now):
         seconds = now - self._refilled_at
         table = []
         for name, ledger in self._ledgers_by_account.items():
@@ -247,7 +250,7 @@
             if limit is None:
                 continue
             reserve, reserve_rate = self._reserve(
-                ledger, lost, limit.rate / host_count, now
+                ledger, lost, limit.rate / max(1, self._host_count), now
             )
             ledger.refill(limit, seconds, reserve)
             fraction = ledger.decide(limit, min(limit.rate, reserve_rate), now)
--- a/verbenanotch/quotas/_messages.py
+++ b/verbenanotch/quotas/_messages.py
@@ -26,11 +26,13 @@
 class LimitUpdate:
     """All limited accounts; it renews the lease of the proxies' decisions.
 
-    `number` counts the changes of the table in a term.
+    `number` counts the changes of the table in a term. `host_count` is the
+    number of hosts that share the limits.
     """
 
     term: int
     number: int
+    host_count: int
     limited: tuple[LimitedAccount, ...]
 
 
