--- a/tests/unit/test_account_limits.py
+++ b/tests/unit/test_account_limits.py
@@ -211,6 +211,17 @@
     assert ledger.limited[0].debt_ms == 5000
 
 
+def test_a_restarted_proxy_is_heard_although_its_clock_was_set_back(
+    ledger, accounts
+):
+    decide_until(ledger, accounts, 1.0)
+    ledger.observe("p1", make_report(9, 5, 5, incarnation=2), 1.0)
+    report = make_report(1, 200, 200, incarnation=1, recent=200)
+    ledger.observe("p1", report, 1.1)
+    decide_until(ledger, accounts, 1.25, start=1.0)
+    assert ledger.limited
+
+
 def test_a_new_leader_charges_what_was_admitted_before(ledger, accounts):
     report = make_report(9, 900, 900, recent=100)
     ledger.observe("p1", report, 0.1)
@@ -298,7 +309,6 @@
     proxy = ProxyLimits(
         channel=leader_channel,
         snapshot_store=Store(snapshot=snapshot),
-        incarnation=1,
         monotonic=monotonic,
     )
     in_mesh = {}
--- a/tests/unit/test_cli_explanation.py
+++ b/tests/unit/test_cli_explanation.py
@@ -186,3 +186,40 @@
     )
     assert "it did not run" in output
     assert "the same request crashed target t2 as r0, 51 ms before" in output
+
+
+@pytest.mark.parametrize(
+    ("cause", "finding"),
+    [
+        ("fraction", "the leader of the log admits 0.25 of its requests"),
+        ("share", "the leader was not heard"),
+        ("rate", "its whole rate at this proxy alone"),
+    ],
+)
+def test_a_refusal_for_the_rate_of_an_account_is_explained(
+    explain, cause, finding
+):
+    ended = request_ended(1500, "NotRun", reason="account-limited")
+    output = explain(
+        log_line(
+            1400,
+            7003,
+            "account-requests-refused",
+            account="acme",
+            cause=cause,
+            fraction=0.25,
+            age_ms=120,
+        ),
+        log_line(
+            1450,
+            7003,
+            "account-requests-refused",
+            account="other",
+            cause="rate",
+        ),
+        {**ended, "account": "acme"},
+    )
+    assert "client account acme was beyond its rate" in output
+    assert finding in output
+    assert "was heard 120 ms before" in output
+    assert "account other" not in output
--- a/verbenanotch/cli/_explanation.py
+++ b/verbenanotch/cli/_explanation.py
@@ -33,6 +33,13 @@
 LIMIT_CHANGED = "target-limit-changed"
 # Reasons for refusing a request because of the limits that targets name.
 LIMIT_REASONS = frozenset(("rate-limited", "target-limited"))
+ACCOUNT_REFUSED = "account-requests-refused"
+# Findings by the cause of a refusal for the rate of a client account.
+ACCOUNT_FINDINGS_BY_CAUSE = {
+    "rate": "it asked for its whole rate at this proxy alone",
+    "fraction": "the leader of the log admits {fraction} of its requests",
+    "share": "the leader was not heard, and the proxy's share is used up",
+}
 # Reasons for refusing a request without trying a target.
 NO_TARGET_REASONS = frozenset(("no-target", "draining", "unhealthy"))
 # Maximum number of events about unavailable targets in an explanation;
@@ -87,15 +94,23 @@
     )
     crash_events = _crash_events(earlier_entries, request_entries)
     limit_events = _limit_events(earlier_entries, request_end)
+    account_events = _account_events(earlier_entries, request_end)
     findings = [
         *_outcome_findings(request_end, calls),
         *_target_findings(target_events, request_end),
         *_limit_findings(limit_events, request_end),
+        *_account_findings(account_events, request_end),
         *_crash_findings(crash_events, request_end),
         *_version_findings(version_events, request_end),
     ]
     context_events = sorted(
-        [*version_events, *target_events, *limit_events, *crash_events],
+        [
+            *version_events,
+            *target_events,
+            *limit_events,
+            *account_events,
+            *crash_events,
+        ],
         key=lambda e: (e.hlc, e.host),
     )
     return Explanation(
@@ -173,6 +188,20 @@
     ]
 
 
+def _account_events(earlier_entries, request_end):
+    """Return the last line about refusals of the request's account."""
+    account = request_end.fields.get("account")
+    if not account:
+        return []
+    return [
+        entry
+        for entry in earlier_entries
+        if entry.name == ACCOUNT_REFUSED
+        and entry.host == request_end.host
+        and entry.fields.get("account") == account
+    ][-1:]
+
+
 def _crash_events(earlier_entries, request_entries):
     """Return the crashes for which the request was refused, if it was."""
     fingerprints = {
@@ -232,6 +261,18 @@
         )
 
 
+def _account_findings(account_events, request_end):
+    for entry in account_events:
+        fields = entry.fields
+        cause = ACCOUNT_FINDINGS_BY_CAUSE.get(fields.get("cause"), "")
+        yield (
+            f"client account {fields.get('account')} was beyond its rate "
+            f"{_distance_to_end(entry, request_end)}: "
+            f"{cause.format(fraction=fields.get('fraction'))}; the leader "
+            f"was heard {fields.get('age_ms')} ms before (-1: never)"
+        )
+
+
 def _crash_findings(crash_events, request_end):
     for entry in crash_events:
         yield (
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -76,7 +76,6 @@
         self._account_limits = ProxyLimits(
             channel=self._leader_channel,
             snapshot_store=self._snapshot_store,
-            incarnation=incarnation,
         )
         lease_monitor = LeaseMonitor()
         self._subscriber = Subscriber(
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -191,6 +191,7 @@
             return NotRun(
                 reason=reasons.ACCOUNT_LIMITED,
                 retry_after_ms=limited.retry_after_ms,
+                account=account,
             )
         outcome = self._dispatcher.run(request, cancellation=cancellation)
         if isinstance(outcome, NotRun):
@@ -214,6 +215,7 @@
                 path=environ["RAW_PATH_INFO"],
                 version=str(self._snapshot_store.snapshot.version),
                 milliseconds=round(milliseconds, 3),
+                **_account_field(outcome),
             )
 
 
@@ -228,6 +230,13 @@
             return outcome.reason
 
 
+def _account_field(outcome):
+    """Return the log field of a request beyond the rate of its account."""
+    if isinstance(outcome, NotRun) and outcome.account:
+        return {"account": outcome.account}
+    return {}
+
+
 def _refusal(environ, reason):
     """Return the outcome of a request that is refused before dispatch.
 
--- a/verbenanotch/proxy/_outcome.py
+++ b/verbenanotch/proxy/_outcome.py
@@ -86,11 +86,13 @@
 class NotRun:
     """The request was provably not run.
 
-    The caller may retry after `retry_after_ms`.
+    The caller may retry after `retry_after_ms`. `account` is the client
+    account whose rate was used up, or empty.
     """
 
     reason: str
     retry_after_ms: int = DEFAULT_RETRY_AFTER_MS
+    account: str = ""
     load: TargetLoad | None = dataclasses.field(default=None, compare=False)
 
 
--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -173,7 +173,7 @@
         self._number = 0
         self._ledgers_by_account = {}
         self._reported_at_by_host = {}
-        self._numbers_by_host = {}
+        self._reports_by_host = {}
         self._listens_until = now + WARM_UP_SECONDS
         self._decided_at = now
         self._refilled_at = now
@@ -198,10 +198,10 @@
 
     def observe(self, host, report, now):
         """Apply a UsageReport; older ones than the last are ignored."""
-        number = (report.incarnation, report.number)
-        if number <= self._numbers_by_host.get(host, (0, 0)):
+        incarnation, number = self._reports_by_host.get(host, (None, 0))
+        if report.incarnation == incarnation and report.number <= number:
             return
-        self._numbers_by_host[host] = number
+        self._reports_by_host[host] = (report.incarnation, report.number)
         self._reported_at_by_host[host] = now
         for usage in report.accounts:
             ledger = self._ledgers_by_account.setdefault(usage.name, _Ledger())
@@ -298,7 +298,7 @@
         for host, reported_at in tuple(self._reported_at_by_host.items()):
             if now - reported_at > FORGET_SECONDS and host not in known:
                 del self._reported_at_by_host[host]
-                del self._numbers_by_host[host]
+                del self._reports_by_host[host]
 
     def _message(self, table, now):
         if _differs(table, self._table):
--- a/verbenanotch/quotas/_messages.py
+++ b/verbenanotch/quotas/_messages.py
@@ -71,7 +71,8 @@
 class UsageReport:
     """A proxy's usage of the accounts that have changed.
 
-    `number` counts the reports of an incarnation.
+    `number` counts the reports of an incarnation, which is a random number:
+    clocks may be set back between two starts.
     """
 
     incarnation: int
--- a/verbenanotch/quotas/_proxy.py
+++ b/verbenanotch/quotas/_proxy.py
@@ -20,6 +20,7 @@
 REPORT_INTERVAL_SECONDS = 0.25
 # Replies to a new leader are spread over this time.
 REPLY_SPREAD_SECONDS = 0.1
+INCARNATION_BITS = 32
 
 
 class ProxyLimits:
@@ -30,7 +31,6 @@
         *,
         channel,
         snapshot_store,
-        incarnation,
         monotonic=time.monotonic,
     ):
         """Use a LeaderChannel and the accounts of the active snapshot."""
@@ -40,7 +40,7 @@
         self._limits = AccountLimits(
             limits=lambda: snapshot_store.snapshot.accounts_by_name,
             host_count=lambda: len(snapshot_store.snapshot.hosts_by_name),
-            incarnation=incarnation,
+            incarnation=self._random.getrandbits(INCARNATION_BITS),
             random=self._random,
         )
         self._pace = LinePace()
