quotas: a proxy leaves an account to the leader that limits it

Also: the replay notices a cut connection only after 3 s, as hosts do; short silences of the leader are not logged.

--- a/tests/support/limits_replay.py
+++ b/tests/support/limits_replay.py
@@ -17,6 +17,8 @@
 ZONES = 3
 TICK_SECONDS = 0.25
 ELECTION_SECONDS = 1.2
+# The leader notices after this time that a connection was cut.
+CONNECTION_TIMEOUT_SECONDS = 3.0
 WINDOW_SECONDS = 5.0
 # Largest and smallest usual demand of an account, in requests a second.
 LARGEST, SMALLEST = 186.0, 1.4
@@ -54,6 +56,7 @@
         self.ledger = None
         self.cut_off = set()
         self.paused = set()
+        self._contact_at = [0.0] * PROXIES
         self.admitted = collections.defaultdict(list)
         self.asked = collections.defaultdict(list)
         self.refusals = collections.defaultdict(list)
@@ -149,10 +152,13 @@
             self.refusals[account].append((self.now, limited))
 
     def _connected(self):
+        for index in set(range(PROXIES)) - self.cut_off:
+            self._contact_at[index] = self.now
         return {
             index
             for index, proxy in enumerate(self.proxies)
-            if proxy is not None and index not in self.cut_off
+            if proxy is not None
+            and self.now - self._contact_at[index] < CONNECTION_TIMEOUT_SECONDS
         }
 
     def _report(self, index):
--- a/verbenanotch/quotas/_account_limits.py
+++ b/verbenanotch/quotas/_account_limits.py
@@ -22,6 +22,9 @@
 # Proxies with less than an equal part of a limit move this far towards it. All
 # of the way, the sum would exceed the limit by those that have more.
 EQUAL_PART_WEIGHT = 0.75
+# A proxy lets the leader exceed the rate for this long: the fraction varies
+# around the rate, and a proxy with all of the requests would cut its peaks.
+LEADER_MARGIN_SECONDS = 0.5
 MIN_RETRY_AFTER_MS = 250
 MAX_RETRY_AFTER_MS = 10_000
 # Retry-After varies by this fraction, so that refused callers spread out.
@@ -174,7 +177,11 @@
 
     def has_lease(self, now):
         """Return whether the leader's last decision still holds."""
-        return now - self._received_at <= LEASE_SECONDS
+        return self.silent_seconds(now) <= LEASE_SECONDS
+
+    def silent_seconds(self, now):
+        """Return the time since the leader was heard."""
+        return now - self._received_at
 
     def report(self, now, *, requested=False):
         """Return the UsageReport to send now, or None.
@@ -230,10 +237,13 @@
                 del self._usages_by_account[account]
 
     def _refusal(self, account, limit, usage, now):
+        has_lease = self.has_lease(now)
         level = usage.refill(limit, now)
+        if has_lease and account in self._limited_by_account:
+            level += limit.rate * LEADER_MARGIN_SECONDS
         if level < 1:
             return self._limited((1 - level) / limit.rate, "rate", now)
-        if self.has_lease(now):
+        if has_lease:
             usage.share = None
             return self._fraction_refusal(account, usage, now)
         return self._share_refusal(account, limit, usage, now)
@@ -261,10 +271,9 @@
             )
         host_count = max(self._host_count(), self._leader_host_count)
         requests = usage.share.requests(limit, host_count, now)
-        silent_seconds = now - self._received_at - LEASE_SECONDS
         if (
             account not in self._limited_by_account
-            and silent_seconds < ALLOWANCE_SECONDS
+            and self.silent_seconds(now) < LEASE_SECONDS + ALLOWANCE_SECONDS
         ):
             requests = max(1, requests)
         if recent < requests:
@@ -276,7 +285,7 @@
     def _limited(self, seconds, cause, now, *, admitted_ppm=PPM):
         jitter = 1 + RETRY_AFTER_JITTER * (2 * self._random.random() - 1)
         milliseconds = seconds * jitter * MILLISECONDS_PER_SECOND
-        age = now - self._received_at
+        age = self.silent_seconds(now)
         return Limited(
             retry_after_ms=math.ceil(
                 min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, milliseconds))
--- a/verbenanotch/quotas/_proxy.py
+++ b/verbenanotch/quotas/_proxy.py
@@ -21,6 +21,8 @@
 # Replies to a new leader are spread over this time.
 REPLY_SPREAD_SECONDS = 0.1
 INCARNATION_BITS = 32
+# A shorter silence of the leader is not logged.
+LOGGED_SILENCE_SECONDS = 1.0
 
 
 class ProxyLimits:
@@ -44,7 +46,7 @@
             random=self._random,
         )
         self._pace = LinePace()
-        self._had_lease = None
+        self._is_silent = False
         self._greenthread = None
         for message_class in (LimitUpdate, LimitHeartbeat):
             channel.on(message_class, self._receive)
@@ -114,12 +116,14 @@
     def _log_lease(self, now):
         if self._limits.is_unused:
             return
-        has_lease = self._limits.has_lease(now)
-        if has_lease == self._had_lease:
-            return
-        if not has_lease:
+        if self._limits.has_lease(now):
+            if self._is_silent:
+                emit(events.LEADER_HEARD)
+            self._is_silent = False
+        elif (
+            not self._is_silent
+            and self._limits.silent_seconds(now) > LOGGED_SILENCE_SECONDS
+        ):
             metrics.increment("quotas.leases_ended")
             emit(events.LEADER_SILENT)
-        elif self._had_lease is not None:
-            emit(events.LEADER_HEARD)
-        self._had_lease = has_lease
+            self._is_silent = True
