--- a/tests/unit/test_account_limits.py
+++ b/tests/unit/test_account_limits.py
@@ -334,6 +334,26 @@
     assert {None, "fraction"} <= causes
 
 
+def test_a_proxy_that_has_just_connected_is_sent_the_table(accounts):
+    now = 0.0
+    proxy_channel = ProxyChannel(leading_term=lambda: 1)
+    leader = LeaderLimits(
+        channel=proxy_channel,
+        accounts=lambda: accounts,
+        known_hosts=lambda: ("p1",),
+        monotonic=lambda: now,
+    )
+    for _ in range(4):
+        leader.decide()
+        now += 0.25
+    loopback = LoopbackControl(proxy_channel, LeaderChannel())
+    proxy_channel.connect("p1", loopback)
+    leader.greet()
+    leader.greet()
+    eventlet.sleep(0)
+    assert len(loopback.messages) == 1
+
+
 class FakeAccountLimits:
     """Returns a set answer and records refunds."""
 
--- a/verbenanotch/quotas/_leader.py
+++ b/verbenanotch/quotas/_leader.py
@@ -11,11 +11,14 @@
     PPM,
     LimitHeartbeat,
     UsageReport,
+    UsageRequest,
 )
 from verbenanotch.quotas._pace import LinePace
 from verbenanotch.telemetry import emit, metrics
 
-DECISION_INTERVAL_SECONDS = 0.25
+# Interval between checks for proxies that have just connected.
+GREETING_INTERVAL_SECONDS = 0.05
+GREETINGS_PER_DECISION = 5
 
 
 class LeaderLimits:
@@ -36,6 +39,7 @@
         self._term = None
         self._ledger = None
         self._connected = frozenset()
+        self._is_listening = True
         self._logged = set()
         self._pace = LinePace()
         self._greenthread = None
@@ -62,19 +66,32 @@
         if term != self._term:
             self._term = term
             self._ledger = LimitLedger(term=term, now=now)
-        connected = frozenset(self._channel.hosts)
         message = self._ledger.decide(
-            limits_by_account, self._known_hosts(), connected, now
+            limits_by_account,
+            self._known_hosts(),
+            frozenset(self._channel.hosts),
+            now,
         )
         self._channel.broadcast(message)
+        self._is_listening = isinstance(message, UsageRequest)
         if isinstance(message, LimitHeartbeat):
-            # A host that has just connected may not know the table.
-            self._channel.send(
-                connected - self._connected, self._ledger.table()
-            )
-        self._connected = connected
+            self.greet()
+        else:
+            self._connected = frozenset(self._channel.hosts)
         self._log(now)
 
+    def greet(self):
+        """Send the table to proxies that have connected since the last one.
+
+        A proxy that was restarted refuses most requests until it has it.
+        """
+        connected = frozenset(self._channel.hosts)
+        added = connected - self._connected
+        if self._ledger is None or self._is_listening or not added:
+            return
+        self._channel.send(added, self._ledger.table())
+        self._connected = connected
+
     def _limits(self):
         return {
             name: account
@@ -84,8 +101,10 @@
 
     def _run(self):
         while True:
-            eventlet.sleep(DECISION_INTERVAL_SECONDS)
             try:
+                for _ in range(GREETINGS_PER_DECISION):
+                    eventlet.sleep(GREETING_INTERVAL_SECONDS)
+                    self.greet()
                 self.decide()
             except Exception:
                 emit(events.DECISION_FAILED, traceback=traceback.format_exc())
--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -31,6 +31,8 @@
 # Demand is measured over the shortest of these times with enough requests.
 DEMAND_SECONDS = (0.5, 1.0, 2.0)
 DEMAND_REQUESTS = 20
+# The demand is at most this many deviations above what a short time shows.
+DEVIATIONS = 2.0
 # A smaller change of a fraction is not sent.
 MIN_CHANGE = 0.03
 MILLISECONDS_PER_SECOND = 1000
@@ -107,6 +109,7 @@
         """Return the requests a second that all proxies were asked for."""
         while self.demand and self.demand[0][0] < now - DEMAND_SECONDS[-1]:
             self.demand.popleft()
+        highest = math.inf
         for seconds in DEMAND_SECONDS:
             asked = sum(
                 count
@@ -115,7 +118,10 @@
             )
             if asked >= DEMAND_REQUESTS:
                 break
-        return asked / seconds
+            # Few requests in a short time show that a surge has ended.
+            likely = asked + DEVIATIONS * math.sqrt(asked) + 1
+            highest = min(highest, likely / seconds)
+        return min(highest, asked / seconds)
 
     def refill(self, limit, seconds, reserve):
         """Add the rate of some time, less a reserve and what was charged."""
