--- a/verbenanotch/quotas/_account_limits.py
+++ b/verbenanotch/quotas/_account_limits.py
@@ -13,9 +13,10 @@
 
 # A decision of the leader holds for this long.
 LEASE_SECONDS = 0.45
-# A proxy that has just lost the leader admits at least one request of each
-# account in a window, for this long.
+# For this long without a leader, proxies admit at least one request of an
+# account in a window, as many of them as its limit counts this many times.
 ALLOWANCE_SECONDS = 3.0
+ALLOWED_PARTS = 2.0
 # With usage in the last window, a report is sent this often even if nothing
 # has changed, so that the leader can tell a lost proxy from an idle one.
 KEEPALIVE_SECONDS = 1.0
@@ -95,7 +96,7 @@
         self._drawn_at = now
         self._rounding = random.random()
 
-    def requests(self, limit, host_count, now):
+    def requests(self, limit, host_count, now, *, has_allowance):
         """Return how many requests may run in a window."""
         if now - self._drawn_at > WINDOW_SECONDS:
             self._drawn_at = now
@@ -105,7 +106,10 @@
         # A limit that was lowered meanwhile lowers this part, too.
         repeated = self._repeated * min(1.0, limit.rate / self._rate)
         part = repeated + EQUAL_PART_WEIGHT * (equal_part - repeated)
-        return math.floor(max(repeated, part + self._rounding))
+        requests = math.floor(max(repeated, part + self._rounding))
+        if has_allowance and ALLOWED_PARTS * equal_part + self._rounding >= 1:
+            return max(1, requests)
+        return requests
 
 
 class AccountLimits:
@@ -270,12 +274,13 @@
                 repeated=recent, limit=limit, random=self._random, now=now
             )
         host_count = max(self._host_count(), self._leader_host_count)
-        requests = usage.share.requests(limit, host_count, now)
-        if (
-            account not in self._limited_by_account
-            and self.silent_seconds(now) < LEASE_SECONDS + ALLOWANCE_SECONDS
-        ):
-            requests = max(1, requests)
+        requests = usage.share.requests(
+            limit,
+            host_count,
+            now,
+            has_allowance=account not in self._limited_by_account
+            and self.silent_seconds(now) < LEASE_SECONDS + ALLOWANCE_SECONDS,
+        )
         if recent < requests:
             return None
         return self._limited(
