--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -38,6 +38,7 @@
     TargetDiscovery,
     TargetProbe,
 )
+from verbenanotch.quotas import ProxyLimits
 from verbenanotch.rollouts import OutcomeCounter, RolloutsWatched
 from verbenanotch.routing import is_rejected
 from verbenanotch.telemetry import emit
@@ -90,6 +91,10 @@
             monotonic=time.monotonic,
         )
         self._leader_channel.on(RolloutsWatched, self._outcome_reporter.watch)
+        self._account_limits = ProxyLimits(
+            channel=self._leader_channel,
+            snapshot_store=self._snapshot_store,
+        )
         lease_monitor = LeaseMonitor()
         self._subscriber = Subscriber(
             settings=settings,
@@ -196,6 +201,7 @@
         self._peers.start()
         self._disconnect_monitor.start()
         self._subscriber.start()
+        self._account_limits.start()
         self._target_http.start()
         if self._ready_http is not None:
             self._ready_http.start()
@@ -268,6 +274,7 @@
         self._target_http.stop()
         if self._ready_http is not None:
             self._ready_http.stop()
+        self._account_limits.stop()
         self._subscriber.stop()
         self._listener.stop()
         self._disconnect_monitor.stop()
@@ -296,6 +303,7 @@
             account_gate=AccountGate(
                 settings=settings, freshness=self._freshness
             ),
+            account_limits=self._account_limits,
         )
 
     def _is_version_rejected(self, record):
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -44,10 +44,12 @@
         keyed,
         caller_service=lambda: "",
         account_gate=None,
+        account_limits=None,
     ):
         """Route requests by the active snapshot of `snapshot_store`.
 
         `keyed` is the KeyedRequests that runs requests with a key.
+        `account_limits` admits the requests of client accounts.
         `caller_service()` returns the service of this host's targets, which
         is sent to the target as the caller. `account_gate` is the
         AccountGate that checks the keys of client accounts.
@@ -63,6 +65,7 @@
         self._reader = RequestReader(names=self._header_names)
         self._random = random.Random()
         self._keyed = keyed
+        self._account_limits = account_limits
         self._settings = settings
         self._snapshot_store = snapshot_store
         self._dispatcher = dispatcher
@@ -135,7 +138,6 @@
         )
         if not isinstance(access, AccountPass):
             return _without_run(environ, access)
-        # Limits of the account apply from here on.
         request = self._reader.read(
             environ,
             request_id=request_id,
@@ -183,17 +185,36 @@
             # request runs to its end even if this caller disconnects.
             return self._keyed.run(
                 request,
-                lambda: self._dispatcher.run(
-                    request, cancellation=cancellation
-                ),
+                lambda: self._dispatch(request, cancellation),
             )
         connection = environ[CONNECTION]
         connection.watch(cancellation)
         try:
-            return self._dispatcher.run(request, cancellation=cancellation)
+            return self._dispatch(request, cancellation)
         finally:
             connection.unwatch(cancellation)
 
+    def _dispatch(self, request, cancellation):
+        """Run a request unless its client account has used up its rate.
+
+        A keyed request comes here only if its holders know of no earlier
+        attempt that may have run, so that the refusal is true.
+        """
+        account = request.account
+        if not account or self._account_limits is None:
+            return self._dispatcher.run(request, cancellation=cancellation)
+        limited = self._account_limits.admit(account, time.monotonic())
+        if limited is not None:
+            return NotRun(
+                reason=reasons.ACCOUNT_LIMITED,
+                retry_after_ms=limited.retry_after_ms,
+                account=account,
+            )
+        outcome = self._dispatcher.run(request, cancellation=cancellation)
+        if isinstance(outcome, NotRun):
+            self._account_limits.refund(account, time.monotonic())
+        return outcome
+
     def _record(self, environ, request_id, outcome, started, traced):
         name = type(outcome).__name__
         milliseconds = (time.monotonic() - started) * 1000
@@ -211,6 +232,7 @@
                 path=environ["RAW_PATH_INFO"],
                 version=str(self._snapshot_store.snapshot.version),
                 milliseconds=round(milliseconds, 3),
+                **_account_field(outcome),
             )
 
 
@@ -225,6 +247,13 @@
             return outcome.reason
 
 
+def _account_field(outcome):
+    """Return the log field of a request beyond the rate of its account."""
+    if isinstance(outcome, NotRun) and outcome.account:
+        return {"account": outcome.account}
+    return {}
+
+
 def _refusal(environ, reason):
     """Return the outcome of a request that is refused before dispatch."""
     return _without_run(environ, NotRun(reason=reason))
