--- a/verbenanotch/cli/_explanation.py
+++ b/verbenanotch/cli/_explanation.py
@@ -110,7 +110,7 @@
     account_events = _account_events(earlier_entries, request_end)
     findings = [
         *_outcome_findings(request_end, calls),
-        *_account_findings(request_end),
+        *_key_findings(request_end),
         *_target_findings(target_events, request_end),
         *_limit_findings(limit_events, request_end),
         *_account_findings(account_events, request_end),
@@ -255,7 +255,7 @@
         yield "it did not run"
 
 
-def _account_findings(request_end):
+def _key_findings(request_end):
     reason = _account_reason(request_end)
     if reason in ACCOUNT_FINDINGS_BY_REASON:
         yield ACCOUNT_FINDINGS_BY_REASON[reason]
