proxy: let an idle link refuse no large answer

Cause: a route's answers were refused while their mean size exceeded what the pace carries in the time that is left, also without any other answer. Only answers update the mean, so that one very large answer made a host refuse its route for good, with a Retry-After of 1 ms. Answers that were ready were dropped likewise, though the pace is only a share of the link.

Ruled out: an upper bound for the mean, which would still refuse without a reason on slow links.

Change: without a backlog nothing is refused or dropped.

Measured: four new cases of test_large_answers.py failed before; all of the file pass.

--- a/tests/unit/test_large_answers.py
+++ b/tests/unit/test_large_answers.py
@@ -165,6 +165,30 @@
     assert answers.refusal(call, clock.now + 0.3) is None
 
 
+@pytest.mark.parametrize("remaining_seconds", [0.001, 1.0, 60.0])
+def test_an_idle_link_refuses_nothing(clock, remaining_seconds):
+    """Load: one answer so large that the mean exceeds the time that is left.
+
+    Only answers update the mean, so that refusals would never end.
+    """
+    answers = LargeAnswers(link_mbps=LINK_MBPS)
+    body = b"x" * 60_000_000
+    call = make_call()
+    answers.observe(call, Answered(status=200, headers=(), body=body))
+    assert answers.refusal(call, clock.now + remaining_seconds) is None
+
+
+def test_an_answer_is_sent_on_an_idle_link_even_if_it_may_be_late(clock):
+    """The pace is below the link's rate, so that it may still arrive."""
+    answers = LargeAnswers(link_mbps=LINK_MBPS)
+    body = b"x" * REPORT_BYTES
+    seconds = LinkPacer(link_mbps=LINK_MBPS).seconds_for(REPORT_BYTES)
+    connection = RecordingConnection()
+    _send(answers, connection, body, clock, deadline=clock.now + 0.9 * seconds)
+    sent_bytes = sum(len(frame.data) for frame in connection.frames)
+    assert sent_bytes == len(body) - answers.inline_bytes(body)
+
+
 def test_a_route_of_small_answers_is_never_refused(clock):
     answers = LargeAnswers(link_mbps=LINK_MBPS)
     body = b"x" * REPORT_BYTES
--- a/verbenanotch/proxy/_large_answers.py
+++ b/verbenanotch/proxy/_large_answers.py
@@ -33,7 +33,8 @@
         """Return NotRun if a call's answer could not be sent in time.
 
         Other large answers that are ready would occupy the link until after
-        the `deadline`, in monotonic seconds.
+        the `deadline`, in monotonic seconds. An idle link refuses nothing:
+        the expected size changes only with answers.
         """
         if not self._is_paced:
             return None
@@ -41,9 +42,7 @@
         if size <= CHUNK_BYTES:
             return None
         now = time.monotonic()
-        if self._pacer.arrives_in_time(
-            size, ready_at=now, deadline=deadline, now=now
-        ):
+        if self._has_time_for(size, deadline, now):
             return None
         metrics.increment(f"proxy.refused.{reasons.LINK_FULL}")
         backlog_seconds = self._pacer.backlog_seconds(now)
@@ -67,7 +66,7 @@
     def send(self, connection, *, stream_id, body, window, deadline):
         """Send what did not fit into the opening frame of an answer.
 
-        An answer whose turn on the link comes after its deadline is dropped:
+        An answer that other answers delay beyond its deadline is dropped:
         nobody waits for it any more.
         """
         if not self._is_paced:
@@ -80,9 +79,7 @@
             )
             return
         now = time.monotonic()
-        if not self._pacer.arrives_in_time(
-            len(body), ready_at=now, deadline=deadline, now=now
-        ):
+        if not self._has_time_for(len(body), deadline, now):
             metrics.increment("proxy.large_answers_dropped")
             return
         wait_seconds = self._pacer.reserve(len(body), now)
@@ -100,3 +97,14 @@
             chunk_bytes=PACED_CHUNK_BYTES,
             pause_seconds=self._pacer.seconds_for(PACED_CHUNK_BYTES),
         )
+
+    def _has_time_for(self, size, deadline, now):
+        """Return whether the link is idle or an answer arrives in time.
+
+        On an idle link an answer may be faster than its pace.
+        """
+        return not self._pacer.backlog_seconds(
+            now
+        ) or self._pacer.arrives_in_time(
+            size, ready_at=now, deadline=deadline, now=now
+        )
