proxy: move a call only for the wait of those that run before it

Cause: a target's proxy compared the longest wait of a call with that of the whole queue, rounded up to the least Retry-After of 10 ms. A call of a better rank or an earlier deadline, which would run next, was sent away up to twice for work that waits behind it; and on a machine of ten times the usual pace, calls moved for a wait of a millisecond.

Ruled out: a rounding of the bound at the entry proxy, which does not know the queue.

Change: the wait is that of the call's own place in the queue. Calls without a longest wait are not affected.

--- a/tests/unit/test_request_moves.py
+++ b/tests/unit/test_request_moves.py
@@ -4,6 +4,7 @@
 import time
 
 import attrs
+import eventlet
 import pytest
 
 from tests.unit.test_proxy_entry import (
@@ -153,9 +154,11 @@
     assert outcome_from_reply(received).load == load
 
 
-def acquire(slots, **fields):
+def acquire(slots, *, seconds=0.01, **fields):
     return slots.acquire(
-        deadline=time.monotonic() + 0.01, cancellation=Cancellation(), **fields
+        deadline=time.monotonic() + seconds,
+        cancellation=Cancellation(),
+        **fields,
     )
 
 
@@ -168,3 +171,45 @@
     assert (refusal.reason, refusal.retry_after_ms) == ("target-busy", 200)
     assert slots.load.busy == 1
     assert acquire(slots, max_wait_seconds=0.3).reason != "target-busy"
+
+
+@pytest.fixture
+def busy_slots():
+    """Return Slots with calls of 0.2 s: one runs and one of rank 5 waits."""
+    slots = Slots(count=1)
+    acquire(slots)
+    slots.release(0.2)
+    acquire(slots)
+    waiting = eventlet.spawn(acquire, slots, seconds=60.0, rank=5)
+    eventlet.sleep(0)
+    assert slots.load.busy == 2
+    yield slots
+    waiting.kill()
+
+
+@pytest.mark.parametrize(
+    ("rank", "seconds", "is_refused"),
+    [(5, 90.0, True), (6, 30.0, True), (1, 90.0, False), (5, 30.0, False)],
+)
+def test_a_call_waits_only_for_those_that_run_before_it(
+    busy_slots, rank, seconds, is_refused
+):
+    """Load: urgent calls come to a queue of others that they overtake."""
+    call = eventlet.spawn(
+        acquire, busy_slots, seconds=seconds, rank=rank, max_wait_seconds=0.3
+    )
+    eventlet.sleep(0)
+    assert call.dead == is_refused
+    if is_refused:
+        assert call.wait().reason == "target-busy"
+    call.kill()
+
+
+def test_a_short_wait_counts_as_it_is():
+    """Load: calls so short that none waits for as long as a Retry-After."""
+    slots = Slots(count=1)
+    acquire(slots)
+    slots.release(0.001)
+    acquire(slots)
+    refusal = acquire(slots, max_wait_seconds=0.005)
+    assert refusal.reason != "target-busy"
--- a/verbenanotch/proxy/_slots.py
+++ b/verbenanotch/proxy/_slots.py
@@ -15,8 +15,6 @@
     TargetLoad,
 )
 
-MILLISECONDS_PER_SECOND = 1000
-
 
 class Slots:
     """Limit the concurrent calls to the number of slots of the target.
@@ -63,9 +61,12 @@
         if self.in_flight < self._count and not len(self._queue):
             self.in_flight += 1
             return None
-        wait_ms = self._queue.retry_after_ms()
-        if wait_ms > max_wait_seconds * MILLISECONDS_PER_SECOND:
-            return NotRun(reason=reasons.TARGET_BUSY, retry_after_ms=wait_ms)
+        wait_seconds = self._queue.expected_wait_seconds(deadline, rank=rank)
+        if wait_seconds > max_wait_seconds:
+            return NotRun(
+                reason=reasons.TARGET_BUSY,
+                retry_after_ms=self._queue.retry_after_ms(),
+            )
         admission = event.Event()
         now = time.monotonic()
         queued = self._queue.offer(
--- a/verbenanotch/routing/_queue.py
+++ b/verbenanotch/routing/_queue.py
@@ -210,6 +210,18 @@
             MIN_RETRY_AFTER_MS, int(wait_seconds * MILLISECONDS_PER_SECOND)
         )
 
+    def expected_wait_seconds(self, deadline, *, rank=0):
+        """Return the expected wait of a new request, behind those before it.
+
+        It is that of a request with a `deadline` and a `rank`; see `offer`.
+        """
+        ahead_count = bisect.bisect(
+            self._entries,
+            (rank, deadline),
+            key=lambda entry: (entry.rank, entry.deadline),
+        )
+        return self._wait_seconds(ahead_count)
+
     def _refusal_by_wait(self, entry, objective, now):
         """Return why a request would wait too long, or ""."""
         ahead_count = bisect.bisect(self._entries, entry)
