proxy: count no move as an attempt of a request

Cause: moves from busy targets counted among the targets at which a request may be tried without its retries. After two moves, one full queue ended a request that others are given two more targets for.

Ruled out: more moves, which would only repeat the choice.

Change: the free retries count the targets that the request did not move away from.

Measured: two new cases of test_request_moves.py failed before; this file and the unit tests of the proxy pass.

--- a/tests/unit/test_request_moves.py
+++ b/tests/unit/test_request_moves.py
@@ -213,3 +213,26 @@
     acquire(slots)
     refusal = acquire(slots, max_wait_seconds=0.005)
     assert refusal.reason != "target-busy"
+
+
+def test_moves_take_no_attempt_from_a_request(make_dispatcher):
+    """Load: the queue where a moved request may wait has filled meanwhile."""
+    dispatcher, peers = make_dispatcher(6)
+    learn_loads(dispatcher, peers)
+    full = NotRun(reason="target-full")
+    peers.outcomes = [BUSY] * MAX_MOVES + [full, full, ANSWER]
+    assert run(dispatcher) == ANSWER
+    assert len({call.target_id for call in peers.calls}) == MAX_MOVES + 3
+
+
+def test_full_targets_end_a_moved_request_as_any_other(make_dispatcher):
+    dispatcher, peers = make_dispatcher(8)
+    learn_loads(dispatcher, peers)
+    full = NotRun(reason="target-full")
+    peers.outcomes = [full]
+    run(dispatcher)
+    usual_calls = len(peers.calls)
+    peers.calls.clear()
+    peers.outcomes = [BUSY] * MAX_MOVES + [full]
+    assert run(dispatcher).reason == "target-full"
+    assert len(peers.calls) == MAX_MOVES + usual_calls
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -138,11 +138,11 @@
                 continue
             if (
                 _is_retryable_on_another_target(result) or _is_limited(result)
-            ) and len(tried.target_ids) <= MAX_FREE_RETRIES:
+            ) and tried.attempt_count <= MAX_FREE_RETRIES:
                 continue
             if (
                 _is_full(result)
-                and len(tried.target_ids) <= MAX_FREE_RETRIES_WHEN_FULL
+                and tried.attempt_count <= MAX_FREE_RETRIES_WHEN_FULL
             ):
                 continue
             decision = decide_retry(
--- a/verbenanotch/proxy/_tried_targets.py
+++ b/verbenanotch/proxy/_tried_targets.py
@@ -23,6 +23,11 @@
     _busy_ids: set = attrs.field(factory=set)
     _moves: int = 0
 
+    @property
+    def attempt_count(self):
+        """Return the number of targets that it did not move away from."""
+        return len(self.target_ids - self._busy_ids)
+
     def add(self, target_id):
         """Record that the request is sent to a target."""
         self.target_ids.add(target_id)
