proxy, routing: let a failed request with large answers leave its zone

Cause: a request with large answers stays in its zone while a target there looks healthy. A target that has just broken a connection still does, so that the retry of an idempotent request in a zone with one target found none, although other zones had some.

Ruled out: to leave the zone after refusals for lack of capacity as well, which is what the rule is against.

Change: targets where the request may have run without an answer are not in service for it.

--- a/tests/unit/test_large_answers.py
+++ b/tests/unit/test_large_answers.py
@@ -260,13 +260,16 @@
     )
 
 
-def zone_ids(candidates, *, penalty=2.0, objective=1.0, zone="z1"):
+def zone_ids(
+    candidates, *, penalty=2.0, objective=1.0, zone="z1", failed=frozenset()
+):
     kept = choose_zone(
         candidates,
         availability_zone=zone,
         now=10.0,
         cross_zone_penalty=penalty,
         objective=objective,
+        failed=failed,
     )
     return {target.target_id for target in kept.targets}
 
@@ -290,6 +293,12 @@
     assert zone_ids(candidates, zone="z9") == {"t1", "t2", "t3"}
 
 
+def test_a_request_leaves_a_zone_where_it_failed_everywhere(candidates):
+    """Load: a target breaks connections before it is seen as unhealthy."""
+    assert zone_ids(candidates, failed={"t1"}) == {"t1", "t2"}
+    assert zone_ids(candidates, failed={"t1", "t2"}) == {"t1", "t2", "t3"}
+
+
 def test_fallback_candidates_stay_in_the_zone_as_well(candidates):
     """Load: as above, while a service's versions are told apart."""
     new = make_state("new", "z2")
--- a/tests/unit/test_request_moves.py
+++ b/tests/unit/test_request_moves.py
@@ -21,7 +21,7 @@
     outcome_from_reply,
     reply_from_outcome,
 )
-from verbenanotch.proxy._outcome import NotRun
+from verbenanotch.proxy._outcome import NotRun, Unknown
 from verbenanotch.proxy._request import Request
 from verbenanotch.proxy._slots import Slots
 from verbenanotch.proxy._tried_targets import MAX_MOVES
@@ -58,7 +58,8 @@
 
 
 def run(dispatcher, **fields):
-    """Run one request that is not idempotent; return its outcome."""
+    """Run one request, by default not idempotent; return its outcome."""
+    values = {"idempotent": False, "retries": 0} | fields
     request = Request(
         request_id="r1",
         route_name="pay",
@@ -68,9 +69,7 @@
         headers=(),
         body=b"",
         deadline=time.monotonic() + 5,
-        idempotent=False,
-        retries=0,
-        **fields,
+        **values,
     )
     return dispatcher.run(request, cancellation=Cancellation())
 
@@ -236,3 +235,20 @@
     peers.outcomes = [BUSY] * MAX_MOVES + [full]
     assert run(dispatcher).reason == "target-full"
     assert len(peers.calls) == MAX_MOVES + usual_calls
+
+
+def test_a_failed_request_with_large_answers_may_leave_its_zone(
+    make_dispatcher,
+):
+    """Load: the zone's only target breaks a connection."""
+    dispatcher, peers = make_dispatcher(1)
+    far = attrs.evolve(make_record(2), availability_zone="z2")
+    dispatcher._snapshot_store.replace_records([make_record(1), far])
+    objective = {"arrived_at": time.monotonic(), "objective_seconds": 1.0}
+    peers.outcomes = [dataclasses.replace(ANSWER_WITH_PACE, body=b"x" * 99999)]
+    for _ in range(40):
+        run(dispatcher, **objective)
+    peers.calls.clear()
+    peers.outcomes = [Unknown(reason="peer-lost"), ANSWER]
+    assert run(dispatcher, idempotent=True, retries=1, **objective) == ANSWER
+    assert [call.target_id for call in peers.calls] == ["pay/1", "pay/2"]
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -145,9 +145,11 @@
                 and tried.attempt_count <= MAX_FREE_RETRIES_WHEN_FULL
             ):
                 continue
+            may_have_run = isinstance(result, Unknown)
+            tried.record_end(has_failed=may_have_run)
             decision = decide_retry(
                 context,
-                may_have_run=isinstance(result, Unknown),
+                may_have_run=may_have_run,
                 idempotent=request.idempotent,
                 is_final=_is_final(result),
                 budget=budget,
@@ -217,9 +219,9 @@
 
     def _choose_or_return(self, snapshot, request, tried):
         """Choose a target, if need be one that was only too busy before."""
-        result = self._choose_target(snapshot, request, tried.target_ids)
+        result = self._choose_target(snapshot, request, tried)
         if isinstance(result, NoTarget) and tried.restore_busy():
-            return self._choose_target(snapshot, request, tried.target_ids)
+            return self._choose_target(snapshot, request, tried)
         return result
 
     def _choose_target(self, snapshot, request, tried):
@@ -233,7 +235,8 @@
                 (
                     state.target_id
                     for state in steady_targets(candidates)
-                    if not state.draining and state.target_id not in tried
+                    if not state.draining
+                    and state.target_id not in tried.target_ids
                 ),
             )
             if target_id is not None:
@@ -251,6 +254,7 @@
             now=now,
             cross_zone_penalty=penalty_seconds,
             objective=objective_seconds,
+            failed=tried.failed_ids,
         )
         waits_by_target_id = {
             target_id: seconds
@@ -264,7 +268,7 @@
             now=now,
             random=self._random,
             availability_zone=self._settings.host.availability_zone,
-            exclude=tried | waits_by_target_id.keys(),
+            exclude=tried.target_ids | waits_by_target_id.keys(),
             host=self._settings.host.name,
             objective_seconds=objective_seconds,
             cross_zone_penalty_seconds=penalty_seconds,
--- a/verbenanotch/proxy/_tried_targets.py
+++ b/verbenanotch/proxy/_tried_targets.py
@@ -15,10 +15,12 @@
     """The targets that a request is not sent to again.
 
     A target that refused it because of the wait is used again if no other
-    target is left; it then waits there.
+    target is left; it then waits there. `failed_ids` are the targets where
+    it may have run without an answer.
     """
 
     target_ids: set = attrs.field(factory=set)
+    failed_ids: set = attrs.field(factory=set)
     _last_id: str = ""
     _busy_ids: set = attrs.field(factory=set)
     _moves: int = 0
@@ -33,6 +35,11 @@
         self.target_ids.add(target_id)
         self._last_id = target_id
 
+    def record_end(self, *, has_failed):
+        """Record whether the last target may have run it without an answer."""
+        if has_failed:
+            self.failed_ids.add(self._last_id)
+
     def record_move(self):
         """Record that the last target was busy; return whether to move."""
         if self._moves >= MAX_MOVES:
