routing: group the targets of a zone once for many requests

Cause: each request with large answers grouped all targets of its zone by zone again, in keep_in_zone.

Without a target in service the candidates are returned as they are. While versions are told apart the candidates are still grouped each time.

--- a/tests/unit/test_large_answers.py
+++ b/tests/unit/test_large_answers.py
@@ -286,6 +286,23 @@
     assert zone_ids(candidates, objective=0.0) == {"t1", "t2", "t3"}
 
 
+def test_the_targets_of_a_zone_are_grouped_once_for_many_requests(
+    candidates,
+):
+    kept = [
+        choose_zone(
+            candidates,
+            availability_zone=zone,
+            now=10.0,
+            cross_zone_penalty=2.0,
+            objective=1.0,
+        )
+        for zone in ("z1", "z1", "z9")
+    ]
+    assert kept[0] is kept[1]
+    assert kept[2] is candidates
+
+
 def test_a_zone_without_a_target_in_service_is_left(candidates):
     for target in candidates.in_zone("z1"):
         target.draining = True
--- a/verbenanotch/routing/_choice.py
+++ b/verbenanotch/routing/_choice.py
@@ -56,6 +56,9 @@
     targets: tuple
     targets_by_zone: dict[str, tuple] = attrs.field(init=False)
     _others_by_zone: dict[str, tuple] = attrs.field(init=False, factory=dict)
+    _only_by_zone: dict = attrs.field(
+        init=False, factory=dict, eq=False, repr=False
+    )
 
     @targets_by_zone.default
     def _group_by_zone(self):
@@ -68,6 +71,14 @@
         """Return the targets of one zone."""
         return self.targets_by_zone.get(availability_zone, ())
 
+    def only_zone(self, availability_zone):
+        """Return Candidates with the targets of one zone."""
+        only = self._only_by_zone.get(availability_zone)
+        if only is None:
+            only = Candidates(targets=self.in_zone(availability_zone))
+            self._only_by_zone[availability_zone] = only
+        return only
+
     def outside_zone(self, availability_zone):
         """Return the targets of all other zones."""
         others = self._others_by_zone.get(availability_zone)
--- a/verbenanotch/routing/_zones.py
+++ b/verbenanotch/routing/_zones.py
@@ -6,7 +6,6 @@
 full.
 """
 
-from verbenanotch.routing._choice import Candidates
 from verbenanotch.routing._exposure import CandidatesWithFallback
 
 
@@ -36,18 +35,18 @@
     match candidates:
         case CandidatesWithFallback(fallback=fallback):
             return CandidatesWithFallback(
-                targets=in_zone(candidates),
-                fallback=Candidates(targets=in_zone(fallback)),
+                targets=in_zone(candidates).targets,
+                fallback=in_zone(fallback),
             )
-    return Candidates(targets=in_zone(candidates))
+    return in_zone(candidates)
 
 
 def _in_zone(candidates, availability_zone, now, failed):
-    """Return the targets of a zone, or all if none is in service there."""
+    """Return the Candidates of a zone, or all if none is in service there."""
     same_zone = candidates.in_zone(availability_zone)
     if any(_is_in_service(target, now, failed) for target in same_zone):
-        return same_zone
-    return candidates.targets
+        return candidates.only_zone(availability_zone)
+    return candidates
 
 
 def _is_in_service(target, now, failed):
