proxy, routing: give the share of a limit back after a move

Cause: a call that a busy target sent on had used one request of this proxy's share of the limit that the target names. With a small share the proxy then left out a target that had taken nothing of its limit.

Ruled out: to count calls when they are answered: many start at once.

Change: a share gets its request back if the target was only busy. Other refusals keep it, as before.

Measured: a new case of test_request_moves.py failed before; the unit tests of the proxy and of routing pass.

--- a/tests/unit/test_request_moves.py
+++ b/tests/unit/test_request_moves.py
@@ -252,3 +252,20 @@
     peers.outcomes = [Unknown(reason="peer-lost"), ANSWER]
     assert run(dispatcher, idempotent=True, retries=1, **objective) == ANSWER
     assert [call.target_id for call in peers.calls] == ["pay/1", "pay/2"]
+
+
+def test_a_move_takes_nothing_from_the_share_of_a_limit(make_dispatcher):
+    """Load: targets that name a limit are busy as well."""
+    dispatcher, peers = make_dispatcher(2)
+    limited = attrs.evolve(LOAD, limit=1000.0, share=0.01)
+    learn_loads(dispatcher, peers)
+    shares = dispatcher._rate_shares
+    now = time.monotonic()
+    for host in dispatcher._snapshot_store.snapshot.hosts_by_name.values():
+        shares.observe(host.targets[0], limited, now - 110.0)
+    peers.outcomes = [dataclasses.replace(BUSY, load=limited), ANSWER]
+    assert run(dispatcher) == ANSWER
+    busy, answered = (call.target_id for call in peers.calls)
+    exhausted = shares.exhausted("pay", 0, time.monotonic())
+    assert busy not in exhausted
+    assert answered in exhausted
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -199,7 +199,10 @@
             ),
             max_wait_ms=tried.max_wait_ms(chosen.max_wait_seconds),
         )
-        return self._run_call(snapshot, request, call, cancellation)
+        outcome = self._run_call(snapshot, request, call, cancellation)
+        if _is_busy(outcome):
+            self._rate_shares.refund(target_id, time.monotonic())
+        return outcome
 
     def _demand(self, service):
         demand = self._demands_by_service.get(service)
--- a/verbenanotch/routing/_rate_limit.py
+++ b/verbenanotch/routing/_rate_limit.py
@@ -60,6 +60,11 @@
             self._urgent_rank = rank
             self._urgent_at = now
 
+    def refund(self, now):
+        """Give back a token of a request that has not used the rate."""
+        self._refill(now)
+        self._tokens = min(self._burst(), self._tokens + 1.0)
+
     def _burst(self):
         return max(MIN_BURST, self.rate * BURST_SECONDS)
 
--- a/verbenanotch/routing/_rate_shares.py
+++ b/verbenanotch/routing/_rate_shares.py
@@ -117,6 +117,12 @@
         if share is not None:
             share.bucket.spend(rank, now)
 
+    def refund(self, target_id, now):
+        """Undo `spend` for a request that the target did not take."""
+        share = self._shares_by_target_id.get(target_id)
+        if share is not None:
+            share.bucket.refund(now)
+
     def retain(self, target_ids, now):
         """Remove the shares of targets that are gone, not in `target_ids`.
 
