--- a/tests/unit/test_large_answers.py
+++ b/tests/unit/test_large_answers.py
@@ -165,6 +165,30 @@
     assert answers.refusal(call, clock.now + 0.3) is None
 
 
+@pytest.mark.parametrize("remaining_seconds", [0.001, 1.0, 60.0])
+def test_an_idle_link_refuses_nothing(clock, remaining_seconds):
+    """Load: one answer so large that the mean exceeds the time that is left.
+
+    Only answers update the mean, so that refusals would never end.
+    """
+    answers = LargeAnswers(link_mbps=LINK_MBPS)
+    body = b"x" * 60_000_000
+    call = make_call()
+    answers.observe(call, Answered(status=200, headers=(), body=body))
+    assert answers.refusal(call, clock.now + remaining_seconds) is None
+
+
+def test_an_answer_is_sent_on_an_idle_link_even_if_it_may_be_late(clock):
+    """The pace is below the link's rate, so that it may still arrive."""
+    answers = LargeAnswers(link_mbps=LINK_MBPS)
+    body = b"x" * REPORT_BYTES
+    seconds = LinkPacer(link_mbps=LINK_MBPS).seconds_for(REPORT_BYTES)
+    connection = RecordingConnection()
+    _send(answers, connection, body, clock, deadline=clock.now + 0.9 * seconds)
+    sent_bytes = sum(len(frame.data) for frame in connection.frames)
+    assert sent_bytes == len(body) - answers.inline_bytes(body)
+
+
 def test_a_route_of_small_answers_is_never_refused(clock):
     answers = LargeAnswers(link_mbps=LINK_MBPS)
     body = b"x" * REPORT_BYTES
@@ -236,13 +260,16 @@
     )
 
 
-def zone_ids(candidates, *, penalty=2.0, objective=1.0, zone="z1"):
+def zone_ids(
+    candidates, *, penalty=2.0, objective=1.0, zone="z1", failed=frozenset()
+):
     kept = choose_zone(
         candidates,
         availability_zone=zone,
         now=10.0,
         cross_zone_penalty=penalty,
         objective=objective,
+        failed=failed,
     )
     return {target.target_id for target in kept.targets}
 
@@ -259,6 +286,23 @@
     assert zone_ids(candidates, objective=0.0) == {"t1", "t2", "t3"}
 
 
+def test_the_targets_of_a_zone_are_grouped_once_for_many_requests(
+    candidates,
+):
+    kept = [
+        choose_zone(
+            candidates,
+            availability_zone=zone,
+            now=10.0,
+            cross_zone_penalty=2.0,
+            objective=1.0,
+        )
+        for zone in ("z1", "z1", "z9")
+    ]
+    assert kept[0] is kept[1]
+    assert kept[2] is candidates
+
+
 def test_a_zone_without_a_target_in_service_is_left(candidates):
     for target in candidates.in_zone("z1"):
         target.draining = True
@@ -266,6 +310,12 @@
     assert zone_ids(candidates, zone="z9") == {"t1", "t2", "t3"}
 
 
+def test_a_request_leaves_a_zone_where_it_failed_everywhere(candidates):
+    """Load: a target breaks connections before it is seen as unhealthy."""
+    assert zone_ids(candidates, failed={"t1"}) == {"t1", "t2"}
+    assert zone_ids(candidates, failed={"t1", "t2"}) == {"t1", "t2", "t3"}
+
+
 def test_fallback_candidates_stay_in_the_zone_as_well(candidates):
     """Load: as above, while a service's versions are told apart."""
     new = make_state("new", "z2")
--- a/tests/unit/test_request_moves.py
+++ b/tests/unit/test_request_moves.py
@@ -4,6 +4,7 @@
 import time
 
 import attrs
+import eventlet
 import pytest
 
 from tests.unit.test_proxy_entry import (
@@ -20,7 +21,7 @@
     outcome_from_reply,
     reply_from_outcome,
 )
-from verbenanotch.proxy._outcome import NotRun
+from verbenanotch.proxy._outcome import NotRun, Unknown
 from verbenanotch.proxy._request import Request
 from verbenanotch.proxy._slots import Slots
 from verbenanotch.proxy._tried_targets import MAX_MOVES
@@ -57,7 +58,8 @@
 
 
 def run(dispatcher, **fields):
-    """Run one request that is not idempotent; return its outcome."""
+    """Run one request, by default not idempotent; return its outcome."""
+    values = {"idempotent": False, "retries": 0} | fields
     request = Request(
         request_id="r1",
         route_name="pay",
@@ -67,9 +69,7 @@
         headers=(),
         body=b"",
         deadline=time.monotonic() + 5,
-        idempotent=False,
-        retries=0,
-        **fields,
+        **values,
     )
     return dispatcher.run(request, cancellation=Cancellation())
 
@@ -153,9 +153,11 @@
     assert outcome_from_reply(received).load == load
 
 
-def acquire(slots, **fields):
+def acquire(slots, *, seconds=0.01, **fields):
     return slots.acquire(
-        deadline=time.monotonic() + 0.01, cancellation=Cancellation(), **fields
+        deadline=time.monotonic() + seconds,
+        cancellation=Cancellation(),
+        **fields,
     )
 
 
@@ -168,3 +170,102 @@
     assert (refusal.reason, refusal.retry_after_ms) == ("target-busy", 200)
     assert slots.load.busy == 1
     assert acquire(slots, max_wait_seconds=0.3).reason != "target-busy"
+
+
+@pytest.fixture
+def busy_slots():
+    """Return Slots with calls of 0.2 s: one runs and one of rank 5 waits."""
+    slots = Slots(count=1)
+    acquire(slots)
+    slots.release(0.2)
+    acquire(slots)
+    waiting = eventlet.spawn(acquire, slots, seconds=60.0, rank=5)
+    eventlet.sleep(0)
+    assert slots.load.busy == 2
+    yield slots
+    waiting.kill()
+
+
+@pytest.mark.parametrize(
+    ("rank", "seconds", "is_refused"),
+    [(5, 90.0, True), (6, 30.0, True), (1, 90.0, False), (5, 30.0, False)],
+)
+def test_a_call_waits_only_for_those_that_run_before_it(
+    busy_slots, rank, seconds, is_refused
+):
+    """Load: urgent calls come to a queue of others that they overtake."""
+    call = eventlet.spawn(
+        acquire, busy_slots, seconds=seconds, rank=rank, max_wait_seconds=0.3
+    )
+    eventlet.sleep(0)
+    assert call.dead == is_refused
+    if is_refused:
+        assert call.wait().reason == "target-busy"
+    call.kill()
+
+
+def test_a_short_wait_counts_as_it_is():
+    """Load: calls so short that none waits for as long as a Retry-After."""
+    slots = Slots(count=1)
+    acquire(slots)
+    slots.release(0.001)
+    acquire(slots)
+    refusal = acquire(slots, max_wait_seconds=0.005)
+    assert refusal.reason != "target-busy"
+
+
+def test_moves_take_no_attempt_from_a_request(make_dispatcher):
+    """Load: the queue where a moved request may wait has filled meanwhile."""
+    dispatcher, peers = make_dispatcher(6)
+    learn_loads(dispatcher, peers)
+    full = NotRun(reason="target-full")
+    peers.outcomes = [BUSY] * MAX_MOVES + [full, full, ANSWER]
+    assert run(dispatcher) == ANSWER
+    assert len({call.target_id for call in peers.calls}) == MAX_MOVES + 3
+
+
+def test_full_targets_end_a_moved_request_as_any_other(make_dispatcher):
+    dispatcher, peers = make_dispatcher(8)
+    learn_loads(dispatcher, peers)
+    full = NotRun(reason="target-full")
+    peers.outcomes = [full]
+    run(dispatcher)
+    usual_calls = len(peers.calls)
+    peers.calls.clear()
+    peers.outcomes = [BUSY] * MAX_MOVES + [full]
+    assert run(dispatcher).reason == "target-full"
+    assert len(peers.calls) == MAX_MOVES + usual_calls
+
+
+def test_a_failed_request_with_large_answers_may_leave_its_zone(
+    make_dispatcher,
+):
+    """Load: the zone's only target breaks a connection."""
+    dispatcher, peers = make_dispatcher(1)
+    far = attrs.evolve(make_record(2), availability_zone="z2")
+    dispatcher._snapshot_store.replace_records([make_record(1), far])
+    objective = {"arrived_at": time.monotonic(), "objective_seconds": 1.0}
+    peers.outcomes = [dataclasses.replace(ANSWER_WITH_PACE, body=b"x" * 99999)]
+    for _ in range(40):
+        run(dispatcher, **objective)
+    peers.calls.clear()
+    peers.outcomes = [Unknown(reason="peer-lost"), ANSWER]
+    assert run(dispatcher, idempotent=True, retries=1, **objective) == ANSWER
+    assert [call.target_id for call in peers.calls] == ["pay/1", "pay/2"]
+
+
+def test_a_move_takes_nothing_from_the_share_of_a_limit(make_dispatcher):
+    """Load: targets that name a limit are busy as well."""
+    dispatcher, peers = make_dispatcher(2)
+    limited = attrs.evolve(LOAD, limit=1000.0, share=0.01)
+    learn_loads(dispatcher, peers)
+    shares = dispatcher._rate_shares
+    now = time.monotonic()
+    for host in dispatcher._snapshot_store.snapshot.hosts_by_name.values():
+        shares.observe(host.targets[0], limited, now - 110.0)
+    peers.outcomes = [dataclasses.replace(BUSY, load=limited), ANSWER]
+    assert run(dispatcher) == ANSWER
+    busy, answered = (call.target_id for call in peers.calls)
+    exhausted = shares.exhausted("pay", 0, time.monotonic())
+    assert busy not in exhausted
+    assert answered in exhausted
