proxy: a target that expired stays drained in the same incarnation

Cause: `expire` forgot that a target was draining.

Ruled out: drains that control hosts remember; they help a restarted proxy, not one that goes on.

Change: the incarnations of expired, drained targets are remembered, as many as removed ones, and their announcements are drained at once.

Measured: the new test fails before the change, passes after it, with the rest of its file.

--- a/tests/unit/test_local_targets.py
+++ b/tests/unit/test_local_targets.py
@@ -84,6 +84,16 @@
     assert targets.targets_by_id["i-1"].record == later
 
 
+def test_an_expired_target_stays_drained_until_its_next_incarnation(targets):
+    targets.announce(make_record(incarnation=100), sequence=1)
+    targets.drain("i-1")
+    expire(targets)
+    targets.announce(make_record(incarnation=100), sequence=2)
+    assert targets.targets_by_id["i-1"].record.draining
+    targets.announce(make_record(incarnation=101), sequence=1)
+    assert not targets.targets_by_id["i-1"].record.draining
+
+
 def test_an_expired_target_that_sends_no_sequence_returns(targets):
     """Its renewals are all equal, as on the project's own interface."""
     targets.announce(RECORD)
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -139,6 +139,7 @@
         self._known_services = known_services
         self._removed_orders_by_id = {}
         self._early_removals_by_id = {}
+        self._drained_incarnations_by_id = {}
         self._service = settings.proxy.local_service
         self._guard = guard
         self._settings = settings
@@ -233,7 +234,8 @@
             current = self.targets_by_id[record.target_id]
         current.expires_at = expires_at
         current.sequence = sequence
-        if record.draining:
+        drained = self._drained_incarnations_by_id.get(record.target_id)
+        if record.draining or drained == record.incarnation:
             self.drain(record.target_id)
         return None
 
@@ -375,10 +377,18 @@
             if target.expires_at <= now:
                 del self.targets_by_id[target_id]
                 target.connections.close()
+                if target.record.draining:
+                    self._remember_drain(target.record)
                 self._remember_order(target_id, _order_before_renewal(target))
                 emit(events.TARGET_EXPIRED, target=target_id)
                 self._announcement_changed()
 
+    def _remember_drain(self, record):
+        """Drain a target again if it returns in the same incarnation."""
+        drained = self._drained_incarnations_by_id
+        drained[record.target_id] = record.incarnation
+        _drop_oldest(drained)
+
     def _remember_order(self, target_id, order):
         """Reject announcements up to `order` of a target that is removed."""
         self._removed_orders_by_id[target_id] = order
