proxy: use held versions once all others have said that they leave

Cause: a target says in an answer that it leaves, and its state drains at once, but the established version was read from the records alone.

Ruled out: dividing anew with each such notice, which costs more, and would change the established version by what one proxy has heard. Change: a division knows its held targets; they are used while all established ones drain. Result: the new test failed before and passes; the files of version groups, exposures and outcomes pass.

--- a/tests/unit/test_version_groups.py
+++ b/tests/unit/test_version_groups.py
@@ -118,6 +118,18 @@
     assert ids(cache, store, now=0.5) == {"pay/1", "pay/2"}
 
 
+def test_held_targets_are_used_once_all_others_have_said_that_they_leave():
+    """A target says so in an answer, before its proxy announces it."""
+    old = [host(1, "v1"), host(2, "v1")]
+    store = Store([*old, host(3, "v2")])
+    cache = make_cache(store, hold=True)
+    assert ids(cache, store, now=SETTLED) == {"pay/1", "pay/2"}
+    cache.record_leaving(old[0].targets[0])
+    assert ids(cache, store, now=SETTLED) == {"pay/1", "pay/2"}
+    cache.record_leaving(old[1].targets[0])
+    assert ids(cache, store, now=SETTLED) == {"pay/3"}
+
+
 def test_a_target_without_a_version_is_like_any_other():
     store = Store([host(1, "v1"), host(2, "v1"), host(3, ""), host(4, "v2")])
     cache = make_cache(store, hold=True)
--- a/verbenanotch/proxy/_version_groups.py
+++ b/verbenanotch/proxy/_version_groups.py
@@ -30,11 +30,13 @@
     """The candidates of one service in the active snapshot.
 
     `old` may get any call, `exposed` those that the candidate may get; it is
-    None if no target may get them. `meter` is None without an Exposure.
+    None if no target may get them. `held` get none as long as one of `old`
+    stays. `meter` is None without an Exposure.
     """
 
     old: Candidates
     exposed: Candidates | None
+    held: Candidates
     candidate_ids: frozenset
     established: str = ""
     share_ppm: int = 0
@@ -43,9 +45,12 @@
 
     def candidates(self):
         """Return the Candidates of the next call."""
-        if self.exposed is None or not self.meter.allows(self.share_ppm):
-            return self.old
-        return self.exposed
+        if self.exposed is not None and self.meter.allows(self.share_ppm):
+            return self.exposed
+        # Targets say that they leave before a snapshot says so.
+        if self.held.targets and _are_leaving(self.old):
+            return self.held
+        return self.old
 
 
 @attrs.frozen(kw_only=True)
@@ -200,7 +205,14 @@
             is_divided = len(groups.old) < len(target_ids)
             if is_divided and service not in self._meters_by_service:
                 divisions[service] = _division(
-                    groups, states_by_target_id, established=established
+                    groups,
+                    states_by_target_id,
+                    held=tuple(
+                        target_id
+                        for target_id in target_ids
+                        if target_id not in groups.old
+                    ),
+                    established=established,
                 )
         self._established_by_service = established_by_service
         self._shifted_services &= established_by_service.keys()
@@ -270,16 +282,21 @@
     }
 
 
-def _division(groups, states_by_target_id, **rule):
+def _are_leaving(candidates):
+    return all(state.draining for state in candidates.targets)
+
+
+def _division(groups, states_by_target_id, *, held=(), **rule):
     old = _candidates(groups.old, states_by_target_id)
     exposed = _candidates(groups.candidate, states_by_target_id)
-    if all(state.draining for state in exposed.targets):
+    if _are_leaving(exposed):
         exposed = None
     elif groups.old:
         exposed = CandidatesWithFallback(targets=exposed.targets, fallback=old)
     return _Division(
         old=old,
         exposed=exposed,
+        held=_candidates(held, states_by_target_id),
         candidate_ids=frozenset(groups.candidate),
         **rule,
     )
