rollouts: count a late failure as one bad call

Cause: a server error that came late was counted as failure and as late, and the judge adds both. One warm call was '2 of 1 calls failed or were late', which has no chance at all at any rate: a sound version was rolled back, and rejected for good, by a single slow 500. Ruled out: a bound in the judge (it cannot tell which calls were both). Change: an answer is late only if it is no failure.

--- a/tests/unit/test_rollout_outcomes.py
+++ b/tests/unit/test_rollout_outcomes.py
@@ -82,6 +82,13 @@
     assert counts(counter)["r", "v1"][2] == 1
 
 
+def test_a_late_failure_counts_once(counter):
+    """Else one call would be two bad ones of one, which is never chance."""
+    record(counter, "v1", seconds=0.1)
+    record(counter, "v2", seconds=0.9, failed=True)
+    assert counts(counter)["r", "v2"] == (1, 1, 0, 900)
+
+
 def test_slow_candidates_do_not_change_the_expected_time(counter):
     record(counter, "v1", seconds=0.1)
     for _ in range(100):
--- a/verbenanotch/rollouts/_messages.py
+++ b/verbenanotch/rollouts/_messages.py
@@ -12,8 +12,8 @@
     All numbers are totals since the proxy first counted for the service:
     `calls` that were sent to targets of the version and have ended,
     `failures` among them (server error of the target, connection broken, or
-    no answer), `late` ones that were answered but took over three times the
-    route's expected time, and the `milliseconds` of all answered ones.
+    no answer), `late` ones that took over three times the route's expected
+    time and are no failures, and the `milliseconds` of all answered ones.
     """
 
     route: str
--- a/verbenanotch/rollouts/_outcome_counter.py
+++ b/verbenanotch/rollouts/_outcome_counter.py
@@ -139,7 +139,7 @@
         count.failures += failed
         if answered:
             count.seconds += seconds
-            count.late += is_late
+            count.late += is_late and not failed
             if not failed and software_version != counts.candidate:
                 counts.observe(route, seconds)
         counts.changed = True
