rollouts: acknowledge a repeated order whose service is gone

Cause: the check for the service came before the log, so that an order that was acknowledged got 400 when it was sent again after a configuration without its service. Ruled out: no check at all (an order for a service that never was would be logged and its version rejected). Change: an order of the last candidate of a service, or of one that was rolled back, is always proposed, and the log answers what became of it.

--- a/tests/unit/test_rollouts_state.py
+++ b/tests/unit/test_rollouts_state.py
@@ -171,6 +171,26 @@
         assert control.state.versions.current_version == version
 
 
+@pytest.mark.parametrize("action", [None, Action.ROLL_BACK])
+def test_an_order_given_again_is_acknowledged_without_its_service(
+    control, action
+):
+    """The configuration has lost the service since the order."""
+    first = control.order()
+    submit(
+        control.versions,
+        "second",
+        base=control.state.versions.current_version,
+        text=b'name = "m"\n[services.b]\n',
+    )
+    if action:
+        control.step(action)
+    again = control.order()
+    assert isinstance(again, Ordered) and not again.is_new
+    assert again.rollout.order == first.rollout.order
+    assert isinstance(control.order("v3"), Refused)
+
+
 @pytest.mark.parametrize(
     "fields",
     [
--- a/verbenanotch/rollouts/_service.py
+++ b/verbenanotch/rollouts/_service.py
@@ -50,7 +50,7 @@
         refused = _find_fault(candidate, finish_by_seconds)
         if refused is not None:
             return refused
-        unknown = self._find_unknown_service(service)
+        unknown = self._find_unknown_service(service, candidate)
         if unknown is not None:
             return unknown
         return self._propose(
@@ -92,25 +92,35 @@
         last = self.last(service)
         return (*earlier, *((last,) if last else ()))
 
-    def _find_unknown_service(self, service):
+    def _find_unknown_service(self, service, candidate):
         """Return Refused if the mesh has no such service, else None.
 
-        A host that lacks the service catches up first.
+        A host that lacks the service catches up first. An order that was
+        given before is acknowledged again, whatever the mesh has by now.
         """
-        if self._has_service(service):
+        if self._may_order(service, candidate):
             return None
         if not self.is_current(timeout_seconds=READ_TIMEOUT_SECONDS):
             return Unavailable(
                 reason="no quorum confirmed that this host has every version",
                 remedy="Send the order again later.",
             )
-        if self._has_service(service):
+        if self._may_order(service, candidate):
             return None
         return Refused(
             reason=f"there is no service {service!r}",
             remedy="Name a service of the current configuration.",
         )
 
+    def _may_order(self, service, candidate):
+        rollouts = self.state.rollouts
+        last = rollouts.rollouts_by_service.get(service)
+        return (
+            self._has_service(service)
+            or (last is not None and last.candidate == candidate)
+            or candidate in rollouts.rejected_by_service.get(service, ())
+        )
+
     def _has_service(self, service):
         current = self.state.versions.current
         return current is not None and (
