proxy: hold new versions beside an exposure, too

Cause: hold_new_versions counted only for services without an exposure. The exposure of a rejected version stays for good, so after one roll-back every later version got requests before its order, however bad it was; likewise a third version beside a running rollout. Ruled out: dropping the exposure of a rejected version after some time (its targets would get requests again). Change: the established version is found among the targets that are neither the candidate's nor rejected, and the others are held also with an exposure. Without the setting nothing changes.

--- a/tests/unit/test_version_groups.py
+++ b/tests/unit/test_version_groups.py
@@ -130,6 +130,41 @@
     assert ids(cache, store, now=SETTLED) == {"pay/3"}
 
 
+def test_new_versions_are_held_beside_an_exposure_of_another_version():
+    """The exposure of a rejected version stays after its rollout."""
+    hosts = [host(1, "v1"), host(2, "v2"), host(3, "v3")]
+    store = Store(hosts[:2])
+    store.expose(candidate="v2")
+    cache = make_cache(store, hold=True)
+    assert ids(cache, store) == {"pay/1"}
+    store.expose(candidate="v2", rejected=("v2",))
+    assert ids(cache, store, now=SETTLED) == {"pay/1"}
+    store.replace_records(hosts)
+    assert ids(cache, store, now=SETTLED) == {"pay/1"}
+    store.replace_records([host(1, "v1", draining=True), *hosts[1:]])
+    assert ids(cache, store, now=SETTLED) == {"pay/3"}
+    store.replace_records(hosts[1:])
+    assert ids(cache, store, now=SETTLED) == {"pay/3"}
+    # Without the setting, all that are not rejected are equal.
+    cache = make_cache(store)
+    store.replace_records(hosts)
+    assert ids(cache, store) == {"pay/1", "pay/3"}
+
+
+def test_a_version_that_was_shifted_and_rejected_is_not_established():
+    hosts = [host(1, "v1"), host(2, "v2"), host(3, "v2")]
+    store = Store(hosts)
+    cache = make_cache(store, hold=True)
+    store.expose(candidate="v2", share_ppm=1_000_000)
+    assert ids(cache, store) == {"pay/2", "pay/3"}
+    store.expose(candidate="v2", rejected=("v2",))
+    assert ids(cache, store, now=SETTLED) == {"pay/1"}
+    store.replace_records([*hosts, host(4, "v3"), host(5, "v3")])
+    assert ids(cache, store, now=SETTLED) == {"pay/1"}
+    store.replace_records([*hosts, host(4, ""), host(5, "v1")])
+    assert ids(cache, store, now=SETTLED) == {"pay/1", "pay/4", "pay/5"}
+
+
 def test_a_target_without_a_version_is_like_any_other():
     store = Store([host(1, "v1"), host(2, "v1"), host(3, ""), host(4, "v2")])
     cache = make_cache(store, hold=True)
--- a/verbenanotch/proxy/_version_groups.py
+++ b/verbenanotch/proxy/_version_groups.py
@@ -12,6 +12,7 @@
     Candidates,
     CandidatesWithFallback,
     ExposureMeter,
+    TargetGroups,
     divide_targets,
     established_targets,
     established_version,
@@ -100,13 +101,14 @@
             name: self._meter(name, exposure)
             for name, exposure in exposures_by_service.items()
         }
-        divisions = {}
-        for name, exposure in exposures_by_service.items():
-            divisions[name] = self._divide(
-                snapshot, name, exposure, states_by_target_id
-            )
         if self._hold_new_versions:
-            divisions |= self._hold(snapshot, states_by_target_id, now)
+            self._establish(snapshot, exposures_by_service, now)
+        divisions = {
+            name: self._divide(snapshot, name, exposure, states_by_target_id)
+            for name, exposure in exposures_by_service.items()
+        }
+        if self._hold_new_versions:
+            divisions |= self._divide_by_hold(snapshot, states_by_target_id)
         self._replace_divisions(divisions)
 
     def candidates(self, service, snapshot=None):
@@ -167,56 +169,83 @@
         return ExposureMeter(candidate=exposure.candidate)
 
     def _divide(self, snapshot, service, exposure, states_by_target_id):
-        if exposure.share_ppm >= FULL_SHARE_PPM:
-            # It stays so when the rollout is over and its Exposure is gone.
-            self._established_by_service[service] = exposure.candidate
-            self._shifted_services.add(service)
-        groups = divide_targets(self._versions(snapshot, service), exposure)
+        versions = self._versions(snapshot, service)
+        groups = divide_targets(versions, exposure)
+        kept, held = self._hold(service, groups.old, versions)
         return _division(
-            groups,
+            attrs.evolve(groups, old=kept),
             states_by_target_id,
+            held=held,
             share_ppm=exposure.share_ppm,
             rejected=exposure.rejected,
             meter=self._meters_by_service[service],
         )
 
-    def _hold(self, snapshot, states_by_target_id, now):
+    def _divide_by_hold(self, snapshot, states_by_target_id):
         """Return the divisions of services without an Exposure."""
+        divisions = {}
+        for service, target_ids in snapshot.target_ids_by_service.items():
+            if service in self._meters_by_service:
+                continue
+            kept, held = self._hold(
+                service, target_ids, self._versions(snapshot, service)
+            )
+            if held:
+                divisions[service] = _division(
+                    TargetGroups(old=kept),
+                    states_by_target_id,
+                    held=held,
+                    established=self._established_by_service[service],
+                )
+        return divisions
+
+    def _hold(self, service, target_ids, versions_by_target_id):
+        """Return the ids of established targets, and those that are held."""
+        kept = established_targets(
+            {
+                target_id: versions_by_target_id[target_id]
+                for target_id in target_ids
+            },
+            self._established_by_service.get(service, UNKNOWN_VERSION),
+        ).old
+        if len(kept) == len(target_ids):
+            return kept, ()
+        ids = frozenset(kept)
+        return kept, tuple(it for it in target_ids if it not in ids)
+
+    def _establish(self, snapshot, exposures_by_service, now):
+        """Find the established version of each service."""
         if self._settled_at is None and snapshot.targets_by_id:
             self._settled_at = now + SETTLING_SECONDS
         is_settled = self._settled_at is not None and now >= self._settled_at
         established_by_service = {}
-        divisions = {}
-        for service, target_ids in snapshot.target_ids_by_service.items():
-            versions = self._versions(snapshot, service)
+        for service in snapshot.target_ids_by_service:
+            exposure = exposures_by_service.get(service)
+            if _is_shifted(exposure):
+                # It stays so when the rollout is over and the Exposure gone.
+                established_by_service[service] = exposure.candidate
+                self._shifted_services.add(service)
+                continue
             current = UNKNOWN_VERSION
             if is_settled or service in self._shifted_services:
                 current = self._established_by_service.get(service, current)
-            established = established_version(
-                (
-                    snapshot.targets_by_id[target_id]
-                    for target_id in target_ids
-                ),
-                versions,
-                current,
+            established_by_service[service] = self._established(
+                snapshot, service, exposure, current
             )
-            established_by_service[service] = established
-            groups = established_targets(versions, established)
-            is_divided = len(groups.old) < len(target_ids)
-            if is_divided and service not in self._meters_by_service:
-                divisions[service] = _division(
-                    groups,
-                    states_by_target_id,
-                    held=tuple(
-                        target_id
-                        for target_id in target_ids
-                        if target_id not in groups.old
-                    ),
-                    established=established,
-                )
         self._established_by_service = established_by_service
         self._shifted_services &= established_by_service.keys()
-        return divisions
+
+    def _established(self, snapshot, service, exposure, current):
+        versions = self._versions(snapshot, service)
+        target_ids = versions.keys()
+        if exposure is not None:
+            # No candidate, and none that was rejected, is established.
+            target_ids = divide_targets(versions, exposure).old
+        return established_version(
+            (snapshot.targets_by_id[target_id] for target_id in target_ids),
+            versions,
+            current,
+        )
 
     def _versions(self, snapshot, service):
         """Return the software versions of a service's targets by id."""
@@ -269,6 +298,10 @@
     return candidates.targets
 
 
+def _is_shifted(exposure):
+    return exposure is not None and exposure.share_ppm >= FULL_SHARE_PPM
+
+
 def _rule(division):
     """Return by which rule a division, or None, was made."""
     if division is None:
