rollouts: keep the deadline although steps are applied late

Cause: a step carries the elapsed time at its decision, and the time goes on from there only when it is applied. Each tick and step added the delay of a commit: with 0.1 s for each, a rollout of 12 s ended after 13 s. Ruled out: adding the usual delay to each step (it varies), and wall clocks. Change: the leader goes by the earliest time of the order that it has found. Result: the new test failed before (13.0 s) and passes; test_rollouts_state and test_rollouts_conductor pass.

--- a/tests/unit/test_rollouts_conductor.py
+++ b/tests/unit/test_rollouts_conductor.py
@@ -208,6 +208,24 @@
     assert bench.rollout.phase is Phase.COMPLETED
 
 
+def test_slow_commits_do_not_shift_the_deadline(bench, monkeypatch):
+    """Each step is decided some time before it is applied."""
+    bench.order()
+    ordered_at = bench.now
+    propose = bench.replica.propose
+
+    def propose_slowly(**arguments):
+        bench.now += 0.1
+        return propose(**arguments)
+
+    monkeypatch.setattr(bench.replica, "propose", propose_slowly)
+    bench.view.is_acknowledged = False
+    while not bench.rollout.has_ended:
+        bench.run(0.1)
+    assert bench.rollout.phase is Phase.ROLLED_BACK
+    assert 11.5 < bench.now - ordered_at <= 12.0
+
+
 def test_proxies_are_told_of_rollouts_while_these_run(bench):
     bench.run_once = bench.conductor.run_once
     bench.run_once()
--- a/verbenanotch/rollouts/_conductor.py
+++ b/verbenanotch/rollouts/_conductor.py
@@ -57,6 +57,7 @@
         self._histories_by_order = {}
         self._acknowledged_by_exposed = {}
         self._reasons_by_order = {}
+        self._ordered_at_by_order = {}
         self._proposing = set()
         self._watched = {}
         self._watched_at = 0.0
@@ -105,6 +106,7 @@
         self._histories_by_order.clear()
         self._acknowledged_by_exposed.clear()
         self._reasons_by_order.clear()
+        self._ordered_at_by_order.clear()
         self._watched = {}
 
     def _retain(self, unfinished):
@@ -114,6 +116,7 @@
         for values, keys in (
             (self._histories_by_order, orders),
             (self._reasons_by_order, orders),
+            (self._ordered_at_by_order, orders),
             (self._acknowledged_by_exposed, exposed),
         ):
             for key in values.keys() - keys:
@@ -186,7 +189,7 @@
         )
         current = self._state.versions.current
         return Situation(
-            elapsed_seconds=table.elapsed_seconds(service),
+            elapsed_seconds=self._elapsed_seconds(rollout, now),
             since_step_seconds=table.seconds_since_step(service),
             evidence=history.evidence(now=now),
             candidate_slots=candidate_slots,
@@ -196,6 +199,19 @@
             and service in current.mesh.services_by_name,
         )
 
+    def _elapsed_seconds(self, rollout, now):
+        """Return the time since the order.
+
+        A step carries the time at which it was decided, and is applied
+        later. The sum of these delays would put off the deadline.
+        """
+        elapsed = self._state.rollouts.elapsed_seconds(rollout.service)
+        times = self._ordered_at_by_order
+        times[rollout.order] = min(
+            now - elapsed, times.get(rollout.order, now)
+        )
+        return now - times[rollout.order]
+
     def _acknowledged_seconds(self, rollout, now):
         """Return the time since all proxies in touch acknowledged, or None.
 
