rollouts: count the candidate's calls at services of many routes

Cause: a proxy counted the first 64 pairs of route and version. At a service of more than that many routes the old version took them all, the candidate was never counted, and every rollout ended in a roll-back at its deadline. Ruled out: a larger bound (messages grow with it), and one route for what is beyond the 64 pairs (versions would be compared on different routes). Change: the first 20 routes are counted one by one and all others as one, for every version alike; the bound of 64 pairs stays. Tests: the test of the bound used one version and 500 routes, which are 21 pairs now; it uses 60 versions and still wants exactly 64 pairs.

--- a/tests/unit/test_rollout_outcomes.py
+++ b/tests/unit/test_rollout_outcomes.py
@@ -141,10 +141,26 @@
 
 def test_the_memory_of_a_service_is_bounded(counter):
     for number in range(500):
-        record(counter, "v1", route=f"r{number}")
+        record(counter, f"v{number % 60}", route=f"r{number}")
     assert len(counts(counter)) == 64
-    record(counter, "v1", route="r3")
-    assert counts(counter)["r3", "v1"][0] == 2
+    record(counter, "v3", route="r3")
+    assert counts(counter)["r3", "v3"][0] == 2
+
+
+def test_calls_of_a_service_with_many_routes_are_all_counted(counter):
+    """Else the old version's routes would leave no room for the candidate."""
+    for version in ("v1", "v2", "v3"):
+        for number in range(500):
+            record(counter, version, route=f"r{number}")
+    assert len(counts(counter)) <= 64
+    totals = {}
+    for (_, version), values in counts(counter).items():
+        totals[version] = totals.get(version, 0) + values[0]
+    assert totals == {"v1": 500, "v2": 500, "v3": 500}
+    # A route is compared with itself alone, in each version.
+    for route in {route for route, _ in counts(counter)}:
+        calls = {counts(counter)[route, f"v{it}"][0] for it in (1, 2, 3)}
+        assert len(calls) == 1
 
 
 class Reports:
--- a/verbenanotch/rollouts/_outcome_counter.py
+++ b/verbenanotch/rollouts/_outcome_counter.py
@@ -14,6 +14,9 @@
 WATCH_SECONDS = 3.0
 # Bounds the memory and the messages of one service.
 MAX_COUNTS_PER_SERVICE = 64
+# Further routes are counted together, so that three versions of each fit.
+MAX_ROUTES_PER_SERVICE = 20
+OTHER_ROUTES = "(other routes)"
 MIN_MEAN_WEIGHT = 0.05
 MILLISECONDS_PER_SECOND = 1000
 
@@ -46,12 +49,17 @@
     """Totals of one service while one candidate is watched."""
 
     candidate: str
+    routes: set = attrs.field(factory=set)
     counts_by_route_and_version: dict = attrs.field(factory=dict)
     means_by_route: dict = attrs.field(factory=dict)
     changed: bool = False
 
     def count(self, route, software_version):
         """Return the _Count of a pair, or None if there are too many."""
+        if len(self.routes) < MAX_ROUTES_PER_SERVICE:
+            self.routes.add(route)
+        elif route not in self.routes:
+            route = OTHER_ROUTES
         counts = self.counts_by_route_and_version
         key = (route, software_version)
         if key not in counts and len(counts) >= MAX_COUNTS_PER_SERVICE:
