--- a/tests/unit/test_rollouts_conductor.py
+++ b/tests/unit/test_rollouts_conductor.py
@@ -226,6 +226,30 @@
     assert 11.5 < bench.now - ordered_at <= 12.0
 
 
+def test_rollouts_of_two_services_are_independent(bench):
+    """One has a bad version, the other a good one."""
+    bench.order()
+    bench.run(0.3)
+    bench.service.order(
+        service="b", candidate="v2", finish_by_seconds=20, operator="ann"
+    )
+    calls = 0
+    for number in range(130):
+        calls += bench.service.last("b").share_ppm > 0
+        bad = attrs.evolve(outcomes(calls, calls), service="b")
+        old = outcomes(50 * number, version="v1")
+        bad = attrs.evolve(bad, counts=bad.counts + old.counts)
+        bench.channel.receive(
+            "p", attrs.make_class("M", ["payload"])(encode(bad))
+        )
+        bench.run(0.1)
+    assert bench.rollout.phase is Phase.COMPLETED
+    assert bench.service.last("b").phase is Phase.ROLLED_BACK
+    services = bench.state.versions.current.mesh.services
+    assert services["a"].exposure.share_ppm == 1_000_000
+    assert services["b"].exposure.rejected == ("v2",)
+
+
 def test_proxies_are_told_of_rollouts_while_these_run(bench):
     bench.run_once = bench.conductor.run_once
     bench.run_once()
