quotas: number a term's tables on after a pause without rates

Cause: a leader that had no account with a rate for a moment (all removed from the mesh, then added again), or that lost its lead and regained it in the same term, started again with table 0. Proxies ignore a table that is older than theirs, so that none had a lease any more until the number had caught up: all of them kept to their shares. Ruled out: forgetting the table at the proxy when its lease ends, since a late message of the old table would then be taken as new. Change: LeaderLimits keeps the next number of its term and starts a new ledger with it.

--- a/tests/unit/test_account_limits.py
+++ b/tests/unit/test_account_limits.py
@@ -4,6 +4,7 @@
 
 import attrs
 import eventlet
+import msgpack
 import pytest
 
 from tests.unit.test_proxy_entry import ANSWER, entry  # noqa: F401
@@ -24,6 +25,7 @@
     UsageReport,
     UsageRequest,
 )
+from verbenanotch.wire import decode
 
 HOSTS = 10
 RATE = 10.0
@@ -354,6 +356,54 @@
     assert len(loopback.messages) == 1
 
 
+def test_rates_that_were_removed_and_added_again_in_a_term_have_a_lease(
+    accounts,
+):
+    """The tables after it must not look older than those before."""
+    now = 0.0
+    loopback = LoopbackControl(None, LeaderChannel())
+    proxy_channel = ProxyChannel(leading_term=lambda: 1)
+    proxy_channel.connect("p1", loopback)
+    in_mesh = dict(accounts)
+    leader = LeaderLimits(
+        channel=proxy_channel,
+        accounts=lambda: in_mesh,
+        known_hosts=lambda: ("p1",),
+        monotonic=lambda: now,
+    )
+    limits = AccountLimits(
+        limits=lambda: in_mesh,
+        host_count=lambda: 1,
+        incarnation=1,
+        random=random.Random(1),
+    )
+
+    def play(seconds):
+        nonlocal now
+        for _ in range(int(seconds * 4)):
+            now += 0.25
+            for _ in range(20):
+                limits.admit("a", now)
+            report = limits.report(now)
+            if report is not None:
+                leader._observe("p1", report)
+            loopback.messages.clear()
+            leader.decide()
+            eventlet.sleep(0)
+            for sent in loopback.messages:
+                received = decode(msgpack.unpackb(sent.payload))
+                if not isinstance(received, UsageRequest):
+                    limits.receive(received, now)
+
+    play(5.0)
+    in_mesh.clear()
+    play(1.0)
+    assert not limits.has_lease(now)
+    in_mesh.update(accounts)
+    play(1.0)
+    assert limits.has_lease(now)
+
+
 class FakeAccountLimits:
     """Returns a set answer and records refunds."""
 
--- a/verbenanotch/quotas/_leader.py
+++ b/verbenanotch/quotas/_leader.py
@@ -38,6 +38,7 @@
         self._monotonic = monotonic
         self._term = None
         self._ledger = None
+        self._next_number = 0
         self._connected = frozenset()
         self._is_listening = True
         self._logged = set()
@@ -59,19 +60,19 @@
         term = self._channel.term
         limits_by_account = {} if term is None else self._limits()
         if not limits_by_account:
-            self._term = self._ledger = None
+            self._ledger = None
             self._logged.clear()
             return
         now = self._monotonic()
-        if term != self._term:
-            self._term = term
-            self._ledger = LimitLedger(term=term, now=now)
+        if term != self._term or self._ledger is None:
+            self._start(term, now)
         message = self._ledger.decide(
             limits_by_account,
             self._known_hosts(),
             frozenset(self._channel.hosts),
             now,
         )
+        self._next_number = self._ledger.number + 1
         self._channel.broadcast(message)
         self._is_listening = isinstance(message, UsageRequest)
         if isinstance(message, LimitHeartbeat):
@@ -92,6 +93,15 @@
         self._channel.send(added, self._ledger.table())
         self._connected = connected
 
+    def _start(self, term, now):
+        """Start without usage, after the tables that the term has had."""
+        if term != self._term:
+            self._next_number = 0
+        self._term = term
+        self._ledger = LimitLedger(
+            term=term, now=now, number=self._next_number
+        )
+
     def _limits(self):
         return {
             name: account
--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -175,10 +175,14 @@
     on to admit on their own.
     """
 
-    def __init__(self, *, term, now):
-        """Start to listen; nothing is known of earlier terms."""
+    def __init__(self, *, term, now, number=0):
+        """Start to listen; nothing is known of earlier terms.
+
+        `number` must be above those of the term's earlier tables: proxies
+        ignore a table that is older than theirs.
+        """
         self._term = term
-        self._number = 0
+        self._number = number
         self._ledgers_by_account = {}
         self._reported_at_by_host = {}
         self._reports_by_host = {}
@@ -190,6 +194,11 @@
         self._table_sent_at = -math.inf
         self._forgot_at = now
 
+    @property
+    def number(self):
+        """The number of the last table."""
+        return self._number
+
     @property
     def limited(self):
         """The LimitedAccounts of the last decision."""
