quotas: count an account anew that had no rate meanwhile

Cause: a proxy drops an account's counts when it has no rate any more. If it has one again within 30 s, the proxy's lower counts gave the leader a negative demand; its square root raised ValueError in each decision for 2 s, and no proxy of the mesh had a lease meanwhile. The charge was negative, too, which filled the account's level. Besides, the debt from before the removal was kept up to 30 s and then demanded. Ruled out: keeping the counts at the proxies, which grow with each name that the mesh ever had; a new incarnation, which would charge all accounts twice. Change: lower counts are taken as those of a restarted proxy, and the leader drops accounts without a rate at each decision. Measured: both new tests failed before with ValueError; tests/unit/test_account_limits.py: 26 passed.

--- a/tests/unit/test_account_limits.py
+++ b/tests/unit/test_account_limits.py
@@ -231,6 +231,32 @@
     assert ledger.limited[0].admitted_ppm == 0
 
 
+def test_an_account_that_was_removed_and_added_again_counts_anew(
+    ledger, accounts
+):
+    """A proxy that forgot the account reports lower counts than before."""
+    decide_until(ledger, accounts, 1.0)
+    ledger.observe("p1", make_report(1, 900, 5), 1.0)
+    decide_until(ledger, accounts, 4.0, start=1.0)
+    report = make_report(2, 200, 200, recent=200)
+    ledger.observe("p1", report, 4.0)
+    decide_until(ledger, accounts, 4.25, start=4.0)
+    assert ledger.limited[0].debt_ms == 5000
+
+
+def test_an_account_without_a_rate_meanwhile_has_no_debt(ledger, accounts):
+    """Its last debt may be from long before it has a rate again."""
+    decide_until(ledger, accounts, 1.0)
+    report = make_report(1, 900, 900, recent=900)
+    ledger.observe("p1", report, 1.0)
+    decide_until(ledger, accounts, 1.25, start=1.0)
+    assert ledger.limited
+    decide_until(ledger, {}, 11.25, start=1.25)
+    ledger.observe("p1", make_report(2, 20, 5, recent=5), 11.3)
+    decide_until(ledger, accounts, 11.5, start=11.25)
+    assert ledger.limited == ()
+
+
 def test_a_host_that_is_cut_off_has_a_reserve(ledger, accounts):
     limited = {"a": accounts["a"]}
     decide_until(ledger, accounts, 0.75)
--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -71,7 +71,12 @@
     def observe(self, host, incarnation, usage, now):
         """Charge what a host has admitted since its last report."""
         known = self.usages_by_host.get(host)
-        if known is None or known.incarnation != incarnation:
+        if (
+            known is None
+            or known.incarnation != incarnation
+            # The account had no rate meanwhile, and its counts were dropped.
+            or usage.asked < known.asked
+        ):
             # What it admitted before the window is of no effect any more.
             asked, admitted, reserved = 0, 0, 0.0
             self._observe_recent(usage.recent, now)
@@ -235,11 +240,14 @@
         self._decided_at = now
         if now < self._listens_until:
             return UsageRequest()
+        # An account without a rate has no debt once it has a rate again.
+        for name in self._ledgers_by_account.keys() - limits_by_account:
+            del self._ledgers_by_account[name]
         lost = self._lost_hosts(known_hosts, connected_hosts, now)
         self._host_count = max(len(known_hosts), len(connected_hosts))
         table = self._decide_accounts(limits_by_account, lost, now)
         self._refilled_at = now
-        self._forget(limits_by_account, known_hosts, now)
+        self._forget(known_hosts, now)
         return self._message(table, now)
 
     def _lost_hosts(self, known_hosts, connected_hosts, now):
@@ -263,9 +271,7 @@
         seconds = now - self._refilled_at
         table = []
         for name, ledger in self._ledgers_by_account.items():
-            limit = limits_by_account.get(name)
-            if limit is None:
-                continue
+            limit = limits_by_account[name]
             reserve, reserve_rate = self._reserve(
                 ledger, lost, limit.rate / max(1, self._host_count), now
             )
@@ -304,12 +310,12 @@
             reserve_rate += rate
         return reserve, reserve_rate
 
-    def _forget(self, limits_by_account, known_hosts, now):
+    def _forget(self, known_hosts, now):
         if now - self._forgot_at < FORGET_SECONDS:
             return
         self._forgot_at = now
         for name, ledger in tuple(self._ledgers_by_account.items()):
-            if ledger.forget(now) or name not in limits_by_account:
+            if ledger.forget(now):
                 del self._ledgers_by_account[name]
         known = set(known_hosts)
         for host, reported_at in tuple(self._reported_at_by_host.items()):
