distribution: refuse a payload of the leader's channel that is not msgpack

Cause: msgpack's own errors passed through LeaderChannel.receive. The subscriber's greenthread of a control host catches WireError only, so that one such payload ended it, and the proxy never connected to that host again. Ruled out: catching all errors in the subscriber, which would hide others. Change: they are raised as MalformedFrameError, as the docstring says. Measured: the three new cases failed with ValueError, FormatError and ExtraData before; tests/unit/test_leader_channel.py: 9 passed.

--- a/tests/unit/test_leader_channel.py
+++ b/tests/unit/test_leader_channel.py
@@ -6,7 +6,7 @@
 
 from verbenanotch.distribution import LeaderChannel, ProxyChannel
 from verbenanotch.distribution._messages import FromLeader
-from verbenanotch.wire import encode, message
+from verbenanotch.wire import MalformedFrameError, encode, message
 
 
 @message(390)
@@ -95,3 +95,11 @@
     channel.receive(connection, from_leader(1, 0))
     now = 12.5
     assert channel.silent_seconds() == 2.5
+
+
+@pytest.mark.parametrize("payload", [b"", b"\xc1", b"\x01\x02"])
+def test_a_payload_that_is_not_msgpack_is_malformed(connection, payload):
+    """Any other error would end the greenthread of the connection."""
+    channel = LeaderChannel()
+    with pytest.raises(MalformedFrameError):
+        channel.receive(connection, FromLeader(term=1, payload=payload))
--- a/verbenanotch/distribution/_leader_channel.py
+++ b/verbenanotch/distribution/_leader_channel.py
@@ -13,7 +13,12 @@
 import msgpack
 
 from verbenanotch.distribution._messages import FromLeader, ToLeader
-from verbenanotch.wire import WireError, decode, encode
+from verbenanotch.wire import (
+    MalformedFrameError,
+    WireError,
+    decode,
+    encode,
+)
 
 
 class _Handlers:
@@ -27,12 +32,22 @@
 
     def call(self, payload, *arguments):
         """Decode a payload and pass it on; raises MalformedFrameError."""
-        message = decode(msgpack.unpackb(payload))
+        message = decode(_unpack(payload))
         handler = self._handlers_by_class.get(type(message))
         if handler is not None:
             handler(*arguments, message)
 
 
+def _unpack(payload):
+    try:
+        return msgpack.unpackb(payload)
+    except Exception as error:
+        raise MalformedFrameError(
+            "a message of the leader's channel is not msgpack; "
+            "run the same release on every host"
+        ) from error
+
+
 class ProxyChannel:
     """A control host's side: it sends only while the host leads.
 
