quotas: refuse a report with another number of recent counts

Cause: AccountUsage.recent took any number of counts. A report of a release with other times raised ValueError or IndexError in the leader, after its number was noted, and ended the connection with a traceback, unnamed. Change: the type has three counts; the bytes are the same. Others raise MalformedFrameError, which the control host logs as peer-refused.

--- a/tests/unit/test_account_limits.py
+++ b/tests/unit/test_account_limits.py
@@ -25,7 +25,7 @@
     UsageReport,
     UsageRequest,
 )
-from verbenanotch.wire import decode
+from verbenanotch.wire import MalformedFrameError, decode, encode
 
 HOSTS = 10
 RATE = 10.0
@@ -288,6 +288,18 @@
     ]
 
 
+@pytest.mark.parametrize("recent", [(), (1,), (1, 1), (1, 1, 1, 1)])
+def test_a_report_with_other_times_is_malformed(recent):
+    """Any other error would end the control host's connection unnamed."""
+    report = make_report(1, 5, 5)
+    values = msgpack.unpackb(encode(report))
+    assert decode(values) == report
+    _, _, (_, _, (usage,)) = values
+    usage[-1] = recent
+    with pytest.raises(MalformedFrameError):
+        decode(values)
+
+
 class LoopbackControl:
     """Connects a ProxyChannel and a LeaderChannel in one process."""
 
--- a/verbenanotch/quotas/_messages.py
+++ b/verbenanotch/quotas/_messages.py
@@ -63,7 +63,7 @@
     name: str
     asked: int
     admitted: int
-    recent: tuple[int, ...]
+    recent: tuple[int, int, int]
 
 
 @message(703)
