quotas: charge a paused leader's account with what ran at its end

Cause: a leader that was paused adds the rate of the whole pause to an account's level, and what proxies admitted meanwhile is subtracted from the sum. Besides, usage was known over 5, 2 and 1 s only. Ruled out: forgetting all ledgers on return. Reports that wait in the sockets would then be charged as new usage. Change: the level on return is at most what a new leader would take. Recent usage is known over 5, 4.5, ... 0.5 s: the error is a tenth of the window. Replaced: the tests' reports have ten counts instead of three.

--- a/tests/unit/test_account_limit_schedules.py
+++ b/tests/unit/test_account_limit_schedules.py
@@ -151,6 +151,32 @@
     assert admitted_part(replay, others) > MIN_ADMITTED
 
 
+@accounts
+@pytest.mark.parametrize("resumed_at", [17.8, 18.4, 19.0])
+def test_a_paused_leader_resumes_in_a_surge(replay, account, resumed_at):
+    """The account was idle in the pause until its surge began."""
+    usual = replay.usual
+
+    def demand(name, now):
+        if name != account or now < 10.0:
+            return usual[name]
+        return SURGE * usual[name] if now > 17.0 else 0.0
+
+    replay.demand = demand
+    paused = replay.ledger
+
+    def pause():
+        replay.ledger = None
+
+    def resume():
+        replay.ledger = paused
+
+    replay.at(9.0, pause)
+    replay.at(resumed_at, resume)
+    replay.run(26.0)
+    assert_within_limits(replay)
+
+
 @accounts
 def test_a_zone_is_cut_off_in_a_surge(replay, account):
     add_surge(replay, account)
--- a/tests/unit/test_account_limits.py
+++ b/tests/unit/test_account_limits.py
@@ -25,6 +25,7 @@
     UsageReport,
     UsageRequest,
 )
+from verbenanotch.quotas._window import RECENT_SECONDS
 from verbenanotch.wire import MalformedFrameError, decode, encode
 
 HOSTS = 10
@@ -65,7 +66,10 @@
 
 def make_report(number, asked, admitted, incarnation=1, recent=0):
     usage = AccountUsage(
-        name="a", asked=asked, admitted=admitted, recent=(recent,) * 3
+        name="a",
+        asked=asked,
+        admitted=admitted,
+        recent=(recent,) * len(RECENT_SECONDS),
     )
     return UsageReport(
         incarnation=incarnation, number=number, accounts=(usage,)
@@ -175,7 +179,7 @@
 def test_reports_stop_once_the_usage_is_old(limits):
     limits.receive(make_update(), 0.0)
     assert limits.admit("a", 0.0) is None
-    assert limits.report(0.1).accounts[0].recent == (1, 1, 1)
+    assert limits.report(0.1).accounts[0].recent == (1,) * 10
     assert limits.report(0.2) is None
     assert limits.report(1.2).accounts == ()
     assert limits.report(6.0) is None
@@ -288,7 +292,7 @@
     ]
 
 
-@pytest.mark.parametrize("recent", [(), (1,), (1, 1), (1, 1, 1, 1)])
+@pytest.mark.parametrize("recent", [(), (1,), (1,) * 9, (1,) * 11])
 def test_a_report_with_other_times_is_malformed(recent):
     """Any other error would end the control host's connection unnamed."""
     report = make_report(1, 5, 5)
--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -45,7 +45,7 @@
     incarnation: int
     asked: int
     admitted: int
-    recent: int
+    recent: tuple[int, ...]
     reported_at: float
     reserved: float = 0.0
     reserved_until: float = 0.0
@@ -54,7 +54,7 @@
         """Return the rate in the window before the host's last report."""
         idle_seconds = host_reported_at - self.reported_at
         part = max(0.0, 1 - idle_seconds / WINDOW_SECONDS)
-        return self.recent * part / WINDOW_SECONDS
+        return self.recent[0] * part / WINDOW_SECONDS
 
 
 class _Ledger:
@@ -90,7 +90,7 @@
             incarnation=incarnation,
             asked=usage.asked,
             admitted=usage.admitted,
-            recent=usage.recent[0],
+            recent=usage.recent,
             reported_at=now,
             reserved_until=now,
         )
@@ -101,7 +101,9 @@
         As demand it counts when it was asked for: all at once, it would look
         like a surge.
         """
-        _, two_seconds, one_second = recent
+        recent_by_seconds = dict(zip(RECENT_SECONDS, recent, strict=True))
+        one_second = recent_by_seconds[1.0]
+        two_seconds = recent_by_seconds[2.0]
         if self.level is None:
             for index, count in enumerate(recent):
                 self.early[index] += count
@@ -130,23 +132,29 @@
             highest = min(highest, likely / seconds)
         return min(highest, asked / seconds)
 
-    def refill(self, limit, seconds, reserve):
+    def refill(self, limit, seconds, reserve, now):
         """Add the rate of some time, less a reserve and what was charged."""
         if self.level is None:
-            # The bucket was full at most before each of the times.
-            self.level = min(
-                limit.burst + limit.rate * recent_seconds - count
-                for recent_seconds, count in zip(
-                    RECENT_SECONDS, self.early, strict=True
-                )
-            )
+            self.level = _highest_level(limit, self.early)
             seconds = 0.0
         level = self.level + limit.rate * seconds - reserve - self.charged
         self.charged = 0.0
+        if seconds > PAUSE_SECONDS:
+            # The bucket may have been full in the pause, and used after it.
+            level = min(level, _highest_level(limit, self._recent(now)))
         # Debt that is older than the window need not be repaid.
         lowest = -limit.rate * WINDOW_SECONDS
         self.level = min(limit.burst, max(lowest, level))
 
+    def _recent(self, now):
+        """Return what all hosts admitted in each of RECENT_SECONDS."""
+        reported = [
+            usage.recent
+            for usage in self.usages_by_host.values()
+            if now - usage.reported_at <= LOST_SECONDS
+        ]
+        return [sum(counts) for counts in zip(*reported, strict=True)]
+
     def decide(self, limit, reserve_rate, now):
         """Return the fraction to admit, so that the level lasts.
 
@@ -275,7 +283,7 @@
             reserve, reserve_rate = self._reserve(
                 ledger, lost, limit.rate / max(1, self._host_count), now
             )
-            ledger.refill(limit, seconds, reserve)
+            ledger.refill(limit, seconds, reserve, now)
             fraction = ledger.decide(limit, min(limit.rate, reserve_rate), now)
             ledger.fraction = fraction
             if fraction < 1:
@@ -334,6 +342,20 @@
         return self.table()
 
 
+def _highest_level(limit, recent):
+    """Return the level of a bucket that was full before some usage.
+
+    `recent` has the usage in each of RECENT_SECONDS, or is empty without any.
+    """
+    return min(
+        (
+            limit.burst + limit.rate * seconds - count
+            for seconds, count in zip(RECENT_SECONDS, recent, strict=False)
+        ),
+        default=limit.burst,
+    )
+
+
 def _differs(table, other):
     """Return whether two tables differ by more than MIN_CHANGE."""
     if [item.name for item in table] != [item.name for item in other]:
--- a/verbenanotch/quotas/_messages.py
+++ b/verbenanotch/quotas/_messages.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from verbenanotch.quotas._window import RECENT_SECONDS
 from verbenanotch.wire import message
 
 # Fractions are sent as whole millionths.
@@ -63,7 +64,7 @@
     name: str
     asked: int
     admitted: int
-    recent: tuple[int, int, int]
+    recent: tuple[(int,) * len(RECENT_SECONDS)]
 
 
 @message(703)
--- a/verbenanotch/quotas/_window.py
+++ b/verbenanotch/quotas/_window.py
@@ -1,13 +1,17 @@
 """Counts over a sliding window."""
 
 import collections
+import math
 
 # Bursts are bounded over any window of this length.
 WINDOW_SECONDS = 5.0
-# Usage before the first report is known over these times: a short one shows a
-# surge that the whole window hides.
-RECENT_SECONDS = (WINDOW_SECONDS, 2.0, 1.0)
 SLOT_SECONDS = 0.25
+# Usage before the first report is known over these times: a short one shows a
+# surge that the whole window hides. A surge that began between two of them
+# may exceed the limit by the rate of their difference, a tenth of the window.
+RECENT_SECONDS = tuple(
+    WINDOW_SECONDS * tenths / 10 for tenths in range(10, 0, -1)
+)
 
 
 class SlidingCount:
@@ -36,17 +40,18 @@
 
     def totals(self, now):
         """Return the number of events in each of `RECENT_SECONDS`."""
-        whole = self.total(now)
-        return (
-            whole,
-            *(self._count_since(now - s) for s in RECENT_SECONDS[1:]),
-        )
-
-    def _count_since(self, time):
-        first = int(time / SLOT_SECONDS)
-        return max(
-            0, sum(count for slot, count in self._slots if slot >= first)
-        )
+        self.total(now)
+        remaining = self._total
+        slots = iter(self._slots)
+        slot, count = next(slots, (math.inf, 0))
+        totals = []
+        for seconds in RECENT_SECONDS:
+            first = int((now - seconds) / SLOT_SECONDS)
+            while slot < first:
+                remaining -= count
+                slot, count = next(slots, (math.inf, 0))
+            totals.append(max(0, remaining))
+        return tuple(totals)
 
     def seconds_until_below(self, count, now):
         """Return the time until fewer than `count` events remain."""
