quotas: take a refund off the slot of its admission

Cause: a refund counted -1 at the time of the refund. A request that waited for 4.6 s and did not run was taken off the window once by the refund, and once more when its admission left the window: 85 requests ran in 1 s at a proxy with a share of 60 and no leader. Change: refund() takes the time of the admission. A request that was admitted before the window is not refunded; its token was refilled meanwhile. Ruled out: a bound of the sum at zero, which hides it only for an idle account. Measured: with the old meaning of refund the new test saw 85 of 60, the other two failed on the time; test_account_limits.py and test_account_entry.py: 62 passed.

--- a/tests/unit/test_account_limits.py
+++ b/tests/unit/test_account_limits.py
@@ -164,6 +164,27 @@
     assert limits.report(0.0).accounts[0].admitted == 1
 
 
+def test_a_late_refund_leaves_no_room_for_two(limits, accounts):
+    """Requests that wait for 4.6 s and don't run, without a leader."""
+    accounts["a"] = ClientAccount(rate=100.0, burst=100.0)
+    share = 100.0 * 6 / HOSTS
+    waiting = admit_many(limits, 40, 0.26, 0.2)
+    assert waiting == 40
+    for _ in range(waiting):
+        limits.refund("a", 0.3)
+    admitted = admit_many(limits, 200, 4.9, 0.05)
+    admitted += admit_many(limits, 200, 5.8, 0.05)
+    assert share / 2 < admitted <= share
+
+
+def test_a_refund_after_the_window_has_no_effect(limits):
+    limits.receive(make_update(), 0.0)
+    assert limits.admit("a", 0.0) is None
+    limits.report(6.0)
+    limits.refund("a", 0.0)
+    assert limits.report(6.0) is None
+
+
 def test_retry_after_is_longer_where_less_is_admitted(limits):
     waits = []
     for number, ppm in enumerate((900_000, 500_000, 100_000)):
@@ -453,16 +474,20 @@
         """Admit all requests, or refuse them with `refusal`."""
         self.refusal = refusal
         self.admitted = []
+        self.admitted_at = []
         self.refunded = []
+        self.refunded_at = []
 
     def admit(self, account, now):
         """Return the set answer."""
         self.admitted.append(account)
+        self.admitted_at.append(now)
         return self.refusal
 
-    def refund(self, account, now):
+    def refund(self, account, admitted_at):
         """Record a refund."""
         self.refunded.append(account)
+        self.refunded_at.append(admitted_at)
 
 
 @pytest.fixture
@@ -496,6 +521,7 @@
     account_entry.peers.outcomes = [NotRun(reason="overloaded"), ANSWER]
     account_entry.send_request()
     assert limits.refunded == ["a"]
+    assert limits.refunded_at == limits.admitted_at
     account_entry.peers.outcomes = [ANSWER]
     account_entry.send_request()
     assert limits.refunded == ["a"]
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -203,7 +203,8 @@
         account = request.account
         if not account or self._account_limits is None:
             return self._dispatcher.run(request, cancellation=cancellation)
-        limited = self._account_limits.admit(account, time.monotonic())
+        admitted_at = time.monotonic()
+        limited = self._account_limits.admit(account, admitted_at)
         if limited is not None:
             return NotRun(
                 reason=reasons.ACCOUNT_LIMITED,
@@ -212,7 +213,7 @@
             )
         outcome = self._dispatcher.run(request, cancellation=cancellation)
         if isinstance(outcome, NotRun):
-            self._account_limits.refund(account, time.monotonic())
+            self._account_limits.refund(account, admitted_at)
         return outcome
 
     def _record(self, environ, request_id, outcome, started, traced):
--- a/verbenanotch/quotas/_account_limits.py
+++ b/verbenanotch/quotas/_account_limits.py
@@ -73,11 +73,18 @@
         self._refilled_at = now
         return self._level
 
-    def count(self, now, count):
-        """Count admitted requests; a negative count takes them back."""
-        self.admitted += count
-        self.recent.add(now, count)
-        self._level -= count
+    def count(self, now):
+        """Count an admitted request."""
+        self.admitted += 1
+        self.recent.add(now)
+        self._level -= 1
+
+    def take_back(self, admitted_at):
+        """Take back a request, unless it was admitted before the window."""
+        if self.recent.take_back(admitted_at):
+            self.admitted -= 1
+            self._level += 1
+            self.credit = min(1.0, self.credit + 1)
 
 
 class _SilentShare:
@@ -151,15 +158,17 @@
         usage.asked += 1
         refusal = self._refusal(account, limit, usage, now)
         if refusal is None:
-            usage.count(now, 1)
+            usage.count(now)
         return refusal
 
-    def refund(self, account, now):
-        """Take back an admitted request that did not run after all."""
+    def refund(self, account, admitted_at):
+        """Take back a request that did not run after all.
+
+        `admitted_at` is the time that `admit` had.
+        """
         usage = self._usages_by_account.get(account)
         if usage is not None:
-            usage.count(now, -1)
-            usage.credit = min(1.0, usage.credit + 1)
+            usage.take_back(admitted_at)
 
     def receive(self, message, now):
         """Apply a LimitUpdate or LimitHeartbeat of the leader.
--- a/verbenanotch/quotas/_proxy.py
+++ b/verbenanotch/quotas/_proxy.py
@@ -78,9 +78,12 @@
             )
         return limited
 
-    def refund(self, account, now):
-        """Take back an admitted request that did not run after all."""
-        self._limits.refund(account, now)
+    def refund(self, account, admitted_at):
+        """Take back a request that did not run after all.
+
+        `admitted_at` is the time that `admit` had.
+        """
+        self._limits.refund(account, admitted_at)
 
     def report(self):
         """Report changed usage to the leader, if there is any."""
--- a/verbenanotch/quotas/_window.py
+++ b/verbenanotch/quotas/_window.py
@@ -22,21 +22,34 @@
         self._slots = collections.deque()
         self._total = 0
 
-    def add(self, now, count=1):
-        """Count events; a negative count takes back earlier ones."""
+    def add(self, now):
+        """Count an event."""
         slot = int(now / SLOT_SECONDS)
         if self._slots and self._slots[-1][0] == slot:
-            self._slots[-1][1] += count
+            self._slots[-1][1] += 1
         else:
-            self._slots.append([slot, count])
-        self._total += count
+            self._slots.append([slot, 1])
+        self._total += 1
+
+    def take_back(self, time):
+        """Uncount an event; return False if it is not in the window.
+
+        Uncounted now, it would be taken off once more when it leaves.
+        """
+        slot = int(time / SLOT_SECONDS)
+        for item in self._slots:
+            if item[0] == slot and item[1]:
+                item[1] -= 1
+                self._total -= 1
+                return True
+        return False
 
     def total(self, now):
         """Return the number of events in the window."""
         first = int((now - WINDOW_SECONDS) / SLOT_SECONDS)
         while self._slots and self._slots[0][0] < first:
             self._total -= self._slots.popleft()[1]
-        return max(0, self._total)
+        return self._total
 
     def totals(self, now):
         """Return the number of events in each of `RECENT_SECONDS`."""
@@ -50,7 +63,7 @@
             while slot < first:
                 remaining -= count
                 slot, count = next(slots, (math.inf, 0))
-            totals.append(max(0, remaining))
+            totals.append(remaining)
         return tuple(totals)
 
     def seconds_until_below(self, count, now):
