quotas: without a leader, allow 8 requests more, not twice a limit

Cause: for 3 s without a leader, proxies admitted one request of an account at as many proxies as twice its limit has requests. Change: the limit and 8 requests are given out.

--- a/tests/unit/test_account_limits.py
+++ b/tests/unit/test_account_limits.py
@@ -146,6 +146,23 @@
     assert whole / 2 < admitted <= whole
 
 
+def test_many_proxies_without_a_leader_keep_to_a_limit_of_few_requests():
+    """Each of 1000 proxies is asked; the limit has 600 in a window."""
+    accounts = {"a": ClientAccount(rate=100.0, burst=100.0)}
+    generator = random.Random(1)
+    admitted = 0
+    for _ in range(1000):
+        limits = AccountLimits(
+            limits=lambda: accounts,
+            host_count=lambda: 1000,
+            incarnation=1,
+            random=generator,
+        )
+        limits.receive(make_update(), 0.0)
+        admitted += admit_many(limits, 10, 1.0, 1.0)
+    assert 500 <= admitted <= 600 * 1.1 + 20
+
+
 def test_a_lowered_limit_applies_at_once_without_a_leader(limits, accounts):
     limits.receive(make_update(), 0.0)
     admit_many(limits, 10, 0.0, 0.4)
--- a/verbenanotch/quotas/_account_limits.py
+++ b/verbenanotch/quotas/_account_limits.py
@@ -14,9 +14,10 @@
 # A decision of the leader holds for this long.
 LEASE_SECONDS = 0.4
 # For this long without a leader, proxies admit at least one request of an
-# account in a window, as many of them as its limit counts this many times.
+# account in a window: as many of them as its limit has requests, and a number
+# that does not grow with the limit, as the users' slack does not.
 ALLOWANCE_SECONDS = 3.0
-ALLOWED_PARTS = 2.0
+ALLOWED_REQUESTS = 8
 # With usage in the last window, a report is sent this often even if nothing
 # has changed, so that the leader can tell a lost proxy from an idle one.
 KEEPALIVE_SECONDS = 1.0
@@ -114,7 +115,8 @@
         repeated = self._repeated * min(1.0, limit.rate / self._rate)
         part = repeated + EQUAL_PART_WEIGHT * (equal_part - repeated)
         requests = math.floor(max(repeated, part + self._rounding))
-        if has_allowance and ALLOWED_PARTS * equal_part + self._rounding >= 1:
+        allowed_part = (whole + ALLOWED_REQUESTS) / host_count
+        if has_allowance and allowed_part + self._rounding >= 1:
             return max(1, requests)
         return requests
 
