--- a/tests/support/limits_replay.py
+++ b/tests/support/limits_replay.py
@@ -41,10 +41,10 @@
     `place(account, now, random)` the index of the proxy of one of them.
     """
 
-    def __init__(self, seed, *, demand=None, place=None, lost=0.0):
+    def __init__(self, seed, *, usual=None, demand=None, place=None, lost=0.0):
         """Start with a leader and with the limits above the usual demand."""
         self.random = random.Random(seed)
-        self.usual = usual_demand_by_account()
+        self.usual = usual or usual_demand_by_account()
         self.limits = {
             name: ClientAccount(rate=size * HEADROOM, burst=size * HEADROOM)
             for name, size in self.usual.items()
--- a/tests/unit/test_account_limit_schedules.py
+++ b/tests/unit/test_account_limit_schedules.py
@@ -8,6 +8,7 @@
 
 from tests.support.limits_replay import (
     HEADROOM,
+    LARGEST,
     PROXIES,
     ZONES,
     LimitsReplay,
@@ -25,6 +26,7 @@
 SURGE_START, SURGE_SECONDS = 10.0, 6.5
 END = 22.0
 LARGE, MIDDLE, SMALL = "account-1", "account-10", "account-75"
+RANKS = (25, 30, 35, 40, 45, 50, 55, 60, 68, 75, 85, 110)
 ZONE = frozenset(range(0, PROXIES, ZONES))
 
 accounts = pytest.mark.parametrize("account", [LARGE, MIDDLE, SMALL])
@@ -274,3 +276,19 @@
     replay.at(time, replay.lose_leader)
     replay.run(END)
     assert_within_limits(replay)
+
+
+@pytest.mark.parametrize("seed", [231, 303])
+def test_many_accounts_surge_as_the_leader_is_lost(seed):
+    """The leader has not yet noticed the surges that began 0.5 s before."""
+    usual = {f"account-{rank}": LARGEST / rank for rank in RANKS}
+    replay = LimitsReplay(seed, usual=usual)
+
+    def demand(name, now):
+        in_surge = 0 <= now - SURGE_START < SURGE_SECONDS
+        return usual[name] * (SURGE if in_surge else 1)
+
+    replay.demand = demand
+    replay.at(10.5, replay.lose_leader)
+    replay.run(18.0)
+    assert_within_limits(replay)
