--- a/tests/unit/test_account_limits.py
+++ b/tests/unit/test_account_limits.py
@@ -4,6 +4,7 @@
 
 import attrs
 import eventlet
+import msgpack
 import pytest
 
 from tests.unit.test_proxy_entry import ANSWER, entry  # noqa: F401
@@ -24,6 +25,8 @@
     UsageReport,
     UsageRequest,
 )
+from verbenanotch.quotas._window import RECENT_SECONDS
+from verbenanotch.wire import MalformedFrameError, decode, encode
 
 HOSTS = 10
 RATE = 10.0
@@ -63,7 +66,10 @@
 
 def make_report(number, asked, admitted, incarnation=1, recent=0):
     usage = AccountUsage(
-        name="a", asked=asked, admitted=admitted, recent=(recent,) * 3
+        name="a",
+        asked=asked,
+        admitted=admitted,
+        recent=(recent,) * len(RECENT_SECONDS),
     )
     return UsageReport(
         incarnation=incarnation, number=number, accounts=(usage,)
@@ -140,6 +146,23 @@
     assert whole / 2 < admitted <= whole
 
 
+def test_many_proxies_without_a_leader_keep_to_a_limit_of_few_requests():
+    """Each of 1000 proxies is asked; the limit has 600 in a window."""
+    accounts = {"a": ClientAccount(rate=100.0, burst=100.0)}
+    generator = random.Random(1)
+    admitted = 0
+    for _ in range(1000):
+        limits = AccountLimits(
+            limits=lambda: accounts,
+            host_count=lambda: 1000,
+            incarnation=1,
+            random=generator,
+        )
+        limits.receive(make_update(), 0.0)
+        admitted += admit_many(limits, 10, 1.0, 1.0)
+    assert 500 <= admitted <= 600 * 1.1 + 20
+
+
 def test_a_lowered_limit_applies_at_once_without_a_leader(limits, accounts):
     limits.receive(make_update(), 0.0)
     admit_many(limits, 10, 0.0, 0.4)
@@ -158,6 +181,27 @@
     assert limits.report(0.0).accounts[0].admitted == 1
 
 
+def test_a_late_refund_leaves_no_room_for_two(limits, accounts):
+    """Requests that wait for 4.6 s and don't run, without a leader."""
+    accounts["a"] = ClientAccount(rate=100.0, burst=100.0)
+    share = 100.0 * 6 / HOSTS
+    waiting = admit_many(limits, 40, 0.26, 0.2)
+    assert waiting == 40
+    for _ in range(waiting):
+        limits.refund("a", 0.3)
+    admitted = admit_many(limits, 200, 4.9, 0.05)
+    admitted += admit_many(limits, 200, 5.8, 0.05)
+    assert share / 2 < admitted <= share
+
+
+def test_a_refund_after_the_window_has_no_effect(limits):
+    limits.receive(make_update(), 0.0)
+    assert limits.admit("a", 0.0) is None
+    limits.report(6.0)
+    limits.refund("a", 0.0)
+    assert limits.report(6.0) is None
+
+
 def test_retry_after_is_longer_where_less_is_admitted(limits):
     waits = []
     for number, ppm in enumerate((900_000, 500_000, 100_000)):
@@ -173,7 +217,7 @@
 def test_reports_stop_once_the_usage_is_old(limits):
     limits.receive(make_update(), 0.0)
     assert limits.admit("a", 0.0) is None
-    assert limits.report(0.1).accounts[0].recent == (1, 1, 1)
+    assert limits.report(0.1).accounts[0].recent == (1,) * 10
     assert limits.report(0.2) is None
     assert limits.report(1.2).accounts == ()
     assert limits.report(6.0) is None
@@ -229,6 +273,32 @@
     assert ledger.limited[0].admitted_ppm == 0
 
 
+def test_an_account_that_was_removed_and_added_again_counts_anew(
+    ledger, accounts
+):
+    """A proxy that forgot the account reports lower counts than before."""
+    decide_until(ledger, accounts, 1.0)
+    ledger.observe("p1", make_report(1, 900, 5), 1.0)
+    decide_until(ledger, accounts, 4.0, start=1.0)
+    report = make_report(2, 200, 200, recent=200)
+    ledger.observe("p1", report, 4.0)
+    decide_until(ledger, accounts, 4.25, start=4.0)
+    assert ledger.limited[0].debt_ms == 5000
+
+
+def test_an_account_without_a_rate_meanwhile_has_no_debt(ledger, accounts):
+    """Its last debt may be from long before it has a rate again."""
+    decide_until(ledger, accounts, 1.0)
+    report = make_report(1, 900, 900, recent=900)
+    ledger.observe("p1", report, 1.0)
+    decide_until(ledger, accounts, 1.25, start=1.0)
+    assert ledger.limited
+    decide_until(ledger, {}, 11.25, start=1.25)
+    ledger.observe("p1", make_report(2, 20, 5, recent=5), 11.3)
+    decide_until(ledger, accounts, 11.5, start=11.25)
+    assert ledger.limited == ()
+
+
 def test_a_host_that_is_cut_off_has_a_reserve(ledger, accounts):
     limited = {"a": accounts["a"]}
     decide_until(ledger, accounts, 0.75)
@@ -260,6 +330,18 @@
     ]
 
 
+@pytest.mark.parametrize("recent", [(), (1,), (1,) * 9, (1,) * 11])
+def test_a_report_with_other_times_is_malformed(recent):
+    """Any other error would end the control host's connection unnamed."""
+    report = make_report(1, 5, 5)
+    values = msgpack.unpackb(encode(report))
+    assert decode(values) == report
+    _, _, (_, _, (usage,)) = values
+    usage[-1] = recent
+    with pytest.raises(MalformedFrameError):
+        decode(values)
+
+
 class LoopbackControl:
     """Connects a ProxyChannel and a LeaderChannel in one process."""
 
@@ -354,6 +436,54 @@
     assert len(loopback.messages) == 1
 
 
+def test_rates_that_were_removed_and_added_again_in_a_term_have_a_lease(
+    accounts,
+):
+    """The tables after it must not look older than those before."""
+    now = 0.0
+    loopback = LoopbackControl(None, LeaderChannel())
+    proxy_channel = ProxyChannel(leading_term=lambda: 1)
+    proxy_channel.connect("p1", loopback)
+    in_mesh = dict(accounts)
+    leader = LeaderLimits(
+        channel=proxy_channel,
+        accounts=lambda: in_mesh,
+        known_hosts=lambda: ("p1",),
+        monotonic=lambda: now,
+    )
+    limits = AccountLimits(
+        limits=lambda: in_mesh,
+        host_count=lambda: 1,
+        incarnation=1,
+        random=random.Random(1),
+    )
+
+    def play(seconds):
+        nonlocal now
+        for _ in range(int(seconds * 4)):
+            now += 0.25
+            for _ in range(20):
+                limits.admit("a", now)
+            report = limits.report(now)
+            if report is not None:
+                leader._observe("p1", report)
+            loopback.messages.clear()
+            leader.decide()
+            eventlet.sleep(0)
+            for sent in loopback.messages:
+                received = decode(msgpack.unpackb(sent.payload))
+                if not isinstance(received, UsageRequest):
+                    limits.receive(received, now)
+
+    play(5.0)
+    in_mesh.clear()
+    play(1.0)
+    assert not limits.has_lease(now)
+    in_mesh.update(accounts)
+    play(1.0)
+    assert limits.has_lease(now)
+
+
 class FakeAccountLimits:
     """Returns a set answer and records refunds."""
 
@@ -361,16 +491,20 @@
         """Admit all requests, or refuse them with `refusal`."""
         self.refusal = refusal
         self.admitted = []
+        self.admitted_at = []
         self.refunded = []
+        self.refunded_at = []
 
     def admit(self, account, now):
         """Return the set answer."""
         self.admitted.append(account)
+        self.admitted_at.append(now)
         return self.refusal
 
-    def refund(self, account, now):
+    def refund(self, account, admitted_at):
         """Record a refund."""
         self.refunded.append(account)
+        self.refunded_at.append(admitted_at)
 
 
 @pytest.fixture
@@ -404,6 +538,7 @@
     account_entry.peers.outcomes = [NotRun(reason="overloaded"), ANSWER]
     account_entry.send_request()
     assert limits.refunded == ["a"]
+    assert limits.refunded_at == limits.admitted_at
     account_entry.peers.outcomes = [ANSWER]
     account_entry.send_request()
     assert limits.refunded == ["a"]
--- a/verbenanotch/quotas/_account_limits.py
+++ b/verbenanotch/quotas/_account_limits.py
@@ -14,9 +14,10 @@
 # A decision of the leader holds for this long.
 LEASE_SECONDS = 0.4
 # For this long without a leader, proxies admit at least one request of an
-# account in a window, as many of them as its limit counts this many times.
+# account in a window: as many of them as its limit has requests, and a number
+# that does not grow with the limit, as the users' slack does not.
 ALLOWANCE_SECONDS = 3.0
-ALLOWED_PARTS = 2.0
+ALLOWED_REQUESTS = 8
 # With usage in the last window, a report is sent this often even if nothing
 # has changed, so that the leader can tell a lost proxy from an idle one.
 KEEPALIVE_SECONDS = 1.0
@@ -73,11 +74,18 @@
         self._refilled_at = now
         return self._level
 
-    def count(self, now, count):
-        """Count admitted requests; a negative count takes them back."""
-        self.admitted += count
-        self.recent.add(now, count)
-        self._level -= count
+    def count(self, now):
+        """Count an admitted request."""
+        self.admitted += 1
+        self.recent.add(now)
+        self._level -= 1
+
+    def take_back(self, admitted_at):
+        """Take back a request, unless it was admitted before the window."""
+        if self.recent.take_back(admitted_at):
+            self.admitted -= 1
+            self._level += 1
+            self.credit = min(1.0, self.credit + 1)
 
 
 class _SilentShare:
@@ -107,7 +115,8 @@
         repeated = self._repeated * min(1.0, limit.rate / self._rate)
         part = repeated + EQUAL_PART_WEIGHT * (equal_part - repeated)
         requests = math.floor(max(repeated, part + self._rounding))
-        if has_allowance and ALLOWED_PARTS * equal_part + self._rounding >= 1:
+        allowed_part = (whole + ALLOWED_REQUESTS) / host_count
+        if has_allowance and allowed_part + self._rounding >= 1:
             return max(1, requests)
         return requests
 
@@ -151,15 +160,17 @@
         usage.asked += 1
         refusal = self._refusal(account, limit, usage, now)
         if refusal is None:
-            usage.count(now, 1)
+            usage.count(now)
         return refusal
 
-    def refund(self, account, now):
-        """Take back an admitted request that did not run after all."""
+    def refund(self, account, admitted_at):
+        """Take back a request that did not run after all.
+
+        `admitted_at` is the time that `admit` had.
+        """
         usage = self._usages_by_account.get(account)
         if usage is not None:
-            usage.count(now, -1)
-            usage.credit = min(1.0, usage.credit + 1)
+            usage.take_back(admitted_at)
 
     def receive(self, message, now):
         """Apply a LimitUpdate or LimitHeartbeat of the leader.
--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -45,7 +45,7 @@
     incarnation: int
     asked: int
     admitted: int
-    recent: int
+    recent: tuple[int, ...]
     reported_at: float
     reserved: float = 0.0
     reserved_until: float = 0.0
@@ -54,7 +54,7 @@
         """Return the rate in the window before the host's last report."""
         idle_seconds = host_reported_at - self.reported_at
         part = max(0.0, 1 - idle_seconds / WINDOW_SECONDS)
-        return self.recent * part / WINDOW_SECONDS
+        return self.recent[0] * part / WINDOW_SECONDS
 
 
 class _Ledger:
@@ -71,7 +71,12 @@
     def observe(self, host, incarnation, usage, now):
         """Charge what a host has admitted since its last report."""
         known = self.usages_by_host.get(host)
-        if known is None or known.incarnation != incarnation:
+        if (
+            known is None
+            or known.incarnation != incarnation
+            # The account had no rate meanwhile, and its counts were dropped.
+            or usage.asked < known.asked
+        ):
             # What it admitted before the window is of no effect any more.
             asked, admitted, reserved = 0, 0, 0.0
             self._observe_recent(usage.recent, now)
@@ -85,7 +90,7 @@
             incarnation=incarnation,
             asked=usage.asked,
             admitted=usage.admitted,
-            recent=usage.recent[0],
+            recent=usage.recent,
             reported_at=now,
             reserved_until=now,
         )
@@ -96,7 +101,9 @@
         As demand it counts when it was asked for: all at once, it would look
         like a surge.
         """
-        _, two_seconds, one_second = recent
+        recent_by_seconds = dict(zip(RECENT_SECONDS, recent, strict=True))
+        one_second = recent_by_seconds[1.0]
+        two_seconds = recent_by_seconds[2.0]
         if self.level is None:
             for index, count in enumerate(recent):
                 self.early[index] += count
@@ -125,23 +132,29 @@
             highest = min(highest, likely / seconds)
         return min(highest, asked / seconds)
 
-    def refill(self, limit, seconds, reserve):
+    def refill(self, limit, seconds, reserve, now):
         """Add the rate of some time, less a reserve and what was charged."""
         if self.level is None:
-            # The bucket was full at most before each of the times.
-            self.level = min(
-                limit.burst + limit.rate * recent_seconds - count
-                for recent_seconds, count in zip(
-                    RECENT_SECONDS, self.early, strict=True
-                )
-            )
+            self.level = _highest_level(limit, self.early)
             seconds = 0.0
         level = self.level + limit.rate * seconds - reserve - self.charged
         self.charged = 0.0
+        if seconds > PAUSE_SECONDS:
+            # The bucket may have been full in the pause, and used after it.
+            level = min(level, _highest_level(limit, self._recent(now)))
         # Debt that is older than the window need not be repaid.
         lowest = -limit.rate * WINDOW_SECONDS
         self.level = min(limit.burst, max(lowest, level))
 
+    def _recent(self, now):
+        """Return what all hosts admitted in each of RECENT_SECONDS."""
+        reported = [
+            usage.recent
+            for usage in self.usages_by_host.values()
+            if now - usage.reported_at <= LOST_SECONDS
+        ]
+        return [sum(counts) for counts in zip(*reported, strict=True)]
+
     def decide(self, limit, reserve_rate, now):
         """Return the fraction to admit, so that the level lasts.
 
@@ -175,10 +188,14 @@
     on to admit on their own.
     """
 
-    def __init__(self, *, term, now):
-        """Start to listen; nothing is known of earlier terms."""
+    def __init__(self, *, term, now, number=0):
+        """Start to listen; nothing is known of earlier terms.
+
+        `number` must be above those of the term's earlier tables: proxies
+        ignore a table that is older than theirs.
+        """
         self._term = term
-        self._number = 0
+        self._number = number
         self._ledgers_by_account = {}
         self._reported_at_by_host = {}
         self._reports_by_host = {}
@@ -190,6 +207,11 @@
         self._table_sent_at = -math.inf
         self._forgot_at = now
 
+    @property
+    def number(self):
+        """The number of the last table."""
+        return self._number
+
     @property
     def limited(self):
         """The LimitedAccounts of the last decision."""
@@ -226,11 +248,14 @@
         self._decided_at = now
         if now < self._listens_until:
             return UsageRequest()
+        # An account without a rate has no debt once it has a rate again.
+        for name in self._ledgers_by_account.keys() - limits_by_account:
+            del self._ledgers_by_account[name]
         lost = self._lost_hosts(known_hosts, connected_hosts, now)
         self._host_count = max(len(known_hosts), len(connected_hosts))
         table = self._decide_accounts(limits_by_account, lost, now)
         self._refilled_at = now
-        self._forget(limits_by_account, known_hosts, now)
+        self._forget(known_hosts, now)
         return self._message(table, now)
 
     def _lost_hosts(self, known_hosts, connected_hosts, now):
@@ -254,13 +279,11 @@
         seconds = now - self._refilled_at
         table = []
         for name, ledger in self._ledgers_by_account.items():
-            limit = limits_by_account.get(name)
-            if limit is None:
-                continue
+            limit = limits_by_account[name]
             reserve, reserve_rate = self._reserve(
                 ledger, lost, limit.rate / max(1, self._host_count), now
             )
-            ledger.refill(limit, seconds, reserve)
+            ledger.refill(limit, seconds, reserve, now)
             fraction = ledger.decide(limit, min(limit.rate, reserve_rate), now)
             ledger.fraction = fraction
             if fraction < 1:
@@ -295,12 +318,12 @@
             reserve_rate += rate
         return reserve, reserve_rate
 
-    def _forget(self, limits_by_account, known_hosts, now):
+    def _forget(self, known_hosts, now):
         if now - self._forgot_at < FORGET_SECONDS:
             return
         self._forgot_at = now
         for name, ledger in tuple(self._ledgers_by_account.items()):
-            if ledger.forget(now) or name not in limits_by_account:
+            if ledger.forget(now):
                 del self._ledgers_by_account[name]
         known = set(known_hosts)
         for host, reported_at in tuple(self._reported_at_by_host.items()):
@@ -319,6 +342,20 @@
         return self.table()
 
 
+def _highest_level(limit, recent):
+    """Return the level of a bucket that was full before some usage.
+
+    `recent` has the usage in each of RECENT_SECONDS, or is empty without any.
+    """
+    return min(
+        (
+            limit.burst + limit.rate * seconds - count
+            for seconds, count in zip(RECENT_SECONDS, recent, strict=False)
+        ),
+        default=limit.burst,
+    )
+
+
 def _differs(table, other):
     """Return whether two tables differ by more than MIN_CHANGE."""
     if [item.name for item in table] != [item.name for item in other]:
--- a/verbenanotch/quotas/_window.py
+++ b/verbenanotch/quotas/_window.py
@@ -1,13 +1,17 @@
 """Counts over a sliding window."""
 
 import collections
+import math
 
 # Bursts are bounded over any window of this length.
 WINDOW_SECONDS = 5.0
-# Usage before the first report is known over these times: a short one shows a
-# surge that the whole window hides.
-RECENT_SECONDS = (WINDOW_SECONDS, 2.0, 1.0)
 SLOT_SECONDS = 0.25
+# Usage before the first report is known over these times: a short one shows a
+# surge that the whole window hides. A surge that began between two of them
+# may exceed the limit by the rate of their difference, a tenth of the window.
+RECENT_SECONDS = tuple(
+    WINDOW_SECONDS * tenths / 10 for tenths in range(10, 0, -1)
+)
 
 
 class SlidingCount:
@@ -18,35 +22,49 @@
         self._slots = collections.deque()
         self._total = 0
 
-    def add(self, now, count=1):
-        """Count events; a negative count takes back earlier ones."""
+    def add(self, now):
+        """Count an event."""
         slot = int(now / SLOT_SECONDS)
         if self._slots and self._slots[-1][0] == slot:
-            self._slots[-1][1] += count
+            self._slots[-1][1] += 1
         else:
-            self._slots.append([slot, count])
-        self._total += count
+            self._slots.append([slot, 1])
+        self._total += 1
+
+    def take_back(self, time):
+        """Uncount an event; return False if it is not in the window.
+
+        Uncounted now, it would be taken off once more when it leaves.
+        """
+        slot = int(time / SLOT_SECONDS)
+        for item in self._slots:
+            if item[0] == slot and item[1]:
+                item[1] -= 1
+                self._total -= 1
+                return True
+        return False
 
     def total(self, now):
         """Return the number of events in the window."""
         first = int((now - WINDOW_SECONDS) / SLOT_SECONDS)
         while self._slots and self._slots[0][0] < first:
             self._total -= self._slots.popleft()[1]
-        return max(0, self._total)
+        return self._total
 
     def totals(self, now):
         """Return the number of events in each of `RECENT_SECONDS`."""
-        whole = self.total(now)
-        return (
-            whole,
-            *(self._count_since(now - s) for s in RECENT_SECONDS[1:]),
-        )
-
-    def _count_since(self, time):
-        first = int(time / SLOT_SECONDS)
-        return max(
-            0, sum(count for slot, count in self._slots if slot >= first)
-        )
+        self.total(now)
+        remaining = self._total
+        slots = iter(self._slots)
+        slot, count = next(slots, (math.inf, 0))
+        totals = []
+        for seconds in RECENT_SECONDS:
+            first = int((now - seconds) / SLOT_SECONDS)
+            while slot < first:
+                remaining -= count
+                slot, count = next(slots, (math.inf, 0))
+            totals.append(remaining)
+        return tuple(totals)
 
     def seconds_until_below(self, count, now):
         """Return the time until fewer than `count` events remain."""
