proxy, routing: count all large answers of a host on its link

Answers to callers of the same host left over the link unpaced (a third of it in the burst), and calls were admitted by the answers that were ready, not by those that targets were making.

Ruled out: a lack of slots at the reports' targets (348 of 3,366 calls found them full), and processor time (0.10 cores at most of 0.43).

Change: the answers to callers take their turns as well, and answers in the making count when a further call is admitted.

--- a/tests/unit/test_large_answers.py
+++ b/tests/unit/test_large_answers.py
@@ -98,11 +98,8 @@
         step = choices.expovariate(rate)
         now += step
         if pacer_in_use:
-            if pacer.arrives_in_time(
-                REPORT_BYTES,
-                ready_at=now,
-                deadline=now + DEADLINE_SECONDS,
-                now=now,
+            if pacer.is_ready_in_time(
+                REPORT_BYTES, deadline=now + DEADLINE_SECONDS, now=now
             ):
                 pacer.reserve(REPORT_BYTES, now)
                 in_time += 1
@@ -154,15 +151,15 @@
     body = b"x" * REPORT_BYTES
     answers.observe(call, Answered(status=200, headers=(), body=body))
     deadline = clock.now + 0.3
-    assert answers.refusal(call, deadline) is None
+    assert refusal_of(answers, call, deadline) is None
     _send(answers, RecordingConnection(), body, clock, advance=False)
     _send(answers, RecordingConnection(), body, clock, advance=False)
-    refusal = answers.refusal(call, deadline)
+    refusal = refusal_of(answers, call, deadline)
     assert isinstance(refusal, NotRun)
     assert refusal.reason == "link-full"
     # By then the link is free again.
     clock.now += refusal.retry_after_ms / 1000
-    assert answers.refusal(call, clock.now + 0.3) is None
+    assert refusal_of(answers, call, clock.now + 0.3) is None
 
 
 @pytest.mark.parametrize("remaining_seconds", [0.001, 1.0, 60.0])
@@ -175,7 +172,7 @@
     body = b"x" * 60_000_000
     call = make_call()
     answers.observe(call, Answered(status=200, headers=(), body=body))
-    assert answers.refusal(call, clock.now + remaining_seconds) is None
+    assert refusal_of(answers, call, clock.now + remaining_seconds) is None
 
 
 def test_an_answer_is_sent_on_an_idle_link_even_if_it_may_be_late(clock):
@@ -194,7 +191,7 @@
     body = b"x" * REPORT_BYTES
     for _ in range(50):
         _send(answers, RecordingConnection(), body, clock, advance=False)
-    assert answers.refusal(make_call(), clock.now + 0.001) is None
+    assert refusal_of(answers, make_call(), clock.now + 0.001) is None
 
 
 def test_a_large_answer_is_sent_whole_in_short_frames(clock):
@@ -220,7 +217,7 @@
         assert len(connection.frames) == 3
     assert clock.now == before
     assert answers.inline_bytes(body) == CHUNK_BYTES
-    assert answers.refusal(make_call(), clock.now) is None
+    assert refusal_of(answers, make_call(), clock.now) is None
 
 
 def test_an_answer_after_its_deadline_is_not_sent(clock):
@@ -247,6 +244,50 @@
         clock.now = before
 
 
+def refusal_of(answers, call, deadline):
+    """Return NotRun if a call's answer could not be sent in time."""
+    return answers.refusal(answers.expected_bytes(call), deadline)
+
+
+def test_answers_that_are_being_made_occupy_the_link(clock):
+    """Load: more calls run than the link has room for their answers."""
+    answers = LargeAnswers(link_mbps=LINK_MBPS)
+    call = make_call()
+    body = b"x" * REPORT_BYTES
+    answers.observe(call, Answered(status=200, headers=(), body=body))
+    size = answers.expected_bytes(call)
+    deadline = clock.now + 0.3
+    with answers.expecting(size), answers.expecting(size):
+        assert refusal_of(answers, call, deadline).reason == "link-full"
+    assert refusal_of(answers, call, deadline) is None
+
+
+def test_answers_to_callers_take_their_turn_on_the_link(clock):
+    """Load: callers and other proxies ask a host's targets for reports."""
+    answers = LargeAnswers(link_mbps=LINK_MBPS)
+    body = b"x" * REPORT_BYTES
+    _send(answers, RecordingConnection(), body, clock, advance=False)
+    before = clock.now
+    outcome = Answered(status=200, headers=(), body=body)
+    answers.wait_for_caller(outcome, before + 10.0)
+    seconds = LinkPacer(link_mbps=LINK_MBPS).seconds_for(REPORT_BYTES)
+    assert clock.now - before == pytest.approx(seconds)
+    small = Answered(status=200, headers=(), body=b"x" * CHUNK_BYTES)
+    answers.wait_for_caller(small, before + 10.0)
+    assert clock.now - before == pytest.approx(seconds)
+
+
+def test_an_answer_to_a_caller_whose_turn_is_too_late_is_not_held(clock):
+    answers = LargeAnswers(link_mbps=LINK_MBPS)
+    body = b"x" * REPORT_BYTES
+    for _ in range(40):
+        _send(answers, RecordingConnection(), body, clock, advance=False)
+    before = clock.now
+    outcome = Answered(status=200, headers=(), body=body)
+    answers.wait_for_caller(outcome, before + 0.5)
+    assert clock.now == before
+
+
 ZONES = ("z1", "z1", "z2")
 
 
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -28,6 +28,7 @@
     Dispatcher,
     EntryInterface,
     KeyedRequests,
+    LargeAnswers,
     LeaseMonitor,
     LocalTargets,
     OutcomeReporter,
@@ -113,13 +114,14 @@
             snapshot_store=self._snapshot_store,
             lease_monitor=lease_monitor,
         )
+        self._large_answers = LargeAnswers(link_mbps=proxy.link_mbps)
         self._peer_server = PeerServer(
             local_targets=self._local_targets,
             record_server=self._record_server,
             guard=self._crash_guard,
             max_body_bytes=proxy.max_body_bytes,
             max_in_flight=proxy.max_in_flight,
-            link_mbps=proxy.link_mbps,
+            large_answers=self._large_answers,
         )
         self._disconnect_monitor = DisconnectMonitor()
         self._listener = Listener(
@@ -304,6 +306,7 @@
                 settings=settings, freshness=self._freshness
             ),
             account_limits=self._account_limits,
+            large_answers=self._large_answers,
         )
 
     def _is_version_rejected(self, record):
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -15,6 +15,7 @@
     EntryInterface,
 )
 from verbenanotch.proxy._keyed_requests import KeyedRequests
+from verbenanotch.proxy._large_answers import LargeAnswers
 from verbenanotch.proxy._lease_monitor import LeaseMonitor
 from verbenanotch.proxy._local_targets import LocalTargets
 from verbenanotch.proxy._peer_pool import PeerPool
@@ -34,6 +35,7 @@
     "Dispatcher",
     "EntryInterface",
     "KeyedRequests",
+    "LargeAnswers",
     "LeaseMonitor",
     "LocalTargets",
     "OutcomeReporter",
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -45,11 +45,13 @@
         caller_service=lambda: "",
         account_gate=None,
         account_limits=None,
+        large_answers=None,
     ):
         """Route requests by the active snapshot of `snapshot_store`.
 
         `keyed` is the KeyedRequests that runs requests with a key.
         `account_limits` admits the requests of client accounts.
+        `large_answers` is the LargeAnswers of this host.
         `caller_service()` returns the service of this host's targets, which
         is sent to the target as the caller. `account_gate` is the
         AccountGate that checks the keys of client accounts.
@@ -66,6 +68,7 @@
         self._random = random.Random()
         self._keyed = keyed
         self._account_limits = account_limits
+        self._large_answers = large_answers
         self._settings = settings
         self._snapshot_store = snapshot_store
         self._dispatcher = dispatcher
@@ -190,7 +193,10 @@
         connection = environ[CONNECTION]
         connection.watch(cancellation)
         try:
-            return self._dispatch(request, cancellation)
+            outcome = self._dispatch(request, cancellation)
+            if self._large_answers is not None:
+                self._large_answers.wait_for_caller(outcome, request.deadline)
+            return outcome
         finally:
             connection.unwatch(cancellation)
 
--- a/verbenanotch/proxy/_large_answers.py
+++ b/verbenanotch/proxy/_large_answers.py
@@ -1,5 +1,6 @@
-"""Sends large answers to other proxies in turn, as fast as the link allows."""
+"""Sends large answers in turn, as fast as the host's link allows."""
 
+import contextlib
 import time
 
 import eventlet
@@ -17,7 +18,7 @@
 
 
 class LargeAnswers:
-    """The large answers that this host sends to other proxies.
+    """The large answers that this host sends to other proxies and callers.
 
     An answer is large if it does not fit into one frame. Without a known link
     they are sent at once.
@@ -29,28 +30,63 @@
         self._pacer = LinkPacer(link_mbps=link_mbps)
         self._sizes = RouteSizes()
 
-    def refusal(self, call, deadline):
-        """Return NotRun if a call's answer could not be sent in time.
+    def expected_bytes(self, call):
+        """Return the size of a call's answer if that is expected to be large.
 
-        Other large answers that are ready would occupy the link until after
-        the `deadline`, in monotonic seconds. An idle link refuses nothing:
-        the expected size changes only with answers.
+        0 stands for a small answer, and for any without a known link.
         """
         if not self._is_paced:
-            return None
+            return 0
         size = self._sizes.expected(call.route_name, 0)
-        if size <= CHUNK_BYTES:
+        return size if size > CHUNK_BYTES else 0
+
+    def refusal(self, size, deadline):
+        """Return NotRun if an answer of `size` bytes could not be in time.
+
+        Other large answers, ready or expected, would occupy the link until
+        after the `deadline`, in monotonic seconds. An idle link refuses
+        nothing: the expected size changes only with answers.
+        """
+        if not size:
             return None
         now = time.monotonic()
-        if self._has_time_for(size, deadline, now):
+        busy_seconds = self._pacer.busy_seconds(now)
+        if not busy_seconds or self._pacer.can_be_in_time(
+            size, deadline=deadline, now=now
+        ):
             return None
         metrics.increment(f"proxy.refused.{reasons.LINK_FULL}")
-        backlog_seconds = self._pacer.backlog_seconds(now)
         return NotRun(
             reason=reasons.LINK_FULL,
-            retry_after_ms=int(backlog_seconds * MILLISECONDS_PER_SECOND) + 1,
+            retry_after_ms=int(busy_seconds * MILLISECONDS_PER_SECOND) + 1,
         )
 
+    @contextlib.contextmanager
+    def expecting(self, size):
+        """Count an answer of `size` bytes while its target is making it."""
+        self._pacer.expect(size)
+        try:
+            yield
+        finally:
+            self._pacer.stop_expecting(size)
+
+    def wait_for_caller(self, outcome, deadline):
+        """Wait until the link is free for a large answer to a caller.
+
+        An answer whose turn would come too late is not held back.
+        """
+        match outcome:
+            case Answered(body=body) if (
+                self._is_paced and len(body) > CHUNK_BYTES
+            ):
+                now = time.monotonic()
+                in_time = self._pacer.is_ready_in_time(
+                    len(body), deadline=deadline, now=now
+                )
+                wait_seconds = self._pacer.reserve(len(body), now)
+                if in_time:
+                    eventlet.sleep(wait_seconds)
+
     def inline_bytes(self, body):
         """Return how much of a body its opening frame carries."""
         if self._is_paced and len(body) > CHUNK_BYTES:
@@ -99,12 +135,10 @@
         )
 
     def _has_time_for(self, size, deadline, now):
-        """Return whether the link is idle or an answer arrives in time.
+        """Return whether the link is idle or a ready answer is in time.
 
         On an idle link an answer may be faster than its pace.
         """
         return not self._pacer.backlog_seconds(
             now
-        ) or self._pacer.arrives_in_time(
-            size, ready_at=now, deadline=deadline, now=now
-        )
+        ) or self._pacer.is_ready_in_time(size, deadline=deadline, now=now)
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -60,12 +60,12 @@
         guard,
         max_body_bytes,
         max_in_flight,
-        link_mbps=0.0,
+        large_answers=None,
     ):
         """Run at most `max_in_flight` calls at once at `local_targets`.
 
-        `link_mbps` is the rate of the host's link in million bits per second,
-        0 if it is not known.
+        `large_answers` is the LargeAnswers of this host; without it, they are
+        sent at once.
 
         `record_server` handles the record requests of other hosts. `guard`
         is the CrashGuard that receives the crashes that they report.
@@ -79,7 +79,7 @@
         self.leaving = False
         self._sessions = set()
         self.workers = Workers()
-        self.large_answers = LargeAnswers(link_mbps=link_mbps)
+        self.large_answers = large_answers or LargeAnswers(link_mbps=0.0)
 
     def handle(self, connection):
         """Serve one peer until its connection closes."""
@@ -233,15 +233,18 @@
 
     def _run_call(self, stream_id, stream):
         try:
-            outcome = self._server.large_answers.refusal(
-                stream.call, stream.deadline
-            ) or self._server.local_targets.run(
-                stream.call,
-                sender=self._connection.peer_name,
-                deadline=stream.deadline,
-                cancellation=stream.cancellation,
-            )
-            self._server.large_answers.observe(stream.call, outcome)
+            large_answers = self._server.large_answers
+            expected_bytes = large_answers.expected_bytes(stream.call)
+            outcome = large_answers.refusal(expected_bytes, stream.deadline)
+            if outcome is None:
+                with large_answers.expecting(expected_bytes):
+                    outcome = self._server.local_targets.run(
+                        stream.call,
+                        sender=self._connection.peer_name,
+                        deadline=stream.deadline,
+                        cancellation=stream.cancellation,
+                    )
+            large_answers.observe(stream.call, outcome)
             if not stream.cancellation.cancelled:
                 self._reply(stream_id, stream, outcome)
         except WireError:
--- a/verbenanotch/routing/_link.py
+++ b/verbenanotch/routing/_link.py
@@ -27,6 +27,15 @@
             link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE * LARGE_ANSWER_SHARE
         )
         self._free_at = 0.0
+        self._expected_bytes = 0.0
+
+    def expect(self, size):
+        """Count an answer of about `size` bytes that a target is making."""
+        self._expected_bytes += size
+
+    def stop_expecting(self, size):
+        """Count the end of a call that `expect` counted."""
+        self._expected_bytes = max(0.0, self._expected_bytes - size)
 
     def seconds_for(self, size):
         """Return how long `size` bytes occupy the link's share."""
@@ -38,16 +47,27 @@
         """Return how long the granted answers still occupy the link."""
         return max(0.0, self._free_at - now)
 
+    def busy_seconds(self, now):
+        """Return how long granted and expected answers occupy the link."""
+        return self.backlog_seconds(now) + self.seconds_for(
+            self._expected_bytes
+        )
+
     def reserve(self, size, now):
         """Grant the link to `size` bytes; return the wait until they start."""
         wait_seconds = self.backlog_seconds(now)
         self._free_at = now + wait_seconds + self.seconds_for(size)
         return wait_seconds
 
-    def arrives_in_time(self, size, *, ready_at, deadline, now):
-        """Return whether an answer can be sent whole before a deadline.
+    def is_ready_in_time(self, size, *, deadline, now):
+        """Return whether an answer that is ready can be sent in time."""
+        start = now + self.backlog_seconds(now)
+        return start + self.seconds_for(size) <= deadline
+
+    def can_be_in_time(self, size, *, deadline, now):
+        """Return whether an answer that is still to be made can be in time.
 
-        `ready_at` is when the target is expected to have made it.
+        All answers that are expected go before it.
         """
-        start = max(ready_at, now + self.backlog_seconds(now))
+        start = now + self.busy_seconds(now)
         return start + self.seconds_for(size) <= deadline
