tests: callers of answers without end leave, however often that takes

The caller's 10 ms had passed, but the process of the test stood still meanwhile, and found the answer before it looked at its time. That answer is allowed and true.

Ruled out: a refusal (the status and the reason are those of an answer in progress), and an answer in under 10 ms (57 to 72 ms, measured for this kind).

Change: each caller calls until it has left; answers before that have to be unknown. As many callers leave as before.

--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -19,6 +19,7 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_RECEIVING_BYTES = 100_000_000
 CONCURRENT_CALLS = 12
+MAX_TRIES = 20
 TIMEOUT_MS = 1500
 # The memory of a host on the users' machines.
 MAX_MEMORY_KB = 300 * 1000
@@ -88,13 +89,22 @@
     pool = eventlet.GreenPool()
 
     def leave(_):
-        """Return None for a caller that left, or the answer that it got."""
-        try:
-            return call(mesh, timeout_ms=60_000, timeout_seconds=0.01)
-        except urllib3.exceptions.HTTPError:
-            return None
-
-    answers = list(pool.imap(leave, range(CONCURRENT_CALLS)))
-    assert answers == [None] * CONCURRENT_CALLS
+        """Call until the caller leaves; return the answers before that.
+
+        A caller that is stalled finds the answer of a proxy that has given
+        up on the target by itself.
+        """
+        answers = []
+        for _ in range(MAX_TRIES):
+            try:
+                answers.append(
+                    call(mesh, timeout_ms=60_000, timeout_seconds=0.01)
+                )
+            except urllib3.exceptions.HTTPError:
+                return answers
+        pytest.fail(f"the caller never left: {answers}")
+
+    for answers in pool.imap(leave, range(CONCURRENT_CALLS)):
+        assert {answer.outcome for answer in answers} <= {"unknown"}
     mesh.wait_until(lambda: endless.open_count == 0, what="closed connections")
     assert peak_memory_kb(mesh, PROXIES[0]) < MAX_MEMORY_KB
