--- a/verbenanotch/crashes/_exchange.py
+++ b/verbenanotch/crashes/_exchange.py
@@ -3,12 +3,10 @@
 import contextlib
 import time
 
-import eventlet
-
 from verbenanotch.crashes import events
 from verbenanotch.crashes._messages import CrashDigest, CrashRecords
 from verbenanotch.telemetry import emit, metrics
-from verbenanotch.wire import WireError
+from verbenanotch.wire import send_in_background
 
 
 class CrashExchange:
@@ -53,7 +51,7 @@
     def connect(self, link):
         """Add a link and compare the tables at both of its ends."""
         self._links.append(link)
-        _send(link, CrashDigest(digest=self.table.digest))
+        send_in_background(link, CrashDigest(digest=self.table.digest))
 
     def disconnect(self, link):
         """Remove a link, if it is one."""
@@ -66,7 +64,7 @@
             case CrashDigest(digest=digest):
                 if digest != self.table.digest:
                     records = self.table.records(self._monotonic())
-                    _send(link, CrashRecords(records=records))
+                    send_in_background(link, CrashRecords(records=records))
             case CrashRecords(records=records):
                 self.merge(records, source=link)
 
@@ -104,14 +102,4 @@
         message = CrashRecords(records=tuple(records))
         for link in self._links:
             if link is not source:
-                _send(link, message)
-
-
-def _send(link, message):
-    """Send in the background; a link that does not read delays no other."""
-    eventlet.spawn_n(_send_if_connected, link, message)
-
-
-def _send_if_connected(link, message):
-    with contextlib.suppress(WireError):
-        link.send(message)
+                send_in_background(link, message)
--- a/verbenanotch/distribution/_leader_channel.py
+++ b/verbenanotch/distribution/_leader_channel.py
@@ -6,7 +6,6 @@
 order after a change of the leader: what must last belongs into the log.
 """
 
-import contextlib
 import time
 
 import eventlet
@@ -15,9 +14,9 @@
 from verbenanotch.distribution._messages import FromLeader, ToLeader
 from verbenanotch.wire import (
     MalformedFrameError,
-    WireError,
     decode,
     encode,
+    send_in_background,
 )
 
 
@@ -108,7 +107,7 @@
         for host in hosts:
             connection = self._connections_by_host.get(host)
             if connection is not None:
-                eventlet.spawn_n(_send_if_connected, connection, wrapped)
+                send_in_background(connection, wrapped)
         return True
 
 
@@ -162,8 +161,3 @@
             return False
         eventlet.spawn_n(self._control.send, ToLeader(payload=encode(message)))
         return True
-
-
-def _send_if_connected(connection, message):
-    with contextlib.suppress(WireError):
-        connection.send(message)
--- a/verbenanotch/proxy/_account_gate.py
+++ b/verbenanotch/proxy/_account_gate.py
@@ -1,6 +1,5 @@
 """The check of callers' keys at the entry proxy."""
 
-import math
 import time
 
 import attrs
@@ -17,11 +16,9 @@
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy._headers import environ_name
 from verbenanotch.proxy._outcome import NotRun, Rejected
-from verbenanotch.telemetry import emit, metrics
+from verbenanotch.telemetry import LinePace, emit, metrics
 
 LOCAL_CALLS = "local-calls"
-# Callers with a wrong key may send thousands of requests a second.
-EVENT_INTERVAL_SECONDS = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -93,21 +90,22 @@
 
 
 class _Reports:
-    """Emits an event at most once an interval, with a count."""
+    """Emits an event at most once a second, with a count.
+
+    Callers with a wrong key may send thousands of requests a second.
+    """
 
     def __init__(self, event):
         self._event = event
         self._count = 0
-        self._reported_at = -math.inf
+        self._pace = LinePace()
 
     def report(self, now, **fields):
         """Count one occurrence; `fields` are those of an event about it."""
         self._count += 1
-        if now - self._reported_at < EVENT_INTERVAL_SECONDS:
-            return
-        emit(self._event, count=self._count, **fields)
-        self._count = 0
-        self._reported_at = now
+        if self._pace.admit(self._event.number, now):
+            emit(self._event, count=self._count, **fields)
+            self._count = 0
 
 
 def _pass(account, snapshot, route):
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -452,52 +452,37 @@
     )
 
 
+def _is_refused_for(outcome, refusal_reasons):
+    """Return whether the call was not run for one of these reasons."""
+    return isinstance(outcome, NotRun) and outcome.reason in refusal_reasons
+
+
 def _is_retryable_on_another_target(outcome):
     """Return whether the refusal concerns only one target or host.
 
     The request is then retried on another target without using its retries.
     """
-    match outcome:
-        case NotRun(reason=reason):
-            return reason in reasons.RETRYABLE_ON_ANOTHER_TARGET
-        case _:
-            return False
+    return _is_refused_for(outcome, reasons.RETRYABLE_ON_ANOTHER_TARGET)
 
 
 def _is_limited(outcome):
     """Return whether the target's own limit had no room for the request."""
-    match outcome:
-        case NotRun(reason=reasons.TARGET_LIMITED):
-            return True
-        case _:
-            return False
+    return _is_refused_for(outcome, (reasons.TARGET_LIMITED,))
 
 
 def _is_busy(outcome):
     """Return whether the request would have waited too long."""
-    match outcome:
-        case NotRun(reason=reasons.TARGET_BUSY):
-            return True
-        case _:
-            return False
+    return _is_refused_for(outcome, (reasons.TARGET_BUSY,))
 
 
 def _is_full(outcome):
     """Return whether the target or its link had no capacity for it."""
-    match outcome:
-        case NotRun(reason=reasons.TARGET_FULL | reasons.LINK_FULL):
-            return True
-        case _:
-            return False
+    return _is_refused_for(outcome, (reasons.TARGET_FULL, reasons.LINK_FULL))
 
 
 def _is_final(outcome):
     """Return whether another attempt would be refused for the same reason."""
-    match outcome:
-        case NotRun(reason=reason):
-            return reason in reasons.FINAL
-        case _:
-            return False
+    return _is_refused_for(outcome, reasons.FINAL)
 
 
 def _outcome_kind(outcome, cancellation):
--- a/verbenanotch/proxy/_large_answers.py
+++ b/verbenanotch/proxy/_large_answers.py
@@ -105,33 +105,26 @@
         An answer that other answers delay beyond its deadline is dropped:
         nobody waits for it any more.
         """
-        if not self._is_paced:
-            send_remaining_chunks(
-                connection,
-                stream_id=stream_id,
-                body=body,
-                window=window,
-                deadline=deadline,
+        if self._is_paced:
+            now = time.monotonic()
+            if not self._has_time_for(len(body), deadline, now):
+                metrics.increment("proxy.large_answers_dropped")
+                return
+            wait_seconds = self._pacer.reserve(len(body), now)
+            metrics.timing(
+                "proxy.link_wait_ms", wait_seconds * MILLISECONDS_PER_SECOND
             )
-            return
-        now = time.monotonic()
-        if not self._has_time_for(len(body), deadline, now):
-            metrics.increment("proxy.large_answers_dropped")
-            return
-        wait_seconds = self._pacer.reserve(len(body), now)
-        metrics.timing(
-            "proxy.link_wait_ms", wait_seconds * MILLISECONDS_PER_SECOND
-        )
-        eventlet.sleep(wait_seconds)
+            eventlet.sleep(wait_seconds)
+        chunk_bytes = self.inline_bytes(body)
         send_remaining_chunks(
             connection,
             stream_id=stream_id,
             body=body,
             window=window,
             deadline=deadline,
-            sent_bytes=PACED_CHUNK_BYTES,
-            chunk_bytes=PACED_CHUNK_BYTES,
-            pause_seconds=self._pacer.seconds_for(PACED_CHUNK_BYTES),
+            sent_bytes=chunk_bytes,
+            chunk_bytes=chunk_bytes,
+            pause_seconds=self._pacer.seconds_for(chunk_bytes),
         )
 
     def _has_time_for(self, size, deadline, now):
--- a/verbenanotch/proxy/_target_notices.py
+++ b/verbenanotch/proxy/_target_notices.py
@@ -1,12 +1,11 @@
 """What a target says of its own state in the headers of its answers."""
 
-import math
 import re
 
 import attrs
 
 from verbenanotch.proxy import events
-from verbenanotch.telemetry import emit, metrics
+from verbenanotch.telemetry import LinePace, emit, metrics
 
 # A positive decimal number of at most nine digits on each side of the point.
 RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -15,7 +14,6 @@
 LOAD_FIELDS_WITHOUT_PACE = 3
 LEAVING_VALUE = "1"
 MAX_LOGGED_CHARACTERS = 64
-LOG_INTERVAL_SECONDS = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -78,13 +76,13 @@
     """Log what one target says of itself.
 
     A target may name another limit in each answer, so that each event is
-    logged once in `LOG_INTERVAL_SECONDS`; all are counted. Times are in
+    logged once a second; all are counted. Times are in
     monotonic seconds.
     """
 
     def __init__(self):
         """Start with nothing logged."""
-        self._logged_at_by_number = {}
+        self._pace = LinePace()
 
     def limit_changed(self, record, rate, *, source, now):
         """Log the rate of a TargetRecord's target; 0 is always logged.
@@ -92,9 +90,10 @@
         `source` is the header that named it, or the host that knew it.
         """
         metrics.increment("proxy.target_limits_changed")
-        if self._is_due(events.TARGET_LIMIT_CHANGED, now) or not rate:
+        event = events.TARGET_LIMIT_CHANGED
+        if self._pace.admit(event.number, now) or not rate:
             emit(
-                events.TARGET_LIMIT_CHANGED,
+                event,
                 target=record.target_id,
                 service=record.service,
                 requests_per_second=rate,
@@ -106,23 +105,17 @@
         if not notices.invalid_headers:
             return
         metrics.increment("proxy.target_headers_invalid")
-        if self._is_due(events.TARGET_HEADER_INVALID, now):
+        event = events.TARGET_HEADER_INVALID
+        if self._pace.admit(event.number, now):
             header, value = notices.invalid_headers[0]
             emit(
-                events.TARGET_HEADER_INVALID,
+                event,
                 request=call.request_id,
                 target=call.target_id,
                 header=header,
                 value=value[:MAX_LOGGED_CHARACTERS],
             )
 
-    def _is_due(self, event, now):
-        logged_at = self._logged_at_by_number.get(event.number, -math.inf)
-        if now - logged_at < LOG_INTERVAL_SECONDS:
-            return False
-        self._logged_at_by_number[event.number] = now
-        return True
-
 
 def _values(headers, name):
     """Return all values of a header; none for an empty name."""
--- a/verbenanotch/quotas/_leader.py
+++ b/verbenanotch/quotas/_leader.py
@@ -13,8 +13,7 @@
     UsageReport,
     UsageRequest,
 )
-from verbenanotch.quotas._pace import LinePace
-from verbenanotch.telemetry import emit, metrics
+from verbenanotch.telemetry import LinePace, emit, metrics
 
 # Interval between checks for proxies that have just connected.
 GREETING_INTERVAL_SECONDS = 0.05
@@ -86,9 +85,11 @@
 
         A proxy that was restarted refuses most requests until it has it.
         """
+        if self._ledger is None or self._is_listening:
+            return
         connected = frozenset(self._channel.hosts)
         added = connected - self._connected
-        if self._ledger is None or self._is_listening or not added:
+        if not added:
             return
         self._channel.send(added, self._ledger.table())
         self._connected = connected
--- a/verbenanotch/quotas/_proxy.py
+++ b/verbenanotch/quotas/_proxy.py
@@ -14,8 +14,7 @@
     LimitUpdate,
     UsageRequest,
 )
-from verbenanotch.quotas._pace import LinePace
-from verbenanotch.telemetry import emit, metrics
+from verbenanotch.telemetry import LinePace, emit, metrics
 
 REPORT_INTERVAL_SECONDS = 0.25
 # Replies to a new leader are spread over this time.
--- a/verbenanotch/rollouts/_conductor.py
+++ b/verbenanotch/rollouts/_conductor.py
@@ -75,10 +75,10 @@
 
     def run_once(self):
         """Decide the next step of each rollout, if this host leads."""
-        unfinished = self._state.rollouts.unfinished
         if self._channel.term is None:
             self._forget()
             return
+        unfinished = self._state.rollouts.unfinished
         now = self._monotonic()
         self._watch(unfinished, now)
         self._retain(unfinished)
--- a/verbenanotch/telemetry/__init__.py
+++ b/verbenanotch/telemetry/__init__.py
@@ -15,11 +15,13 @@
 )
 from verbenanotch.telemetry._exposition import MetricsInterface
 from verbenanotch.telemetry._metrics import metrics
+from verbenanotch.telemetry._pace import LinePace
 
 __all__ = [
     "Event",
     "HybridLogicalClock",
     "Level",
+    "LinePace",
     "MetricsInterface",
     "clock",
     "configure",
--- a/verbenanotch/wire/__init__.py
+++ b/verbenanotch/wire/__init__.py
@@ -1,5 +1,6 @@
 """Authenticated connections that carry msgpack messages."""
 
+from verbenanotch.wire._background import send_in_background
 from verbenanotch.wire._backoff import full_jitter
 from verbenanotch.wire._codec import (
     decode,
@@ -38,5 +39,6 @@
     "from_plain",
     "full_jitter",
     "message",
+    "send_in_background",
     "to_plain",
 ]
