http1, proxy: an answer that breaks off in its head is not complete

Callers saw a success (200, an empty body, at times without the target's own headers) when a target closed its connection within the head of an answer.

Cause: http.client reads header lines until an empty line or the end of the stream and does not tell them apart. The length stands behind the cut, and with targets_may_omit_length a body without a length ends with the connection. A head that httptools refused was read again by the e-mail parser, which drops a malformed line and all that follow, the length among them.

Change: http1 reads answers with one strict parser. The head ends with an empty line, lengths and chunks are checked, a transfer coding other than chunked is refused, interim responses of any status are skipped. An error closes the connection and the outcome is Unknown, with the kind of the error in call-ended. The end of the input can no longer pass for the end of a message, as every reader asks for the terminator.

The stand-in that sends given bytes moved to tests/support.

--- a/tests/unit/test_proxy_exchange.py
+++ b/tests/unit/test_proxy_exchange.py
@@ -6,16 +6,14 @@
 import eventlet
 import pytest
 
+from tests.support.raw_target import RawTarget
 from verbenanotch.conf import HeaderNames
 from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._exchange import exchange
 from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
-from verbenanotch.proxy._target_connection import TargetConnections
 
 MAX_BODY_BYTES = 1000
-# A `struct linger` that is on, with 0 seconds.
-LINGER_ZERO_SECONDS = b"\x01\0\0\0\0\0\0\0"
 
 
 def make_call(**fields):
@@ -35,60 +33,6 @@
     return Call(**(values | fields))
 
 
-class RawTarget:
-    """A server that answers requests with given bytes."""
-
-    def __init__(self, answers):
-        """Listen on a free port.
-
-        None in `answers` closes the connection without an answer. An answer
-        that contains `reset` or `close` resets or closes it afterwards.
-        """
-        self.answers = list(answers)
-        self.requests = []
-        self.accepted = 0
-        self._socket = eventlet.listen(("127.0.0.1", 0))
-        self.connections = TargetConnections(
-            address="127.0.0.1",
-            port=self._socket.getsockname()[1],
-            max_idle=4,
-        )
-        self._greenthread = eventlet.spawn(self._accept)
-
-    def _accept(self):
-        while True:
-            sock, _ = self._socket.accept()
-            self.accepted += 1
-            eventlet.spawn_n(self._serve, sock)
-
-    def _serve(self, sock):
-        while True:
-            data = sock.recv(65536)
-            if not data:
-                return
-            self.requests.append(data)
-            answer = self.answers.pop(0)
-            if answer is None:
-                sock.close()
-                return
-            sock.sendall(answer)
-            if b"reset" in answer:
-                # With a linger time of 0 seconds, close sends a reset.
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO_SECONDS
-                )
-                sock.close()
-                return
-            if b"close" in answer:
-                sock.shutdown(socket.SHUT_RDWR)
-                return
-
-    def stop(self):
-        """Stop listening."""
-        self._greenthread.kill()
-        self._socket.close()
-
-
 @pytest.fixture
 def target_with():
     targets = []
--- /dev/null
+++ b/tests/unit/test_target_answers.py
@@ -0,0 +1,177 @@
+"""Answers of targets that break off, are malformed or follow others."""
+
+import time
+
+import pytest
+
+from tests.support.raw_target import RawTarget
+from verbenanotch.proxy._cancellation import Cancellation
+from verbenanotch.proxy._exchange import exchange
+from verbenanotch.proxy._outcome import Answered, Call, Unknown
+
+MAX_BODY_BYTES = 200_000
+HEAD = (
+    b"HTTP/1.1 200 OK\r\n"
+    b"X-Request-Id: r1\r\n"
+    b"X-Stamp: 3e1b.07.5a2\r\n"
+    b"X-Load: 1,0,8\r\n"
+)
+
+
+def run(target, *, method="POST"):
+    call = Call(
+        request_id="r1",
+        service="s",
+        target_id="t",
+        method=method,
+        path="/x",
+        headers=(("Host", "h"),),
+        body=b"",
+        remaining_ms=2000,
+        idempotent=False,
+    )
+    return exchange(
+        target.connections,
+        call,
+        deadline=time.monotonic() + 2.0,
+        cancellation=Cancellation(),
+        max_body_bytes=MAX_BODY_BYTES,
+        echoes_id=True,
+        may_omit_length=True,
+    )
+
+
+@pytest.fixture
+def outcome_of():
+    """Return the outcome of one exchange with a target that sends bytes."""
+    targets = []
+
+    def play(answer, *, ending=b"close", method="POST"):
+        targets.append(RawTarget([answer], ending=ending))
+        return run(targets[-1], method=method)
+
+    yield play
+    for target in targets:
+        target.stop()
+
+
+def with_lf_alone(answer):
+    return answer.replace(b"\r\n", b"\n")
+
+
+SIZED = HEAD + b"Content-Length: 12\r\n\r\nwhole answer"
+CHUNKED = (
+    HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + b"00a\r\nwhole answ\r\n2\r\ner\r\n0\r\nX-Sum: 1\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("ending", [b"close", b"reset"])
+@pytest.mark.parametrize(
+    "answer",
+    [SIZED, with_lf_alone(SIZED), CHUNKED, with_lf_alone(CHUNKED)],
+    ids=["sized", "sized-lf", "chunked", "chunked-lf"],
+)
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_an_answer_that_breaks_off_anywhere_is_unknown(
+    outcome_of, answer, ending, method
+):
+    """Guard against answers that end in their head and look complete."""
+    outcome = outcome_of(answer, ending=b"close", method=method)
+    assert isinstance(outcome, Answered)
+    assert outcome.body == b"whole answer"
+    complete = [
+        cut
+        for cut in range(len(answer))
+        if not isinstance(
+            outcome_of(answer[:cut], ending=ending, method=method), Unknown
+        )
+    ]
+    assert complete == []
+
+
+def test_an_answer_without_length_is_unknown_if_its_head_breaks_off(
+    outcome_of,
+):
+    """Guard against a cut head whose answer needs no length."""
+    head = HEAD + b"\r\n"
+    assert outcome_of(head + b"whole").body == b"whole"
+    complete = [
+        cut
+        for cut in range(len(head))
+        if not isinstance(outcome_of(head[:cut]), Unknown)
+    ]
+    assert complete == []
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"no colon\r\nContent-Length: 2\r\n",
+        b"Bad name: 1\r\nContent-Length: 2\r\n",
+        b"Content-Length : 2\r\n",
+        b"X-A: 1\r\n folded\r\nContent-Length: 2\r\n",
+        b"X-A: 1\rContent-Length: 2\r\nContent-Length: 5\r\n",
+        b"X-A: \0\r\nContent-Length: 2\r\n",
+        b"Content-Length: 2\r\nContent-Length: 5\r\n",
+        b"Content-Length: +2\r\n",
+        b"Content-Length: 2 5\r\n",
+        b"Content-Length: two\r\n",
+        b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: gzip\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    ],
+)
+def test_an_answer_whose_framing_is_in_doubt_is_unknown(outcome_of, lines):
+    """Guard against lines that are dropped together with the length."""
+    assert isinstance(outcome_of(HEAD + lines + b"\r\nwhole"), Unknown)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"+2\r\nab\r\n0\r\n\r\n",
+        b"0x2\r\nab\r\n0\r\n\r\n",
+        b"-1\r\nab\r\n0\r\n\r\n",
+        b"2\r\nabc\r\n0\r\n\r\n",
+        b"\r\nab\r\n0\r\n\r\n",
+    ],
+)
+def test_a_malformed_chunk_is_unknown(outcome_of, body):
+    head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    assert isinstance(outcome_of(head + body), Unknown)
+
+
+@pytest.mark.parametrize(
+    "status_line",
+    [
+        b"HTTP/1.1 20 OK",
+        b"HTTP/2.0 200 OK",
+        b"HTTP/1.1 101 Switching Protocols",
+        b"GET / HTTP/1.1",
+        b"",
+    ],
+)
+def test_a_head_without_a_valid_status_line_is_unknown(
+    outcome_of, status_line
+):
+    head = status_line + b"\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+    assert isinstance(outcome_of(head), Unknown)
+
+
+def test_interim_responses_of_any_status_are_skipped(outcome_of):
+    """Guard against Early Hints (103) that are taken for the answer."""
+    interim = (
+        b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"
+        b"HTTP/1.1 100 Continue\r\n\r\n"
+    )
+    assert outcome_of(interim + SIZED).body == b"whole answer"
+
+
+def test_an_answer_longer_than_one_read_is_whole(outcome_of):
+    body = b"x" * 150_000
+    head = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+    assert outcome_of(head + body).body == body
+    assert isinstance(outcome_of(head + body[:-1]), Unknown)
--- /dev/null
+++ b/verbenanotch/http1/_answer.py
@@ -0,0 +1,251 @@
+"""Answers to requests (RFC 9112).
+
+A connection that ends within an answer never makes a complete one of it, and
+an answer whose framing is in doubt is an error.
+"""
+
+import re
+
+import httptools
+
+from verbenanotch.http1._fields import FieldCollector, HeaderFields
+from verbenanotch.http1.exceptions import (
+    AnswerHeadTooLargeError,
+    AnswerIncompleteError,
+    AnswerMalformedError,
+)
+
+# Of an answer and of the interim responses before it.
+MAX_HEAD_BYTES = 128 * 1024
+# Of the size of a chunk with its extensions, and of the trailer section.
+MAX_CHUNK_LINE_BYTES = 16 * 1024
+CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
+LINE_ENDS = (b"\r\n", b"\n")
+VERSIONS = frozenset(("1.0", "1.1"))
+FIRST_FINAL_STATUS = 200
+SWITCHING_PROTOCOLS = 101
+BODILESS_STATUSES = frozenset((204, 304))
+CHUNKED = "chunked"
+
+
+class Answer:
+    """A final answer whose head was read; its body is read with `read`.
+
+    `length` is the declared number of bytes in the body, and None if the body
+    is chunked or ends with the connection. With `will_close`, no other answer
+    follows on the connection.
+    """
+
+    def __init__(self, *, status, headers, body, will_close):
+        """Read the body from `body`, one of the classes below."""
+        self.status = status
+        self.headers = headers
+        self.will_close = will_close
+        self._body = body
+
+    @property
+    def length(self):
+        """Declared number of bytes in the body, if any."""
+        return self._body.length
+
+    @property
+    def is_chunked(self):
+        """Whether the body is sent in chunks."""
+        return isinstance(self._body, _ChunkedBody)
+
+    def read(self, size):
+        """Return up to `size` more bytes of the body, `b""` at its end.
+
+        Fewer are returned only at its end. Raises AnswerIncompleteError,
+        AnswerMalformedError or OSError.
+        """
+        return self._body.read(size)
+
+
+def read_answer(reader, *, method):
+    """Return the next final answer on a connection after reading its head.
+
+    `reader` is a buffered binary file, `method` that of the request. Interim
+    responses are skipped. Raises AnswerIncompleteError, AnswerMalformedError,
+    AnswerHeadTooLargeError or OSError.
+    """
+    bytes_left = MAX_HEAD_BYTES
+    while True:
+        head = _read_head(reader, bytes_left)
+        bytes_left -= len(head)
+        parser, headers = _parse_head(head)
+        status = parser.get_status_code()
+        if status >= FIRST_FINAL_STATUS:
+            break
+    body = _body(reader, parser, headers, method)
+    return Answer(
+        status=status,
+        headers=headers,
+        body=body,
+        will_close=not parser.should_keep_alive(),
+    )
+
+
+def _read_head(reader, max_bytes):
+    """Return the lines up to and including the empty one, ended by CRLF.
+
+    Recipients may accept lines that end in LF alone (RFC 9112, section 2.2).
+    """
+    lines = []
+    while True:
+        line = reader.readline(max_bytes + 1)
+        max_bytes -= len(line)
+        if max_bytes < 0:
+            raise AnswerHeadTooLargeError(
+                f"the head of an answer is larger than {MAX_HEAD_BYTES} "
+                "bytes; send fewer headers or interim responses"
+            )
+        if not line.endswith(b"\n"):
+            raise _incomplete("head")
+        if not line.endswith(b"\r\n"):
+            line = line[:-1] + b"\r\n"
+        lines.append(line)
+        if line == b"\r\n":
+            return b"".join(lines)
+
+
+def _parse_head(head):
+    """Return the parser of a complete head, and its HeaderFields."""
+    collector = FieldCollector()
+    parser = httptools.HttpResponseParser(collector)
+    try:
+        parser.feed_data(head)
+    except httptools.HttpParserError as error:
+        raise _malformed(str(error)) from error
+    except httptools.HttpParserUpgrade as error:
+        raise _malformed("it switches to another protocol") from error
+    if not collector.is_complete:
+        raise _malformed("it has no status line")
+    if parser.get_http_version() not in VERSIONS:
+        raise _malformed(f"its version is {parser.get_http_version()}")
+    if parser.get_status_code() == SWITCHING_PROTOCOLS:
+        raise _malformed("it switches to another protocol")
+    return parser, HeaderFields(pairs=collector.pairs)
+
+
+def _body(reader, parser, headers, method):
+    """Return what reads the body (RFC 9112, section 6.3).
+
+    The parser has refused repeated and invalid lengths, and a length beside a
+    transfer coding.
+    """
+    if method == "HEAD" or parser.get_status_code() in BODILESS_STATUSES:
+        return _SizedBody(reader=reader, length=0)
+    codings = headers.get_all("Transfer-Encoding")
+    if codings:
+        if len(codings) > 1 or codings[0].strip().lower() != CHUNKED:
+            raise _malformed(
+                f"the transfer coding {', '.join(codings)!r} is not supported"
+            )
+        if parser.get_http_version() == "1.0":
+            raise _malformed("HTTP/1.0 has no transfer codings")
+        return _ChunkedBody(reader=reader)
+    length = headers.get("Content-Length")
+    if length is None:
+        return _UnboundedBody(reader=reader)
+    return _SizedBody(reader=reader, length=int(length))
+
+
+class _SizedBody:
+    """A body of a declared length, which is refused if it is shorter."""
+
+    def __init__(self, *, reader, length):
+        self.length = length
+        self._reader = reader
+        self._bytes_left = length
+
+    def read(self, size):
+        size = min(size, self._bytes_left)
+        data = self._reader.read(size) if size else b""
+        if len(data) < size:
+            raise _incomplete("body")
+        self._bytes_left -= size
+        return data
+
+
+class _UnboundedBody:
+    """A body that ends with its connection."""
+
+    length = None
+
+    def __init__(self, *, reader):
+        self._reader = reader
+
+    def read(self, size):
+        return self._reader.read(size)
+
+
+class _ChunkedBody:
+    """A body in chunks (RFC 9112, section 7.1)."""
+
+    length = None
+
+    def __init__(self, *, reader):
+        self._reader = reader
+        self._bytes_left = 0
+        self._is_first = True
+        self._is_at_end = False
+
+    def read(self, size):
+        pieces = []
+        while size and not self._is_at_end:
+            if not self._bytes_left:
+                self._start_chunk()
+                continue
+            piece = self._read_exactly(min(size, self._bytes_left))
+            self._bytes_left -= len(piece)
+            size -= len(piece)
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def _start_chunk(self):
+        """Read the size of the next chunk; at the last one, the trailer."""
+        if not self._is_first and self._read_line() not in LINE_ENDS:
+            raise _malformed("a chunk is longer than its size")
+        self._is_first = False
+        match = CHUNK_SIZE_PATTERN.fullmatch(self._read_line())
+        if match is None:
+            raise _malformed("the size of a chunk is not a hex number")
+        self._bytes_left = int(match[1], 16)
+        if not self._bytes_left:
+            self._read_trailer()
+            self._is_at_end = True
+
+    def _read_trailer(self):
+        bytes_read = 0
+        while (line := self._read_line()) not in LINE_ENDS:
+            bytes_read += len(line)
+            if bytes_read > MAX_CHUNK_LINE_BYTES:
+                raise _malformed("its trailer section is too large")
+
+    def _read_line(self):
+        line = self._reader.readline(MAX_CHUNK_LINE_BYTES + 1)
+        if len(line) > MAX_CHUNK_LINE_BYTES:
+            raise _malformed("a line between its chunks is too large")
+        if not line.endswith(b"\n"):
+            raise _incomplete("chunked body")
+        return line
+
+    def _read_exactly(self, size):
+        data = self._reader.read(size)
+        if len(data) < size:
+            raise _incomplete("chunk")
+        return data
+
+
+def _incomplete(part):
+    return AnswerIncompleteError(
+        f"the connection ended within the {part} of an answer, or before it; "
+        "look for a crash or a time limit at the sender"
+    )
+
+
+def _malformed(problem):
+    return AnswerMalformedError(
+        f"an answer is no well-formed HTTP/1.1: {problem}; correct the sender"
+    )
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -4,7 +4,6 @@
 and Unknown if the request may have reached the target.
 """
 
-import http.client
 import time
 
 import eventlet
@@ -206,33 +205,27 @@
     """Return the complete body of an answer.
 
     `take(count)` is called before more bytes are kept. Raises
-    AnswerTooLargeError, AnswersTooLargeError, AnswerUnboundedError or, if the
-    body was truncated, IncompleteRead.
+    AnswerTooLargeError, AnswersTooLargeError, AnswerUnboundedError or an
+    HttpError if the body is incomplete or malformed.
     """
-    declared_bytes = answer.length
-    if answer.chunked or (declared_bytes is None and may_omit_length):
-        return _read_to_end(answer, max_body_bytes, take)
-    if declared_bytes is None:
+    length = answer.length
+    if length is None and not answer.is_chunked and not may_omit_length:
         raise AnswerUnboundedError(
             "the answer has neither Content-Length nor chunks, so it can't "
             "be checked for completeness; send one of them"
         )
-    if declared_bytes > max_body_bytes:
+    if length is not None and length > max_body_bytes:
         raise _too_large_error(max_body_bytes)
-    if declared_bytes > READ_BYTES:
-        body = _read_to_end(answer, max_body_bytes, take)
-    else:
-        body = answer.read(declared_bytes)
-    if len(body) < declared_bytes:
-        raise http.client.IncompleteRead(body, declared_bytes - len(body))
-    return body
+    if length is not None and length <= READ_BYTES:
+        return answer.read(length)
+    return _read_to_end(answer, max_body_bytes, take)
 
 
 def _read_to_end(answer, max_body_bytes, take):
     """Return the body up to its length, last chunk or the end of the stream.
 
-    Raises AnswerTooLargeError or AnswersTooLargeError, or OSError if the
-    connection was reset.
+    Raises AnswerTooLargeError, AnswersTooLargeError, an HttpError if the body
+    is incomplete or malformed, or OSError if the connection was reset.
     """
     chunks = []
     body_bytes = 0
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -1,78 +1,32 @@
 """Pooled connections to one target that count the bytes sent."""
 
 import collections
-import contextlib
-import http.client
 import io
 import socket
 import time
 
-from verbenanotch import loop
-from verbenanotch.proxy.exceptions import AnswerHeadTooLargeError, ProxyError
+from verbenanotch import http1, loop
+from verbenanotch.http1.exceptions import HttpError
+from verbenanotch.proxy.exceptions import ProxyError
 
 IDLE_TIMEOUT_SECONDS = 4.0
 CONNECT_TIMEOUT_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 0.2
 PRECONNECT_COUNT = 2
-# Of an answer and of the interim responses before it.
-MAX_HEAD_BYTES = 128 * 1024
 # Requests with these methods have no Content-Length if their body is empty.
 BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
 # Raised by an exchange if the target or the path to it fails.
-TARGET_FAILURES = (
-    OSError,
-    EOFError,
-    ValueError,
-    http.client.HTTPException,
-    ProxyError,
-)
+TARGET_FAILURES = (OSError, ValueError, HttpError, ProxyError)
 
 
 class _AnswerReader(io.BufferedReader):
-    """A read buffer for all answers on one connection.
-
-    http.client makes a buffer for each answer and drops it together with any
-    bytes that it holds beyond that answer.
-    """
+    """A read buffer for all answers on one connection."""
 
     def __init__(self, sock):
         """Read from a connected socket."""
         self._socket_reader = loop.SocketReader(sock)
-        self._head_bytes_left = None
         super().__init__(self._socket_reader)
 
-    @contextlib.contextmanager
-    def reading_head(self):
-        """Limit the lines that are read to `MAX_HEAD_BYTES` in total."""
-        self._head_bytes_left = MAX_HEAD_BYTES
-        try:
-            yield
-        finally:
-            self._head_bytes_left = None
-
-    def readline(self, size=-1):
-        """Return the next line; raise AnswerHeadTooLargeError in long heads.
-
-        http.client limits a line and the number of headers, but not the
-        number of interim responses (1xx) that precede an answer.
-        """
-        line = super().readline(size)
-        if self._head_bytes_left is not None:
-            self._head_bytes_left -= len(line)
-            if self._head_bytes_left < 0:
-                raise AnswerHeadTooLargeError(
-                    f"the head of an answer is larger than {MAX_HEAD_BYTES} "
-                    "bytes; send fewer headers or interim responses"
-                )
-        return line
-
-    def makefile(self, mode):
-        """Return itself; http.client calls this on a socket."""
-        return self
-
-    def close(self):
-        """Stay open, as http.client closes its reader after each answer."""
-
     def has_bytes(self):
         """Return whether bytes are buffered, without reading any."""
         self._socket_reader.is_paused = True
@@ -125,19 +79,16 @@
             self.send(head + body)
 
     def read_answer(self, method):
-        """Return the next answer after receiving its head.
+        """Return the next answer, an `http1.Answer`, after its head.
 
         `method` is that of the request. The body is read from the result.
         """
-        answer = http.client.HTTPResponse(self._reader, method=method)
-        with self._reader.reading_head():
-            answer.begin()
-        return answer
+        return http1.read_answer(self._reader, method=method)
 
     def send(self, data):
         """Send bytes and count those that the operating system accepted."""
         if self.sock is None:
-            raise http.client.NotConnected()
+            raise ConnectionAbortedError("this host closed the connection")
         view = memoryview(data)
         while view:
             sent = self.sock.send(view)
--- a/verbenanotch/proxy/_target_notices.py
+++ b/verbenanotch/proxy/_target_notices.py
@@ -43,7 +43,7 @@
 def read_notices(headers, names):
     """Return the TargetNotices in an answer.
 
-    `headers` is an `http.client.HTTPMessage`, `names` a HeaderNames.
+    `headers` are HeaderFields, `names` is a HeaderNames.
     """
     limits = _values(headers, names.target_limit)
     leaving = _values(headers, names.target_leaving)
--- a/verbenanotch/proxy/exceptions.py
+++ b/verbenanotch/proxy/exceptions.py
@@ -34,12 +34,6 @@
     kind = "answer-too-large"
 
 
-class AnswerHeadTooLargeError(ProxyError):
-    """A target's answer, or what precedes it, has too large a head."""
-
-    kind = "answer-head-too-large"
-
-
 class AnswersTooLargeError(ProxyError):
     """The answers that are being received are too large together."""
 
