distribution, versions, documents: one bad version does not keep out others

Operators saw later configurations acknowledged and readable on every control host, and no request was handled by them: after one configuration with half of a surrogate pair in a host or a prefix, or with an integer beyond 64 bits, no proxy got any version.

Cause: the check of a configuration let values pass that no message can carry. Publisher._encode_forever then ended by the exception of msgpack on every control host at once, without an event. The sender of a session ended in the same way when its proxy subscribed with a version that could not be encoded.

Change: documents.value_problems finds what no message can carry, in any field; it is applied where a submission is accepted, and again by the leader. The Publisher logs a version that it cannot encode (version-not-encoded, 4014, and a metric) and goes on, so that one version, also one that an earlier release has stored, can no longer end the work for all.

--- a/tests/integration/test_distribution_faults.py
+++ b/tests/integration/test_distribution_faults.py
@@ -304,3 +304,23 @@
     newest = versions.accept(make_mesh(3))
     wait_until(lambda: proxy.version == newest)
     assert len(corrupted_updates) == 1
+
+
+def test_a_version_that_cannot_be_encoded_does_not_keep_out_later_ones(
+    zone, versions
+):
+    """Guard against one bad version that ends the distribution for good."""
+    zone.add_control("c1", versions)
+    proxy = zone.add_proxy("p1")
+    first = versions.accept(make_mesh(2))
+    wait_until(lambda: proxy.version == first)
+    bad = make_mesh(2)
+    name, route = next(iter(bad.routes.items()))
+    bad.routes[name] = attrs.evolve(route, host="\ud800.example")
+    versions.accept(bad)
+    # A restarted proxy asks for an update from the version that it has.
+    later = zone.add_proxy("p2")
+    eventlet.sleep(0.5)
+    last = versions.accept(make_mesh(3))
+    wait_until(lambda: proxy.version == last)
+    wait_until(lambda: later.version == last)
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import time
+import traceback
 
 import eventlet
 
@@ -419,7 +420,7 @@
         state = self._states_by_version.get(version)
         record = self._versions.records_by_version.get(version)
         if state is None and record is not None:
-            state = self._encode(record)
+            state = self._encode_or_none(record)
         return state
 
     def _send_update(self, session):
@@ -459,10 +460,29 @@
         while True:
             self._encode_event.wait()
             current = self._versions.current
-            if current is not None and current.version > self._state.version:
-                self._state = self._encode(current)
+            if current is None or current.version <= self._state.version:
+                continue
+            state = self._encode_or_none(current)
+            if state is not None:
+                self._state = state
                 self.wake()
 
+    def _encode_or_none(self, record):
+        """Return the MeshState of a version; None if it can't be encoded.
+
+        Proxies then keep the version that they have, until a later one.
+        """
+        try:
+            return self._encode(record)
+        except Exception:
+            metrics.increment("distribution.versions_not_encoded")
+            emit(
+                events.VERSION_NOT_ENCODED,
+                version=str(record.version),
+                traceback=traceback.format_exc(),
+            )
+            return None
+
     def _encode(self, record):
         state = encode_mesh(
             version=record.version,
--- a/verbenanotch/distribution/events.py
+++ b/verbenanotch/distribution/events.py
@@ -82,3 +82,11 @@
     "unsubscribed from a control host that does not answer while others do",
     "Check that control host's process and disk, and the network to it.",
 )
+VERSION_NOT_ENCODED = event(
+    4014,
+    "version-not-encoded",
+    Level.ERROR,
+    "an accepted version could not be encoded; proxies keep the one before",
+    "Submit a corrected configuration, and report the traceback to the "
+    "project.",
+)
--- a/verbenanotch/documents/__init__.py
+++ b/verbenanotch/documents/__init__.py
@@ -7,5 +7,13 @@
     Valid,
     parse,
 )
+from verbenanotch.documents._values import value_problems
 
-__all__ = ["Document", "Invalid", "Problem", "Valid", "parse"]
+__all__ = [
+    "Document",
+    "Invalid",
+    "Problem",
+    "Valid",
+    "parse",
+    "value_problems",
+]
--- a/verbenanotch/versions/_state_machine.py
+++ b/verbenanotch/versions/_state_machine.py
@@ -25,7 +25,7 @@
     Version,
     parse_mesh,
 )
-from verbenanotch.documents import Invalid, Problem
+from verbenanotch.documents import Invalid, Problem, Valid, value_problems
 from verbenanotch.telemetry import emit
 from verbenanotch.versions import events
 from verbenanotch.versions._exposures import with_exposures
@@ -165,10 +165,16 @@
         return encode_submission(submission, older=self.configuration)
 
     def check(self, text):
-        """Return the parse result of a file; the last one is cached."""
+        """Return whether a file may be accepted: Valid or Invalid.
+
+        The last result is cached. What no message can carry is Invalid here
+        and not for `parse`, which also reads versions that earlier releases
+        have accepted.
+        """
         digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
         if self._cached_check[0] != digest:
-            self._cached_check = (digest, self._parse(text))
+            parsed = self._parse(text)
+            self._cached_check = (digest, _without_odd_values(parsed))
         return self._cached_check[1]
 
     def refusal(self, command):
@@ -366,6 +372,15 @@
     return len(zlib.compress(text))
 
 
+def _without_odd_values(parsed):
+    """Return Invalid for a Valid with values that no message can carry."""
+    match parsed:
+        case Valid(value=value, document=document):
+            problems = tuple(value_problems(value, document=document))
+            return Invalid(problems=problems) if problems else parsed
+    return parsed
+
+
 def encode_submission(submission, *, older=None):
     """Return the command of a submission for the log.
 
