platform, catalog: refuse numbers that overflow, by name

Operators got 500 for a TimeoutS, SloS or Weight of 1e308 or more, so that they sent the configuration again in place of correcting it.

Cause: the product of the number and its scale is not finite, and round() raises. The message about a timeout out of range raised as well, for a number of over 4300 digits, and so would a message that quotes a deeply nested value.

Evidence: with 1e308, 1e400, -1e400 and a number of 4299 digits, three places of tests/unit/test_value_problems.py failed before.

Change: get_scaled converts numbers with a scale and refuses those that overflow; messages shorten the values that they quote. What still fits is checked against the range of messages after the conversion.

--- a/tests/unit/test_value_problems.py
+++ b/tests/unit/test_value_problems.py
@@ -25,6 +25,10 @@
     str(2**62),
     "1e18",
     "-1e18",
+    "1e308",
+    "1e400",
+    "-1e400",
+    "9" * 4299,
     "9" * 5000,
     "-1",
     "0",
@@ -61,6 +65,9 @@
     for key in place[:-1]:
         at = at.setdefault(key, {})
     at[place[-1]] = "PLACE"
+    if "Split" in place[:-1]:
+        split = document["Routes"]["r-1"]
+        split["Split"] = [{"Service": "one", **split["Split"]}]
     return json.dumps(document).replace('"PLACE"', value).encode()
 
 
@@ -68,6 +75,7 @@
     *[("Routes", "r-1", field) for field in ROUTE_FIELDS],
     *[("Services", "one", field) for field in SERVICE_FIELDS],
     *[("Tenants", "t", field) for field in ACCOUNT_FIELDS],
+    ("Routes", "r-1", "Split", "Weight"),
     ("Version",),
     ("Routes",),
     ("Services",),
--- a/verbenanotch/catalog/_mesh.py
+++ b/verbenanotch/catalog/_mesh.py
@@ -245,7 +245,7 @@
     if not 0 < route.timeout_ms <= MAX_TIMEOUT_MS:
         yield document.problem(
             f"{key}.timeout_ms",
-            f"{route.timeout_ms} is out of range",
+            "is out of range",
             f"Use 1 to {MAX_TIMEOUT_MS}.",
         )
     if route.max_attempts < 1:
--- a/verbenanotch/platform/_configuration.py
+++ b/verbenanotch/platform/_configuration.py
@@ -15,6 +15,7 @@
 from verbenanotch.platform._fields import (
     get_field,
     get_milliseconds,
+    get_scaled,
     get_secret_field,
     load_object,
     parse_label,
@@ -145,10 +146,9 @@
 def _weighted_service(values):
     if not isinstance(values, dict):
         raise MalformedDocumentError("an item of a split is not an object")
-    weight = get_field(values, "Weight", int, float)
     return WeightedService(
         service=get_field(values, "Service", str),
-        weight=round(weight * WEIGHT_SCALE),
+        weight=get_scaled(values, "Weight", scale=WEIGHT_SCALE),
     )
 
 
--- a/verbenanotch/platform/_fields.py
+++ b/verbenanotch/platform/_fields.py
@@ -1,10 +1,12 @@
 """Read and type-check the fields of the platform's JSON documents."""
 
 import json
+import reprlib
 
 from verbenanotch.platform.exceptions import MalformedDocumentError
 
 MAX_LABEL_DIGITS = 15
+MILLISECONDS_PER_SECOND = 1000
 
 
 def load_object(data):
@@ -30,7 +32,10 @@
     value = values.get(name, default)
     if type(value) not in types:
         expected = " or ".join(accepted.__name__ for accepted in types)
-        raise MalformedDocumentError(f"{name} is {value!r}, not {expected}")
+        # `repr` fails on values that are nested too deeply.
+        raise MalformedDocumentError(
+            f"{name} is {reprlib.repr(value)}, not {expected}"
+        )
     return value
 
 
@@ -50,7 +55,23 @@
 
     A `default` is in seconds too. Raises MalformedDocumentError.
     """
-    return round(get_field(values, name, int, float, default=default) * 1000)
+    return get_scaled(
+        values, name, scale=MILLISECONDS_PER_SECOND, default=default
+    )
+
+
+def get_scaled(values, name, *, scale, default=None):
+    """Return a number, multiplied by `scale` and rounded to an integer.
+
+    Raises MalformedDocumentError, also for a number that overflows.
+    """
+    number = get_field(values, name, int, float, default=default)
+    try:
+        return round(number * scale)
+    except OverflowError as error:
+        raise MalformedDocumentError(
+            f"{name} is too large; use a smaller number"
+        ) from error
 
 
 def parse_label(text):
