proxy, platform: check announced targets before they change anything

Callers lost a target, and the proxy beside it all later versions, after one report of another writer with a number beyond 64 bits; with a sequence that large, the target's own reports were refused from then on.

Cause: an announcement was stored before it was encoded for the other hosts. The exception left it stored, so that every later announcement of the host failed, and with it the lease and the subscription. An order that no target can have, by a start in the future or a large sequence, was taken as the latest.

Change: LocalTargets checks ids, services, addresses and ranges before it decides anything, with a counter, an event (5032) and a reason in the answer (400); the platform checks all fields of a report. Nothing is stored that could not be encoded. A load answer that is nested too deeply no longer ends the round of probes.

--- a/verbenanotch/documents/__init__.py
+++ b/verbenanotch/documents/__init__.py
@@ -7,9 +7,10 @@
     Valid,
     parse,
 )
-from verbenanotch.documents._values import value_problems
+from verbenanotch.documents._values import MAX_INTEGER, value_problems
 
 __all__ = [
+    "MAX_INTEGER",
     "Document",
     "Invalid",
     "Problem",
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from verbenanotch.proxy._account_gate import AccountGate
+from verbenanotch.proxy._announcement_refusals import InvalidTarget
 from verbenanotch.proxy._announcements import TargetInterface
 from verbenanotch.proxy._crashes import CrashGuard
 from verbenanotch.proxy._disconnect_monitor import DisconnectMonitor
@@ -34,6 +35,7 @@
     "DisconnectMonitor",
     "Dispatcher",
     "EntryInterface",
+    "InvalidTarget",
     "KeyedRequests",
     "LargeAnswers",
     "LeaseMonitor",
--- a/verbenanotch/proxy/_announcement_refusals.py
+++ b/verbenanotch/proxy/_announcement_refusals.py
@@ -19,3 +19,11 @@
 
     target_id: str
     incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class InvalidTarget:
+    """An announced value can't be that of a target."""
+
+    problem: str
+    remedy: str
--- a/verbenanotch/proxy/_announcements.py
+++ b/verbenanotch/proxy/_announcements.py
@@ -5,6 +5,7 @@
 
 from verbenanotch.membership import TargetRecord
 from verbenanotch.proxy._announcement_refusals import (
+    InvalidTarget,
     Outdated,
     UnknownService,
 )
@@ -57,16 +58,25 @@
             record = _parse_record(
                 json.loads(environ["wsgi.input"].read(length))
             )
-        except (ValueError, KeyError, TypeError, RecursionError) as error:
-            return "400 Bad Request", {
-                "kind": "malformed-announcement",
-                "problem": repr(error),
-                "remedy": "Send service, address, port and slots.",
-            }
-        refusal = self._local_targets.announce_or_explain(record)
-        if refusal is not None:
-            return "409 Conflict", _describe(refusal)
-        return "200 OK", {"target_id": record.target_id}
+        except (ValueError, RecursionError) as error:
+            return _malformed(
+                str(error), "Send service, address, port and slots."
+            )
+        match self._local_targets.announce_or_explain(record):
+            case None:
+                return "200 OK", {"target_id": record.target_id}
+            case InvalidTarget(problem=problem, remedy=remedy):
+                return _malformed(problem, remedy)
+            case refusal:
+                return "409 Conflict", _describe(refusal)
+
+
+def _malformed(problem, remedy):
+    return "400 Bad Request", {
+        "kind": "malformed-announcement",
+        "problem": problem,
+        "remedy": remedy,
+    }
 
 
 def _describe(refusal):
@@ -97,20 +107,33 @@
 
 
 def _parse_record(document):
-    service = str(document["service"])
-    address = str(document["address"])
-    port = int(document["port"])
+    """Return the TargetRecord in an announcement; raises ValueError."""
+    if type(document) is not dict:
+        raise ValueError("the announcement is not a JSON object")
+    service = _value(document, "service", str)
+    address = _value(document, "address", str)
+    port = _value(document, "port", int)
     return TargetRecord(
         target_id=f"{service}/{address}:{port}",
         service=service,
         address=address,
         port=port,
-        slots=int(document["slots"]),
-        incarnation=int(document.get("incarnation", 0)),
-        software_version=str(document.get("software_version", "")),
+        slots=_value(document, "slots", int),
+        incarnation=_value(document, "incarnation", int, default=0),
+        software_version=_value(document, "software_version", str, default=""),
     )
 
 
+def _value(document, key, expected, *, default=None):
+    """Return a value of the type `expected`; raises ValueError."""
+    value = document.get(key, default)
+    if type(value) is not expected:
+        raise ValueError(
+            f"{key!r} is missing or is not of type {expected.__name__}"
+        )
+    return value
+
+
 def _target_response(was_found):
     if was_found:
         return "200 OK", {}
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -9,6 +9,7 @@
 from verbenanotch.membership import HostRecord, TargetRecord
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
+from verbenanotch.proxy._announcement_checks import AnnouncementChecker
 from verbenanotch.proxy._announcement_refusals import (
     Outdated,
     UnknownService,
@@ -137,6 +138,7 @@
         """
         self._is_rejected = is_rejected
         self._known_services = known_services
+        self._checker = AnnouncementChecker()
         self._removed_orders_by_id = {}
         self._early_removals_by_id = {}
         self._drained_incarnations_by_id = {}
@@ -207,13 +209,20 @@
     def announce(self, record, *, sequence=0):
         """Add a target or renew its announcement.
 
-        Returns False and ignores the announcement if its service is unknown
-        or if it is older than the current state of its target or address.
+        Returns False and ignores the announcement if it is invalid, if its
+        service is unknown or if it is older than the current state of its
+        target or address.
         """
         return self.announce_or_explain(record, sequence=sequence) is None
 
     def announce_or_explain(self, record, *, sequence=0):
-        """Do what `announce` does; return None, UnknownService or Outdated."""
+        """Do what `announce` does; return why it is ignored, or None.
+
+        The reason is InvalidTarget, UnknownService or Outdated.
+        """
+        refusal = self._checker.refusal(record, sequence)
+        if refusal is not None:
+            return refusal
         refusal = self._announcement_refusal(record, sequence)
         if refusal is not None:
             metrics.increment("proxy.announcements_outdated")
--- a/verbenanotch/proxy/_probe.py
+++ b/verbenanotch/proxy/_probe.py
@@ -112,6 +112,12 @@
     try:
         document = json.loads(outcome.body)
         percent = int(100 * document["in_flight"] / document["slots"])
-    except (ValueError, KeyError, TypeError, ArithmeticError):
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        ArithmeticError,
+        RecursionError,
+    ):
         return 0
     return min(MAX_LOAD_PERCENT, max(0, percent))
--- a/verbenanotch/proxy/_target_discovery.py
+++ b/verbenanotch/proxy/_target_discovery.py
@@ -13,6 +13,7 @@
 from verbenanotch.conf import parse_endpoint
 from verbenanotch.membership import TargetRecord
 from verbenanotch.proxy import events
+from verbenanotch.proxy._announcement_checks import MAX_SLOTS
 from verbenanotch.proxy._target_connection import (
     TARGET_FAILURES,
     TargetConnections,
@@ -144,6 +145,6 @@
     slots = fields[min(SLOTS_FIELD, len(fields) - 1)].strip()
     if status != OK_STATUS or not target_id or not slots.isdecimal():
         return None
-    if int(slots) < 1:
+    if not 1 <= int(slots) <= MAX_SLOTS:
         return None
     return TargetIdentity(target_id=target_id, slots=int(slots))
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -175,3 +175,11 @@
     "versions of its targets: by a rollout, or by the version in use if it "
     "holds new ones; with neither, all are equal",
 )
+ANNOUNCEMENT_INVALID = event(
+    5032,
+    "announcement-invalid",
+    Level.WARNING,
+    "refused an announcement whose values can't be those of a target; logged "
+    "once a second",
+    "Correct what the target, or another writer on its host, announces.",
+)
