http1: keep the connection after an empty answer

Cause: whether the connection is kept was asked of the parser after the message, when it has forgotten its flags.

Change: it is decided from the version, the Connection field and the framing of the body (RFC 9112, section 9.3).

--- a/tests/unit/test_target_answers.py
+++ b/tests/unit/test_target_answers.py
@@ -50,6 +50,7 @@
         targets.append(RawTarget([answer], ending=ending))
         return run(targets[-1], method=method)
 
+    play.targets = targets
     yield play
     for target in targets:
         target.stop()
@@ -175,3 +176,31 @@
     head = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
     assert outcome_of(head + body).body == body
     assert isinstance(outcome_of(head + body[:-1]), Unknown)
+
+
+@pytest.mark.parametrize(
+    ("head", "is_kept"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", True),
+        (b"HTTP/1.1 204 No Content\r\n", True),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", True),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+            b"Connection: a, Close\r\n",
+            False,
+        ),
+        (b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n", False),
+        (
+            b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n"
+            b"Connection: keep-alive\r\n",
+            True,
+        ),
+    ],
+)
+def test_a_connection_is_kept_as_its_answer_says(outcome_of, head, is_kept):
+    """Guard against a new connection after each empty answer."""
+    body = b"0\r\n\r\n" if b"chunked" in head else b""
+    answer = head + b"X-Request-Id: r1\r\n\r\n" + body
+    assert outcome_of(answer, ending=b"").body == b""
+    connections = outcome_of.targets[-1].connections
+    assert bool(connections._idle) is is_kept
--- a/verbenanotch/http1/_answer.py
+++ b/verbenanotch/http1/_answer.py
@@ -82,7 +82,7 @@
         status=status,
         headers=headers,
         body=body,
-        will_close=not parser.should_keep_alive(),
+        will_close=_will_close(parser.get_http_version(), headers, body),
     )
 
 
@@ -151,6 +151,20 @@
     return _SizedBody(reader=reader, length=int(length))
 
 
+def _will_close(version, headers, body):
+    """Return whether the connection ends with the answer (section 9.3)."""
+    if isinstance(body, _UnboundedBody):
+        return True
+    options = {
+        option.strip().lower()
+        for value in headers.get_all("Connection", ())
+        for option in value.split(",")
+    }
+    if "close" in options:
+        return True
+    return version == "1.0" and "keep-alive" not in options
+
+
 class _SizedBody:
     """A body of a declared length, which is refused if it is shorter."""
 
