http1, proxy: a repeated refusal answers no request that runs

Callers of unsafe requests could be told "not run" for requests that a target had begun to run, when it wrote an earlier refusal once more on a kept connection and broke off within it.

Cause: the piece and the head of the running request's answer were read as one head, which had the status and the statement of the refusal and the id of the request. Besides, a refusal without an id was taken for that of the request on a kept connection where targets echo no ids, and a copy of the first refusal of an id for the answer to its second try.

Change: a status line within a field makes a head malformed, so that two heads are never one; without echoed ids a refusal counts only on the first request of a connection; an id that was refused before goes to the target on a new connection, where no copy can be due.

--- a/verbenanotch/http1/_answer.py
+++ b/verbenanotch/http1/_answer.py
@@ -20,6 +20,8 @@
 # Of the size of a chunk with its extensions, and of the trailer section.
 MAX_CHUNK_LINE_BYTES = 16 * 1024
 CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
+# Within a field, where an answer broke off and the next one follows.
+EMBEDDED_STATUS_LINE = re.compile(rb"[^\n]HTTP/1\.[01] [0-9]{3}[ \r]")
 LINE_ENDS = (b"\r\n", b"\n")
 VERSIONS = frozenset(("1.0", "1.1"))
 FIRST_FINAL_STATUS = 200
@@ -111,6 +113,8 @@
 
 def _parse_head(head):
     """Return the parser of a complete head, and its HeaderFields."""
+    if EMBEDDED_STATUS_LINE.search(head):
+        raise _malformed("another answer begins within its head")
     collector = FieldCollector()
     parser = httptools.HttpResponseParser(collector)
     try:
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -18,6 +18,7 @@
     AnswerForeignError,
     AnswerTooLargeError,
     AnswerUnboundedError,
+    RefusalUnidentifiedError,
 )
 from verbenanotch.telemetry import metrics
 
@@ -62,7 +63,7 @@
         remaining = deadline - time.monotonic()
         if cancellation.cancelled or remaining <= 0:
             return NotRun(reason=reasons.DEADLINE_PASSED)
-        connection = connections.acquire_idle()
+        connection = connections.acquire_idle(call.request_id)
         is_pooled = connection is not None
         try:
             if not is_pooled:
@@ -87,6 +88,9 @@
             ),
             header_names=header_names,
         )
+        match outcome:
+            case NotRun(reason=reasons.TARGET_REFUSED):
+                connections.remember_refusal(call.request_id)
         is_stale = is_pooled and connection.sent_bytes == 0
         if not is_stale or not isinstance(outcome, NotRun):
             return outcome
@@ -181,6 +185,11 @@
         raise AnswerForeignError("the target only answered other requests")
     reusable = not answer.will_close
     if _states_not_run(answer, header_names):
+        if connection.is_kept and not echoes_id:
+            raise RefusalUnidentifiedError(
+                "a refusal on a kept connection may belong to an earlier "
+                "request; let the target echo request ids"
+            )
         return NotRun(reason=reasons.TARGET_REFUSED), reusable
     outcome = Answered(
         status=answer.status,
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -13,6 +13,7 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 0.2
 PRECONNECT_COUNT = 2
+MAX_REFUSED_IDS = 256
 # Requests with these methods have no Content-Length if their body is empty.
 BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
 # Raised by an exchange if the target or the path to it fails.
@@ -42,7 +43,8 @@
     It never reconnects: only the caller can decide whether a request that
     failed on a stale connection may be sent again on another one. All
     answers are read through one buffer. `sock` is None after `close`.
-    `sent_bytes` counts from the start of the current request.
+    `sent_bytes` counts from the start of the current request. `is_kept` is
+    whether earlier requests were sent on it.
     """
 
     def __init__(self, *, sock):
@@ -51,6 +53,7 @@
         self.sock = sock
         self.sent_bytes = 0
         self.idle_since = 0.0
+        self.is_kept = False
         self._connected_socket = sock
         self._reader = _AnswerReader(sock)
 
@@ -143,9 +146,26 @@
         self._max_idle = max_idle
         self._idle = collections.deque()
         self._closed = False
+        self._refused_ids = collections.OrderedDict()
 
-    def acquire_idle(self):
-        """Return a reusable idle connection, or None."""
+    def remember_refusal(self, request_id):
+        """Send the request on a new connection if it comes once more.
+
+        A copy of its refusal that is still to come on another connection
+        would be taken for the answer.
+        """
+        self._refused_ids[request_id] = None
+        while len(self._refused_ids) > MAX_REFUSED_IDS:
+            self._refused_ids.popitem(last=False)
+
+    def acquire_idle(self, request_id=""):
+        """Return a reusable idle connection, or None.
+
+        `request_id` is that of the request to send, if there is one.
+        """
+        if request_id in self._refused_ids:
+            del self._refused_ids[request_id]
+            return None
         now = time.monotonic()
         while self._idle:
             connection = self._idle.pop()
@@ -194,6 +214,7 @@
             connection.close()
             return
         connection.idle_since = time.monotonic()
+        connection.is_kept = True
         self._idle.append(connection)
 
     def preconnect(self):
--- a/verbenanotch/proxy/exceptions.py
+++ b/verbenanotch/proxy/exceptions.py
@@ -28,6 +28,12 @@
     kind = "answer-foreign"
 
 
+class RefusalUnidentifiedError(ProxyError):
+    """A refusal does not tell which request it refuses."""
+
+    kind = "refusal-unidentified"
+
+
 class AnswerTooLargeError(ProxyError):
     """A target's answer exceeds the size limit for bodies."""
 
