telemetry: the log neither waits nor holds a lock

A proxy whose log went through a pipe, a socket or a terminal stopped for good when several greenthreads logged at once, such as when a target crashed: callers got no answer any more, and only a kill helped.

Cause: eventlet's os.write waits in the loop before each write to all but regular files. structlog's PrintLogger held its lock meanwhile, a real one, and the next greenthread that logged blocked the only thread on it. With a pipe whose reader had gone, the write never ended.

Change: NonblockingDescriptor uses the original system calls, on a description of its own where another process may share the flags, and the logger of structlog is one without a lock. So no log call yields or blocks. Integration tests can run with pipes.

--- a/examples/launcher.py
+++ b/examples/launcher.py
@@ -11,6 +11,7 @@
 STOP_TIMEOUT_SECONDS = 15.0
 POLL_INTERVAL_SECONDS = 0.05
 TAIL_CHARACTERS = 2000
+LOG_PIPES_VARIABLE = "VERBENANOTCH_LOG_PIPES"
 
 
 class WaitTimeoutError(Exception):
@@ -37,7 +38,11 @@
 
 
 class Child:
-    """A child process and its log file."""
+    """A child process and its log file.
+
+    With the environment variable LOG_PIPES_VARIABLE, the process writes to a
+    pipe, as under a supervisor, and another process copies that to the file.
+    """
 
     def __init__(self, *, name, module, arguments, log_path):
         """Prepare to run `python -m module` in the root of the repository."""
@@ -45,17 +50,33 @@
         self.log_path = pathlib.Path(log_path)
         self._command = [sys.executable, "-m", module, *arguments]
         self._process = None
+        self._copier = None
 
     def start(self):
         """Start the process; its output is appended to the log."""
         with self.log_path.open("ab") as log:
-            self._process = subprocess.Popen(
-                self._command,
-                cwd=ROOT,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
+            if os.environ.get(LOG_PIPES_VARIABLE):
+                self._copier = subprocess.Popen(
+                    ["cat"], stdin=subprocess.PIPE, stdout=log
+                )
+                with self._copier.stdin as pipe:
+                    self._process = self._start_with_output(pipe)
+            else:
+                self._process = self._start_with_output(log)
+
+    def _start_with_output(self, output):
+        return subprocess.Popen(
+            self._command,
+            cwd=ROOT,
+            stdin=subprocess.DEVNULL,
+            stdout=output,
+            stderr=subprocess.STDOUT,
+        )
+
+    def _finish_log(self):
+        """Wait until the file has all that the ended process has written."""
+        if self._copier is not None:
+            self._copier.wait(STOP_TIMEOUT_SECONDS)
 
     @property
     def is_alive(self):
@@ -81,6 +102,7 @@
         """Kill the process and wait for its end."""
         self.signal(signal.SIGKILL)
         self._process.wait(STOP_TIMEOUT_SECONDS)
+        self._finish_log()
 
     def terminate(self):
         """Request a graceful shutdown without waiting for its end.
@@ -93,10 +115,11 @@
     def wait(self, timeout_seconds=STOP_TIMEOUT_SECONDS):
         """Return the exit code; kill the process after `timeout_seconds`."""
         try:
-            return self._process.wait(timeout_seconds)
+            self._process.wait(timeout_seconds)
         except subprocess.TimeoutExpired:
             self.kill()
-            return self._process.returncode
+        self._finish_log()
+        return self._process.returncode
 
     def tail(self):
         """Return the last TAIL_CHARACTERS characters of the log."""
--- a/verbenanotch/cli/daemon.py
+++ b/verbenanotch/cli/daemon.py
@@ -2,9 +2,10 @@
 
 Eventlet's monkey patches must precede all other imports. Eventlet's DNS
 resolver is disabled because all addresses are IP addresses. Locks are not
-patched: there is only one thread, no code waits while it holds a lock, and
-the patch inspects every object of the process. Garbage collection is disabled
-here; `verbenanotch.daemon.run` enables it when the daemon has started.
+patched: there is only one thread, no code waits while it holds a lock (the log
+writes without waiting), and the patch inspects every object of the process.
+Garbage collection is disabled here; `verbenanotch.daemon.run` enables it when
+the daemon has started.
 """
 
 import gc
--- a/verbenanotch/telemetry/_events.py
+++ b/verbenanotch/telemetry/_events.py
@@ -32,6 +32,22 @@
     remedy: str = ""
 
 
+class _LineLogger:
+    """Logger of structlog that writes each event as one line.
+
+    Unlike those of structlog it has no lock: a lock that is held while another
+    greenthread logs would stop the only thread.
+    """
+
+    def __init__(self, writer):
+        self._writer = writer
+
+    def msg(self, line):
+        self._writer.write(line)
+
+    debug = info = warning = error = msg
+
+
 class _Output:
     """Outputs of the events, set once at start by `configure`."""
 
@@ -77,7 +93,7 @@
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     structlog.configure(
         processors=[structlog.processors.add_log_level, renderer],
-        logger_factory=structlog.PrintLoggerFactory(file=_output.writer),
+        logger_factory=lambda: _LineLogger(_output.writer),
     )
     _output.logger = structlog.get_logger()
     _output.host = host
--- a/verbenanotch/telemetry/_writer.py
+++ b/verbenanotch/telemetry/_writer.py
@@ -1,11 +1,12 @@
 """Log output that never blocks the process."""
 
 import json
-import os
-import select
 import time
 
-import eventlet
+from verbenanotch.telemetry._descriptor import (
+    MAX_WRITE_BYTES,
+    NonblockingDescriptor,
+)
 
 # Rate limit: 50 lines take about 3 ms of CPU time. A burst may use the budget
 # of two seconds.
@@ -15,33 +16,25 @@
 # line, for example about an ejected target, explains the failures of many
 # requests, whose own lines would otherwise use up the budget.
 RESERVED_LINES = 40
-# A write of up to this many bytes to a pipe that is ready for writing does not
-# block (POSIX).
-MAX_LINE_BYTES = select.PIPE_BUF
 REPORT_SECONDS = 1.0
 
-# The unpatched `poll`, because a log call must not wait for the reader.
-# Eventlet removes `poll`, and its `select` switches to other greenthreads even
-# with a timeout of 0.
-_poll = eventlet.patcher.original("select").poll
-
 
 class BoundedWriter:
     """Write lines to a descriptor within a rate limit, without blocking.
 
     A line that cannot be written immediately is dropped and counted; the
     count is written before the next line, at most once in `REPORT_SECONDS`.
-    The class implements the methods of a text file that the logger uses.
+    The rest of a line that was written in part comes before the next one.
     """
 
     def __init__(self, *, descriptor, now=time.monotonic):
         """Write to an open descriptor; `now` returns seconds."""
-        self._descriptor = descriptor
+        self._descriptor = NonblockingDescriptor(descriptor=descriptor)
+        self._rest = b""
         self._now = now
         self._tokens = float(MAX_BURST_LINES)
         self._refilled_at = now()
         self._reported_at = now()
-        self._poller = None
         self.dropped = 0
 
     def admit(self, *, is_about_request=False):
@@ -75,24 +68,19 @@
         if not self._write_line(line):
             self.dropped += 1
 
-    def flush(self):
-        """Do nothing: lines are written immediately."""
-
     def _write_line(self, line):
-        """Write a line; return False if it would block or fails."""
-        if not self._is_writable():
-            return False
+        """Write a line; return False if none of it was written."""
+        line = line[: MAX_WRITE_BYTES - 1] + b"\n"
         try:
-            os.write(self._descriptor, line[: MAX_LINE_BYTES - 1] + b"\n")
+            if self._rest:
+                written = self._descriptor.write(self._rest)
+                self._rest = self._rest[written:]
+            if self._rest:
+                return False
+            written = self._descriptor.write(line)
         except OSError:
-            # The reader has closed the pipe; there is no other output.
+            # The reader has gone; there is no other output.
             return False
-        return True
-
-    def _is_writable(self):
-        if self._poller is None:
-            self._poller = _poll()
-            self._poller.register(self._descriptor, select.POLLOUT)
-        return any(
-            events & select.POLLOUT for _, events in self._poller.poll(0)
-        )
+        if written:
+            self._rest = line[written:]
+        return bool(written)
