daemon, loop: log exceptions that nothing handles

Cause: eventlet's hub drops such exceptions, or prints them to standard error, which blocks the process on a full pipe; the log of the WSGI server was off.

Sends of statsd drop a datagram in place of yielding on a full buffer.

--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -9,6 +9,7 @@
 
 from verbenanotch import loop
 from verbenanotch.daemon import events
+from verbenanotch.daemon._failures import RequestFailureLog
 from verbenanotch.telemetry import emit
 
 LISTEN_BACKLOG = 1024
@@ -129,6 +130,7 @@
             debug=False,
             capitalize_response_headers=False,
         )
+        self._server.log = RequestFailureLog()
         self._workers = loop.Workers()
         self._connections_by_id = {}
         self._acceptor = None
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -8,6 +8,7 @@
 
 from verbenanotch.conf import parse_endpoint
 from verbenanotch.daemon import _http_headers, events
+from verbenanotch.daemon._failures import log_unhandled
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon._interfaces import Interfaces
 from verbenanotch.daemon._reload import watch_settings
@@ -47,7 +48,7 @@
             port=telemetry.statsd_port,
             prefix=f"verbenanotch.{settings.host.name}",
         )
-    hubs.get_hub().debug_exceptions = False
+    log_unhandled(hubs.get_hub())
     try:
         role = _make_role(settings, interfaces or Interfaces())
         _serve_metrics(telemetry)
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -52,3 +52,19 @@
     "a connection has its maximum of requests in progress, an unsafe one, or "
     "answers that its caller does not read; logged once a connection",
 )
+GREENTHREAD_FAILED = event(
+    9011,
+    "greenthread-failed",
+    Level.ERROR,
+    "an internal error ended a task in the background; logged once a second "
+    "for each type of error",
+    "Report the traceback to the project.",
+)
+HTTP_REQUEST_FAILED = event(
+    9012,
+    "http-request-failed",
+    Level.ERROR,
+    "an internal error ended a request, which was answered with status 500; "
+    "logged once a second for each type of error",
+    "Report the traceback to the project.",
+)
--- a/verbenanotch/loop/_workers.py
+++ b/verbenanotch/loop/_workers.py
@@ -1,7 +1,6 @@
 """A pool of reusable greenthreads."""
 
 import sys
-import traceback
 
 import eventlet
 import greenlet
@@ -39,7 +38,7 @@
             except Exception:
                 # An exception that a task does not handle must not end the
                 # greenthread.
-                traceback.print_exc(file=sys.stderr)
+                hubs.get_hub().squelch_generic_exception(sys.exc_info())
             if len(self._idle) >= self._max_idle:
                 return
             del task, args
--- a/verbenanotch/telemetry/_metrics.py
+++ b/verbenanotch/telemetry/_metrics.py
@@ -40,6 +40,8 @@
         `host` is its IP address.
         """
         self._client = statsd.StatsClient(host, port, prefix=prefix)
+        # A full buffer drops the datagram; a send never yields.
+        self._client._sock.setblocking(False)
 
     def increment(self, name, count=1):
         """Add to a counter."""
