http1, daemon: run only requests that were sent whole

Targets ran requests whose client had left in the middle of the head, with an empty body, and requests that stood in the body of another one with a malformed head.

Cause: the end of the stream was taken for the end of the head, and a head that the strict parser refused was read again by the e-mail parser of the standard library, which drops a line that it does not understand and all that follow, the length among them. Chunks were read leniently, too, and a 501 for a coding kept the connection.

Change: one parser reads the heads of requests on all ports, one the chunks, strictly and without a second reading. After an error the connection is closed, so that nothing behind it can be a request.

--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -1,6 +1,7 @@
 """The connections of callers: pipelined requests, and malformed ones."""
 
 import contextlib
+import http
 import json
 import socket
 import time
@@ -19,7 +20,6 @@
 from verbenanotch.proxy import ARRIVED_AT, CONNECTION
 from verbenanotch.telemetry import emit, metrics
 
-MALFORMED_REQUEST_REMEDY = "Send a well-formed HTTP/1.1 request."
 # RFC 9110, section 9.2.1. A body would have to be read before the next request
 # anyway, so only requests without one run beside others.
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
@@ -107,23 +107,10 @@
         )
         self._options.workers.run(self._run, turn, self.environ, answer)
 
-    def parse_request(self):
-        """Parse the request line and headers; return False if refused."""
-        if not super().parse_request():
-            return False
-        lengths = self.headers.get_all("Content-Length", [])
-        if len(set(lengths)) > 1 or not all(map(_is_valid_length, lengths)):
-            self.send_error(400, "bad-length")
-            return False
-        if lengths and self.headers.get("Transfer-Encoding"):
-            self.send_error(400, "bad-length")
-            return False
-        return True
-
     def send_error(self, code, message=None, explain=None):
-        """Answer a request that cannot be parsed; close the connection.
+        """Answer a request that can't be read; close the connection.
 
-        `message` is the reason in the answer; the default is `bad-request`.
+        `message` is the reason and `explain` the remedy in the answer.
         """
         self.close_connection = True
         self._drain()
@@ -131,13 +118,13 @@
         body = json.dumps(
             {
                 "outcome": "not-run",
-                "reason": message or "bad-request",
-                "remedy": MALFORMED_REQUEST_REMEDY,
+                "reason": message,
+                "remedy": explain,
                 "request_id": request_id,
             }
         ).encode()
         head = (
-            f"HTTP/1.1 {int(code)} Bad Request\r\n"
+            f"HTTP/1.1 {int(code)} {http.HTTPStatus(code).phrase}\r\n"
             "Content-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\n"
             "X-Verbenanotch-Outcome: not-run\r\n"
@@ -336,7 +323,3 @@
                 self.connection.settimeout(remaining)
                 if not self.connection.recv(loop.MAX_JOINED_BYTES):
                     return
-
-
-def _is_valid_length(text):
-    return text.isascii() and text.isdigit()
--- a/verbenanotch/daemon/_failures.py
+++ b/verbenanotch/daemon/_failures.py
@@ -51,6 +51,9 @@
     def debug(self, message):
         """Do nothing; the server tells here of idle connections."""
 
+    # Of clients that leave within a body or send one that can't be read.
+    error = debug
+
 
 def log_unhandled(hub):
     """Log the exceptions that end a greenthread of a hub.
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -1,7 +1,10 @@
 """WSGI server on the event loop that finishes requests before it stops."""
 
 import functools
+import http
 import io
+import json
+import sys
 import urllib.parse
 
 import eventlet
@@ -10,7 +13,9 @@
 from verbenanotch import loop
 from verbenanotch.daemon import events
 from verbenanotch.daemon._failures import RequestFailureLog
-from verbenanotch.telemetry import emit
+from verbenanotch.http1 import ChunkedBody, read_request_head
+from verbenanotch.http1.exceptions import HttpError, RequestRefusedError
+from verbenanotch.telemetry import emit, metrics
 
 LISTEN_BACKLOG = 1024
 MAX_CONNECTIONS = 4096
@@ -43,6 +48,45 @@
         """Send buffered bytes; the server closes the connection."""
         self.wfile.flush()
 
+    def parse_request(self):
+        """Read the head of a request; return False if it is refused.
+
+        Replaces the parser of `http.server`, which ignores what it can't
+        read.
+        """
+        self.command = None
+        self.request_version = self.default_request_version
+        self.requestline = self.raw_requestline.decode("latin-1").strip()
+        try:
+            head = read_request_head(self.rfile, self.raw_requestline)
+        except RequestRefusedError as error:
+            metrics.increment(f"daemon.http_heads_refused.{error.kind}")
+            self.send_error(error.status, error.kind, str(error))
+            return False
+        self.command = head.method
+        self.path = head.target
+        self.request_version = head.version
+        self.headers = head.headers
+        self.close_connection = not head.keeps_connection
+        return True
+
+    def send_error(self, code, message=None, explain=None):
+        """Answer a request that can't be read; close the connection.
+
+        `message` is the reason and `explain` the remedy in the answer.
+        """
+        self.close_connection = True
+        body = json.dumps({"kind": message, "remedy": explain}).encode()
+        self.wfile.writelines(
+            [
+                f"HTTP/1.1 {int(code)} {_phrase(code)}\r\n".encode(),
+                b"Content-Type: application/json\r\n",
+                f"Content-Length: {len(body)}\r\n".encode(),
+                b"Connection: close\r\n\r\n",
+                body,
+            ]
+        )
+
     def get_environ(self):
         """Return the WSGI environment of the current request.
 
@@ -54,6 +98,7 @@
         length = self.headers.get("content-length")
         environ.update(
             REQUEST_METHOD=self.command,
+            REQUEST_TARGET=self.path,
             SCRIPT_NAME="",
             RAW_PATH_INFO=path,
             PATH_INFO=urllib.parse.unquote(path, encoding="latin1"),
@@ -79,13 +124,11 @@
 
     def _add_input(self, environ, length):
         """Add the body's input stream and the hooks that eventlet expects."""
-        is_chunked = (
-            environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
-        )
+        is_chunked = "HTTP_TRANSFER_ENCODING" in environ
         expects = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
         if length is None and not is_chunked:
             length = "0"
-        environ["wsgi.input"] = environ["eventlet.input"] = wsgi.Input(
+        environ["wsgi.input"] = environ["eventlet.input"] = RequestBody(
             self.rfile,
             length,
             self.connection,
@@ -110,6 +153,31 @@
         self._close_connection = value
 
 
+class RequestBody(wsgi.Input):
+    """The body of a request; malformed chunks end the connection.
+
+    After them, where the next request begins is unknown.
+    """
+
+    def __init__(self, *arguments, **options):
+        """Take the arguments of `eventlet.wsgi.Input`."""
+        super().__init__(*arguments, **options)
+        self._chunks = ChunkedBody(reader=self.rfile)
+
+    def _chunked_read(self, rfile, length=None, use_readline=False):
+        """Return up to `length` bytes, or all if it is None or negative."""
+        if use_readline:
+            raise io.UnsupportedOperation("a chunked body has no lines")
+        if self.should_send_hundred_continue:
+            self.send_hundred_continue_response()
+            self.is_hundred_continue_response_sent = True
+        size = sys.maxsize if length is None or length < 0 else length
+        try:
+            return self._chunks.read(size)
+        except HttpError as error:
+            raise wsgi.ChunkReadError(str(error)) from error
+
+
 class HttpServer:
     """Serve one WSGI application on one address.
 
@@ -220,6 +288,10 @@
             sock.close()
 
 
+def _phrase(code):
+    return http.HTTPStatus(code).phrase
+
+
 def _add_header(environ, name, value):
     """Add a request header; join the values of repeated ones by commas.
 
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -7,7 +7,7 @@
 from eventlet import event, hubs
 
 from verbenanotch.conf import parse_endpoint
-from verbenanotch.daemon import _http_headers, events
+from verbenanotch.daemon import events
 from verbenanotch.daemon._failures import log_unhandled
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon._interfaces import Interfaces
@@ -34,7 +34,6 @@
     result of loading the settings again; it is called on SIGHUP and
     periodically.
     """
-    _http_headers.install()
     telemetry = settings.telemetry
     configure(
         host=settings.host.name,
--- a/verbenanotch/http1/_answer.py
+++ b/verbenanotch/http1/_answer.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from verbenanotch.http1._chunks import ChunkedBody
 from verbenanotch.http1._fields import FieldCollector, HeaderFields
 from verbenanotch.http1.exceptions import (
     AnswerHeadTooLargeError,
@@ -17,12 +18,8 @@
 
 # Of an answer and of the interim responses before it.
 MAX_HEAD_BYTES = 128 * 1024
-# Of the size of a chunk with its extensions, and of the trailer section.
-MAX_CHUNK_LINE_BYTES = 16 * 1024
-CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
 # Within a field, where an answer broke off and the next one follows.
 EMBEDDED_STATUS_LINE = re.compile(rb"[^\n]HTTP/1\.[01] [0-9]{3}[ \r]")
-LINE_ENDS = (b"\r\n", b"\n")
 VERSIONS = frozenset(("1.0", "1.1"))
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
@@ -198,62 +195,12 @@
         return self._reader.read(size)
 
 
-class _ChunkedBody:
-    """A body in chunks (RFC 9112, section 7.1)."""
+class _ChunkedBody(ChunkedBody):
+    """The chunked body of an answer."""
 
     length = None
-
-    def __init__(self, *, reader):
-        self._reader = reader
-        self._bytes_left = 0
-        self._is_first = True
-        self._is_at_end = False
-
-    def read(self, size):
-        pieces = []
-        while size and not self._is_at_end:
-            if not self._bytes_left:
-                self._start_chunk()
-                continue
-            piece = self._read_exactly(min(size, self._bytes_left))
-            self._bytes_left -= len(piece)
-            size -= len(piece)
-            pieces.append(piece)
-        return b"".join(pieces)
-
-    def _start_chunk(self):
-        """Read the size of the next chunk; at the last one, the trailer."""
-        if not self._is_first and self._read_line() not in LINE_ENDS:
-            raise _malformed("a chunk is longer than its size")
-        self._is_first = False
-        match = CHUNK_SIZE_PATTERN.fullmatch(self._read_line())
-        if match is None:
-            raise _malformed("the size of a chunk is not a hex number")
-        self._bytes_left = int(match[1], 16)
-        if not self._bytes_left:
-            self._read_trailer()
-            self._is_at_end = True
-
-    def _read_trailer(self):
-        bytes_read = 0
-        while (line := self._read_line()) not in LINE_ENDS:
-            bytes_read += len(line)
-            if bytes_read > MAX_CHUNK_LINE_BYTES:
-                raise _malformed("its trailer section is too large")
-
-    def _read_line(self):
-        line = self._reader.readline(MAX_CHUNK_LINE_BYTES + 1)
-        if len(line) > MAX_CHUNK_LINE_BYTES:
-            raise _malformed("a line between its chunks is too large")
-        if not line.endswith(b"\n"):
-            raise _incomplete("chunked body")
-        return line
-
-    def _read_exactly(self, size):
-        data = self._reader.read(size)
-        if len(data) < size:
-            raise _incomplete("chunk")
-        return data
+    incomplete_error = AnswerIncompleteError
+    malformed_error = AnswerMalformedError
 
 
 def _incomplete(part):
--- /dev/null
+++ b/verbenanotch/http1/_chunks.py
@@ -0,0 +1,103 @@
+"""Bodies in chunks (RFC 9112, section 7.1)."""
+
+import re
+
+from verbenanotch.http1.exceptions import (
+    MessageIncompleteError,
+    MessageMalformedError,
+)
+
+# Of the size of a chunk with its extensions, and of the trailer section.
+MAX_LINE_BYTES = 16 * 1024
+SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
+LINE_ENDS = (b"\r\n", b"\n")
+
+
+class ChunkedBody:
+    """A body in chunks, read from a buffered binary file.
+
+    Errors are of the types `incomplete_error` and `malformed_error`. After
+    one, where the next message begins is unknown, and each further read fails
+    as well.
+    """
+
+    incomplete_error = MessageIncompleteError
+    malformed_error = MessageMalformedError
+
+    def __init__(self, *, reader):
+        """Read the chunks from `reader`."""
+        self._reader = reader
+        self._bytes_left = 0
+        self._is_first = True
+        self._is_at_end = False
+        self._error = None
+
+    def read(self, size):
+        """Return up to `size` more bytes of the body, `b""` at its end.
+
+        Fewer are returned only at its end.
+        """
+        if self._error is not None:
+            raise self._error
+        try:
+            return self._read(size)
+        except (self.incomplete_error, self.malformed_error) as error:
+            self._error = error
+            raise
+
+    def _read(self, size):
+        pieces = []
+        while size and not self._is_at_end:
+            if not self._bytes_left:
+                self._start_chunk()
+                continue
+            piece = self._read_exactly(min(size, self._bytes_left))
+            self._bytes_left -= len(piece)
+            size -= len(piece)
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def _start_chunk(self):
+        """Read the size of the next chunk; at the last one, the trailer."""
+        if not self._is_first and self._read_line() not in LINE_ENDS:
+            raise self._malformed("a chunk is longer than its size")
+        self._is_first = False
+        match = SIZE_PATTERN.fullmatch(self._read_line())
+        if match is None:
+            raise self._malformed("the size of a chunk is not a hex number")
+        self._bytes_left = int(match[1], 16)
+        if not self._bytes_left:
+            self._read_trailer()
+            self._is_at_end = True
+
+    def _read_trailer(self):
+        bytes_read = 0
+        while (line := self._read_line()) not in LINE_ENDS:
+            bytes_read += len(line)
+            if bytes_read > MAX_LINE_BYTES:
+                raise self._malformed("the trailer section is too large")
+
+    def _read_line(self):
+        line = self._reader.readline(MAX_LINE_BYTES + 1)
+        if len(line) > MAX_LINE_BYTES:
+            raise self._malformed("a line between chunks is too large")
+        if not line.endswith(b"\n"):
+            raise self._incomplete()
+        return line
+
+    def _read_exactly(self, size):
+        data = self._reader.read(size)
+        if len(data) < size:
+            raise self._incomplete()
+        return data
+
+    def _incomplete(self):
+        return self.incomplete_error(
+            "the connection ended within a chunked body; look for a crash or "
+            "a time limit at the sender"
+        )
+
+    def _malformed(self, problem):
+        return self.malformed_error(
+            f"a chunked body is malformed: {problem}; correct the sender"
+        )
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -141,10 +141,7 @@
     if isinstance(body, Rejected):
         return body
     method = environ["REQUEST_METHOD"]
-    query = environ.get("QUERY_STRING")
-    path = environ["RAW_PATH_INFO"]
-    if query:
-        path = f"{path}?{query}"
+    path = environ["REQUEST_TARGET"]
     return Request(
         request_id=request_id,
         route_name=route_name,
