proxy: a probe has its connection for itself

Crashes of targets could be missed, so that a request which crashes targets reached more of them, and two calls could use one connection.

Cause: TargetConnections.probe put the new connection among the idle ones and returned it as well. A call took it while the crash detector waited on it, and the detector released it while the call used it. If no connection may be idle, it was closed, and the watch ended by an exception.

Change: probe returns a connection that is in no pool; its caller releases it when it is done, so that each has one owner at a time.

--- a/tests/unit/test_target_crashes.py
+++ b/tests/unit/test_target_crashes.py
@@ -15,6 +15,7 @@
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._crash_detection import CRASH_RECHECK_SECONDS
 from verbenanotch.proxy._outcome import Unknown
+from verbenanotch.proxy._target_connection import TargetConnections
 from verbenanotch.proxy._unfinished_calls import (
     MAX_OVERRUN_SECONDS,
     UnfinishedCalls,
@@ -84,10 +85,12 @@
     """
     guard = FakeGuard()
 
-    def run_at(serve):
+    def run_at(serve, *, max_idle=None):
         listener = eventlet.listen(("127.0.0.1", 0))
         server = eventlet.spawn(serve, listener)
         targets = make_targets(guard, listener)
+        if max_idle is not None:
+            targets.targets_by_id["i-1"].connections._max_idle = max_idle
         run_call_at(
             targets,
             make_call(target_id="i-1", service="pay", body=b"large"),
@@ -321,3 +324,44 @@
     kept = [call.fingerprint for call in calls.take_all(1.0)]
     assert kept == [b"1", b"3"]
     assert not calls.has_any(1.0)
+
+
+@pytest.fixture
+def full_pool():
+    """Return connections to a listening target that keep none idle."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    connections = TargetConnections(
+        address="127.0.0.1", port=listener.getsockname()[1], max_idle=0
+    )
+    yield connections
+    listener.close()
+
+
+def test_a_probe_is_open_although_no_connection_may_be_idle(full_pool):
+    """Guard against a watch that ends as its connection is closed."""
+    connection = full_pool.probe()
+    assert connection.sock is not None
+    assert not connection.wait_for_input(timeout_seconds=0.01)
+    connection.close()
+
+
+def test_no_call_uses_the_connection_of_a_probe(full_pool):
+    """Guard against two requests at once on one connection."""
+    full_pool._max_idle = 4
+    connection = full_pool.probe()
+    assert full_pool.acquire_idle() is None
+    full_pool.release(connection)
+    assert full_pool.acquire_idle() is connection
+    connection.close()
+
+
+def test_a_crash_is_detected_although_no_connection_may_be_idle(run):
+    def serve(listener):
+        break_off(listener)
+        probe, _ = listener.accept()
+        listener.close()
+        probe.close()
+
+    targets, crashed = run(serve, max_idle=0)
+    assert len(crashed) == 1
+    assert targets.targets_by_id == {}
--- a/verbenanotch/proxy/_crash_detection.py
+++ b/verbenanotch/proxy/_crash_detection.py
@@ -113,16 +113,23 @@
         connection = None if self._has_crashed else self._connections.probe()
         if connection is None:
             self._mark_crashed()
+            return True
         end = time.monotonic() + CRASH_RECHECK_SECONDS
         while not self._has_crashed and time.monotonic() < end:
             eventlet.sleep(RECHECK_INTERVAL_SECONDS)
-            if (
-                connection.was_closed_unused()
-                and self._connections.probe() is None
-            ):
+            if connection.was_closed_unused() and not self._accepts():
                 self._mark_crashed()
+        self._connections.release(connection)
         return self._has_crashed
 
+    def _accepts(self):
+        """Return whether the target accepts another connection."""
+        connection = self._connections.probe()
+        if connection is None:
+            return False
+        self._connections.release(connection)
+        return True
+
     def _mark_crashed(self):
         if not self._has_crashed:
             self._has_crashed = True
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -189,16 +189,14 @@
         return TargetConnection(sock=sock)
 
     def probe(self):
-        """Open a connection, add it to the idle ones and return it.
+        """Return a new connection, or None if the target can't be reached.
 
-        Returns None if the target can't be reached.
+        No call uses it before it is released.
         """
         try:
-            connection = self.connect(timeout_seconds=PROBE_TIMEOUT_SECONDS)
+            return self.connect(timeout_seconds=PROBE_TIMEOUT_SECONDS)
         except OSError:
             return None
-        self.release(connection)
-        return connection
 
     def release(self, connection):
         """Keep a connection for reuse, or close it if that isn't possible.
