proxy: a target that has left stays out for its incarnation

Targets got requests until they exited, seconds after the bound of their drain: a report that was sent before the DELETE, and arrived after it, brought them back.

Cause: LocalTargets remembered the order of the last report that had arrived, and any later one of the same start was accepted. What had left was forgotten with the proxy, and a target whose address was taken over could come back once the other one had left.

Change: TargetHistory refuses whatever comes of a departed target, by its incarnation. Departures are announced as drained for 10 s, so that control hosts remember them beyond a restart of the proxy, like drains.

--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -21,6 +21,7 @@
 from verbenanotch.proxy._slots import Slots
 from verbenanotch.proxy._target_connection import TargetConnections
 from verbenanotch.proxy._target_discovery import UNKNOWN_INCARNATION
+from verbenanotch.proxy._target_history import TargetHistory
 from verbenanotch.proxy._target_notices import NoticeLog, read_notices
 from verbenanotch.routing import (
     SERVICE_TIME_EWMA_WEIGHT,
@@ -30,16 +31,9 @@
 from verbenanotch.telemetry import emit, metrics
 
 MILLISECONDS_PER_SECOND = 1000
-# Removed and expired targets that are remembered so that late announcements
-# of them are rejected.
-MAX_REMOVED_TARGETS = 64
 # Less than any sequence of an announcement.
 BEFORE_FIRST_SEQUENCE = -1
 CRASH_ID_BYTES = 8
-# For this time after the removal of a target that was not known yet, its
-# announcements from before the removal are rejected: they may arrive some
-# seconds late.
-MAX_ANNOUNCEMENT_DELAY_SECONDS = 10.0
 
 
 @attrs.define(kw_only=True)
@@ -139,9 +133,8 @@
         self._is_rejected = is_rejected
         self._known_services = known_services
         self._checker = AnnouncementChecker()
-        self._removed_orders_by_id = {}
-        self._early_removals_by_id = {}
-        self._drained_incarnations_by_id = {}
+        self._history = TargetHistory()
+        self._announced_departures = []
         self._service = settings.proxy.local_service
         self._guard = guard
         self._settings = settings
@@ -157,7 +150,9 @@
     def announcement(self):
         """Return the HostRecord to announce to other hosts."""
         host = self._settings.host
-        targets = () if self._leaving else self.targets_by_id.values()
+        self._announced_departures = self._departures()
+        records = [target.record for target in self.targets_by_id.values()]
+        records += self._announced_departures
         return HostRecord(
             host=host.name,
             availability_zone=host.availability_zone,
@@ -165,10 +160,18 @@
             peer_port=host.announced_peer_port,
             incarnation=self._incarnation,
             sequence=self._sequence,
-            targets=tuple(target.record for target in targets),
+            targets=() if self._leaving else tuple(records),
             control_zone=host.control_zone,
         )
 
+    def _departures(self):
+        """Return the records of targets that left and have not come back."""
+        return [
+            record
+            for record in self._history.recent_departures()
+            if record.target_id not in self.targets_by_id
+        ]
+
     @property
     def incarnation(self):
         """Return the incarnation that this host announces."""
@@ -243,8 +246,7 @@
             current = self.targets_by_id[record.target_id]
         current.expires_at = expires_at
         current.sequence = sequence
-        drained = self._drained_incarnations_by_id.get(record.target_id)
-        if record.draining or drained == record.incarnation:
+        if record.draining or self._history.was_drained(record):
             self.drain(record.target_id)
         return None
 
@@ -261,39 +263,17 @@
 
     def _is_current(self, record, sequence):
         """Return whether an announcement is not outdated."""
-        order = (record.incarnation, sequence)
-        removed_order = self._removed_orders_by_id.get(record.target_id)
-        if removed_order is not None and order <= removed_order:
+        if self._history.is_outdated(record, sequence):
             return False
+        order = (record.incarnation, sequence)
         current = self.targets_by_id.get(record.target_id)
         if current is not None and order < current.order:
             return False
-        if self._was_removed_while_unknown(record):
-            return False
         return all(
             other.record.incarnation <= record.incarnation
             for other in self._other_targets_at(record)
         )
 
-    def _was_removed_while_unknown(self, record):
-        """Return whether a target was removed before its announcement came.
-
-        After a restart of the proxy, a target can be removed before the
-        proxy has received an announcement of it. An incarnation is expected
-        to be the time of the target's start in milliseconds since 1970. That
-        of a delayed announcement is then before the removal, and that of the
-        target's next start is after it.
-        """
-        removal = self._early_removals_by_id.get(record.target_id)
-        if removal is None:
-            return False
-        removed_at_seconds, removed_at_wall_ms = removal
-        is_recent = (
-            time.monotonic() - removed_at_seconds
-            < MAX_ANNOUNCEMENT_DELAY_SECONDS
-        )
-        return is_recent and record.incarnation <= removed_at_wall_ms
-
     def _other_targets_at(self, record):
         """Return the other targets with the address and port of a record."""
         return [
@@ -307,6 +287,7 @@
     def _add_target(self, record, expires_at):
         """Add a target and remove any other target at its address."""
         for other in self._other_targets_at(record):
+            self._history.add_departure(other.record)
             self._remove(other.record.target_id)
             other.record_restart()
         current = self.targets_by_id.get(record.target_id)
@@ -356,14 +337,12 @@
 
     def remove(self, target_id):
         """Remove a target that exits; return False if it is unknown."""
-        target = self._remove(target_id)
+        target = self.targets_by_id.get(target_id)
         if target is None:
-            self._early_removals_by_id[target_id] = (
-                time.monotonic(),
-                int(time.time() * MILLISECONDS_PER_SECOND),
-            )
-            _drop_oldest(self._early_removals_by_id)
+            self._history.add_exit(target_id, None)
             return False
+        self._history.add_exit(target_id, target.record)
+        self._remove(target_id)
         if target.crash_detector is not None:
             target.crash_detector.expect_exit()
         return True
@@ -374,35 +353,31 @@
         if target is None:
             return None
         target.connections.close()
-        self._remember_order(target_id, target.order)
+        self._history.add_removal(target_id, target.order)
         emit(events.TARGET_LEFT, target=target_id)
         self._announcement_changed()
         return target
 
     def expire(self):
-        """Remove the targets whose announcement was not renewed in time."""
+        """Remove the targets whose announcement was not renewed in time.
+
+        Departures are announced for some time only.
+        """
+        if self._departures() != self._announced_departures:
+            self._announcement_changed()
         now = time.monotonic()
         for target_id, target in list(self.targets_by_id.items()):
             if target.expires_at <= now:
                 del self.targets_by_id[target_id]
                 target.connections.close()
                 if target.record.draining:
-                    self._remember_drain(target.record)
-                self._remember_order(target_id, _order_before_renewal(target))
+                    self._history.add_drain(target.record)
+                self._history.add_removal(
+                    target_id, _order_before_renewal(target)
+                )
                 emit(events.TARGET_EXPIRED, target=target_id)
                 self._announcement_changed()
 
-    def _remember_drain(self, record):
-        """Drain a target again if it returns in the same incarnation."""
-        drained = self._drained_incarnations_by_id
-        drained[record.target_id] = record.incarnation
-        _drop_oldest(drained)
-
-    def _remember_order(self, target_id, order):
-        """Reject announcements up to `order` of a target that is removed."""
-        self._removed_orders_by_id[target_id] = order
-        _drop_oldest(self._removed_orders_by_id)
-
     def preconnect(self):
         """Open idle connections to each target in advance."""
         for target in list(self.targets_by_id.values()):
@@ -566,12 +541,6 @@
     return (target.record.incarnation, BEFORE_FIRST_SEQUENCE)
 
 
-def _drop_oldest(removals_by_id):
-    """Drop the oldest entry if there are over `MAX_REMOVED_TARGETS`."""
-    if len(removals_by_id) > MAX_REMOVED_TARGETS:
-        del removals_by_id[next(iter(removals_by_id))]
-
-
 def _is_first_announcement(current, record):
     """Return whether a discovered target announces itself for the first time.
 
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -183,3 +183,10 @@
     "once a second",
     "Correct what the target, or another writer on its host, announces.",
 )
+TARGET_END_FORGOTTEN = event(
+    5033,
+    "target-end-forgotten",
+    Level.INFO,
+    "forgot that a target has left, as many others have left since; a late "
+    "announcement of it would be accepted",
+)
