daemon, conf: a stop uses the time that the deployment leaves

Requests in progress were cut 5.0 s after SIGTERM where a deployment kills the process only after 10 s.

Cause: leave_ms and shutdown_grace_ms were constants in deploy/proxy.toml, for a bound of 6 s.

Change: proxy.stop_seconds, filled in from the deployment's bound, from which the proxy derives both times and leaves a sixth, at most 1 s, for its exit. With 6 s both are as before. What waits in a stop counts into one total, so that it ends before the kill for any bound.

--- a/tests/integration/test_shutdown.py
+++ b/tests/integration/test_shutdown.py
@@ -99,3 +99,39 @@
             lambda: not mesh.child(leaving).is_alive, what="exit of the proxy"
         )
         assert mesh.child(leaving).exit_code == 0
+
+
+def test_a_request_that_fits_into_the_stop_is_finished(tmp_path):
+    """Guard against a stop that cuts requests before it has to."""
+    stop_seconds = 9
+    proxy = PROXIES[0]
+    with Mesh(
+        folder=tmp_path,
+        control_hosts_per_zone=1,
+        proxies_per_zone=1,
+        overrides={"proxy": {"stop_seconds": stop_seconds}},
+    ) as mesh:
+        mesh.start_target(proxy, SERVICE)
+        mesh.accept(MESH_TEXT.replace("= 2000", "= 9000"))
+        mesh.wait_until(
+            lambda: (
+                mesh.call("GET", "/pay/1", proxy=proxy).outcome == "answered"
+            ),
+            what="served requests",
+        )
+        waiting = eventlet.spawn(
+            mesh.call,
+            "POST",
+            "/pay/1?latency_ms=6500",
+            proxy=proxy,
+            timeout_ms=9000,
+        )
+        eventlet.sleep(0.3)
+        mesh.terminate(proxy)
+        assert waiting.wait().outcome == "answered"
+        with eventlet.Timeout(stop_seconds):
+            mesh.wait_until(
+                lambda: not mesh.child(proxy).is_alive,
+                what="exit of the proxy",
+            )
+        assert mesh.child(proxy).exit_code == 0
--- a/tests/unit/test_deploy_templates.py
+++ b/tests/unit/test_deploy_templates.py
@@ -117,3 +117,18 @@
         if name.startswith("Bounds.")
     }
     assert used <= {*BOUNDS, "FailClosed"}
+
+
+@pytest.mark.parametrize("seconds", [2, 6, 100 / 3, 60])
+def test_a_proxy_knows_when_it_is_killed(load, seconds):
+    """Guard against a stop that ends at the same time on each deployment."""
+    result = load("proxy.toml", bounds={"GraceS": seconds})
+    assert_valid(result)
+    assert result.value.proxy.stop_seconds == seconds
+
+
+def test_without_a_bound_a_stop_takes_the_usual_time(load):
+    result = load("proxy.toml", bounds={})
+    assert_valid(result)
+    assert result.value.proxy.stop_seconds == 0
+    assert result.value.proxy.leave_ms == 2500
--- a/tests/unit/test_shutdown_order.py
+++ b/tests/unit/test_shutdown_order.py
@@ -3,7 +3,9 @@
 from types import SimpleNamespace
 
 import eventlet
+import pytest
 
+from verbenanotch.conf import ProxySettings
 from verbenanotch.daemon import _shutdown
 
 
@@ -38,3 +40,21 @@
             lambda: False, grace_seconds=0.05
         )
     assert left_seconds == 0.0
+
+
+@pytest.mark.parametrize("seconds", [0.1, 2, 100 / 3, 6, 10, 60])
+def test_a_stop_fits_into_the_time_until_the_kill(seconds):
+    """Guard against requests that are cut although they had the time."""
+    times = _shutdown.stop_times(ProxySettings(stop_seconds=seconds))
+    used = times.leave_seconds + times.grace_seconds
+    left = seconds - used
+    assert 0 < left <= _shutdown.MAX_EXIT_SECONDS
+    assert left >= min(_shutdown.MAX_EXIT_SECONDS, seconds / 6) * 0.99
+    assert times.leave_seconds <= _shutdown.MAX_LEAVE_SECONDS
+    assert times.grace_seconds >= seconds / 3
+
+
+def test_without_a_time_until_the_kill_the_settings_apply():
+    proxy = ProxySettings(leave_ms=1500, shutdown_grace_ms=700)
+    times = _shutdown.stop_times(proxy)
+    assert (times.leave_seconds, times.grace_seconds) == (1.5, 0.7)
--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -104,6 +104,13 @@
             "is negative",
             "Use the rate of the link, or 0 if it is not known.",
         )
+    if proxy and not 0 <= proxy.stop_seconds < math.inf:
+        yield document.problem(
+            "proxy.stop_seconds",
+            "is not a time",
+            "Use the seconds from the signal to stop until the process is "
+            "killed, or 0 to set leave_ms and shutdown_grace_ms.",
+        )
     if proxy and proxy.retry_burst < 0:
         yield document.problem(
             "proxy.retry_burst", "is negative", "Use at least 0."
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -206,7 +206,8 @@
     callers for another `leave_ms`, while `ready_listen` reports that it is
     not ready, so that callers learn that it is stopping. It then waits up to
     `shutdown_grace_ms` until other hosts have its records of keyed requests
-    and the requests in progress have ended.
+    and the requests in progress have ended. With `stop_seconds`, the time
+    from the signal until the process is killed, both follow from it.
     All proxies together send at most about `retry_burst` retries to one
     service in a burst; apart from that, retries are limited to a share of
     its requests. Without `probe_targets`, a target's health is judged by its
@@ -248,6 +249,7 @@
     targets_may_omit_length: bool = False
     fractional_retry_after: bool = False
     leave_ms: int = 0
+    stop_seconds: float = 0.0
     retry_burst: float = 50.0
     unrouted_is_missing: bool = False
     probe_targets: bool = True
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -176,10 +176,7 @@
                 ).application,
             )
         self._is_leaving = False
-        self._leave_seconds = proxy.leave_ms / MILLISECONDS_PER_SECOND
-        self._shutdown_grace_seconds = (
-            proxy.shutdown_grace_ms / MILLISECONDS_PER_SECOND
-        )
+        self._stop_times = _shutdown.stop_times(proxy)
         self._snapshot_wait_seconds = (
             proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
         )
@@ -256,10 +253,11 @@
         for greenthread in self._greenthreads:
             greenthread.kill()
         self._caller_http.close_after_answers()
-        eventlet.sleep(self._leave_seconds)
-        grace_seconds = _shutdown.wait_for_records(
+        eventlet.sleep(self._stop_times.leave_seconds)
+        end = time.monotonic() + self._stop_times.grace_seconds
+        _shutdown.wait_for_records(
             lambda: self._record_server.may_leave(self._ask_holder),
-            grace_seconds=self._shutdown_grace_seconds,
+            grace_seconds=self._stop_times.grace_seconds,
         )
         self._reconciler.kill()
         self._local_targets.stop_announcing()
@@ -270,7 +268,7 @@
         _shutdown.wait_until_idle(
             caller_http=self._caller_http,
             peer_server=self._peer_server,
-            grace_seconds=grace_seconds,
+            grace_seconds=end - time.monotonic(),
         )
         self._caller_http.close_idle()
         self._target_http.stop()
--- a/verbenanotch/daemon/_shutdown.py
+++ b/verbenanotch/daemon/_shutdown.py
@@ -2,6 +2,7 @@
 
 import time
 
+import attrs
 import eventlet
 
 from verbenanotch.proxy import events
@@ -14,6 +15,36 @@
 MAX_TARGET_WAIT_SECONDS = 0.5
 POLL_INTERVAL_SECONDS = 0.02
 RECORDS_POLL_INTERVAL_SECONDS = 0.1
+MILLISECONDS_PER_SECOND = 1000
+# Of the time until a process is killed: kept for its exit, and for callers to
+# learn that it is stopping.
+EXIT_SHARE = 1 / 6
+LEAVE_SHARE = 5 / 12
+MAX_EXIT_SECONDS = 1.0
+MAX_LEAVE_SECONDS = 2.5
+
+
+@attrs.frozen(kw_only=True)
+class StopTimes:
+    """How long a proxy accepts callers and then waits for requests."""
+
+    leave_seconds: float
+    grace_seconds: float
+
+
+def stop_times(proxy):
+    """Return the StopTimes for ProxySettings."""
+    if not proxy.stop_seconds:
+        return StopTimes(
+            leave_seconds=proxy.leave_ms / MILLISECONDS_PER_SECOND,
+            grace_seconds=proxy.shutdown_grace_ms / MILLISECONDS_PER_SECOND,
+        )
+    exit_seconds = min(MAX_EXIT_SECONDS, proxy.stop_seconds * EXIT_SHARE)
+    leave_seconds = min(MAX_LEAVE_SECONDS, proxy.stop_seconds * LEAVE_SHARE)
+    return StopTimes(
+        leave_seconds=leave_seconds,
+        grace_seconds=proxy.stop_seconds - exit_seconds - leave_seconds,
+    )
 
 
 def wait_for_targets(local_targets):
