operator, conf, catalog: refuse odd values of orders and settings

Operators got 500 for the name of a voter with half of a surrogate pair and for a base version beyond 64 bits; infinite and oversized numbers were accepted as settings.

Cause: only configurations and reports were checked for what messages can carry.

Change: JSON bodies of the operators' interfaces and settings go through documents.value_problems, which names the field; a version has a strict form of at most 18 digits in each part. So one check settles what comes in, as for configurations and announcements.

--- a/tests/unit/test_operator.py
+++ b/tests/unit/test_operator.py
@@ -200,3 +200,39 @@
     response, value = send("POST", "submissions", MESH)
     assert (response.status, value["kind"]) == (500, "internal-error")
     assert send("GET", "metrics")[1]["counters"]["operator.failed"] >= 1
+
+
+ODD_BODIES = [
+    '{"%s": "\\ud800"}',
+    '{"%s": ' + str(2**70) + "}",
+    '{"%s": 1e400}',
+    '{"%s": ' + "9" * 5000 + "}",
+    '{"%s": ' + "[" * 900 + "]" * 900 + "}",
+    '{"%s": ' + "[" * 5000,
+]
+
+
+@pytest.mark.parametrize("body", ODD_BODIES)
+@pytest.mark.parametrize(
+    ("path", "key"),
+    [
+        ("rollback", "to"),
+        ("voters", "add"),
+        ("rollouts", "finish_by_seconds"),
+        ("rollouts", "version"),
+        ("rollouts", "service"),
+    ],
+)
+def test_an_order_with_an_odd_value_is_refused(send, path, key, body):
+    """Guard against orders that no log entry can hold."""
+    response, value = send("POST", path, (body % key).encode())
+    assert 400 <= response.status < 500, value
+    assert value["remedy"]
+
+
+@pytest.mark.parametrize(
+    "text", ["1." + "9" * 30, "-1.0", "1.-1", "1", "1.2.3", "1_0.1", "\xb2.1"]
+)
+def test_a_version_of_another_form_is_refused(send, text):
+    response, _ = send("POST", "submissions", MESH, X_Base_Version=text)
+    assert response.status == 400
--- a/tests/unit/test_value_problems.py
+++ b/tests/unit/test_value_problems.py
@@ -6,9 +6,10 @@
 import pytest
 
 from tests.unit.test_platform import call, make_configuration  # noqa: F401
+from verbenanotch import conf
 from verbenanotch.catalog import Route
 from verbenanotch.distribution._mesh_state import encode_mesh
-from verbenanotch.documents import value_problems
+from verbenanotch.documents import Invalid, value_problems
 from verbenanotch.membership import decode_entry
 
 SURROGATE = "\ud800"
@@ -144,3 +145,47 @@
 def test_what_messages_can_carry_is_no_problem():
     values = [None, True, b"\xff", -(2**63), 2**63 - 1, 1e308, "é\0", {}]
     assert list(value_problems(values)) == []
+
+
+HOST_SETTINGS = {
+    "name": '"p"',
+    "role": '"proxy"',
+    "availability_zone": '"z1"',
+    "region": '"r"',
+    "address": '"127.0.0.1"',
+    "peer_port": "7000",
+    "peer_key": '"a key of sixteen letters"',
+}
+
+
+@pytest.mark.parametrize(
+    ("section", "key", "value"),
+    [
+        ("host", "peer_port", str(2**70)),
+        ("proxy", "retry_burst", "inf"),
+        ("proxy", "stop_seconds", "nan"),
+        ("proxy", "max_in_flight", str(2**64)),
+    ],
+)
+def test_settings_with_odd_numbers_are_refused(tmp_path, section, key, value):
+    sections = {
+        "host": dict(HOST_SETTINGS),
+        "proxy": {"caller_port": "7001", "target_port": "7002"},
+        "discovery": {"seeds": '["127.0.0.1"]', "peer_port": "7000"},
+    }
+    sections[section][key] = value
+    text = "\n".join(
+        line
+        for name, values in sections.items()
+        for line in (
+            f"[{name}]",
+            *(f"{key} = {value}" for key, value in values.items()),
+        )
+    )
+    path = tmp_path / "settings.toml"
+    path.write_text(text, encoding="utf-8")
+    match conf.load(path):
+        case Invalid(problems=problems):
+            assert {p.key for p in problems} == {f"{section}.{key}"}
+        case _:
+            pytest.fail("the settings were accepted")
--- a/verbenanotch/catalog/_version.py
+++ b/verbenanotch/catalog/_version.py
@@ -1,7 +1,12 @@
 """Totally ordered versions of the mesh configuration."""
 
+import re
+
 import attrs
 
+# Of numbers that fit into 64 bits.
+TEXT_PATTERN = re.compile(r"([0-9]{1,18})\.([0-9]{1,18})")
+
 
 @attrs.frozen(kw_only=True, order=True)
 class Version:
@@ -21,8 +26,10 @@
     @classmethod
     def parse(cls, text):
         """Return the version of a text such as `3.41`; raise ValueError."""
-        epoch, _, index = text.partition(".")
-        return cls(epoch=int(epoch), index=int(index))
+        match = TEXT_PATTERN.fullmatch(text)
+        if match is None:
+            raise ValueError(f"{text!r} is not a version such as 3.41")
+        return cls(epoch=int(match[1]), index=int(match[2]))
 
 
 NO_VERSION = Version(epoch=0, index=0)
--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -3,6 +3,8 @@
 import ipaddress
 import math
 
+from verbenanotch.documents import value_problems
+
 MIN_KEY_CHARACTERS = 16
 # Proxies rely on their lease for MAX_RENEWAL_AGE_SECONDS (2 s, in `proxy`)
 # after they sent the last confirmed renewal. The lease must be longer.
@@ -19,6 +21,7 @@
 
 def find_problems(settings, document):
     """Yield a Problem for each rule that the parsed settings break."""
+    yield from value_problems(settings, document=document)
     yield from _host_problems(settings.host, document)
     yield from _section_problems(settings, document)
     yield from _telemetry_problems(settings.telemetry, document)
--- a/verbenanotch/platform/_fields.py
+++ b/verbenanotch/platform/_fields.py
@@ -3,6 +3,7 @@
 import json
 import reprlib
 
+from verbenanotch.documents import value_problems
 from verbenanotch.platform.exceptions import MalformedDocumentError
 
 MAX_LABEL_DIGITS = 15
@@ -23,6 +24,17 @@
     return value
 
 
+def load_checked_object(data):
+    """Decode a JSON object whose values any message can carry.
+
+    Raises MalformedDocumentError.
+    """
+    value = load_object(data)
+    for problem in value_problems(value):
+        raise MalformedDocumentError(str(problem))
+    return value
+
+
 def get_field(values, name, *types, default=None):
     """Return the field `name`, which must be of one of the types.
 
--- a/verbenanotch/platform/_rollouts.py
+++ b/verbenanotch/platform/_rollouts.py
@@ -1,6 +1,6 @@
 """HTTP interface for the platform's orders of rollouts."""
 
-from verbenanotch.platform._fields import get_field, load_object
+from verbenanotch.platform._fields import get_field, load_checked_object
 from verbenanotch.platform._operator import (
     OPERATOR,
     READ_TIMEOUT_SECONDS,
@@ -45,7 +45,9 @@
 
     def _post(self, environ, start_response):
         try:
-            values = load_object(read_body(environ, max_bytes=MAX_BODY_BYTES))
+            values = load_checked_object(
+                read_body(environ, max_bytes=MAX_BODY_BYTES)
+            )
             service = get_field(values, "Service", str)
             candidate = get_field(values, "TargetVersion", str)
             seconds = get_field(values, "FinishByS", int, float)
--- a/verbenanotch/platform/_targets.py
+++ b/verbenanotch/platform/_targets.py
@@ -5,9 +5,8 @@
 
 import attrs
 
-from verbenanotch.documents import value_problems
 from verbenanotch.membership import TargetRecord
-from verbenanotch.platform._fields import get_field, load_object
+from verbenanotch.platform._fields import get_field, load_checked_object
 from verbenanotch.platform._responses import read_body, respond_json
 from verbenanotch.platform.exceptions import MalformedDocumentError
 from verbenanotch.proxy import InvalidTarget
@@ -79,9 +78,7 @@
 
     Raises MalformedDocumentError.
     """
-    values = load_object(data)
-    for problem in value_problems(values):
-        raise MalformedDocumentError(str(problem))
+    values = load_checked_object(data)
     _check_other_fields(values)
     state = get_field(values, "State", str)
     if state not in DRAINING_BY_STATE:
