replication: a host takes part again once its disk takes writes

A control host whose disk had refused one write took no part any more until its restart; with two such hosts, one after the other, operators could neither read nor change the configuration.

Cause: Driver.fail ended the replica for good on the first failed write, and the records to write were dropped.

Change: records stay queued until they are synced, and a half-written rest is cut off before they are written again. From the second failure on the replica is suspended, like a paused process, so that nothing that is not on the disk is promised, and goes on once the disk takes the write. A host that could not store its cluster tries again.

--- /dev/null
+++ b/tests/unit/test_replication_full_disks.py
@@ -0,0 +1,229 @@
+"""Replicas whose disks refuse writes for some time take part again."""
+
+import errno
+import itertools
+import random
+
+import eventlet
+import pytest
+
+from tests.support.replicas import Cluster, wait_for
+from verbenanotch.catalog import Accepted
+from verbenanotch.replication import DiskFailedError
+from verbenanotch.replication._entries import Entry, EntryKind
+from verbenanotch.replication._storage import Storage
+from verbenanotch.storage import Files
+
+NAMES = ("c1", "c2", "c3")
+SEEDS = 12
+STEPS = 14
+
+
+class FullFiles(Files):
+    """Files of a disk that is full, or fails at times.
+
+    A full disk takes half of what is written. With `fails_each`, each such
+    sync of a file fails.
+    """
+
+    def __init__(self, *, directory):
+        """Start with a disk that takes all."""
+        super().__init__(directory=directory)
+        self.is_full = False
+        self.fails_each = 0
+        self._syncs = 0
+
+    def append(self, name, data):
+        """Append half of the data, if the disk is full."""
+        if self.is_full:
+            super().append(name, data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, "no space left on device")
+        super().append(name, data)
+
+    def write_temporary(self, name, data):
+        """Write half of the data, if the disk is full."""
+        if self.is_full:
+            super().append(name, data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, "no space left on device")
+        super().write_temporary(name, data)
+
+    def sync(self, name):
+        """Sync, or fail as a faulty disk does."""
+        self._syncs += 1
+        if self.fails_each and self._syncs % self.fails_each == 0:
+            raise OSError(errno.EIO, "input/output error")
+        super().sync(name)
+
+
+class Disks:
+    """A cluster of three hosts whose disks can be full."""
+
+    def __init__(self, *, path, **control):
+        """Start the hosts."""
+        self._path = path
+        self.cluster = Cluster(path=path, voters=NAMES, **control)
+        self.files_by_name = {}
+        self._submissions = itertools.count()
+        for name in NAMES:
+            self.start(name)
+
+    def start(self, name):
+        """Start a host with an empty or its own disk."""
+        files = FullFiles(directory=self._path / name)
+        self.files_by_name[name] = files
+        self.cluster.start(name, files=files)
+
+    def fill(self, *names):
+        """Let the disks of hosts refuse writes."""
+        for name in names:
+            self.files_by_name[name].is_full = True
+
+    def empty(self, *names):
+        """Let the disks take writes again."""
+        for name in names or NAMES:
+            self.files_by_name[name].is_full = False
+            self.files_by_name[name].fails_each = 0
+
+    def status(self, name):
+        """Return the status of a host's replica."""
+        return self.cluster.hosts_by_name[name].replica.status()
+
+    def submit(self, number, *, seconds=15.0):
+        """Submit until one host accepts; return the version."""
+        accepted = []
+
+        def is_accepted():
+            for host in list(self.cluster.hosts_by_name.values()):
+                # The outcome of an id, such as a conflict, is final.
+                outcome = host.submit(
+                    number,
+                    submission_id=f"s{next(self._submissions)}",
+                    timeout=1.0,
+                )
+                if isinstance(outcome, Accepted):
+                    accepted.append(outcome.version)
+                    return True
+            return False
+
+        wait_for(is_accepted, seconds)
+        return accepted[-1]
+
+    def versions(self, name):
+        """Return the accepted versions of a host, oldest first."""
+        host = self.cluster.hosts_by_name[name]
+        return list(host.versions.records_by_version)
+
+
+@pytest.fixture
+def disks(tmp_path):
+    started = Disks(path=tmp_path, snapshot_every_entries=5)
+    yield started
+    started.empty()
+    started.cluster.close()
+
+
+def test_a_follower_takes_part_again(disks):
+    """Guard against a host that stays out until it is restarted."""
+    disks.cluster.agree(disks.submit(1))
+    name = disks.cluster.followers()[0].name
+    disks.fill(name)
+    second = disks.submit(2)
+    wait_for(lambda: disks.status(name).role == "failed")
+    assert "no space" in disks.status(name).error
+    disks.empty(name)
+    wait_for(lambda: disks.status(name).role != "failed")
+    disks.cluster.agree(second)
+    disks.cluster.agree(disks.submit(3))
+
+
+def test_the_leader_hands_over_and_takes_part_again(disks):
+    disks.cluster.agree(disks.submit(1))
+    name = disks.cluster.leader().name
+    disks.fill(name)
+    disks.submit(2)
+    disks.empty(name)
+    last = disks.submit(3)
+    disks.cluster.agree(last)
+    assert disks.status(name).role in ("leader", "follower")
+
+
+@pytest.mark.parametrize("together", [True, False])
+def test_a_quorum_is_restored_when_the_disks_take_writes(disks, together):
+    """Guard against full disks that stop all hosts, one after the other."""
+    disks.cluster.agree(disks.submit(1))
+    if together:
+        disks.fill(*NAMES)
+        eventlet.sleep(1.0)
+        disks.empty()
+    else:
+        for number, name in enumerate(NAMES[:2]):
+            disks.fill(name)
+            disks.submit(10 + number)
+            wait_for(lambda name=name: disks.status(name).role == "failed")
+            disks.empty(name)
+            wait_for(lambda name=name: disks.status(name).role != "failed")
+    disks.cluster.agree(disks.submit(2))
+
+
+def test_a_disk_that_fails_each_third_sync_keeps_up(disks):
+    for files in disks.files_by_name.values():
+        files.fails_each = 3
+    last = None
+    for number in range(1, 7):
+        last = disks.submit(number, seconds=30.0)
+    disks.cluster.agree(last)
+
+
+def test_a_half_written_record_is_cut_off_before_the_next(tmp_path):
+    files = FullFiles(directory=tmp_path)
+    storage = Storage(files=files)
+    storage.open(name="c1", new_disk_id="1")
+    entries = [
+        Entry(term=1, index=index, kind=EntryKind.COMMAND, data=b"x" * 99)
+        for index in (1, 2)
+    ]
+    options = {"term": 1, "vote": "c1.1", "term_or_vote_changed": True}
+    storage.append(entries=entries[:1], **options)
+    files.is_full = True
+    for _ in range(3):
+        with pytest.raises(DiskFailedError):
+            storage.sync()
+    files.is_full = False
+    storage.sync()
+    storage.append(entries=entries[1:], **options)
+    storage.sync()
+    recovered = Storage(files=Files(directory=tmp_path)).open(
+        name="c1", new_disk_id="2"
+    )
+    assert recovered.cut_bytes == 0
+    assert recovered.log.last_index == 2
+    assert (recovered.term, recovered.vote) == (1, "c1.1")
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_random_full_disks_lose_nothing_that_was_accepted(disks, seed):
+    """Fill and empty disks, and restart hosts, while operators submit."""
+    chance = random.Random(seed)
+    accepted = [disks.submit(0)]
+    for number in range(1, STEPS):
+        name = chance.choice(NAMES)
+        step = chance.random()
+        if step < 0.4:
+            disks.fill(*chance.sample(NAMES, chance.randint(1, 3)))
+        elif step < 0.6:
+            disks.files_by_name[name].fails_each = 3
+        elif step < 0.7 and not disks.files_by_name[name].is_full:
+            disks.cluster.stop(name)
+            disks.start(name)
+        eventlet.sleep(chance.random() * 0.4)
+        if chance.random() < 0.7:
+            disks.empty()
+            accepted.append(disks.submit(number, seconds=30.0))
+    disks.empty()
+    accepted.append(disks.submit(STEPS, seconds=30.0))
+    disks.cluster.agree(accepted[-1])
+    for name in NAMES:
+        assert set(accepted) <= set(disks.versions(name))
+        disks.cluster.stop(name)
+        disks.start(name)
+    disks.cluster.agree(accepted[-1])
--- a/verbenanotch/replication/_driver.py
+++ b/verbenanotch/replication/_driver.py
@@ -22,7 +22,10 @@
     Unknown,
 )
 from verbenanotch.replication._roles import NO_MEMBER, Role
-from verbenanotch.replication.exceptions import ReplicationError
+from verbenanotch.replication.exceptions import (
+    DiskFailedError,
+    ReplicationError,
+)
 from verbenanotch.telemetry import emit, metrics
 
 TICKS_PER_HEARTBEAT = 4
@@ -35,6 +38,8 @@
 # A snapshot is taken once applying the entries since the last snapshot has
 # taken this long, since a restart would apply them again.
 MAX_REPLAY_SECONDS = 2.0
+# Between two attempts to write to a disk that refuses it.
+DISK_RETRY_SECONDS = 0.25
 
 
 @attrs.frozen(kw_only=True)
@@ -176,11 +181,51 @@
         self.core.leader_id = NO_MEMBER
         self._resolve_as_unknown(f"the replica failed: {error}")
 
+    def _until_written(self, operation):
+        """Repeat a disk operation until it succeeds.
+
+        From the second failure until then the replica takes no part, as if
+        it were paused: what is not on the disk was not promised, and nothing
+        changes meanwhile.
+        """
+        has_failed = False
+        while True:
+            try:
+                operation()
+            except DiskFailedError as error:
+                if not self._greenthreads:
+                    raise
+                if has_failed:
+                    self._suspend(error)
+                    eventlet.sleep(DISK_RETRY_SECONDS)
+                has_failed = True
+                metrics.increment("replication.writes_failed")
+            else:
+                self._resume()
+                return
+
+    def _suspend(self, error):
+        if self.error is None:
+            emit(events.REPLICA_SUSPENDED, error=str(error))
+            metrics.increment("replication.suspended")
+            self.core.leader_id = NO_MEMBER
+            self._resolve_as_unknown(f"the disk failed: {error}")
+        self.error = error
+
+    def _resume(self):
+        if self.error is None:
+            return
+        self.error = None
+        emit(events.REPLICA_RESUMED)
+        if self.core.role == Role.LEADER:
+            self.core.leader_id = self.core.own_id
+
     def _tick_forever(self):
         while True:
             eventlet.sleep(self._tick_seconds)
-            self.core.tick(time.monotonic())
-            self.wake()
+            if self.error is None:
+                self.core.tick(time.monotonic())
+                self.wake()
 
     def _run(self):
         try:
@@ -243,11 +288,13 @@
     def _install_snapshot(self, effects):
         log = self.core.log
         last = (log.last_index, log.last_term)
-        self._storage.save_snapshot(
-            log=log,
-            term=effects.term,
-            vote=effects.vote,
-            data=effects.snapshot.data,
+        self._until_written(
+            lambda: self._storage.save_snapshot(
+                log=log,
+                term=effects.term,
+                vote=effects.vote,
+                data=effects.snapshot.data,
+            )
         )
         self.restore(effects.snapshot.data)
         self.applied_index = effects.snapshot.metadata.index
@@ -292,7 +339,7 @@
             metrics.gauge("replication.commit_index", index)
 
     def _sync_storage(self):
-        self._storage.sync()
+        self._until_written(self._storage.sync)
         metrics.increment("replication.fsyncs")
         metrics.timing("replication.fsync_ms", self._storage.last_sync_ms)
         metrics.gauge("replication.fsync_ms", self._storage.last_sync_ms)
@@ -372,10 +419,12 @@
         count = metadata.index - log.snapshot.index
         log.compact(metadata, keep_entries=count // KEPT_ENTRIES_DIVISOR)
         self._replay_seconds = 0.0
-        self._storage.save_snapshot(
-            log=log, term=self.core.term, vote=self.core.vote, data=data
-        )
         self._snapshot_data = data
+        self._until_written(
+            lambda: self._storage.save_snapshot(
+                log=log, term=self.core.term, vote=self.core.vote, data=data
+            )
+        )
         milliseconds = (time.monotonic() - began) * 1000
         metrics.gauge("replication.snapshot_ms", milliseconds)
         emit(events.SNAPSHOT_TAKEN, index=metadata.index, bytes=len(data))
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -35,10 +35,7 @@
 from verbenanotch.replication._requests import Requests
 from verbenanotch.replication._roles import Role
 from verbenanotch.replication._storage import Storage
-from verbenanotch.replication.exceptions import (
-    DiskFailedError,
-    ReplicationError,
-)
+from verbenanotch.replication.exceptions import DiskFailedError
 from verbenanotch.storage import Files
 from verbenanotch.telemetry import emit
 
@@ -76,6 +73,8 @@
         self._links = None
         self._requests = None
         self._running = False
+        # The arguments of `_enter_cluster`, if the disk refused to store it.
+        self._postponed_entry = None
         self._added_peers_by_name = {}
 
     def add_peers(self, peers_by_name):
@@ -309,15 +308,23 @@
                 self._enter_cluster(cluster_id, voters, events.CLUSTER_JOINED)
 
     def _enter_cluster(self, cluster_id, voters, event):
-        """Store and sync that this replica belongs to a cluster."""
+        """Store and sync that this replica belongs to a cluster.
+
+        If the disk refuses it, the replica enters later.
+        """
+        if self._identity.cluster_id:
+            return
         identity = attrs.evolve(
             self._identity, cluster_id=cluster_id, first_voters=voters
         )
         try:
             self._storage.save_identity(identity)
-        except ReplicationError as error:
-            self._driver.fail(error)
+        except DiskFailedError as error:
+            if self._postponed_entry is None:
+                emit(events.REPLICA_SUSPENDED, error=str(error))
+            self._postponed_entry = (cluster_id, voters, event)
             return
+        self._postponed_entry = None
         self._identity = identity
         self._driver.core.log.set_first_voters(Configuration(voters=voters))
         emit(event, cluster=cluster_id, own=self._own.id)
@@ -327,6 +334,8 @@
         control = self._settings.control
         leaderless_seconds = 0.0
         while True:
+            if self._postponed_entry is not None:
+                self._enter_cluster(*self._postponed_entry)
             core = self._driver.core
             leaderless_seconds += DIAL_INTERVAL_SECONDS
             if core.leader_id:
--- a/verbenanotch/replication/_storage.py
+++ b/verbenanotch/replication/_storage.py
@@ -8,6 +8,7 @@
 itself, so it may name fewer bytes than were synced, but never more.
 """
 
+import contextlib
 import time
 
 import attrs
@@ -87,6 +88,7 @@
         self._log_bytes = 0
         self._commit_index = 0
         self._pending_records = []
+        self._is_torn = False
         self.last_sync_ms = 0.0
 
     def open(self, *, name, new_disk_id):
@@ -307,11 +309,14 @@
         self._pending_records.append(commit_record(index))
 
     def sync(self):
-        """Write all queued records and sync them together."""
+        """Write all queued records and sync them together.
+
+        After a failure they stay queued, and the next call writes them again.
+        """
         data = b"".join(self._pending_records)
-        self._pending_records.clear()
         name = f"{LOG_PREFIX}{self._log_sequence}"
         self._run_disk_operation(name, lambda: self._write_log(name, data))
+        self._pending_records.clear()
 
     def save_snapshot(self, *, log, term, vote, data):
         """Write the snapshot at `log.snapshot` and start a new log file.
@@ -349,15 +354,22 @@
         self._files.replace(f"{LOG_PREFIX}{sequence}", data)
         self._log_sequence = sequence
         self._log_bytes = len(data)
+        self._is_torn = False
         self._write_mark()
 
     def _write_log(self, name, data):
         began = self._monotonic()
+        if self._is_torn:
+            self._files.truncate(name, self._log_bytes)
+        self._is_torn = True
         self._files.append(name, data)
         self._files.sync(name)
+        self._is_torn = False
         self.last_sync_ms = (self._monotonic() - began) * 1000
         self._log_bytes += len(data)
-        self._write_mark()
+        # The mark may name fewer bytes than were synced.
+        with contextlib.suppress(OSError):
+            self._write_mark()
 
     def _write_mark(self):
         self._files.overwrite(
@@ -368,11 +380,13 @@
         try:
             operation()
         except OSError as error:
+            with contextlib.suppress(OSError):
+                self._remove_temporaries()
             raise DiskFailedError(
                 file=name,
                 offset=self._log_bytes,
                 text=f"writing failed: {error.strerror}",
-                remedy="Check the disk and its free space, then restart",
+                remedy="Check the disk and its free space",
             ) from error
 
 
--- a/verbenanotch/replication/events.py
+++ b/verbenanotch/replication/events.py
@@ -60,3 +60,16 @@
 LINK_LOST = event(
     2012, "replica-link-lost", Level.DEBUG, "a link to a peer ended"
 )
+REPLICA_SUSPENDED = event(
+    2013,
+    "replica-suspended",
+    Level.ERROR,
+    "the disk refuses writes; the replica takes no part until it accepts them",
+    "Check the disk of the data folder and its free space.",
+)
+REPLICA_RESUMED = event(
+    2014,
+    "replica-resumed",
+    Level.INFO,
+    "the disk accepts writes again; the replica takes part again",
+)
