--- a/tests/unit/test_request_heads.py
+++ b/tests/unit/test_request_heads.py
@@ -154,6 +154,7 @@
         b"\r\n\r\n",
         b"1 1\r\na\r\n0\r\n\r\n",
         b"1;\nx\r\na\r\n0\r\n\r\n",
+        b"ffffffffffffffff\r\na\r\n0\r\n\r\n",
     ],
 )
 def test_a_malformed_chunk_is_refused_with_all_behind_it(
--- a/verbenanotch/http1/_answer.py
+++ b/verbenanotch/http1/_answer.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from verbenanotch.http1._chunks import ChunkedBody
+from verbenanotch.http1._chunks import CHUNKED, ChunkedBody
 from verbenanotch.http1._fields import FieldCollector, HeaderFields
 from verbenanotch.http1.exceptions import (
     AnswerHeadTooLargeError,
@@ -24,7 +24,6 @@
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
 BODILESS_STATUSES = frozenset((204, 304))
-CHUNKED = "chunked"
 
 
 class Answer:
@@ -137,9 +136,9 @@
     """
     if method == "HEAD" or parser.get_status_code() in BODILESS_STATUSES:
         return _SizedBody(reader=reader, length=0)
-    codings = headers.get_all("Transfer-Encoding")
+    codings = headers.tokens("Transfer-Encoding")
     if codings:
-        if len(codings) > 1 or codings[0].strip().lower() != CHUNKED:
+        if codings != [CHUNKED]:
             raise _malformed(
                 f"the transfer coding {', '.join(codings)!r} is not supported"
             )
@@ -156,11 +155,7 @@
     """Return whether the connection ends with the answer (section 9.3)."""
     if isinstance(body, _UnboundedBody):
         return True
-    options = {
-        option.strip().lower()
-        for value in headers.get_all("Connection", ())
-        for option in value.split(",")
-    }
+    options = headers.tokens("Connection")
     if "close" in options:
         return True
     return version == "1.0" and "keep-alive" not in options
--- a/verbenanotch/http1/_chunks.py
+++ b/verbenanotch/http1/_chunks.py
@@ -10,6 +10,9 @@
 # Of the size of a chunk with its extensions, and of the trailer section.
 MAX_LINE_BYTES = 16 * 1024
 SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
+# A body is read in pieces, as a chunk may claim any size.
+MAX_PIECE_BYTES = 64 * 1024
+CHUNKED = "chunked"
 LINE_ENDS = (b"\r\n", b"\n")
 
 
@@ -51,7 +54,9 @@
             if not self._bytes_left:
                 self._start_chunk()
                 continue
-            piece = self._read_exactly(min(size, self._bytes_left))
+            piece = self._read_exactly(
+                min(size, self._bytes_left, MAX_PIECE_BYTES)
+            )
             self._bytes_left -= len(piece)
             size -= len(piece)
             pieces.append(piece)
--- a/verbenanotch/http1/_fields.py
+++ b/verbenanotch/http1/_fields.py
@@ -26,6 +26,14 @@
             return default
         return [value for key, value in self._pairs if key.lower() == name]
 
+    def tokens(self, name):
+        """Return the lower-case items that all fields of a name list."""
+        return [
+            token.strip().lower()
+            for value in self.get_all(name, ())
+            for token in value.split(",")
+        ]
+
     def items(self):
         """Return all pairs of name and value."""
         return self._pairs
--- a/verbenanotch/http1/_request.py
+++ b/verbenanotch/http1/_request.py
@@ -9,6 +9,7 @@
 import attrs
 import httptools
 
+from verbenanotch.http1._chunks import CHUNKED
 from verbenanotch.http1._fields import FieldCollector, HeaderFields
 from verbenanotch.http1.exceptions import RequestRefusedError
 
@@ -18,7 +19,6 @@
 )
 # The parser knows only some methods, so it gets a line of its own.
 PARSED_REQUEST_LINE = b"GET / HTTP/1.1\r\n"
-CHUNKED = "chunked"
 
 
 @attrs.frozen(kw_only=True)
@@ -37,11 +37,7 @@
     @property
     def keeps_connection(self):
         """Whether the client may send another request (section 9.3)."""
-        options = {
-            option.strip().lower()
-            for value in self.headers.get_all("Connection", ())
-            for option in value.split(",")
-        }
+        options = self.headers.tokens("Connection")
         if "close" in options:
             return False
         return self.version == "HTTP/1.1" or "keep-alive" in options
@@ -119,10 +115,10 @@
     lengths = fields.get_all("Content-Length", ())
     if len(lengths) > 1 or not all(map(_is_length, lengths)):
         raise _bad_length()
-    codings = fields.get_all("Transfer-Encoding", ())
+    codings = fields.tokens("Transfer-Encoding")
     if codings and lengths:
         raise _bad_length()
-    if codings and [text.strip().lower() for text in codings] != [CHUNKED]:
+    if codings and codings != [CHUNKED]:
         raise _unsupported_coding()
     if codings and head.version == "HTTP/1.0":
         raise _refused("HTTP/1.0 has no transfer codings")
