operator: check the names of voters, not every body

An order of a rollout with an infinite time was answered as an invalid request in place of as refused, since checked all JSON bodies.

Cause: the general check came before that of the order, which names the reason.

Change: the check stands where a name goes into the log unchecked otherwise, at the change of voters.

--- a/verbenanotch/operator/_interface.py
+++ b/verbenanotch/operator/_interface.py
@@ -6,6 +6,7 @@
 
 import re
 
+from verbenanotch.documents import value_problems
 from verbenanotch.operator import events
 from verbenanotch.operator._requests import (
     ClosingBody,
@@ -139,6 +140,10 @@
         operator = request.header("X-Operator")
         names = request.json_body()
         add, remove = names.get("add", ""), names.get("remove", "")
+        for problem in value_problems({"add": add, "remove": remove}):
+            raise InvalidRequestError(
+                f"{problem.key}: {problem.text}", remedy=problem.remedy
+            )
         names_one_host = bool(add) != bool(remove)
         if not (names_one_host and isinstance(add or remove, str)):
             raise InvalidRequestError(
--- a/verbenanotch/operator/_requests.py
+++ b/verbenanotch/operator/_requests.py
@@ -8,7 +8,6 @@
 import urllib.parse
 
 from verbenanotch.catalog import NO_VERSION, Submission, Version
-from verbenanotch.documents import value_problems
 from verbenanotch.operator.exceptions import (
     BodyIncompleteError,
     BodyTooLargeError,
@@ -140,10 +139,6 @@
             raise InvalidRequestError(
                 "the body is not a JSON object", remedy="Send a JSON object."
             )
-        for problem in value_problems(value):
-            raise InvalidRequestError(
-                f"{problem.key}: {problem.text}", remedy=problem.remedy
-            )
         return value
 
     def submission(self, *, text, rollback_to=NO_VERSION):
