cli: SIGHUP does not end a daemon that is starting

Callers and operators saw a process end by the signal, with exit code -1, if its settings file changed within about half a second of its start; again after each restart (FAULT).

Cause: until the daemon has started, SIGHUP has its default action, the end of the process. The handler was installed as the last step of the start, after all imports, the settings, the ports and the recovery of the data folder. So a process was not ready for a signal that names no time before which it doesn't come.

SIGHUP is ignored as the first statement of the entry point. A change that it announces meanwhile is found by the periodic check, which runs every second from the end of the start on.

The time until the interpreter runs the first statement remains.

--- a/verbenanotch/cli/daemon.py
+++ b/verbenanotch/cli/daemon.py
@@ -1,16 +1,22 @@
 """Entry point of the daemon, `verbenanotchd`.
 
-Eventlet's monkey patches must precede all other imports. Eventlet's DNS
-resolver is disabled because all addresses are IP addresses. Locks are not
-patched: there is only one thread, no code waits while it holds a lock (the log
-writes without waiting), and the patch inspects every object of the process.
-Garbage collection is disabled here; `verbenanotch.daemon.run` enables it when
-the daemon has started.
+SIGHUP is ignored before anything else, as its default action would end a
+daemon that is starting; settings that change meanwhile are found by the
+periodic check. Eventlet's monkey patches must precede all other imports.
+Eventlet's DNS resolver is disabled because all addresses are IP addresses.
+Locks are not patched: there is only one thread, no code waits while it holds a
+lock (the log writes without waiting), and the patch inspects every object of
+the process. Garbage collection is disabled here; `verbenanotch.daemon.run`
+enables it when the daemon has started.
 """
 
-import gc
-import os
-import warnings
+import signal
+
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import gc  # noqa: E402
+import os  # noqa: E402
+import warnings  # noqa: E402
 
 gc.disable()
 
