daemon: a SIGTERM during the start leads to an orderly stop

Callers saw requests that a proxy had taken end without an answer, and the process ended with exit code -15, if SIGTERM came within the end of its start (LOST).

Cause, of the class of: the handlers of SIGTERM and SIGINT were installed after the role had started, so that a process with open ports was not ready for the signal yet. They are installed before the first port is bound now, and a signal that comes during the start is kept until its end.

--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -50,6 +50,7 @@
             prefix=f"verbenanotch.{settings.host.name}",
         )
     log_unhandled(hubs.get_hub())
+    stop_request = _StopRequest()
     try:
         role = _make_role(settings, interfaces or Interfaces())
         _serve_metrics(telemetry)
@@ -70,7 +71,7 @@
     eventlet.spawn(LoopLag().run)
     if reload is not None:
         watch_settings(role=role, reload=reload, settings=settings)
-    _wait_for_signal()
+    stop_request.wait()
     emit(events.STOPPING)
     role.stop()
     emit(events.STOPPED)
@@ -101,18 +102,26 @@
     return ProxyHost(settings=settings, interfaces=interfaces)
 
 
-def _wait_for_signal():
-    stopping = event.Event()
+class _StopRequest:
+    """SIGTERM or SIGINT.
 
-    def on_signal(number, frame):
-        hub = hubs.get_hub()
-        hub.schedule_call_global(0, _send_if_unset, stopping)
+    One that arrives during the start is kept: from its first open port on, a
+    process may have taken requests that only an orderly stop answers.
+    """
+
+    def __init__(self):
+        """Handle the signals from now on."""
+        self._requested = event.Event()
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
 
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-    stopping.wait()
+    def wait(self):
+        """Return once one of the signals has arrived."""
+        self._requested.wait()
 
+    def _on_signal(self, number, frame):
+        hubs.get_hub().schedule_call_global(0, self._send_if_unset)
 
-def _send_if_unset(stopping):
-    with contextlib.suppress(AssertionError):
-        stopping.send()
+    def _send_if_unset(self):
+        with contextlib.suppress(AssertionError):
+            self._requested.send()
