--- a/tests/unit/test_proxy_exchange.py
+++ b/tests/unit/test_proxy_exchange.py
@@ -278,8 +278,8 @@
 
     assert run_with_budget(target_with(answer)).body == body
     assert budget.used_bytes == 0
-    with budget.receiving() as take:
-        take(100_000)
+    with budget.reserve_answer() as reservation:
+        reservation.take(100_000)
         outcome = run_with_budget(target_with(answer))
     assert outcome.reason == "target-broke-off: answers-too-large"
     assert budget.used_bytes == 0
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -172,8 +172,10 @@
         is_own = not echoes_id or echoed_id == call.request_id
         if is_own:
             on_headers(answer.headers)
-        with body_budget.receiving() as take:
-            body = _read_body(answer, max_body_bytes, may_omit_length, take)
+        with body_budget.reserve_answer() as reservation:
+            body = _read_body(
+                answer, max_body_bytes, may_omit_length, reservation.take
+            )
         if is_own:
             break
         metrics.increment("proxy.foreign_answer_dropped")
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -25,6 +25,8 @@
 HOST_LEAVING = "host-leaving"
 HOST_STOPPING = "host-stopping"
 HOST_FULL = "host-full"
+# The bodies that the host keeps leave no room for that of the request.
+BODIES_FULL = "bodies-full"
 
 PEER_UNREACHABLE = "peer-unreachable"
 PEER_SILENT = "peer-silent"
--- a/verbenanotch/proxy/exceptions.py
+++ b/verbenanotch/proxy/exceptions.py
@@ -41,11 +41,17 @@
 
 
 class AnswersTooLargeError(ProxyError):
-    """The answers that are being received are too large together."""
+    """There is no room for an answer beside the other bodies."""
 
     kind = "answers-too-large"
 
 
+class BodiesFullError(ProxyError):
+    """There is no room for the body of a request beside the other bodies."""
+
+    kind = "bodies-full"
+
+
 class AnswerUnboundedError(ProxyError):
     """A target's answer has neither a Content-Length nor chunked encoding."""
 
