proxy: bound the bodies of all requests that callers send

Cause: each body has a limit, max_body_bytes, and nothing counted what all of them keep together. The class is a limit for each and none for all.

The entry reserves the bytes of a body from the proxy's BodyBudget before it reads them, piece by piece, and counts those of an answer until the caller has it. A request without room is refused as not run (503, bodies-full); one whose declared length does not fit is refused before its body is read. An answer that is given while over 64 KB of the body may be unread closes its connection; the server used to read on to the end of the body, without an end.

--- /dev/null
+++ b/tests/integration/test_large_bodies.py
@@ -0,0 +1,97 @@
+"""Guard against a process that the bodies of many requests end.
+
+Real processes with the limits of the users' machines. Each body is below the
+limit of a single one.
+"""
+
+import contextlib
+import socket
+
+import eventlet
+import pytest
+
+from examples import topology as plans
+from tests.integration.request_load import MESH_TEXT, SERVICE
+from tests.support.harness import Mesh
+from tests.support.memory import MAX_MEMORY_KB, peak_memory_kb
+
+PROXIES = ["z1-proxy-1", "z1-proxy-2"]
+MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_RECEIVING_BYTES = 100_000_000
+CONNECTIONS = 40
+SECONDS = 6.0
+PIECE = b"x" * (64 * 1024)
+CHUNK = b"10000\r\n" + PIECE + b"\r\n"
+LENGTH = 67_000_000
+HEAD = b"POST /pay/1 HTTP/1.1\r\nHost: a\r\n"
+
+
+@pytest.fixture
+def mesh(tmp_path):
+    with Mesh(
+        folder=tmp_path,
+        control_hosts_per_zone=1,
+        proxies_per_zone=len(PROXIES),
+        overrides={
+            "proxy": {
+                "max_body_bytes": MAX_BODY_BYTES,
+                "max_receiving_bytes": MAX_RECEIVING_BYTES,
+            }
+        },
+    ) as running:
+        for proxy in PROXIES:
+            running.start_target(proxy, SERVICE)
+        running.accept(MESH_TEXT)
+        running.wait_until(
+            lambda: all(is_served(running, proxy) for proxy in PROXIES),
+            what="served requests",
+        )
+        yield running
+
+
+def is_served(mesh, proxy):
+    answer = mesh.call("POST", "/pay/1", proxy=proxy, timeout_ms=1500)
+    return answer.outcome == "answered"
+
+
+def send_chunks_without_end(sock):
+    sock.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+    while True:
+        sock.sendall(CHUNK)
+
+
+def send_large_requests(sock):
+    while True:
+        sock.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % LENGTH)
+        for _ in range(LENGTH // len(PIECE)):
+            sock.sendall(PIECE)
+        sock.sendall(PIECE[: LENGTH % len(PIECE)])
+
+
+def send_again_and_again(send, address):
+    """Send on new connections until the time is over."""
+    while True:
+        with contextlib.suppress(OSError):
+            sock = eventlet.connect((address, plans.CALLER_PORT))
+            with contextlib.closing(sock):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+                send(sock)
+        eventlet.sleep(0.05)
+
+
+@pytest.mark.parametrize(
+    "send", [send_chunks_without_end, send_large_requests]
+)
+def test_bodies_of_many_callers_fit_into_the_memory(mesh, send):
+    proxy = PROXIES[0]
+    address = mesh.topology.hosts_by_name[proxy].address
+    greenthreads = [
+        eventlet.spawn(send_again_and_again, send, address)
+        for _ in range(CONNECTIONS)
+    ]
+    eventlet.sleep(SECONDS)
+    for greenthread in greenthreads:
+        greenthread.kill()
+    peak_kb = peak_memory_kb(mesh, proxy)
+    assert peak_kb < MAX_MEMORY_KB
+    mesh.wait_until(lambda: is_served(mesh, proxy), what="served request")
--- a/verbenanotch/daemon/_answer.py
+++ b/verbenanotch/daemon/_answer.py
@@ -16,6 +16,7 @@
 
     `method` is that of the request; `asks_keep_alive` is whether the caller
     asked for a connection that stays open, as HTTP/1.0 requires.
+    `close_result()` is called once the answer has been sent or dropped.
     """
 
     method: str
@@ -23,6 +24,12 @@
     status: str = ""
     fields: list = attrs.field(factory=list)
     body: bytes = b""
+    close_result: object = lambda: None
+
+    def read(self, result):
+        """Take the body from the result of the application."""
+        self.close_result = getattr(result, "close", self.close_result)
+        self.body = b"".join(result)
 
     def start(self, status, fields, exc_info=None):
         """Set status and headers; the WSGI callable `start_response`."""
--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -256,7 +256,7 @@
         """Run a request in a worker and send the answers that are ready."""
         closes = False
         try:
-            answer.body = b"".join(self.server.app(environ, answer.start))
+            answer.read(self.server.app(environ, answer.start))
         except Exception:
             # The application answers its own errors, so the outcome of the
             # request is unknown.
@@ -302,6 +302,7 @@
             self.cancel()
             self.connection.abort()
         finally:
+            answer.close_result()
             self._pipeline.mark_sent(answer.size)
         if following.closes:
             self._finish_sending()
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -22,6 +22,9 @@
 KEEP_ALIVE_SECONDS = 75.0
 ACCEPT_RETRY_SECONDS = 0.1
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n"
+# What is left of a body after its answer is read up to this size, so that the
+# connection can be used again; a longer rest ends the connection.
+MAX_DISCARDED_BYTES = 64 * 1024
 # The CGI variables of these headers have no HTTP_ prefix.
 UNPREFIXED_VARIABLES = frozenset(("CONTENT_TYPE", "CONTENT_LENGTH"))
 
@@ -36,6 +39,7 @@
         """Serve the requests of one connection for the HttpServer `owner`."""
         self._owner = owner
         self._close_connection = True
+        self._body = None
         super().__init__(conn_state, server)
 
     def setup(self):
@@ -128,7 +132,7 @@
         expects = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
         if length is None and not is_chunked:
             length = "0"
-        environ["wsgi.input"] = environ["eventlet.input"] = RequestBody(
+        self._body = RequestBody(
             self.rfile,
             length,
             self.connection,
@@ -136,6 +140,7 @@
             wfile_line=CONTINUE_LINE if expects else None,
             chunked_input=is_chunked,
         )
+        environ["wsgi.input"] = environ["eventlet.input"] = self._body
         environ["eventlet.posthooks"] = []
 
     @property
@@ -144,9 +149,14 @@
 
         Eventlet reads this when it writes the headers of an answer. So the
         answer to a request that was received before the server began to stop
-        also has the header `Connection: close`.
+        also has the header `Connection: close`, and so has one that is given
+        before a long body was read.
         """
-        return self._close_connection or self._owner.stopping
+        return (
+            self._close_connection
+            or self._owner.stopping
+            or (self._body is not None and self._body.has_long_rest)
+        )
 
     @close_connection.setter
     def close_connection(self, value):
@@ -164,6 +174,13 @@
         super().__init__(*arguments, **options)
         self._chunks = ChunkedBody(reader=self.rfile)
 
+    @property
+    def has_long_rest(self):
+        """Whether over MAX_DISCARDED_BYTES may still be unread."""
+        if self.chunked_input:
+            return not self._chunks.is_at_end
+        return self.content_length - self.position > MAX_DISCARDED_BYTES
+
     def _chunked_read(self, rfile, length=None, use_readline=False):
         """Return up to `length` bytes, or all if it is None or negative."""
         if use_readline:
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -23,6 +23,7 @@
 )
 from verbenanotch.proxy import (
     AccountGate,
+    BodyBudget,
     CrashGuard,
     DisconnectMonitor,
     Dispatcher,
@@ -64,6 +65,10 @@
         proxy = settings.proxy
         self._host_name = host.name
         self._snapshot_store = SnapshotStore()
+        self._body_budget = BodyBudget(
+            max_bytes=proxy.max_receiving_bytes,
+            max_body_bytes=proxy.max_body_bytes,
+        )
         self._peers = PeerPool(settings=settings)
         incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
         self._stop_window = StopWindow()
@@ -82,6 +87,7 @@
             ),
             is_rejected=self._is_version_rejected,
             stop_window=self._stop_window,
+            body_budget=self._body_budget,
         )
         self._leader_channel = LeaderChannel()
         self._freshness = VersionFreshness(
@@ -312,6 +318,7 @@
             ),
             account_limits=self._account_limits,
             large_answers=self._large_answers,
+            body_budget=self._body_budget,
         )
 
     def _is_version_rejected(self, record):
--- a/verbenanotch/http1/_chunks.py
+++ b/verbenanotch/http1/_chunks.py
@@ -21,7 +21,7 @@
 
     Errors are of the types `incomplete_error` and `malformed_error`. After
     one, where the next message begins is unknown, and each further read fails
-    as well.
+    as well. `is_at_end` is set once the last chunk and the trailer were read.
     """
 
     incomplete_error = MessageIncompleteError
@@ -32,7 +32,7 @@
         self._reader = reader
         self._bytes_left = 0
         self._is_first = True
-        self._is_at_end = False
+        self.is_at_end = False
         self._error = None
 
     def read(self, size):
@@ -50,7 +50,7 @@
 
     def _read(self, size):
         pieces = []
-        while size and not self._is_at_end:
+        while size and not self.is_at_end:
             if not self._bytes_left:
                 self._start_chunk()
                 continue
@@ -73,7 +73,7 @@
         self._bytes_left = int(match[1], 16)
         if not self._bytes_left:
             self._read_trailer()
-            self._is_at_end = True
+            self.is_at_end = True
 
     def _read_trailer(self):
         bytes_read = 0
--- a/verbenanotch/proxy/__init__.py
+++ b/verbenanotch/proxy/__init__.py
@@ -7,6 +7,7 @@
 from verbenanotch.proxy._account_gate import AccountGate
 from verbenanotch.proxy._announcement_refusals import InvalidTarget
 from verbenanotch.proxy._announcements import TargetInterface
+from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._crashes import CrashGuard
 from verbenanotch.proxy._disconnect_monitor import DisconnectMonitor
 from verbenanotch.proxy._dispatcher import Dispatcher
@@ -31,6 +32,7 @@
 __all__ = [
     "ARRIVED_AT",
     "CONNECTION",
+    "BodyBudget",
     "AccountGate",
     "CrashGuard",
     "DisconnectMonitor",
--- a/verbenanotch/proxy/_body_budget.py
+++ b/verbenanotch/proxy/_body_budget.py
@@ -126,3 +126,21 @@
         """Count bytes that are in memory already and can't be refused."""
         super().keep(count)
         self._budget.request_bytes += count
+
+
+class KeptBodies(list):
+    """The WSGI result of one request, with the Reservations of its bodies.
+
+    The server closes it once the answer has been sent.
+    """
+
+    def __init__(self, *, budget):
+        """Start without a result and without bytes."""
+        super().__init__()
+        self.request = budget.reserve_request()
+        self.answer = budget.reserve_answer()
+
+    def close(self):
+        """Give the bytes of both bodies back."""
+        self.request.release()
+        self.answer.release()
--- a/verbenanotch/proxy/_caller_body.py
+++ b/verbenanotch/proxy/_caller_body.py
@@ -5,14 +5,20 @@
 import eventlet
 from eventlet import wsgi
 
-from verbenanotch.proxy._outcome import Rejected
+from verbenanotch.proxy import _reasons as reasons
+from verbenanotch.proxy._outcome import NotRun, Rejected
+from verbenanotch.proxy.exceptions import BodiesFullError
+from verbenanotch.telemetry import metrics
 
+READ_BYTES = 64 * 1024
 
-def read_body(environ, *, max_body_bytes, deadline):
-    """Return the complete body, or Rejected if it is invalid or late.
+
+def read_body(environ, *, max_body_bytes, deadline, reservation):
+    """Return the complete body, Rejected if it is invalid or late, or NotRun.
 
     `deadline` is in monotonic seconds. The body may be sent with a
-    Content-Length or chunked.
+    Content-Length or chunked. Its bytes are taken from `reservation`; NotRun
+    means that there are not enough left.
     """
     encoding = environ.get("HTTP_TRANSFER_ENCODING")
     if encoding is None:
@@ -31,7 +37,12 @@
         return _too_large(max_body_bytes)
     timeout = eventlet.Timeout(max(0, deadline - time.monotonic()))
     try:
-        return _read(environ["wsgi.input"], length, max_body_bytes)
+        return _read(
+            environ["wsgi.input"], length, max_body_bytes, reservation
+        )
+    except BodiesFullError:
+        metrics.increment(f"proxy.refused.{reasons.BODIES_FULL}")
+        return NotRun(reason=reasons.BODIES_FULL)
     except eventlet.Timeout as error:
         if error is not timeout:
             raise
@@ -44,10 +55,13 @@
         timeout.cancel()
 
 
-def _read(stream, length, max_body_bytes):
+def _read(stream, length, max_body_bytes, reservation):
+    # One byte over the limit shows that a chunked body is too large.
+    expected_bytes = max_body_bytes + 1 if length is None else length
+    if length is not None:
+        reservation.check(length)
     try:
-        # One byte over the limit shows that a chunked body is too large.
-        body = stream.read(max_body_bytes + 1 if length is None else length)
+        body = _read_pieces(stream, expected_bytes, reservation)
     except (OSError, ValueError, wsgi.ChunkReadError):
         return _cut_short()
     if length is not None and len(body) < length:
@@ -57,6 +71,21 @@
     return body
 
 
+def _read_pieces(stream, expected_bytes, reservation):
+    """Return up to `expected_bytes`, each piece taken before it is read."""
+    pieces = []
+    while expected_bytes:
+        size = min(READ_BYTES, expected_bytes)
+        reservation.take(size)
+        piece = stream.read(size)
+        reservation.keep(len(piece) - size)
+        expected_bytes -= len(piece)
+        pieces.append(piece)
+        if len(piece) < size:
+            break
+    return pieces[0] if len(pieces) == 1 else b"".join(pieces)
+
+
 def _cut_short():
     return Rejected(
         status=400,
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -9,6 +9,7 @@
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
 from verbenanotch.proxy._account_gate import AccountGate, AccountPass
+from verbenanotch.proxy._body_budget import BodyBudget, KeptBodies
 from verbenanotch.proxy._caller_body import read_body
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._headers import KEY_HEADER, environ_name
@@ -18,7 +19,7 @@
     Rejected,
     Unknown,
 )
-from verbenanotch.proxy._request import RequestReader
+from verbenanotch.proxy._request import Request, RequestReader
 from verbenanotch.proxy._response import respond
 from verbenanotch.proxy._tracing import TraceSampler
 from verbenanotch.routing import choose_service
@@ -46,12 +47,14 @@
         account_gate=None,
         account_limits=None,
         large_answers=None,
+        body_budget=None,
     ):
         """Route requests by the active snapshot of `snapshot_store`.
 
         `keyed` is the KeyedRequests that runs requests with a key.
         `account_limits` admits the requests of client accounts.
-        `large_answers` is the LargeAnswers of this host.
+        `large_answers` is the LargeAnswers of this host, `body_budget` its
+        BodyBudget.
         `caller_service()` returns the service of this host's targets, which
         is sent to the target as the caller. `account_gate` is the
         AccountGate that checks the keys of client accounts.
@@ -69,6 +72,10 @@
         self._keyed = keyed
         self._account_limits = account_limits
         self._large_answers = large_answers
+        self._body_budget = body_budget or BodyBudget(
+            max_bytes=settings.proxy.max_receiving_bytes,
+            max_body_bytes=settings.proxy.max_body_bytes,
+        )
         self._settings = settings
         self._snapshot_store = snapshot_store
         self._dispatcher = dispatcher
@@ -79,13 +86,26 @@
         self.in_flight = 0
 
     def application(self, environ, start_response):
-        """Respond to one request; the WSGI entry point."""
+        """Respond to one request; the WSGI entry point.
+
+        The bodies of the request and of its answer are counted until the
+        result is closed.
+        """
+        result = KeptBodies(budget=self._body_budget)
+        try:
+            result += self._respond(environ, start_response, result)
+        except BaseException:
+            result.close()
+            raise
+        return result
+
+    def _respond(self, environ, start_response, kept):
         started = environ[ARRIVED_AT]
         request_id = self._reader.request_id_of(environ)
         traced = self._sampler.admit(started)
         self.in_flight += 1
         try:
-            outcome = self._outcome(environ, request_id, started, traced)
+            outcome = self._outcome(environ, request_id, started, traced, kept)
         except Exception:
             # An internal error must not look like a target's response. The
             # request may have reached a target, so the outcome is unknown.
@@ -99,6 +119,8 @@
         finally:
             self.in_flight -= 1
         self._record(environ, request_id, outcome, started, traced)
+        kept.request.release()
+        kept.answer.keep(len(getattr(outcome, "body", b"")))
         return respond(
             outcome,
             request_id,
@@ -121,7 +143,7 @@
         _, route = matched
         return environ["REQUEST_METHOD"] in route.idempotent_methods
 
-    def _outcome(self, environ, request_id, started, traced):
+    def _outcome(self, environ, request_id, started, traced, kept):
         if self.in_flight > self._settings.proxy.max_in_flight:
             return _refusal(environ, reasons.HOST_FULL)
         path = environ["RAW_PATH_INFO"]
@@ -153,14 +175,15 @@
                 environ,
                 max_body_bytes=self._settings.proxy.max_body_bytes,
                 deadline=deadline,
+                reservation=kept.request,
             ),
             traced=traced,
             has_accounts=bool(snapshot.accounts_by_name),
             account=access.account,
             priority=access.priority,
         )
-        if isinstance(request, Rejected):
-            return request
+        if not isinstance(request, Request):
+            return _without_run(environ, request)
         return self._run(environ, request)
 
     def _unrouted(self, environ, snapshot):
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -123,6 +123,7 @@
         known_services=frozenset,
         is_rejected=lambda record: False,
         stop_window=None,
+        body_budget=None,
     ):
         """Call `on_change` whenever the announcement changes.
 
@@ -130,7 +131,8 @@
         and to which crashes and answers are reported.
         `known_services` returns the names of the services of the mesh.
         `is_rejected(record)` returns whether a target's software version
-        gets no requests. `stop_window` is the StopWindow of this host.
+        gets no requests. `stop_window` is the StopWindow of this host,
+        `body_budget` its BodyBudget.
         """
         self._stop_window = stop_window or StopWindow()
         self._is_rejected = is_rejected
@@ -145,7 +147,7 @@
         self._on_change = on_change
         self._sequence = 0
         self._leaving = False
-        self._body_budget = BodyBudget(
+        self._body_budget = body_budget or BodyBudget(
             max_bytes=settings.proxy.max_receiving_bytes
         )
         self.targets_by_id = {}
--- a/verbenanotch/proxy/_request.py
+++ b/verbenanotch/proxy/_request.py
@@ -86,7 +86,7 @@
         return uuid.uuid4().hex
 
     def read(self, environ, *, has_accounts=False, **values):
-        """Return a Request or Rejected; see `check_request`.
+        """Return a Request, Rejected or NotRun; see `check_request`.
 
         In a mesh that `has_accounts`, the key and a name of an account that
         the caller sent are removed.
@@ -119,12 +119,13 @@
     account="",
     priority=None,
 ):
-    """Return a Request with its body, or Rejected.
+    """Return a Request with its body, Rejected or NotRun.
 
     `names` is a HeaderNames, `mesh_header_names` the result of `mesh_headers`
     for it. `service` is the one of the route's services that the request is
     sent to. `now` is the time of arrival in monotonic seconds.
-    `read_body(deadline)` returns the body, or Rejected. A timeout that the
+    `read_body(deadline)` returns the body, or the outcome that is returned in
+    place of the request. A timeout that the
     caller sends can shorten the route's timeout, but not extend it. Without
     `priority` the request has that of the route.
     """
@@ -138,7 +139,7 @@
     timeout_ms = min(timeout_ms, route.timeout_ms)
     deadline = now + timeout_ms / MILLISECONDS_PER_SECOND
     body = read_body(deadline)
-    if isinstance(body, Rejected):
+    if not isinstance(body, bytes):
         return body
     method = environ["REQUEST_METHOD"]
     path = environ["REQUEST_TARGET"]
