wire: frames are short until the peer is authenticated

Cause, of the class of: a connection kept up to 4 MiB of one frame from its first byte on, and nothing bounded the number of connections that do. Before the handshake has ended, a frame has 4 KiB at most now, its collections 16 items, and the handshake 6 s in all; each step had 2 s, so that a trickle held a connection without end. Larger frames are accepted from authenticated peers alone.

--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -10,19 +10,23 @@
 import pytest
 from eventlet import event
 
+from verbenanotch import loop
 from verbenanotch.wire import (
     AuthenticationFailedError,
+    Connection,
     ConnectionClosedError,
     Listener,
     MalformedFrameError,
     Purpose,
     WireError,
+    _listener,
     decode,
     dial,
     encode,
     message,
 )
 from verbenanotch.wire._connection import MAX_FRAME_BYTES
+from verbenanotch.wire._handshake import perform_handshake
 
 KEY = b"0123456789abcdef"
 WAKE_SECONDS = 5.0
@@ -222,3 +226,69 @@
     assert not ours.closed
     ours.close()
     assert not ours.send_at_once(Echo(text="closed"))
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"\xc6\x7f\xff\xff\xff",
+        b"\xdb\x7f\xff\xff\xff",
+        b"\x95\xac" + b"verbenanotch\x02\xda\x20\x00",
+    ],
+)
+def test_a_stranger_cannot_make_a_process_keep_a_long_frame(listener, start):
+    """Guard against strangers whose frames fill the memory of a process."""
+    sock = eventlet.connect(("127.0.0.1", listener.port))
+    sent_bytes = 0
+    with eventlet.Timeout(WAKE_SECONDS), pytest.raises(OSError):
+        sock.sendall(start)
+        while sent_bytes < MAX_FRAME_BYTES:
+            sock.sendall(bytes(1024))
+            sent_bytes += 1024
+            eventlet.sleep(0)
+    assert sent_bytes < MAX_FRAME_BYTES / 4
+    test_messages_are_echoed_unchanged(listener)
+
+
+def test_a_stranger_cannot_announce_large_collections(listener):
+    sock = eventlet.connect(("127.0.0.1", listener.port))
+    sock.sendall(b"\xdd\x00\x01\x00\x00" * 1000)
+    with eventlet.Timeout(WAKE_SECONDS):
+        while sock.recv(1024):
+            pass
+    test_messages_are_echoed_unchanged(listener)
+
+
+def test_a_trickling_stranger_is_disconnected(listener, monkeypatch):
+    monkeypatch.setattr(_listener, "MAX_HANDSHAKE_SECONDS", 0.2)
+    sock = eventlet.connect(("127.0.0.1", listener.port))
+    with eventlet.Timeout(WAKE_SECONDS), pytest.raises(OSError):
+        while True:
+            sock.sendall(b"\x91")
+            eventlet.sleep(0.02)
+
+
+class DelayedMacConnection(Connection):
+    """Connection that keeps its MAC back in `delayed`."""
+
+    delayed = b""
+
+    def send_plain(self, value):
+        """Send a hello; keep a MAC back."""
+        if isinstance(value, bytes):
+            self.delayed = msgpack.packb(value)
+        else:
+            super().send_plain(value)
+
+
+def test_messages_that_arrive_with_the_handshake_are_kept(listener):
+    sock = loop.connect("127.0.0.1", listener.port, timeout_seconds=5.0)
+    connection = DelayedMacConnection(sock=sock)
+    perform_handshake(
+        connection, key=KEY, name="a", purpose=Purpose.REQUEST, role="dialer"
+    )
+    connection.accept_messages()
+    sent = [Echo(text=str(i), bodies=(b"b" * 3000,)) for i in range(20)]
+    sock.sendall(connection.delayed + b"".join(encode(x) for x in sent))
+    assert [connection.receive() for _ in sent] == sent
+    connection.close()
--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -18,6 +18,9 @@
 )
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Of each frame until the peer is authenticated, and of its collections.
+MAX_HANDSHAKE_FRAME_BYTES = 4 * 1024
+MAX_HANDSHAKE_ITEMS = 16
 MAX_PENDING_BYTES = 4 * 1024 * 1024
 RECEIVE_BYTES = 64 * 1024
 # Received in a row before other greenthreads run.
@@ -32,7 +35,8 @@
 class Connection:
     """Send and receive messages; safe for many greenthreads of one hub.
 
-    Only one greenthread may receive. `peer_name` and `purpose` are set by
+    Only one greenthread may receive. Frames are short until the peer is
+    authenticated, see `accept_messages`. `peer_name` and `purpose` are set by
     the handshake. `incarnation` is unique among the connections of this
     process. If `compresses` is set, messages of `MIN_COMPRESSED_BYTES` or
     more are sent compressed; compressed messages are always accepted.
@@ -42,10 +46,15 @@
         """Take ownership of a connected socket."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = sock
+        self._max_frame_bytes = max_frame_bytes
+        self._receive_size = MAX_HANDSHAKE_FRAME_BYTES
+        # What follows a frame in the buffer may be as long as a receive.
         self._unpacker = msgpack.Unpacker(
-            max_buffer_size=max_frame_bytes, use_list=True
+            max_buffer_size=2 * MAX_HANDSHAKE_FRAME_BYTES,
+            max_array_len=MAX_HANDSHAKE_ITEMS,
+            max_map_len=MAX_HANDSHAKE_ITEMS,
+            use_list=True,
         )
-        self._max_frame_bytes = max_frame_bytes
         self._pending = collections.deque()
         self._pending_bytes = 0
         self._flushing = False
@@ -60,6 +69,18 @@
         self.sent_bytes = 0
         self.received_bytes = 0
 
+    def accept_messages(self):
+        """Receive frames of up to `max_frame_bytes` from now on.
+
+        Has to be called once the peer is authenticated.
+        """
+        received = self._unpacker.read_bytes(2 * MAX_HANDSHAKE_FRAME_BYTES)
+        self._receive_size = RECEIVE_BYTES
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=self._max_frame_bytes, use_list=True
+        )
+        self._unpacker.feed(received)
+
     def send(self, message):
         """Queue a message and write all queued messages.
 
@@ -196,7 +217,7 @@
         except msgpack.BufferFull as error:
             self.close()
             raise FrameTooLargeError(
-                f"peer sent a frame over {self._max_frame_bytes} bytes; "
+                "peer sent a frame over the limit of this connection; "
                 "check what connects to this port"
             ) from error
 
@@ -211,7 +232,7 @@
             data = self._socket.receive_arrived(RECEIVE_BYTES)
         if data is None:
             self._burst_bytes = 0
-            data = self._socket.recv(RECEIVE_BYTES)
+            data = self._socket.recv(self._receive_size)
         if len(data) == RECEIVE_BYTES:
             self._burst_bytes += len(data)
         else:
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -9,8 +9,10 @@
 from verbenanotch.wire._handshake import Purpose, perform_handshake
 from verbenanotch.wire.exceptions import ConnectionClosedError, WireError
 
-# Limits each send and receive of the handshake, not their sum.
+# Limits each send and receive of the handshake.
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
+# Limits the handshake of an accepted connection as a whole.
+MAX_HANDSHAKE_SECONDS = 3 * HANDSHAKE_TIMEOUT_SECONDS
 LISTEN_BACKLOG = 1024
 # Configurations and host tables are repetitive text, which compresses well.
 # Request bodies are mostly compressed already, and compressing them again
@@ -84,13 +86,22 @@
     def _authenticate(self, connection):
         """Authenticate the peer; return the handler for its purpose."""
         connection.set_timeout(HANDSHAKE_TIMEOUT_SECONDS)
-        connection.peer_name, connection.purpose = perform_handshake(
-            connection,
-            key=self._key,
-            name=self._name,
-            purpose="",
-            role="listener",
-        )
+        timeout = eventlet.Timeout(MAX_HANDSHAKE_SECONDS)
+        try:
+            connection.peer_name, connection.purpose = perform_handshake(
+                connection,
+                key=self._key,
+                name=self._name,
+                purpose="",
+                role="listener",
+            )
+        except eventlet.Timeout as error:
+            if error is not timeout:
+                raise
+            raise ConnectionClosedError("handshake timed out") from error
+        finally:
+            timeout.cancel()
+        connection.accept_messages()
         connection.compresses = connection.purpose in COMPRESSED_PURPOSES
         connection.set_timeout(None)
         handler = self._handlers_by_purpose.get(connection.purpose)
@@ -123,6 +134,7 @@
     except WireError:
         connection.close()
         raise
+    connection.accept_messages()
     connection.purpose = purpose
     connection.compresses = purpose in COMPRESSED_PURPOSES
     connection.set_timeout(None)
