proxy: bound the answers that are complete, and bodies between proxies

The users' figures: targets that answer with bodies of 67 MB take a proxy to 317 to 559 MB where its host has 300. It is killed then (FAULT), and the requests of all its callers end without an answer (LOST).

Cause, of the class of: max_receiving_bytes counted the answers that the proxy beside the target is receiving. It forgot them once they were complete, and they are kept until the last byte is sent, to a caller or another proxy, which may read as slowly as they like. The proxy of the callers counted nothing.

All of them take from the BodyBudget now: answers from the first byte at either proxy until they are sent, the bodies of calls that other proxies forward until the calls have ended, and answers of up to 64 KB, too. A call without room is refused as not run; an answer without room is dropped and the request unknown.

--- a/tests/integration/test_large_bodies.py
+++ b/tests/integration/test_large_bodies.py
@@ -12,6 +12,7 @@
 
 from examples import topology as plans
 from tests.integration.request_load import MESH_TEXT, SERVICE
+from tests.support.endless_target import LARGE_BODY, EndlessTarget
 from tests.support.harness import Mesh
 from tests.support.memory import MAX_MEMORY_KB, peak_memory_kb
 
@@ -20,6 +21,7 @@
 MAX_RECEIVING_BYTES = 100_000_000
 CONNECTIONS = 40
 SECONDS = 6.0
+CALLERS = 10
 PIECE = b"x" * (64 * 1024)
 CHUNK = b"10000\r\n" + PIECE + b"\r\n"
 LENGTH = 67_000_000
@@ -68,6 +70,17 @@
         sock.sendall(PIECE[: LENGTH % len(PIECE)])
 
 
+def ask(method, address):
+    """Send a request on a new connection; return the connection."""
+    sock = eventlet.connect((address, plans.CALLER_PORT))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, len(PIECE))
+    sock.sendall(
+        f"{method} /pay/1 HTTP/1.1\r\n"
+        "Host: a\r\nContent-Length: 0\r\n\r\n".encode()
+    )
+    return sock
+
+
 def send_again_and_again(send, address):
     """Send on new connections until the time is over."""
     while True:
@@ -79,6 +92,50 @@
         eventlet.sleep(0.05)
 
 
+@pytest.fixture
+def large_targets(mesh):
+    """Return a function that adds targets whose answers are large."""
+    started = []
+    host = mesh.topology.hosts_by_name[PROXIES[0]]
+
+    def add(count):
+        for _ in range(count):
+            target = EndlessTarget(kind=LARGE_BODY, address=host.address)
+            target.announce(
+                proxy=host.server(plans.TARGET_PORT), service=SERVICE, slots=16
+            )
+            started.append(target)
+        mesh.wait_until(
+            lambda: (
+                is_served(mesh, PROXIES[0])
+                and all(target.request_count for target in started)
+            ),
+            what="requests at the targets",
+        )
+
+    yield add
+    for target in started:
+        target.stop()
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("proxy", PROXIES)
+@pytest.mark.parametrize("target_count", [1, 6])
+def test_answers_that_callers_do_not_read_fit_into_the_memory(
+    mesh, large_targets, target_count, proxy, method
+):
+    large_targets(target_count)
+    address = mesh.topology.hosts_by_name[proxy].address
+    with contextlib.ExitStack() as connections:
+        for _ in range(CALLERS):
+            sock = connections.enter_context(ask(method, address))
+            # The head comes with the answer; the rest is left unread.
+            sock.recv(1)
+    for name in PROXIES:
+        assert peak_memory_kb(mesh, name) < MAX_MEMORY_KB
+    mesh.wait_until(lambda: is_served(mesh, proxy), what="served request")
+
+
 @pytest.mark.parametrize(
     "send", [send_chunks_without_end, send_large_requests]
 )
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -216,9 +216,10 @@
     proxies. `link_mbps` is the rate of the host's link in million bits per
     second: large answers to other proxies are sent no faster than a share of
     it; 0 turns that off. `max_pipelined` limits the safe requests that it runs
-    concurrently for one connection of a caller. The bodies of all answers
-    that the proxy is receiving from its targets take at most
-    `max_receiving_bytes`, each of them at most `max_body_bytes`. At a start,
+    concurrently for one connection of a caller. The bodies of all requests
+    and answers that the proxy keeps, from their first byte until they are
+    sent, take at most `max_receiving_bytes`, each of them at most
+    `max_body_bytes`; requests without room are refused. At a start,
     `floor_wait_ms` limits the wait for a configuration before callers are
     accepted. It is also the time in which the proxy collects the answers that
     determine its minimum version.
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -69,7 +69,9 @@
             max_bytes=proxy.max_receiving_bytes,
             max_body_bytes=proxy.max_body_bytes,
         )
-        self._peers = PeerPool(settings=settings)
+        self._peers = PeerPool(
+            settings=settings, body_budget=self._body_budget
+        )
         incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
         self._stop_window = StopWindow()
         self._crash_guard = CrashGuard(
@@ -131,6 +133,7 @@
             max_body_bytes=proxy.max_body_bytes,
             max_in_flight=proxy.max_in_flight,
             large_answers=self._large_answers,
+            body_budget=self._body_budget,
         )
         self._disconnect_monitor = DisconnectMonitor()
         self._listener = Listener(
--- a/verbenanotch/proxy/_body_budget.py
+++ b/verbenanotch/proxy/_body_budget.py
@@ -6,65 +6,104 @@
 
 Requests get a part of the bytes, so that there is room for the answers to
 those that run: a request without room is refused, while an answer without room
-is lost. Bodies that are not small leave a reserve to the small ones, so that
-a few large bodies keep no small request out.
+is lost. Large bodies leave a reserve to the small ones, so that a few of them
+keep no small request out.
 """
 
+import attrs
+
 from verbenanotch.proxy.exceptions import AnswersTooLargeError, BodiesFullError
 
 SMALL_BODY_BYTES = 64 * 1024
 # Of all bytes.
-REQUESTS_SHARE = 1 / 2
+LARGE_REQUESTS_SHARE = 1 / 2
 SMALL_BODIES_SHARE = 1 / 16
 
 
-class BodyBudget:
-    """Bytes of all bodies of requests and answers that a proxy keeps.
+@attrs.define(kw_only=True, eq=False)
+class _Pool:
+    """Bytes for bodies, at most `max_large_bytes` of them for large ones."""
 
-    `max_body_bytes` is the size up to which a single body is accepted.
-    """
+    max_bytes: int
+    max_large_bytes: int
+    used_bytes: int = 0
+    large_bytes: int = 0
+
+    def has_room(self, body_bytes, count):
+        """Return whether a body of `body_bytes` may take `count` more."""
+        if self.used_bytes + count > self.max_bytes:
+            return False
+        if body_bytes + count <= SMALL_BODY_BYTES:
+            return True
+        others = self.large_bytes - _large_part(body_bytes)
+        return others + body_bytes + count <= self.max_large_bytes
+
+    def add(self, body_bytes, count):
+        """Add `count` bytes to a body of `body_bytes`; subtract a negative."""
+        self.used_bytes += count
+        self.large_bytes += _large_part(body_bytes + count)
+        self.large_bytes -= _large_part(body_bytes)
+
+
+class BodyBudget:
+    """Bytes of all bodies of requests and answers that a proxy keeps."""
 
     def __init__(self, *, max_bytes, max_body_bytes=0):
-        """Allow `max_bytes` in total."""
+        """Allow `max_bytes` in total.
+
+        An idle proxy always accepts a single body of `max_body_bytes`.
+        """
+        reserve = int(max_bytes * SMALL_BODIES_SHARE)
+        max_large_request_bytes = max(
+            max_body_bytes, int(max_bytes * LARGE_REQUESTS_SHARE)
+        )
         self.max_bytes = max_bytes
-        self.used_bytes = 0
-        self.request_bytes = 0
-        self._max_request_bytes = max(
-            max_body_bytes, int(max_bytes * REQUESTS_SHARE)
+        self._all = _Pool(
+            max_bytes=max_bytes,
+            max_large_bytes=max(max_body_bytes, max_bytes - reserve),
         )
-        # A single body of the largest size always fits into an idle proxy.
-        self._max_bytes_of_large = max(
-            max_body_bytes, int(max_bytes * (1 - SMALL_BODIES_SHARE))
+        self._requests = _Pool(
+            max_bytes=max_large_request_bytes + reserve,
+            max_large_bytes=max_large_request_bytes,
         )
 
+    @property
+    def used_bytes(self):
+        """Bytes of all bodies."""
+        return self._all.used_bytes
+
     def reserve_request(self):
         """Return the Reservation for the body of a request."""
-        return _RequestReservation(budget=self)
+        return Reservation(
+            pools=(self._all, self._requests), make_error=self._requests_error
+        )
 
     def reserve_answer(self):
         """Return the Reservation for the body of an answer."""
-        return _AnswerReservation(budget=self)
+        return Reservation(pools=(self._all,), make_error=self._answers_error)
 
-    def has_room(self, body_bytes, count):
-        """Return whether a body of `body_bytes` may take `count` more."""
-        is_small = body_bytes + count <= SMALL_BODY_BYTES
-        limit = self.max_bytes if is_small else self._max_bytes_of_large
-        return self.used_bytes + count <= limit
-
-    def has_request_room(self, body_bytes, count):
-        """Return whether the body of a request may take `count` more."""
-        return (
-            self.request_bytes + count <= self._max_request_bytes
-            and self.has_room(body_bytes, count)
+    def _requests_error(self):
+        return BodiesFullError(
+            "the bodies of requests and answers take up the "
+            f"{self.max_bytes} bytes of proxy.max_receiving_bytes; "
+            "send the request again later"
         )
 
+    def _answers_error(self):
+        return AnswersTooLargeError(
+            "the bodies of requests and answers take over "
+            f"{self.max_bytes} bytes together; raise "
+            "proxy.max_receiving_bytes, or find out why they are large"
+        )
 
-class _Reservation:
+
+class Reservation:
     """The bytes of one body; a context manager that gives them back."""
 
-    def __init__(self, *, budget):
-        """Start without bytes."""
-        self._budget = budget
+    def __init__(self, *, pools, make_error):
+        """Start without bytes; raise `make_error()` if too few are left."""
+        self._pools = pools
+        self._make_error = make_error
         self._bytes = 0
 
     def __enter__(self):
@@ -75,57 +114,29 @@
         """Give all bytes back."""
         self.release()
 
-    def keep(self, count):
-        """Count bytes that are in memory already and can't be refused."""
-        self._bytes += count
-        self._budget.used_bytes += count
-
-    def release(self):
-        """Give all bytes back; they may be taken anew."""
-        self.keep(-self._bytes)
-
-
-class _AnswerReservation(_Reservation):
-    """The bytes of the body of one answer."""
-
-    def take(self, count):
-        """Take bytes before they are kept.
+    def check(self, count):
+        """Check that `count` bytes could be taken now.
 
-        Raises AnswersTooLargeError if there are not enough left.
+        Raises BodiesFullError for a request, AnswersTooLargeError for an
+        answer.
         """
-        if not self._budget.has_room(self._bytes, count):
-            raise AnswersTooLargeError(
-                "the bodies of requests and answers take over "
-                f"{self._budget.max_bytes} bytes together; raise "
-                "proxy.max_receiving_bytes, or find out why they are large"
-            )
-        self.keep(count)
-
-
-class _RequestReservation(_Reservation):
-    """The bytes of the body of one request."""
+        if not all(pool.has_room(self._bytes, count) for pool in self._pools):
+            raise self._make_error()
 
     def take(self, count):
-        """Take bytes before they are kept.
-
-        Raises BodiesFullError if there are not enough left.
-        """
+        """Take bytes before they are kept; see `check` for its errors."""
         self.check(count)
         self.keep(count)
 
-    def check(self, count):
-        """Raise BodiesFullError if `count` bytes can't be taken now."""
-        if not self._budget.has_request_room(self._bytes, count):
-            raise BodiesFullError(
-                "the bodies of requests and answers take up the "
-                f"{self._budget.max_bytes} bytes of "
-                "proxy.max_receiving_bytes; send the request again later"
-            )
-
     def keep(self, count):
         """Count bytes that are in memory already and can't be refused."""
-        super().keep(count)
-        self._budget.request_bytes += count
+        for pool in self._pools:
+            pool.add(self._bytes, count)
+        self._bytes += count
+
+    def release(self):
+        """Give all bytes back; they may be taken anew."""
+        self.keep(-self._bytes)
 
 
 class KeptBodies(list):
@@ -144,3 +155,8 @@
         """Give the bytes of both bodies back."""
         self.request.release()
         self.answer.release()
+
+
+def _large_part(body_bytes):
+    """Return the bytes of a body that count as those of a large one."""
+    return body_bytes if body_bytes > SMALL_BODY_BYTES else 0
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -53,9 +53,9 @@
     with another id belongs to an earlier request and is dropped. With
     `may_omit_length`, an answer without a length is complete if its
     connection was closed normally. `on_headers` is called with the headers of
-    the call's own answer, also of one that is then not complete. Bodies of
-    more than `READ_BYTES` take from `body_budget`, a BodyBudget, while they
-    are received; without one, a body has `max_body_bytes` of its own.
+    the call's own answer, also of one that is then not complete. Bodies take
+    from `body_budget`, a BodyBudget, while they are received; without one, a
+    body has `max_body_bytes` of its own.
     """
     if body_budget is None:
         body_budget = BodyBudget(max_bytes=max_body_bytes)
@@ -228,6 +228,7 @@
     if length is not None and length > max_body_bytes:
         raise _too_large_error(max_body_bytes)
     if length is not None and length <= READ_BYTES:
+        take(length)
         return answer.read(length)
     return _read_to_end(answer, max_body_bytes, take)
 
--- a/verbenanotch/proxy/_peer.py
+++ b/verbenanotch/proxy/_peer.py
@@ -35,7 +35,7 @@
 )
 from verbenanotch.proxy._outcome import NotRun, Unknown
 from verbenanotch.proxy._send_queue import SendQueue
-from verbenanotch.proxy.exceptions import ProxyError
+from verbenanotch.proxy.exceptions import AnswersTooLargeError, ProxyError
 from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import (
     FrameTooLargeError,
@@ -55,8 +55,10 @@
 class _Stream:
     """A forwarded call or record request that waits for its reply."""
 
-    def __init__(self):
+    def __init__(self, answer):
         self.window = FlowControlWindow()
+        # The Reservation for the body of the answer.
+        self.answer = answer
         # The ForwardAnswered whose body `assembler` collects.
         self.partial_answer = None
         self.assembler = None
@@ -82,7 +84,13 @@
     """
 
     def __init__(
-        self, *, connection, max_body_bytes, on_report, on_crash_records
+        self,
+        *,
+        connection,
+        max_body_bytes,
+        body_budget,
+        on_report,
+        on_crash_records,
     ):
         """Start receiving on a dialed connection.
 
@@ -93,6 +101,7 @@
         self._on_report = on_report
         self._connection = connection
         self._max_body_bytes = max_body_bytes
+        self._body_budget = body_budget
         self._send_queue = SendQueue(connection=connection)
         self._stream_ids = itertools.count(1)
         self._ping_numbers = itertools.count(1)
@@ -139,7 +148,7 @@
         if refusal is not None:
             return refusal
         stream_id = next(self._stream_ids)
-        stream = _Stream()
+        stream = _Stream(self._body_budget.reserve_answer())
         self._streams_by_id[stream_id] = stream
         cancellation.on_cancel(lambda: self._cancel(stream_id))
         try:
@@ -157,6 +166,7 @@
         finally:
             cancellation.on_cancel(None)
             del self._streams_by_id[stream_id]
+            stream.answer.release()
 
     def ask(self, service, message, timeout_seconds):
         """Send a message to the peer, a record holder; return the reply.
@@ -167,7 +177,7 @@
         if self.closed or self.suspect:
             return None
         stream_id = next(self._stream_ids)
-        stream = _Stream()
+        stream = _Stream(self._body_budget.reserve_answer())
         self._streams_by_id[stream_id] = stream
         request = RecordRequest(
             stream_id=stream_id, service=service, payload=encode(message)
@@ -307,8 +317,9 @@
             metrics.increment("proxy.late_reply_dropped")
             return
         if message.body_bytes > self._max_body_bytes:
-            stream.finish(Unknown(reason="answer-too-large"))
-            self._send_queue.post(Cancel(stream_id=message.stream_id))
+            self._drop_answer(stream, message.stream_id, "answer-too-large")
+            return
+        if not self._take(stream, message.stream_id, message.body):
             return
         stream.partial_answer = message
         stream.assembler = BodyAssembler(
@@ -317,10 +328,27 @@
         if stream.assembler.is_complete:
             stream.finish(outcome_from_reply(message))
 
+    def _take(self, stream, stream_id, data):
+        """Take the bytes of an answer; return whether there is room."""
+        try:
+            stream.answer.take(len(data))
+        except AnswersTooLargeError as error:
+            self._drop_answer(stream, stream_id, error.kind)
+            return False
+        return True
+
+    def _drop_answer(self, stream, stream_id, reason):
+        stream.assembler = None
+        stream.answer.release()
+        stream.finish(Unknown(reason=reason))
+        self._send_queue.post(Cancel(stream_id=stream_id))
+
     def _receive_chunk(self, stream, stream_id, data):
         if stream.assembler is None:
             metrics.increment("proxy.late_reply_dropped")
             return
+        if not self._take(stream, stream_id, data):
+            return
         stream.assembler.add(data)
         if not stream.assembler.is_complete:
             self._send_queue.post(
--- a/verbenanotch/proxy/_peer_pool.py
+++ b/verbenanotch/proxy/_peer_pool.py
@@ -6,6 +6,7 @@
 from eventlet import event
 
 from verbenanotch.proxy import _reasons as reasons
+from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._outcome import NotRun
 from verbenanotch.proxy._peer import Peer
 from verbenanotch.telemetry import metrics
@@ -19,14 +20,19 @@
 class PeerPool:
     """Keep one connection to each peer proxy and forward calls on it."""
 
-    def __init__(self, *, settings, dial=dial):
+    def __init__(self, *, settings, dial=dial, body_budget=None):
         """Start without connections.
 
+        `body_budget` is the BodyBudget of this host.
+
         The attributes `on_report` and `on_crash_records` are called with what
         peers send, see Peer. They may be replaced.
         """
         self._settings = settings
         self._dial = dial
+        self._body_budget = body_budget or BodyBudget(
+            max_bytes=settings.proxy.max_receiving_bytes
+        )
         self.on_report = lambda report: None
         self.on_crash_records = lambda records: None
         self._peers_by_address = {}
@@ -124,6 +130,7 @@
         return Peer(
             connection=connection,
             max_body_bytes=self._settings.proxy.max_body_bytes,
+            body_budget=self._body_budget,
             on_report=lambda report: self.on_report(report),
             on_crash_records=lambda records: self.on_crash_records(records),
         )
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -10,6 +10,7 @@
 from verbenanotch.loop import Workers
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
+from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._body_frames import (
     CHUNK_BYTES,
     BodyAssembler,
@@ -31,7 +32,11 @@
 )
 from verbenanotch.proxy._outcome import Call, NotRun, Unknown
 from verbenanotch.proxy._send_queue import SendQueue
-from verbenanotch.proxy.exceptions import ProxyError, StreamReusedError
+from verbenanotch.proxy.exceptions import (
+    BodiesFullError,
+    ProxyError,
+    StreamReusedError,
+)
 from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import WireError, decode, encode
 
@@ -40,12 +45,17 @@
 
 @attrs.define(kw_only=True, eq=False)
 class _Stream:
-    """One forwarded call, from its opening frame to its last reply frame."""
+    """One forwarded call, from its opening frame to its last reply frame.
+
+    `request` and `answer` are the Reservations of its bodies.
+    """
 
     call: Call
     deadline: float
     assembler: BodyAssembler
     cancellation: Cancellation
+    request: object
+    answer: object
     window: FlowControlWindow = attrs.field(factory=FlowControlWindow)
 
 
@@ -61,11 +71,12 @@
         max_body_bytes,
         max_in_flight,
         large_answers=None,
+        body_budget=None,
     ):
         """Run at most `max_in_flight` calls at once at `local_targets`.
 
         `large_answers` is the LargeAnswers of this host; without it, they are
-        sent at once.
+        sent at once. `body_budget` is its BodyBudget.
 
         `record_server` handles the record requests of other hosts. `guard`
         is the CrashGuard that receives the crashes that they report.
@@ -80,6 +91,9 @@
         self._sessions = set()
         self.workers = Workers()
         self.large_answers = large_answers or LargeAnswers(link_mbps=0.0)
+        self.body_budget = body_budget or BodyBudget(
+            max_bytes=max_body_bytes * 2, max_body_bytes=max_body_bytes
+        )
 
     def handle(self, connection):
         """Serve one peer until its connection closes."""
@@ -140,6 +154,8 @@
         for stream in list(self._streams_by_id.values()):
             stream.window.close()
             stream.cancellation.cancel()
+            if not stream.assembler.is_complete:
+                stream.request.release()
 
     def _read_arrived(self):
         """Handle what has arrived, such as the Cancel of a call.
@@ -190,17 +206,12 @@
                 f"peer opened stream {stream_id} twice; "
                 "run the same release on every host"
             )
-        refusal = self._server.refusal()
-        if (
-            refusal is None
-            and forward.body_bytes > self._server.max_body_bytes
-        ):
-            refusal = NotRun(reason="body-too-large")
+        request = self._server.body_budget.reserve_request()
+        refusal = self._server.refusal() or self._take(
+            request, forward.body_bytes, len(forward.call.body)
+        )
         if refusal is not None:
-            metrics.increment(f"proxy.refused.{refusal.reason}")
-            self.send_queue.post(
-                reply_from_outcome(stream_id, refusal, inline_bytes=0)
-            )
+            self._refuse(stream_id, refusal)
             return
         call = forward.call
         stream = _Stream(
@@ -211,16 +222,42 @@
                 body_bytes=forward.body_bytes, first_chunk=call.body
             ),
             cancellation=Cancellation(has_caller_left=self._read_arrived),
+            request=request,
+            answer=self._server.body_budget.reserve_answer(),
         )
         self._streams_by_id[stream_id] = stream
         if stream.assembler.is_complete:
             self._start_call(stream_id, stream)
 
+    def _take(self, request, body_bytes, count):
+        """Take `count` of the `body_bytes` of a request, or return NotRun."""
+        if body_bytes > self._server.max_body_bytes:
+            return NotRun(reason="body-too-large")
+        try:
+            request.check(body_bytes)
+            request.take(count)
+        except BodiesFullError:
+            return NotRun(reason=reasons.BODIES_FULL)
+        return None
+
+    def _refuse(self, stream_id, refusal):
+        metrics.increment(f"proxy.refused.{refusal.reason}")
+        self.send_queue.post(
+            reply_from_outcome(stream_id, refusal, inline_bytes=0)
+        )
+
     def _receive_chunk(self, stream_id, data):
         stream = self._streams_by_id.get(stream_id)
         if stream is None:
             metrics.increment("proxy.late_chunk_dropped")
             return
+        try:
+            stream.request.take(len(data))
+        except BodiesFullError:
+            del self._streams_by_id[stream_id]
+            stream.request.release()
+            self._refuse(stream_id, NotRun(reason=reasons.BODIES_FULL))
+            return
         stream.assembler.add(data)
         if not stream.assembler.is_complete:
             self.send_queue.post(
@@ -243,6 +280,7 @@
         stream.cancellation.cancel()
         if not stream.assembler.is_complete:
             del self._streams_by_id[stream_id]
+            stream.request.release()
 
     def _run_call(self, stream_id, stream):
         try:
@@ -277,10 +315,13 @@
         finally:
             self._streams_by_id.pop(stream_id, None)
             self._server.in_flight -= 1
+            stream.request.release()
+            stream.answer.release()
 
     def _reply(self, stream_id, stream, outcome):
         large_answers = self._server.large_answers
         body = getattr(outcome, "body", b"")
+        stream.answer.keep(len(body))
         reply = reply_from_outcome(
             stream_id, outcome, inline_bytes=large_answers.inline_bytes(body)
         )
