loop: a start waits for a port that is still in use

A process one of whose ports was taken when it started, as by the former process that is still ending, ended at once with exit code 3 (FAULT: the system does not start).

Cause: a start gave up on a condition that passes. A port in use is waited for now, for 10 s, with a log line that names the address (events 9014, 1003); then the start fails as before. All listening sockets are made in one place, so this holds for each port of proxies and control hosts.

--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -203,7 +203,14 @@
 
     def __init__(self, *, address, port, application, protocol=HttpProtocol):
         """Bind the address."""
-        self._socket = loop.listen(address, port, backlog=LISTEN_BACKLOG)
+        self._socket = loop.listen(
+            address,
+            port,
+            backlog=LISTEN_BACKLOG,
+            on_wait=lambda: emit(
+                events.PORT_IN_USE, address=address, port=port
+            ),
+        )
         self.address, self.port = self._socket.getsockname()[:2]
         self._server = wsgi.Server(
             self._socket,
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -77,3 +77,10 @@
     "Give the daemon more processor time, or spread its callers over more "
     "hosts; a process that was suspended logs this once.",
 )
+PORT_IN_USE = event(
+    9014,
+    "port-in-use",
+    Level.WARNING,
+    "an address is in use; the start waits until it is free",
+    "If it stays in use, stop the process that uses it.",
+)
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -9,9 +9,11 @@
 
 import collections
 import contextlib
+import errno
 import socket
 import time
 
+import eventlet
 import greenlet
 from eventlet import hubs, patcher
 from eventlet.greenio.base import GreenSocket, set_nonblocking
@@ -23,6 +25,9 @@
 # A peer that sends more than this unread is held back by the flow control of
 # the kernel.
 MAX_AHEAD_BYTES = 64 * 1024
+# The time that a process has to end after SIGTERM, and some more.
+PORT_WAIT_SECONDS = 10.0
+PORT_RETRY_SECONDS = 0.1
 
 
 class LoopSocket(GreenSocket):
@@ -246,15 +251,36 @@
             hubs.get_hub().remove(listener)
 
 
-def listen(address, port, *, backlog):
+def listen(address, port, *, backlog, on_wait=lambda: None):
     """Return a socket that listens on an IPv4 address.
 
-    A `port` of 0 picks a free one.
+    A `port` of 0 picks a free one. If the port is in use, `on_wait()` is
+    called once, and the port may become free within PORT_WAIT_SECONDS: the
+    process that was there before may still be ending. Raises OSError.
     """
+    end = time.monotonic() + PORT_WAIT_SECONDS
+    waits = False
+    while True:
+        try:
+            return _listen_now(address, port, backlog)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or time.monotonic() >= end:
+                raise
+        if not waits:
+            waits = True
+            on_wait()
+        eventlet.sleep(PORT_RETRY_SECONDS)
+
+
+def _listen_now(address, port, backlog):
     sock = LoopSocket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((address, port))
-    sock.listen(backlog)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((address, port))
+        sock.listen(backlog)
+    except BaseException:
+        sock.close()
+        raise
     return sock
 
 
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -35,7 +35,14 @@
         self._key = key
         self._name = name
         self._handlers_by_purpose = handlers_by_purpose
-        self._socket = loop.listen(address, port, backlog=LISTEN_BACKLOG)
+        self._socket = loop.listen(
+            address,
+            port,
+            backlog=LISTEN_BACKLOG,
+            on_wait=lambda: emit(
+                events.PORT_IN_USE, address=address, port=port
+            ),
+        )
         self.address, self.port = self._socket.getsockname()[:2]
         self._connections = set()
         self._acceptor = None
--- a/verbenanotch/wire/events.py
+++ b/verbenanotch/wire/events.py
@@ -16,3 +16,10 @@
     "could not accept a connection",
     "Check the limit of open files of the process.",
 )
+PORT_IN_USE = event(
+    1003,
+    "peer-port-in-use",
+    Level.WARNING,
+    "the peer port is in use; the start waits until it is free",
+    "If it stays in use, stop the process that uses it.",
+)
