daemon: measure and log the memory of the process

The logs of a process that is killed for its memory do not show it: the last line is an ordinary one.

--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -44,7 +44,7 @@
 from verbenanotch.quotas import ProxyLimits
 from verbenanotch.rollouts import OutcomeCounter, RolloutsWatched
 from verbenanotch.routing import is_rejected
-from verbenanotch.telemetry import emit
+from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import Listener, Purpose
 
 EXPIRY_INTERVAL_SECONDS = 0.5
@@ -222,6 +222,9 @@
             eventlet.spawn(
                 _run_every, EXPIRY_INTERVAL_SECONDS, self._local_targets.expire
             ),
+            eventlet.spawn(
+                _run_every, EXPIRY_INTERVAL_SECONDS, self._measure_bodies
+            ),
             eventlet.spawn(
                 _run_every,
                 OUTCOME_REPORT_INTERVAL_SECONDS,
@@ -344,6 +347,9 @@
             return self._record_server.handle(service, message)
         return self._peers.ask(service, member, message, timeout_seconds)
 
+    def _measure_bodies(self):
+        metrics.gauge("proxy.body_bytes", self._body_budget.used_bytes)
+
     def _reconcile_records(self):
         self._record_server.reconcile(self._ask_holder)
 
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -13,6 +13,7 @@
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon._interfaces import Interfaces
 from verbenanotch.daemon._loop_lag import LoopLag
+from verbenanotch.daemon._memory import MemoryLog
 from verbenanotch.daemon._reload import watch_settings
 from verbenanotch.daemon.exceptions import StartError
 from verbenanotch.telemetry import (
@@ -69,6 +70,7 @@
     gc.enable()
     emit(events.STARTED, role=settings.host.role)
     eventlet.spawn(LoopLag().run)
+    eventlet.spawn(MemoryLog().run)
     if reload is not None:
         watch_settings(role=role, reload=reload, settings=settings)
     stop_request.wait()
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -84,3 +84,11 @@
     "an address is in use; the start waits until it is free",
     "If it stays in use, stop the process that uses it.",
 )
+MEMORY_GROWN = event(
+    9015,
+    "memory-grown",
+    Level.INFO,
+    "the peak of the process's memory has grown by 32 MB or more",
+    "If it comes close to the limit of the process, look at "
+    "`proxy.body_bytes` and lower `proxy.max_receiving_bytes`.",
+)
