proxy: count an answer while it waits for the link of its host

A large answer to a caller waits until the link is free. They are counted before the wait now, and those of a keyed request before its result is read.

test_an_answer_is_counted_while_it_waits_for_the_link failed before (0 of 5 bytes counted).

--- a/tests/integration/test_large_bodies.py
+++ b/tests/integration/test_large_bodies.py
@@ -19,6 +19,7 @@
 PROXIES = ["z1-proxy-1", "z1-proxy-2"]
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_RECEIVING_BYTES = 100_000_000
+LINK_MBPS = 1000.0
 CONNECTIONS = 40
 SECONDS = 6.0
 CALLERS = 10
@@ -38,6 +39,7 @@
             "proxy": {
                 "max_body_bytes": MAX_BODY_BYTES,
                 "max_receiving_bytes": MAX_RECEIVING_BYTES,
+                "link_mbps": LINK_MBPS,
             }
         },
     ) as running:
--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -21,7 +21,12 @@
 from verbenanotch.distribution import Snapshot
 from verbenanotch.distribution._snapshot import with_mesh, with_targets
 from verbenanotch.membership import HostRecord, TargetRecord
-from verbenanotch.proxy import DisconnectMonitor, Dispatcher, EntryInterface
+from verbenanotch.proxy import (
+    BodyBudget,
+    DisconnectMonitor,
+    Dispatcher,
+    EntryInterface,
+)
 from verbenanotch.proxy._outcome import Answered, NotRun, Unknown
 
 MAX_BODY_BYTES = 1000
@@ -511,3 +516,50 @@
     assert (answer.status, answer.reason) == (404, "no-route")
     entry.snapshot_store.snapshot = Snapshot()
     assert entry.send_request(path="/other").status == 503
+
+
+class WaitingAnswers:
+    """LargeAnswers that record the bytes in a budget during each wait."""
+
+    def __init__(self, budget):
+        """Start without a record."""
+        self._budget = budget
+        self.kept_bytes = []
+
+    def wait_for_caller(self, outcome, deadline):
+        """Record the bytes that are kept while the answer waits."""
+        self.kept_bytes.append(self._budget.used_bytes)
+
+
+@pytest.fixture
+def budget():
+    return BodyBudget(max_bytes=1000, max_body_bytes=MAX_BODY_BYTES)
+
+
+@pytest.fixture
+def counted_entry(entry, budget):
+    with run_entry(
+        SETTINGS,
+        entry.snapshot_store,
+        body_budget=budget,
+        large_answers=WaitingAnswers(budget),
+    ) as running:
+        yield running
+
+
+def test_an_answer_is_counted_while_it_waits_for_the_link(
+    counted_entry, budget
+):
+    assert counted_entry.send_request(body=b"x" * 7).body == b"hello"
+    waits = counted_entry.interface._large_answers
+    assert waits.kept_bytes == [len(b"hello") + 7]
+    assert budget.used_bytes == 0
+
+
+def test_a_request_without_room_is_not_run(counted_entry, budget):
+    with budget.reserve_answer() as reservation:
+        reservation.take(995)
+        refused = counted_entry.send_request(body=b"x" * 7)
+        assert (refused.status, refused.reason) == (503, "bodies-full")
+        assert not counted_entry.peers.calls
+    assert counted_entry.send_request(body=b"x" * 7).status == 200
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -120,7 +120,6 @@
             self.in_flight -= 1
         self._record(environ, request_id, outcome, started, traced)
         kept.request.release()
-        kept.answer.keep(len(getattr(outcome, "body", b"")))
         return respond(
             outcome,
             request_id,
@@ -184,7 +183,7 @@
         )
         if not isinstance(request, Request):
             return _without_run(environ, request)
-        return self._run(environ, request)
+        return self._run(environ, request, kept)
 
     def _unrouted(self, environ, snapshot):
         """Return the outcome of a request that matches no route.
@@ -204,19 +203,22 @@
             remedy="Send a host and a path that match a route of the mesh.",
         )
 
-    def _run(self, environ, request):
+    def _run(self, environ, request, kept):
         if request.key and not request.idempotent:
             # The response is stored for retries with the same key, so the
             # request runs to its end even if this caller disconnects.
-            return self._keyed.run(
+            outcome = self._keyed.run(
                 request,
                 lambda: self._dispatch(request, Cancellation()),
             )
+            kept.answer.keep(len(getattr(outcome, "body", b"")))
+            return outcome
         connection = environ[CONNECTION]
         cancellation = Cancellation(has_caller_left=connection.has_caller_left)
         connection.watch(cancellation)
         try:
             outcome = self._dispatch(request, cancellation)
+            kept.answer.keep(len(getattr(outcome, "body", b"")))
             if self._large_answers is not None:
                 self._large_answers.wait_for_caller(outcome, request.deadline)
             return outcome
