daemon: a late body takes no bytes of the requests behind it

Callers saw a request on a kept connection end without an answer, or the next one refused as malformed, after a 408 for an earlier one (LOST).

Cause: a read that a timeout breaks off loses the bytes that it had collected, and the position in the body does not count them. To keep the connection, the server then discarded as many bytes as it believed to be missing: the rest of the body, and as much of the following requests as had been lost. After a read that broke off, it is unknown where the next request begins, so the answer closes the connection now.

test_a_late_body_takes_no_bytes_of_the_next_request failed before: no answer in 5 s.

--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -563,3 +563,23 @@
         assert (refused.status, refused.reason) == (503, "bodies-full")
         assert not counted_entry.peers.calls
     assert counted_entry.send_request(body=b"x" * 7).status == 200
+
+
+def test_a_late_body_takes_no_bytes_of_the_next_request(entry):
+    """Send the rest of a body after the deadline, and another request."""
+    sock = eventlet.connect(("127.0.0.1", entry.http.port))
+    head = b"POST /pay/1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n"
+    sock.sendall(head % 100 + b"X-Request-Timeout-Ms: 50\r\n\r\n" + b"a" * 60)
+    received = b""
+    with eventlet.Timeout(5.0):
+        while b"body-late" not in received:
+            received += sock.recv(65536)
+        assert b"408" in received
+        sock.sendall(b"a" * 40 + head % 1 + b"\r\nx")
+        rest = received.split(b"body-late")[1]
+        with contextlib.suppress(OSError):
+            while data := sock.recv(65536):
+                rest += data
+    # Either the next request is answered, or the connection was closed for
+    # all to see before it was sent.
+    assert b"200 OK" in rest or b"Connection: close" in received
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -173,14 +173,27 @@
         """Take the arguments of `eventlet.wsgi.Input`."""
         super().__init__(*arguments, **options)
         self._chunks = ChunkedBody(reader=self.rfile)
+        self._is_broken_off = False
 
     @property
     def has_long_rest(self):
-        """Whether over MAX_DISCARDED_BYTES may still be unread."""
+        """Whether over MAX_DISCARDED_BYTES may still be unread.
+
+        After a read that broke off, it is unknown how much is.
+        """
         if self.chunked_input:
             return not self._chunks.is_at_end
+        if self._is_broken_off:
+            return True
         return self.content_length - self.position > MAX_DISCARDED_BYTES
 
+    def _do_read(self, reader, length=None):
+        """Return up to `length` bytes, or all if it is None."""
+        self._is_broken_off = True
+        data = super()._do_read(reader, length)
+        self._is_broken_off = False
+        return data
+
     def _chunked_read(self, rfile, length=None, use_readline=False):
         """Return up to `length` bytes, or all if it is None or negative."""
         if use_readline:
