proxy: an answer without room is no failure of its target

When the bodies that a proxy keeps left no room for an answer, the target that sent it was said to have broken off: it was probed as after a crash, its calls were watched, and the reason blamed it. The assertion of the test names the whole outcome in place of the reason.

--- a/tests/unit/test_proxy_exchange.py
+++ b/tests/unit/test_proxy_exchange.py
@@ -281,7 +281,7 @@
     with budget.reserve_answer() as reservation:
         reservation.take(100_000)
         outcome = run_with_budget(target_with(answer))
-    assert outcome.reason == "target-broke-off: answers-too-large"
+    assert outcome == Unknown(reason="answers-too-large")
     assert budget.used_bytes == 0
 
 
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -16,6 +16,7 @@
 from verbenanotch.proxy._target_connection import TARGET_FAILURES
 from verbenanotch.proxy.exceptions import (
     AnswerForeignError,
+    AnswersTooLargeError,
     AnswerTooLargeError,
     AnswerUnboundedError,
     RefusalUnidentifiedError,
@@ -117,6 +118,9 @@
         if error is not timeout:
             raise
         outcome = _failure_outcome(connection, reasons.DEADLINE_PASSED)
+    except AnswersTooLargeError as error:
+        # The target did not fail; this host has no room for its answer.
+        outcome = Unknown(reason=error.kind)
     except TARGET_FAILURES as error:
         outcome = _failure_outcome(
             connection, _failure_reason(error, cancellation)
