wire: both sides notice a peer whose host is gone

A proxy kept what a peer had begun to send, and its share of the budget of bodies, for good if the peer's host lost its power or its connection fell silent: the accepting side sends nothing by itself, so that nothing told it. Senders to such a peer waited as long.

Keep-alive probes end a silent connection after 11 s, and unacknowledged bytes after 10 s, at both sides. The calls of the connection are then cancelled and their bytes given back.

A loss of power was not tried: the test checks the options of both sockets, and failed before.

--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -2,6 +2,7 @@
 
 import enum
 import os
+import socket
 import zlib
 
 import attrs
@@ -292,3 +293,21 @@
     sock.sendall(connection.delayed + b"".join(encode(x) for x in sent))
     assert [connection.receive() for _ in sent] == sent
     connection.close()
+
+
+def test_both_sides_of_a_connection_notice_a_host_that_is_gone(listener):
+    connection = connect(listener)
+    [accepted] = listener._connections
+    for sock in (connection._socket, accepted._socket):
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        for option in (
+            socket.TCP_KEEPIDLE,
+            socket.TCP_KEEPINTVL,
+            socket.TCP_KEEPCNT,
+        ):
+            assert sock.getsockopt(socket.IPPROTO_TCP, option) < 10
+        timeout_ms = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+        assert 0 < timeout_ms <= 10_000
+    connection.close()
--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -21,6 +21,12 @@
 # Of each frame until the peer is authenticated, and of its collections.
 MAX_HANDSHAKE_FRAME_BYTES = 4 * 1024
 MAX_HANDSHAKE_ITEMS = 16
+# A peer whose host lost its power, or that a partition cuts off, ends no
+# connection. Without probes, what it had begun would be kept for good.
+PROBE_AFTER_SECONDS = 5
+PROBE_INTERVAL_SECONDS = 2
+MAX_UNANSWERED_PROBES = 3
+MAX_UNACKNOWLEDGED_MS = 10_000
 MAX_PENDING_BYTES = 4 * 1024 * 1024
 RECEIVE_BYTES = 64 * 1024
 # Received in a row before other greenthreads run.
@@ -44,7 +50,7 @@
 
     def __init__(self, *, sock, max_frame_bytes=MAX_FRAME_BYTES):
         """Take ownership of a connected socket."""
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _set_options(sock)
         self._socket = sock
         self._max_frame_bytes = max_frame_bytes
         self._receive_size = MAX_HANDSHAKE_FRAME_BYTES
@@ -306,6 +312,18 @@
             capacity_event.send()
 
 
+def _set_options(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS),
+        (socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, MAX_UNANSWERED_PROBES),
+        (socket.TCP_USER_TIMEOUT, MAX_UNACKNOWLEDGED_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _compress_frame(data):
     """Return a frame with `data` compressed, or `data` if that is shorter."""
     frame = msgpack.packb(zlib.compress(data))
