daemon: a control host that stops answers the operators' requests

Operators got no answer to changes that they had sent to a control host that was then stopped, though some of them were accepted (LOST).

Cause: a control host closed its idle connections at once, which include those that it had just accepted and not read, stopped its replica and exited without waiting for the requests in progress. A proxy has long waited for its callers.

--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -8,6 +8,7 @@
 
 from verbenanotch.conf import parse_endpoint
 from verbenanotch.crashes import CrashExchange, CrashStorage, CrashTable
+from verbenanotch.daemon import _shutdown
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon.exceptions import StartError
 from verbenanotch.distribution import ProxyChannel, Publisher
@@ -145,11 +146,16 @@
         ]
 
     def stop(self):
-        """Stop serving; committed entries are already on disk."""
+        """Answer the requests in progress and stop serving.
+
+        Committed entries are already on disk.
+        """
+        self._http.stop_accepting()
+        _shutdown.wait_for_operators(self._http)
+        self._http.close_idle()
         for greenthread in self._greenthreads:
             greenthread.kill()
         self._rollouts.stop()
-        self._http.stop()
         self._account_limits.stop()
         self._zone_exchange.stop()
         self._publisher.stop()
--- a/verbenanotch/daemon/_shutdown.py
+++ b/verbenanotch/daemon/_shutdown.py
@@ -1,4 +1,4 @@
-"""Wait for requests in flight before a proxy exits."""
+"""Wait for requests in flight before a process exits."""
 
 import time
 
@@ -13,6 +13,8 @@
 # Without this bound, callers that do not know of the shutdown yet and keep
 # sending requests could delay it indefinitely.
 MAX_TARGET_WAIT_SECONDS = 0.5
+# Longer than a submission waits for its outcome.
+MAX_OPERATOR_WAIT_SECONDS = 3.0
 POLL_INTERVAL_SECONDS = 0.02
 RECORDS_POLL_INTERVAL_SECONDS = 0.1
 MILLISECONDS_PER_SECOND = 1000
@@ -47,6 +49,21 @@
     )
 
 
+def wait_for_operators(http):
+    """Wait until no request of an operator is in progress.
+
+    Return after MAX_OPERATOR_WAIT_SECONDS at the latest. The replica has to
+    go on meanwhile, as a submission waits for its quorum. While operators
+    keep connections open, wait for at least LINGER_SECONDS.
+    """
+    started = time.monotonic()
+    while time.monotonic() - started < MAX_OPERATOR_WAIT_SECONDS:
+        lingered = time.monotonic() - started >= LINGER_SECONDS
+        if not http.in_flight and (lingered or not http.connection_count):
+            return
+        eventlet.sleep(POLL_INTERVAL_SECONDS)
+
+
 def wait_for_targets(local_targets):
     """Wait until no call runs at a local target.
 
