daemon: a start that waits for a port can be stopped

What callers saw: a process that waits for a port answered SIGTERM only after the wait of up to 10 s, so it was killed by SIGKILL after 6 s. Meanwhile the callers' port could be open: callers connected to a process that did not serve them, and that reset them when it ended.

Cause: the stop request was kept until the start had ended. Class: a wait of the start that no signal ends, while a port is open that nobody serves.

Why it works: the stop request is delivered in the hub, which runs during a start only if the start waits; there it ends the wait. A start that does not wait goes on and is stopped in order, as before. The callers' port is bound after all other ports, those of the metrics included, so no caller is connected while the start waits for another port.

--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -148,23 +148,6 @@
                 ).handle,
             },
         )
-        address, port = parse_endpoint(
-            proxy.caller_listen, address=host.address, port=proxy.caller_port
-        )
-        entry = self._make_entry(settings)
-        self._caller_http = HttpServer(
-            address=address,
-            port=port,
-            application=entry.application,
-            protocol=functools.partial(
-                CallerProtocol,
-                options=PipelineOptions(
-                    is_safe=entry.is_safe,
-                    disconnect_monitor=self._disconnect_monitor,
-                    max_concurrent=proxy.max_pipelined,
-                ),
-            ),
-        )
         address, port = parse_endpoint(
             proxy.target_listen, address=host.address, port=proxy.target_port
         )
@@ -187,6 +170,25 @@
                     is_ready=self._is_ready
                 ).application,
             )
+        # Bound last: the start may wait for the other ports, and callers are
+        # refused meanwhile.
+        address, port = parse_endpoint(
+            proxy.caller_listen, address=host.address, port=proxy.caller_port
+        )
+        entry = self._make_entry(settings)
+        self._caller_http = HttpServer(
+            address=address,
+            port=port,
+            application=entry.application,
+            protocol=functools.partial(
+                CallerProtocol,
+                options=PipelineOptions(
+                    is_safe=entry.is_safe,
+                    disconnect_monitor=self._disconnect_monitor,
+                    max_concurrent=proxy.max_pipelined,
+                ),
+            ),
+        )
         self._is_leaving = False
         self._stop_times = _shutdown.stop_times(proxy)
         self._snapshot_wait_seconds = (
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -5,6 +5,7 @@
 import signal
 
 import eventlet
+import greenlet
 from eventlet import event, hubs
 
 from verbenanotch.conf import parse_endpoint
@@ -14,7 +15,7 @@
 from verbenanotch.daemon._interfaces import Interfaces
 from verbenanotch.daemon._loop_lag import LoopLag
 from verbenanotch.daemon._reload import watch_settings
-from verbenanotch.daemon.exceptions import StartError
+from verbenanotch.daemon.exceptions import StartError, StopRequested
 from verbenanotch.telemetry import (
     MetricsInterface,
     configure,
@@ -52,9 +53,14 @@
     log_unhandled(hubs.get_hub())
     stop_request = _StopRequest()
     try:
-        role = _make_role(settings, interfaces or Interfaces())
-        _serve_metrics(telemetry)
-        role.start()
+        with stop_request.ends_waits():
+            _serve_metrics(telemetry)
+            role = _make_role(settings, interfaces or Interfaces())
+            role.start()
+    except StopRequested:
+        emit(events.STOPPING)
+        emit(events.STOPPED)
+        return 0
     except (StartError, OSError) as error:
         emit(
             events.START_FAILED,
@@ -105,13 +111,14 @@
 class _StopRequest:
     """SIGTERM or SIGINT.
 
-    One that arrives during the start is kept: from its first open port on, a
-    process may have taken requests that only an orderly stop answers.
+    One that arrives during the start is kept until the start has ended, or
+    waits for a port or a disk. A process that waits serves nobody.
     """
 
     def __init__(self):
         """Handle the signals from now on."""
         self._requested = event.Event()
+        self._waiting = None
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
 
@@ -119,9 +126,21 @@
         """Return once one of the signals has arrived."""
         self._requested.wait()
 
+    @contextlib.contextmanager
+    def ends_waits(self):
+        """Raise StopRequested in a wait of this greenthread in the block."""
+        self._waiting = greenlet.getcurrent()
+        try:
+            yield
+        finally:
+            self._waiting = None
+
     def _on_signal(self, number, frame):
-        hubs.get_hub().schedule_call_global(0, self._send_if_unset)
+        hubs.get_hub().schedule_call_global(0, self._deliver)
 
-    def _send_if_unset(self):
-        with contextlib.suppress(AssertionError):
+    def _deliver(self):
+        """Run in the hub, thus only when no greenthread goes on."""
+        if self._waiting is not None:
+            self._waiting.throw(StopRequested)
+        elif not self._requested.ready():
             self._requested.send()
--- a/verbenanotch/daemon/exceptions.py
+++ b/verbenanotch/daemon/exceptions.py
@@ -10,3 +10,10 @@
         """Use the kind and the text of the component's own error."""
         super().__init__(text)
         self.kind = kind
+
+
+class StopRequested(BaseException):
+    """A signal asks a process that waits in its start to stop.
+
+    No handler of errors may take it for one.
+    """
