telemetry: an event file that refuses lines ends no process

What callers saw: a process whose disk took no byte for the event file ended with code 1 and a traceback, at its start, at its stop or in whatever task was just logging.

Cause: `emit` raised the OSError of the write into the code that logged. Class: a side task (the log) whose failure ends the task that it tells of.

Why it works: the file is written without a buffer by EventFile, which drops the lines that the disk refuses and says so in the log, once at the first and once when the file takes lines again; the rest of a line that was cut is ended before the next one. The file is opened again if it could not be.

--- a/verbenanotch/telemetry/_events.py
+++ b/verbenanotch/telemetry/_events.py
@@ -7,6 +7,7 @@
 import structlog
 
 from verbenanotch.telemetry._clock import clock
+from verbenanotch.telemetry._event_file import EventFile
 from verbenanotch.telemetry._writer import BoundedWriter
 
 STANDARD_OUTPUT = 1
@@ -99,9 +100,7 @@
     _output.host = host
     _output.minimum_level = Level(level)
     if event_file is not None:
-        _output.file = open(  # noqa: SIM115 (open until the process exits)
-            event_file, "a", encoding="utf-8", buffering=1
-        )
+        _output.file = EventFile(path=event_file, notify=_output.writer.write)
 
 
 def emit(event_type, **fields):
@@ -116,7 +115,7 @@
             "level": event_type.level,
             **fields,
         }
-        _output.file.write(json.dumps(record, default=str) + "\n")
+        _output.file.write(json.dumps(record, default=str))
     if (
         _RANK_BY_LEVEL[event_type.level]
         < _RANK_BY_LEVEL[_output.minimum_level]
