replication: a start waits for a disk that fails

What callers saw: a control host whose disk took no byte when it started ended with code 3, again at each restart; full disks on several hosts at their restart left the mesh without a quorum.

Cause: the start took each error of the disk for final, while a replica that runs waits for a disk that refuses writes. Class: a start that gives up for a cause that passes.

Why it works: the data folder is opened again until the disk works; only errors of the path and its permissions, damage and a foreign folder are final. It is opened before any port, so that peers and operators are refused, and go to other hosts, meanwhile; a stop request ends the wait.

--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -58,6 +58,7 @@
         self.service = VersionService(
             replica=self.replica, versions=self.versions
         )
+        self.replica.open()
         self.replica.start()
         self.listener = wire.Listener(
             address=settings.host.address,
--- a/tests/unit/test_replication_full_disks.py
+++ b/tests/unit/test_replication_full_disks.py
@@ -18,6 +18,7 @@
 SEEDS = 12
 STEPS = 14
 SEEDS_IN_TURN = 2
+WAIT_SECONDS = 0.6
 DISKS_IN_TURN = 5
 # The longest is beyond the time after which a leader forgets a learner.
 FULL_SECONDS = (0.1, 0.5, 1.0, 2.0, 4.0)
@@ -257,6 +258,34 @@
     assert (recovered.term, recovered.vote) == (1, "c1.1")
 
 
+@pytest.mark.parametrize("is_empty", [True, False])
+def test_a_start_waits_for_a_disk_that_is_full(disks, is_empty):
+    """Guard against a host that ends as it can't write when it starts."""
+    disks.cluster.agree(disks.submit(1))
+    name = disks.cluster.followers()[0].name
+    disks.cluster.stop(name)
+    if is_empty:
+        disks.cluster.wipe(name)
+    files = FullFiles(directory=disks.files_by_name[name].directory)
+    files.is_full = True
+    disks.files_by_name[name] = files
+    starter = eventlet.spawn(disks.cluster.start, name, files=files)
+    eventlet.sleep(WAIT_SECONDS)
+    assert not starter.dead
+    assert name not in disks.cluster.hosts_by_name
+    disks.empty(name)
+    starter.wait()
+    disks.cluster.agree(disks.submit(2))
+
+
+def test_a_start_fails_if_the_folder_is_no_folder(tmp_path):
+    """Guard against a start that waits for what no disk changes."""
+    cluster = Cluster(path=tmp_path, voters=NAMES)
+    (tmp_path / NAMES[0]).write_text("a file")
+    with pytest.raises(DiskFailedError, match=r"control\.data_folder"):
+        cluster.start(NAMES[0])
+
+
 @pytest.mark.parametrize("seed", range(SEEDS))
 def test_random_full_disks_lose_nothing_that_was_accepted(disks, seed):
     """Fill and empty disks, and restart hosts, while operators submit."""
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -40,7 +40,10 @@
     """All components of a control host; serves the operators' interface."""
 
     def __init__(self, *, settings, interfaces):
-        """Create all components and bind every address."""
+        """Create all components, recover the disk and bind every address.
+
+        Raises StartError if the data folder cannot be used.
+        """
         host = settings.host
         control = settings.control
         self._uses_discovery = bool(settings.discovery.seeds)
@@ -88,6 +91,7 @@
             crash_exchange=self._crash_exchange,
         )
         self._rollouts = self._make_rollout_conductor(control)
+        self._recover()
         self._listener = Listener(
             address=host.address,
             port=host.peer_port,
@@ -122,14 +126,8 @@
         self._greenthreads = []
 
     def start(self):
-        """Start serving.
-
-        Raises StartError if the data directory cannot be used.
-        """
-        try:
-            self._replica.start()
-        except StorageError as error:
-            raise StartError(kind=error.kind, text=str(error)) from error
+        """Start serving."""
+        self._replica.start()
         self._crash_exchange.use_storage(
             CrashStorage.in_folder(self._data_folder)
         )
@@ -207,6 +205,17 @@
                 return True
         return False
 
+    def _recover(self):
+        """Recover the data folder while no port is open.
+
+        The disk may have to be waited for, and peers and operators go to
+        other control hosts meanwhile.
+        """
+        try:
+            self._replica.open()
+        except StorageError as error:
+            raise StartError(kind=error.kind, text=str(error)) from error
+
     def _make_rollout_conductor(self, control):
         return RolloutConductor(
             replica=self._replica,
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -16,7 +16,7 @@
 )
 from verbenanotch.replication._core import Core
 from verbenanotch.replication._core_output import Timing
-from verbenanotch.replication._driver import Driver
+from verbenanotch.replication._driver import DISK_RETRY_SECONDS, Driver
 from verbenanotch.replication._entries import (
     Configuration,
     EntryKind,
@@ -44,6 +44,9 @@
 # Without a leader for this long, all control hosts are dialled.
 MAX_LEADERLESS_SECONDS = 3.0
 MILLISECONDS_PER_SECOND = 1000
+# Errors of the path or its permissions. Others, such as those of a disk that
+# is full or fails, may pass.
+LASTING_ERRORS = (FileExistsError, NotADirectoryError, PermissionError)
 
 
 class Replica:
@@ -60,7 +63,7 @@
     """
 
     def __init__(self, *, settings, state_machine, random, files=None):
-        """Create the replica; nothing is read or sent before `start`.
+        """Create the replica; nothing is read before `open`.
 
         `files` replaces access to the data folder in tests.
         """
@@ -68,6 +71,7 @@
         self._state_machine = state_machine
         self._random = random
         self._files = files
+        self._recovered = None
         self._identity = None
         self._driver = None
         self._links = None
@@ -92,16 +96,22 @@
             members[self._own.name] = self._own
         return members
 
-    def start(self):
-        """Recover the data folder and connect to the peers.
+    def open(self):
+        """Recover the data folder; wait as long as its disk fails.
 
         Raises StorageError if the folder is damaged, cannot be used or
         belongs to another host.
         """
-        recovered = self._open_storage()
-        if recovered.cut_bytes:
-            emit(events.TAIL_CUT, bytes=recovered.cut_bytes)
-        self._identity = recovered.identity
+        self._recovered = self._wait_for_storage(
+            secrets.token_hex(RANDOM_ID_BYTES)
+        )
+        if self._recovered.cut_bytes:
+            emit(events.TAIL_CUT, bytes=self._recovered.cut_bytes)
+        self._identity = self._recovered.identity
+
+    def start(self):
+        """Connect to the peers; `open` must have returned."""
+        recovered, self._recovered = self._recovered, None
         self._build_components(recovered)
         self._running = True
         self._driver.start()
@@ -215,14 +225,31 @@
                 if self._identity.cluster_id:
                     self._driver.receive(member_id, message)
 
-    def _open_storage(self):
+    def _wait_for_storage(self, new_disk_id):
+        """Return what is recovered, once the disk works."""
+        waits = False
+        while True:
+            try:
+                recovered = self._open_storage(new_disk_id)
+            except DiskFailedError as error:
+                if isinstance(error.__cause__, LASTING_ERRORS):
+                    raise
+                if not waits:
+                    emit(events.DISK_AWAITED, error=str(error))
+                waits = True
+                eventlet.sleep(DISK_RETRY_SECONDS)
+            else:
+                if waits:
+                    emit(events.DISK_AVAILABLE)
+                return recovered
+
+    def _open_storage(self, new_disk_id):
         directory = self._settings.control.data_folder
         try:
             files = self._files or Files(directory=directory)
             self._storage = Storage(files=files)
             return self._storage.open(
-                name=self._settings.host.name,
-                new_disk_id=secrets.token_hex(RANDOM_ID_BYTES),
+                name=self._settings.host.name, new_disk_id=new_disk_id
             )
         except OSError as error:
             raise DiskFailedError(
--- a/verbenanotch/replication/events.py
+++ b/verbenanotch/replication/events.py
@@ -73,3 +73,16 @@
     Level.INFO,
     "the disk accepts writes again; the replica takes part again",
 )
+DISK_AWAITED = event(
+    2015,
+    "disk-awaited",
+    Level.ERROR,
+    "the data folder can't be read or written; the start waits until it can",
+    "Check the disk of the data folder and its free space.",
+)
+DISK_AVAILABLE = event(
+    2016,
+    "disk-available",
+    Level.INFO,
+    "the data folder can be read and written; the start goes on",
+)
