daemon: let a caller that still sends its body receive the answer

A caller that sent a long body with a pause, and that reads once it has sent all of it, got a reset in place of its answer when the answer was given before the body was read (404, 413, 503 with a body over 64 KB): an unsafe request that was refused truly then looks as if it may have run, and isn't repeated. At the ports of operators, targets, readiness and metrics it needed no pause.

Cause: a close with unread bytes resets the connection. Callers' connections were read for 1 s after the last answer, whatever their body still lacked, all others not at all. The class is a close that does not know what is still due on the connection.

All HTTP servers share one end of a connection now: the writing side is closed, the rest of a body whose end is known is read and dropped for at most 10 s, and then anything else for 1 s. A request counts as in flight until then, so that a stop waits for it within its grace. A body behind `Expect: 100-continue` that was not asked for is not waited for.

--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -4,7 +4,6 @@
 import http
 import json
 import socket
-import time
 import traceback
 import uuid
 
@@ -15,7 +14,11 @@
 from verbenanotch import loop
 from verbenanotch.daemon import events
 from verbenanotch.daemon._answer import Answer
-from verbenanotch.daemon._http import KEEP_ALIVE_SECONDS, HttpProtocol
+from verbenanotch.daemon._http import (
+    KEEP_ALIVE_SECONDS,
+    LINGER_SECONDS,
+    HttpProtocol,
+)
 from verbenanotch.daemon._pipeline import Pipeline
 from verbenanotch.proxy import ARRIVED_AT, CONNECTION
 from verbenanotch.telemetry import emit, metrics
@@ -25,10 +28,6 @@
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
 # Answers that wait for earlier ones, or for a caller that does not read.
 MAX_UNSENT_BYTES = 1024 * 1024
-# Closing a connection with unread bytes resets it, and a reset discards
-# answers that the caller has not read yet. So the rest is read for this long
-# first.
-LINGER_SECONDS = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -66,6 +65,7 @@
         self._is_sending = False
         self._is_watched = False
         self._is_reading = False
+        self._is_lingering = False
         self._was_full = False
         self._changed = event.Event()
         self._arrived_at = 0.0
@@ -80,7 +80,15 @@
                 break
         self._drain()
         self.wfile.flush()
-        self._linger()
+        self.linger()
+
+    def linger(self):
+        """Read what the caller sends behind the last answer, and drop it."""
+        self._is_lingering = True
+        if self._is_gone:
+            self.conn_state[2] = wsgi.STATE_CLOSE
+            return
+        super().linger()
 
     def handle_one_response(self):
         """Run the request that has been read."""
@@ -317,19 +325,5 @@
         eventlet.spawn_after(LINGER_SECONDS, self._abort)
 
     def _abort(self):
-        if self.conn_state[2] != wsgi.STATE_CLOSE:
+        if not self._is_lingering:
             self.connection.abort()
-
-    def _linger(self):
-        """Read what the caller sent behind the last answer, and drop it."""
-        self.conn_state[2] = wsgi.STATE_CLOSE
-        if self._is_gone:
-            return
-        with contextlib.suppress(OSError, ValueError):
-            self.connection.fd.shutdown(socket.SHUT_WR)
-        end = time.monotonic() + LINGER_SECONDS
-        with contextlib.suppress(OSError, ValueError):
-            while (remaining := end - time.monotonic()) > 0:
-                self.connection.settimeout(remaining)
-                if not self.connection.recv(loop.MAX_JOINED_BYTES):
-                    return
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -1,10 +1,13 @@
 """WSGI server on the event loop that finishes requests before it stops."""
 
+import contextlib
 import functools
 import http
 import io
 import json
+import socket
 import sys
+import time
 import urllib.parse
 
 import eventlet
@@ -25,6 +28,12 @@
 # What is left of a body after its answer is read up to this size, so that the
 # connection can be used again; a longer rest ends the connection.
 MAX_DISCARDED_BYTES = 64 * 1024
+# Closing a connection with unread bytes resets it, and a reset discards
+# answers that the client has not read yet. So what it still sends is read
+# first: the rest of a body for BODY_LINGER_SECONDS, anything else for
+# LINGER_SECONDS.
+LINGER_SECONDS = 1.0
+BODY_LINGER_SECONDS = 10.0
 # The CGI variables of these headers have no HTTP_ prefix.
 UNPREFIXED_VARIABLES = frozenset(("CONTENT_TYPE", "CONTENT_LENGTH"))
 
@@ -48,6 +57,38 @@
         self.rfile = io.BufferedReader(loop.SocketReader(self.request))
         self.wfile = loop.SocketWriter(self.request)
 
+    def handle(self):
+        """Serve requests until the connection is to be closed."""
+        super().handle()
+        self.wfile.flush()
+        self.linger()
+
+    def linger(self):
+        """Read what the client sends behind the last answer, and drop it.
+
+        The request counts as in flight until its body has been read.
+        """
+        with contextlib.suppress(OSError, ValueError):
+            self.connection.fd.shutdown(socket.SHUT_WR)
+        if self._body is not None and self._body.is_awaited:
+            self.conn_state[2] = wsgi.STATE_REQUEST
+            self._drop_body()
+        self.conn_state[2] = wsgi.STATE_CLOSE
+        end = time.monotonic() + LINGER_SECONDS
+        with contextlib.suppress(OSError, ValueError):
+            while (remaining := end - time.monotonic()) > 0:
+                self.connection.settimeout(remaining)
+                if not self.connection.recv(loop.MAX_JOINED_BYTES):
+                    return
+
+    def _drop_body(self):
+        self.connection.settimeout(BODY_LINGER_SECONDS)
+        with (
+            eventlet.Timeout(BODY_LINGER_SECONDS, False),
+            contextlib.suppress(OSError, ValueError, wsgi.ChunkReadError),
+        ):
+            self._body.discard()
+
     def finish(self):
         """Send buffered bytes; the server closes the connection."""
         self.wfile.flush()
@@ -181,6 +222,18 @@
             return not self._chunks.is_at_end
         return self.content_length - self.position > MAX_DISCARDED_BYTES
 
+    @property
+    def is_awaited(self):
+        """Whether the client may still be sending the body.
+
+        One that waits for `100 Continue` does not send it after the answer.
+        """
+        if self.should_send_hundred_continue:
+            return False
+        if self.chunked_input:
+            return not self._chunks.is_at_end
+        return self.position < self.content_length
+
     def _chunked_read(self, rfile, length=None, use_readline=False):
         """Return up to `length` bytes, or all if it is None or negative."""
         if use_readline:
