daemon: close a connection only by an answer that says so, or while idle

A stop that began while an answer was on its way to a caller that reads slowly closed the connection behind that answer, though its head had kept it. A next request that the caller had sent by then, which the process had read, ended without an answer (LOST), on pipelined and on kept connections; so did one that came later on a connection kept in this way.

Cause: whether a connection closes was asked twice, when the head of an answer was written and again after the answer, and a stop may begin in between; the pipeline of a caller's connection was also closed by a stop when no answer was left that could say so. The class is a decision that is told once and made again later.

What the head of an answer says now holds, for all HTTP servers, and a stop closes a pipeline only if one of its answers still follows. The connection stays open: the next answer closes it, or the end of the stop while it is idle.

--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -76,7 +76,7 @@
         self.close_connection = True
         while self._wait_for_request():
             self.handle_one_request()
-            if self.close_connection:
+            if self.closes_after_answer:
                 break
         self._drain()
         self.wfile.flush()
@@ -107,7 +107,7 @@
         if len(self._pipeline):
             metrics.increment("proxy.pipelined")
         turn = self._pipeline.start(is_concurrent=is_concurrent)
-        if self._close_connection:
+        if self.closes_after_answer:
             self._pipeline.close()
         connection = self.headers.get("connection", "").lower()
         answer = Answer(
@@ -291,9 +291,10 @@
     def _take(self):
         """Return the next answer; a server that stops takes no more requests.
 
-        The pipeline then closes the connection with the last answer.
+        The pipeline then closes the connection with the last answer. Without
+        one, nothing would tell the caller, so its next request is taken.
         """
-        if self._owner.stopping:
+        if self._owner.stopping and len(self._pipeline):
             self._pipeline.close()
         return self._pipeline.take()
 
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -42,12 +42,15 @@
     """Eventlet's HTTP protocol, with fewer system calls per request.
 
     While the server stops, each connection is closed after its next answer.
+    It is closed only by an answer that says so, or while it is idle: a client
+    that was told nothing may have sent its next request.
     """
 
     def __init__(self, conn_state, server, *, owner):
         """Serve the requests of one connection for the HttpServer `owner`."""
         self._owner = owner
         self._close_connection = True
+        self._is_close_decided = False
         self._body = None
         super().__init__(conn_state, server)
 
@@ -59,7 +62,13 @@
 
     def handle(self):
         """Serve requests until the connection is to be closed."""
-        super().handle()
+        while True:
+            self.handle_one_request()
+            if self.conn_state[2] == wsgi.STATE_CLOSE:
+                break
+            self.conn_state[2] = wsgi.STATE_IDLE
+            if self.closes_after_answer:
+                break
         self.wfile.flush()
         self.linger()
 
@@ -112,7 +121,8 @@
         self.path = head.target
         self.request_version = head.version
         self.headers = head.headers
-        self.close_connection = not head.keeps_connection
+        self._close_connection = not head.keeps_connection
+        self._is_close_decided = False
         return True
 
     def send_error(self, code, message=None, explain=None):
@@ -184,15 +194,26 @@
         environ["wsgi.input"] = environ["eventlet.input"] = self._body
         environ["eventlet.posthooks"] = []
 
+    @property
+    def closes_after_answer(self):
+        """Whether the request or its answer said that the connection closes.
+
+        An answer in progress of which the head is not written has not.
+        """
+        return self._close_connection
+
     @property
     def close_connection(self):
         """Whether the connection closes after the current answer.
 
-        Eventlet reads this when it writes the headers of an answer. So the
-        answer to a request that was received before the server began to stop
-        also has the header `Connection: close`, and so has one that is given
-        before a long body was read.
+        Eventlet reads this when it writes the head of an answer, and sets it
+        to what the head says, which then holds. So the answer to a request
+        that was received before the server began to stop also has the header
+        `Connection: close`, and so has one that is given before a long body
+        was read.
         """
+        if self._is_close_decided:
+            return self._close_connection
         return (
             self._close_connection
             or self._owner.stopping
@@ -201,7 +222,8 @@
 
     @close_connection.setter
     def close_connection(self, value):
-        self._close_connection = value
+        self._close_connection = bool(value)
+        self._is_close_decided = True
 
 
 class RequestBody(wsgi.Input):
