--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -1,10 +1,13 @@
 """WSGI server on the event loop that finishes requests before it stops."""
 
+import contextlib
 import functools
 import http
 import io
 import json
+import socket
 import sys
+import time
 import urllib.parse
 
 import eventlet
@@ -29,6 +32,12 @@
 # MAX_LARGE_BODIES at once; chunked bodies may all be large.
 LARGE_BODY_BYTES = 1024 * 1024
 MAX_LARGE_BODIES = 4
+# Closing a connection with unread bytes resets it, and a reset discards
+# answers that the client has not read yet. So what it still sends is read
+# first: the rest of a body for BODY_LINGER_SECONDS, anything else for
+# LINGER_SECONDS.
+LINGER_SECONDS = 1.0
+BODY_LINGER_SECONDS = 10.0
 # The CGI variables of these headers have no HTTP_ prefix.
 UNPREFIXED_VARIABLES = frozenset(("CONTENT_TYPE", "CONTENT_LENGTH"))
 
@@ -37,7 +46,9 @@
     """Eventlet's HTTP protocol, with fewer system calls per request.
 
     While the server stops, each connection is closed after its next answer.
-    `bounds_bodies` is unset if the application bounds all bodies together.
+    It is closed only by an answer that says so, or while it is idle: a client
+    that was told nothing may have sent its next request. `bounds_bodies` is
+    unset if the application bounds all bodies together.
     """
 
     bounds_bodies = True
@@ -46,6 +57,7 @@
         """Serve the requests of one connection for the HttpServer `owner`."""
         self._owner = owner
         self._close_connection = True
+        self._is_close_decided = False
         self._body = None
         super().__init__(conn_state, server)
 
@@ -55,6 +67,44 @@
         self.rfile = io.BufferedReader(loop.SocketReader(self.request))
         self.wfile = loop.SocketWriter(self.request)
 
+    def handle(self):
+        """Serve requests until the connection is to be closed."""
+        while True:
+            self.handle_one_request()
+            if self.conn_state[2] == wsgi.STATE_CLOSE:
+                break
+            self.conn_state[2] = wsgi.STATE_IDLE
+            if self.closes_after_answer:
+                break
+        self.wfile.flush()
+        self.linger()
+
+    def linger(self):
+        """Read what the client sends behind the last answer, and drop it.
+
+        The request counts as in flight until its body has been read.
+        """
+        with contextlib.suppress(OSError, ValueError):
+            self.connection.fd.shutdown(socket.SHUT_WR)
+        if self._body is not None and self._body.is_awaited:
+            self.conn_state[2] = wsgi.STATE_REQUEST
+            self._drop_body()
+        self.conn_state[2] = wsgi.STATE_CLOSE
+        end = time.monotonic() + LINGER_SECONDS
+        with contextlib.suppress(OSError, ValueError):
+            while (remaining := end - time.monotonic()) > 0:
+                self.connection.settimeout(remaining)
+                if not self.connection.recv(loop.MAX_JOINED_BYTES):
+                    return
+
+    def _drop_body(self):
+        self.connection.settimeout(BODY_LINGER_SECONDS)
+        with (
+            eventlet.Timeout(BODY_LINGER_SECONDS, False),
+            contextlib.suppress(OSError, ValueError, wsgi.ChunkReadError),
+        ):
+            self._body.discard()
+
     def finish(self):
         """Send buffered bytes; the server closes the connection."""
         self.wfile.flush()
@@ -78,7 +128,8 @@
         self.path = head.target
         self.request_version = head.version
         self.headers = head.headers
-        self.close_connection = not head.keeps_connection
+        self._close_connection = not head.keeps_connection
+        self._is_close_decided = False
         return True
 
     def handle_one_response(self):
@@ -164,15 +215,26 @@
         environ["wsgi.input"] = environ["eventlet.input"] = self._body
         environ["eventlet.posthooks"] = []
 
+    @property
+    def closes_after_answer(self):
+        """Whether the request or its answer said that the connection closes.
+
+        An answer in progress of which the head is not written has not.
+        """
+        return self._close_connection
+
     @property
     def close_connection(self):
         """Whether the connection closes after the current answer.
 
-        Eventlet reads this when it writes the headers of an answer. So the
-        answer to a request that was received before the server began to stop
-        also has the header `Connection: close`, and so has one that is given
-        before a long body was read.
+        Eventlet reads this when it writes the head of an answer, and sets it
+        to what the head says, which then holds. So the answer to a request
+        that was received before the server began to stop also has the header
+        `Connection: close`, and so has one that is given before a long body
+        was read.
         """
+        if self._is_close_decided:
+            return self._close_connection
         return (
             self._close_connection
             or self._owner.stopping
@@ -181,7 +243,8 @@
 
     @close_connection.setter
     def close_connection(self, value):
-        self._close_connection = value
+        self._close_connection = bool(value)
+        self._is_close_decided = True
 
 
 class RequestBody(wsgi.Input):
@@ -220,6 +283,18 @@
         self._is_broken_off = False
         return data
 
+    @property
+    def is_awaited(self):
+        """Whether the client may still be sending the body.
+
+        One that waits for `100 Continue` does not send it after the answer.
+        """
+        if self.should_send_hundred_continue:
+            return False
+        if self.chunked_input:
+            return not self._chunks.is_at_end
+        return self.position < self.content_length
+
     def _chunked_read(self, rfile, length=None, use_readline=False):
         """Return up to `length` bytes, or all if it is None or negative."""
         if use_readline:
