replication: a mark that a power loss tore does not end the start

After a loss of power a control host ended at each start with exit code 3 and "mark, byte 0: the checksum or the length is wrong" (FAULT; LOST, if a majority did).

Cause: the only copy of the mark was overwritten in place without a sync, so that a loss of power could leave part of the new bytes over part of the old ones. Class: a file that the start needs is changed in place.

The mark has two slots now. One is written and synced with each new log file and at each start, and must be valid; the other is overwritten after each sync and is only a hint. All writes to the hint are unsynced, so two slots in turn could both be torn. The mark may name fewer bytes than were synced, never more. Files with one slot are read and renewed.

Tests: a flipped bit in the hint is not refused any more, since it cannot be told from a tear.

--- a/verbenanotch/replication/_storage.py
+++ b/verbenanotch/replication/_storage.py
@@ -4,8 +4,13 @@
 and entries; appended to, and replaced by `log-N+1` after a snapshot; N is
 the sequence of the log file and starts from 1),
 `snapshot-I` (the state up to entry I), `mark` (how many bytes of which log
-were synced). The mark is written after each sync of the log and not synced
-itself, so it may name fewer bytes than were synced, but never more.
+were synced).
+
+The mark has two slots. The second one is written and synced with each new
+log file and at each start. The first one is overwritten after each sync of
+the log and not synced itself: a loss of power may tear it, and then the
+second one counts. So the mark may name fewer bytes than were synced, but
+never more.
 """
 
 import contextlib
@@ -170,7 +175,6 @@
             index=0, term=0, configuration=Configuration()
         )
         log = Log(snapshot=metadata, base_index=0, base_term=0)
-        self._files.replace(MARK, _pack_mark(0, 0))
         self._start_log(log, term=0, vote="")
         self.save_identity(identity)
         return Recovered(
@@ -213,7 +217,7 @@
         log = Log(snapshot=metadata, base_index=header[1], base_term=header[2])
         term, vote, commit_index = replay(scan, log, log_name)
         self._commit_index = commit_index
-        self._write_mark()
+        self._renew_mark()
         self._remove_stale_files(
             keep=(log_name, _snapshot_name(metadata.index))
         )
@@ -228,11 +232,20 @@
         )
 
     def _read_mark(self):
+        """Return the sequence and the synced bytes of a log file.
+
+        A file with one slot is from before there were two.
+        """
         data = self._files.read(MARK)
         if data is None:
             raise _missing(MARK)
-        sequence, size = self._read_single_record(MARK, data)
-        return int.from_bytes(sequence, "big"), int.from_bytes(size, "big")
+        has_two_slots = len(data) == 2 * MARK_SLOT_BYTES
+        synced_slot = data[MARK_SLOT_BYTES:] if has_two_slots else data
+        mark = _unpack_mark(self._read_single_record(MARK, synced_slot))
+        if has_two_slots:
+            scan = scan_records(data[:MARK_SLOT_BYTES])
+            mark = max([mark, *map(_unpack_mark, scan.values)])
+        return mark
 
     def _newest_sequence(self, marked_sequence):
         sequences = [
@@ -366,7 +379,7 @@
         self._log_sequence = sequence
         self._log_bytes = len(data)
         self._is_torn = False
-        self._write_mark()
+        self._files.replace(MARK, self._mark_slot() * 2)
 
     def _write_log(self, name, data):
         began = self._monotonic()
@@ -382,10 +395,18 @@
         with contextlib.suppress(OSError):
             self._write_mark()
 
+    def _renew_mark(self):
+        """Write both slots; a disk that refuses it keeps a valid mark."""
+        try:
+            self._files.replace(MARK, self._mark_slot() * 2)
+        except OSError:
+            self._remove_temporaries()
+
     def _write_mark(self):
-        self._files.overwrite(
-            MARK, _pack_mark(self._log_sequence, self._log_bytes)
-        )
+        self._files.overwrite(MARK, self._mark_slot())
+
+    def _mark_slot(self):
+        return _pack_mark(self._log_sequence, self._log_bytes)
 
     def _run_disk_operation(self, name, operation):
         try:
@@ -411,6 +432,14 @@
 
 
 def _pack_mark(sequence, size):
-    # Integers of fixed width keep the file at the same length, since it is
+    # Integers of fixed width keep a slot at the same length, since it is
     # overwritten in place.
     return pack_record([sequence.to_bytes(8, "big"), size.to_bytes(8, "big")])
+
+
+def _unpack_mark(values):
+    sequence, size = values
+    return int.from_bytes(sequence, "big"), int.from_bytes(size, "big")
+
+
+MARK_SLOT_BYTES = len(_pack_mark(0, 0))
