replication: cut a torn write of several records

After a loss of power a control host ended at each start with exit code 3 and "a record that was synced is damaged or cut off", though the record had not been synced (FAULT; LOST, if a majority did).

Cause: records that are synced together were written as separate records. A torn write of which an earlier part is missing and a later one is there looks like damage before a valid record. Class: a unit of durability that is not the unit of the checksum.

The records of a sync are one record now, with one checksum. What follows it was written after its sync, so a corrupt record with a valid one behind it is damage, and a corrupt one at the end, beyond the mark, is a torn write. Logs with separate records are read as before.

--- a/tests/unit/test_power_loss.py
+++ b/tests/unit/test_power_loss.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.support.power_loss import PowerLossFiles
+from verbenanotch.replication import DamagedFileError
 from verbenanotch.replication._entries import Entry
 from verbenanotch.replication._storage import Storage
 
@@ -57,3 +58,37 @@
             set_content(files, "log-1", log_data)
             _, recovered = open_files(files)
             assert recovered.log.last_index == sum(BATCHES) + 1
+
+
+@pytest.mark.parametrize("piece_bytes", [8, 16, 64])
+def test_batch_that_misses_any_piece_is_cut(files, piece_bytes):
+    storage, recovered = open_files(files)
+    mark = files.read("mark")
+    synced = files.read("log-1")
+    write_batch(storage, recovered.log, 9)
+    whole = files.read("log-1")
+    for start in range(len(synced), len(whole), piece_bytes):
+        end = min(start + piece_bytes, len(whole))
+        torn = whole[:start] + bytes(end - start) + whole[end:]
+        set_content(files, "mark", mark)
+        set_content(files, "log-1", torn)
+        _, recovered = open_files(files)
+        assert recovered.log.last_index >= sum(BATCHES)
+
+
+def test_damage_in_a_batch_before_the_last_one_is_refused(files):
+    storage, recovered = open_files(files)
+    mark = files.read("mark")
+    synced_bytes = len(files.read("log-1"))
+    write_batch(storage, recovered.log, 4)
+    end = len(files.read("log-1"))
+    write_batch(storage, recovered.log, 4)
+    whole = files.read("log-1")
+    # The length of a record is what leads to the next one.
+    for offset in range(synced_bytes + 4, end):
+        damaged = bytearray(whole)
+        damaged[offset] ^= 0x10
+        set_content(files, "mark", mark)
+        set_content(files, "log-1", bytes(damaged))
+        with pytest.raises(DamagedFileError):
+            open_files(files)
--- a/verbenanotch/replication/_log_file.py
+++ b/verbenanotch/replication/_log_file.py
@@ -2,12 +2,13 @@
 
 from verbenanotch.replication._entries import Entry
 from verbenanotch.replication.exceptions import DamagedFileError
-from verbenanotch.storage import pack_record
+from verbenanotch.storage import pack_record, scan_records
 
 HEADER_RECORD = 0
 VOTE_RECORD = 1
 ENTRY_RECORD = 2
 COMMIT_RECORD = 3
+BATCH_RECORD = 4
 REJOIN_REMEDY = (
     "Stop this host, check its disk, empty the data folder and start it "
     "again: it rejoins and copies the state from the leader"
@@ -38,6 +39,17 @@
     )
 
 
+def pack_batch(records):
+    """Return the bytes of records that are synced together.
+
+    They have one checksum, so that a torn batch is one corrupt record at the
+    end of the file: what follows a record was written after its sync.
+    """
+    if len(records) < 2:
+        return b"".join(records)
+    return pack_record([BATCH_RECORD, b"".join(records)])
+
+
 def replay(scan, log, log_name):
     """Fill the log from a file's records; return term, vote, commit index.
 
@@ -45,7 +57,7 @@
     or if a committed entry is missing or replaced.
     """
     term, vote, commit_index = 0, "", log.snapshot.index
-    for offset, record in zip(scan.offsets, scan.values, strict=True):
+    for offset, record in _unpack_batches(scan):
         match record:
             case [int(kind), int(new_term), str(new_vote)] if (
                 kind == VOTE_RECORD
@@ -65,6 +77,16 @@
     return term, vote, commit_index
 
 
+def _unpack_batches(scan):
+    for offset, record in zip(scan.offsets, scan.values, strict=True):
+        match record:
+            case [int(kind), bytes(records)] if kind == BATCH_RECORD:
+                for value in scan_records(records).values:
+                    yield offset, value
+            case _:
+                yield offset, record
+
+
 def _replay_entry(record, log, commit_index, log_name, offset):
     _, term, index, kind, data = record
     follows = log.base_index < index <= log.last_index + 1
--- a/verbenanotch/replication/_storage.py
+++ b/verbenanotch/replication/_storage.py
@@ -30,6 +30,7 @@
     commit_record,
     entry_record,
     header_record,
+    pack_batch,
     replay,
     vote_record,
 )
@@ -337,7 +338,7 @@
 
         After a failure they stay queued, and the next call writes them again.
         """
-        data = b"".join(self._pending_records)
+        data = pack_batch(self._pending_records)
         name = f"{LOG_PREFIX}{self._log_sequence}"
         self._run_disk_operation(name, lambda: self._write_log(name, data))
         self._pending_records.clear()
