replication: sync what a killed process left before it is used

Cause: a process killed between a write and its sync, or a rename and the sync of the folder, leaves the change in the memory of the machine only. The next process read it, counted it as synced (`synced_index`, the mark) and removed the files that it replaces. Class: state that was read is taken for durable.

A start syncs the folder before it reads names, and the log before it reads it.

--- a/tests/unit/test_replication_storage.py
+++ b/tests/unit/test_replication_storage.py
@@ -19,7 +19,7 @@
 OWN = Member(name="c1", disk_id="d1", address="127.0.0.1", peer_port=1)
 # The number of counted operations in two calls of `write_batches`, which
 # test_crash_parameters_cover_every_operation checks.
-CRASH_POINTS = 72
+CRASH_POINTS = 73
 
 
 class SimulatedCrashError(Exception):
--- a/verbenanotch/replication/_storage.py
+++ b/verbenanotch/replication/_storage.py
@@ -104,6 +104,8 @@
         `new_disk_id` is the disk's id if the folder is empty. Raises
         MissingFileError, DamagedFileError or ForeignDirectoryError.
         """
+        # A process that was killed may have left names that are not durable.
+        self._files.sync_directory()
         self._remove_temporaries()
         identity = self._read_identity(name)
         if identity is None:
@@ -203,6 +205,8 @@
         marked_sequence, marked_bytes = self._read_mark()
         sequence = self._newest_sequence(marked_sequence)
         log_name = f"{LOG_PREFIX}{sequence}"
+        # What the replica recovers it promises to others from now on.
+        self._files.sync(log_name)
         data = self._files.read(log_name)
         synced_bytes = marked_bytes if marked_sequence == sequence else 0
         scan = self._scan_log(log_name, data, synced_bytes)
