replication: keep the permission to create a cluster on the disk

Cause: the permission was only in the settings of a start, but the decision that it permits takes longer than that start may last. Class: a promise to a process that its restart does not keep.

The identity of an empty disk stores with which voters it may create a cluster. That is what the process that was killed could have done, so it is as safe: a disk that replaces a lost one is initialized without it, and each disk enters one cluster. Identity files of an earlier release are read.

--- a/tests/unit/test_replication_bootstrap.py
+++ b/tests/unit/test_replication_bootstrap.py
@@ -1,5 +1,6 @@
 """Creating a cluster, joining one, and refusing a peer of another."""
 
+import eventlet
 import pytest
 
 from tests.support.replicas import Cluster, wait_for
@@ -102,3 +103,28 @@
     assert isinstance(leader.submit(2), Accepted)
     assert other.versions.current is None
     assert not cluster.has_vote("c3")
+
+
+def test_host_that_restarts_before_the_cluster_exists_creates_it(cluster):
+    cluster.start("c1", "c2")
+    cluster.stop("c1")
+    # The platform permits it at the first start only.
+    cluster.control["may_create_cluster"] = False
+    cluster.start("c1")
+    cluster.control["may_create_cluster"] = True
+    cluster.start("c3")
+    assert isinstance(cluster.leader().submit(1), Accepted)
+
+
+def test_new_disk_does_not_have_the_permission_of_the_lost_one(cluster):
+    cluster.start("c1", "c2")
+    cluster.stop("c1")
+    cluster.wipe("c1")
+    cluster.control["may_create_cluster"] = False
+    cluster.start("c1")
+    cluster.control["may_create_cluster"] = True
+    cluster.start("c3")
+    # Several times the interval at which hosts dial each other.
+    eventlet.sleep(2.0)
+    for host in cluster.hosts_by_name.values():
+        assert host.replica.status().cluster_id == ""
--- a/tests/unit/test_replication_storage.py
+++ b/tests/unit/test_replication_storage.py
@@ -14,7 +14,7 @@
 from verbenanotch.replication._storage import MARK_SLOT_BYTES, Storage
 from verbenanotch.replication._storage import _pack_mark as pack_mark
 from verbenanotch.replication._storage import _unpack_mark as unpack_mark
-from verbenanotch.storage import Files, scan_records
+from verbenanotch.storage import Files, pack_record, scan_records
 
 OWN = Member(name="c1", disk_id="d1", address="127.0.0.1", peer_port=1)
 # The number of counted operations in two calls of `write_batches`, which
@@ -280,3 +280,21 @@
         Storage(files=Files(directory=directory)).open(
             name="c2", new_disk_id="d"
         )
+
+
+def test_identity_of_an_earlier_release_is_read(directory):
+    path = directory / "identity"
+    (values,) = scan_records(path.read_bytes()).values
+    path.write_bytes(pack_record(values[:4]))
+    _, recovered = open_storage(directory)
+    assert recovered.identity.disk_id == "d1"
+    assert recovered.identity.creates_with == ()
+
+
+def test_permission_to_create_a_cluster_stays_with_the_disk(tmp_path):
+    for permitted in (("c1", "c2"), ()):
+        storage = Storage(files=Files(directory=tmp_path))
+        recovered = storage.open(
+            name="c1", new_disk_id="d1", creates_with=permitted
+        )
+        assert recovered.identity.creates_with == ("c1", "c2")
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -223,6 +223,7 @@
             return self._storage.open(
                 name=self._settings.host.name,
                 new_disk_id=secrets.token_hex(RANDOM_ID_BYTES),
+                creates_with=self._creates_with(),
             )
         except OSError as error:
             raise DiskFailedError(
@@ -285,10 +286,17 @@
         self._bootstrap = Bootstrap(
             own=self._own,
             voter_names=(
-                control.voters_by_name if control.may_create_cluster else ()
+                self._creates_with() or recovered.identity.creates_with
             ),
         )
 
+    def _creates_with(self):
+        """Return the names of the voters in the settings, if permitted."""
+        control = self._settings.control
+        return tuple(
+            control.voters_by_name if control.may_create_cluster else ()
+        )
+
     def _make_hello(self):
         return Hello(
             member=self._own,
--- a/verbenanotch/replication/_storage.py
+++ b/verbenanotch/replication/_storage.py
@@ -55,12 +55,17 @@
 
 @attrs.frozen(kw_only=True)
 class Identity:
-    """The host and id of a disk, and the cluster it belongs to, if any."""
+    """The host and id of a disk, and the cluster it belongs to, if any.
+
+    With the voters of `creates_with`, names of hosts, the disk may create a
+    cluster as long as it belongs to none.
+    """
 
     name: str
     disk_id: str
     cluster_id: str = ""
     first_voters: tuple[Member, ...] = ()
+    creates_with: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -98,10 +103,11 @@
         self._is_torn = False
         self.last_sync_ms = 0.0
 
-    def open(self, *, name, new_disk_id):
+    def open(self, *, name, new_disk_id, creates_with=()):
         """Return the Recovered state; initialize the folder if it is empty.
 
-        `new_disk_id` is the disk's id if the folder is empty. Raises
+        `new_disk_id` is the disk's id if the folder is empty, and
+        `creates_with` the voters with which it may create a cluster. Raises
         MissingFileError, DamagedFileError or ForeignDirectoryError.
         """
         # A process that was killed may have left names that are not durable.
@@ -109,7 +115,13 @@
         self._remove_temporaries()
         identity = self._read_identity(name)
         if identity is None:
-            return self._initialize(Identity(name=name, disk_id=new_disk_id))
+            return self._initialize(
+                Identity(
+                    name=name,
+                    disk_id=new_disk_id,
+                    creates_with=tuple(creates_with),
+                )
+            )
         return self._recover(identity)
 
     def _remove_temporaries(self):
@@ -137,6 +149,8 @@
             disk_id=values[1],
             cluster_id=values[2],
             first_voters=configuration_from_plain(values[3]).voters,
+            # A file of an earlier release ends before it.
+            creates_with=tuple(values[4]) if len(values) > 4 else (),
         )
         if identity.name != name:
             raise ForeignDirectoryError(
@@ -320,6 +334,7 @@
             identity.disk_id,
             identity.cluster_id,
             configuration_to_plain(voters),
+            identity.creates_with,
         ]
         self._run_disk_operation(
             IDENTITY,
