--- a/verbenanotch/replication/_storage.py
+++ b/verbenanotch/replication/_storage.py
@@ -4,8 +4,13 @@
 and entries; appended to, and replaced by `log-N+1` after a snapshot; N is
 the sequence of the log file and starts from 1),
 `snapshot-I` (the state up to entry I), `mark` (how many bytes of which log
-were synced). The mark is written after each sync of the log and not synced
-itself, so it may name fewer bytes than were synced, but never more.
+were synced).
+
+The mark has two slots. The second one is written and synced with each new
+log file and at each start. The first one is overwritten after each sync of
+the log and not synced itself: a loss of power may tear it, and then the
+second one counts. So the mark may name fewer bytes than were synced, but
+never more.
 """
 
 import contextlib
@@ -25,6 +30,7 @@
     commit_record,
     entry_record,
     header_record,
+    pack_batch,
     replay,
     vote_record,
 )
@@ -49,12 +55,17 @@
 
 @attrs.frozen(kw_only=True)
 class Identity:
-    """The host and id of a disk, and the cluster it belongs to, if any."""
+    """The host and id of a disk, and the cluster it belongs to, if any.
+
+    With the voters of `creates_with`, names of hosts, the disk may create a
+    cluster as long as it belongs to none.
+    """
 
     name: str
     disk_id: str
     cluster_id: str = ""
     first_voters: tuple[Member, ...] = ()
+    creates_with: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -92,16 +103,25 @@
         self._is_torn = False
         self.last_sync_ms = 0.0
 
-    def open(self, *, name, new_disk_id):
+    def open(self, *, name, new_disk_id, creates_with=()):
         """Return the Recovered state; initialize the folder if it is empty.
 
-        `new_disk_id` is the disk's id if the folder is empty. Raises
+        `new_disk_id` is the disk's id if the folder is empty, and
+        `creates_with` the voters with which it may create a cluster. Raises
         MissingFileError, DamagedFileError or ForeignDirectoryError.
         """
+        # A process that was killed may have left names that are not durable.
+        self._files.sync_directory()
         self._remove_temporaries()
         identity = self._read_identity(name)
         if identity is None:
-            return self._initialize(Identity(name=name, disk_id=new_disk_id))
+            return self._initialize(
+                Identity(
+                    name=name,
+                    disk_id=new_disk_id,
+                    creates_with=tuple(creates_with),
+                )
+            )
         return self._recover(identity)
 
     def _remove_temporaries(self):
@@ -129,6 +149,8 @@
             disk_id=values[1],
             cluster_id=values[2],
             first_voters=configuration_from_plain(values[3]).voters,
+            # A file of an earlier release ends before it.
+            creates_with=tuple(values[4]) if len(values) > 4 else (),
         )
         if identity.name != name:
             raise ForeignDirectoryError(
@@ -170,7 +192,6 @@
             index=0, term=0, configuration=Configuration()
         )
         log = Log(snapshot=metadata, base_index=0, base_term=0)
-        self._files.replace(MARK, _pack_mark(0, 0))
         self._start_log(log, term=0, vote="")
         self.save_identity(identity)
         return Recovered(
@@ -198,6 +219,8 @@
         marked_sequence, marked_bytes = self._read_mark()
         sequence = self._newest_sequence(marked_sequence)
         log_name = f"{LOG_PREFIX}{sequence}"
+        # What the replica recovers it promises to others from now on.
+        self._files.sync(log_name)
         data = self._files.read(log_name)
         synced_bytes = marked_bytes if marked_sequence == sequence else 0
         scan = self._scan_log(log_name, data, synced_bytes)
@@ -213,7 +236,7 @@
         log = Log(snapshot=metadata, base_index=header[1], base_term=header[2])
         term, vote, commit_index = replay(scan, log, log_name)
         self._commit_index = commit_index
-        self._write_mark()
+        self._renew_mark()
         self._remove_stale_files(
             keep=(log_name, _snapshot_name(metadata.index))
         )
@@ -228,11 +251,20 @@
         )
 
     def _read_mark(self):
+        """Return the sequence and the synced bytes of a log file.
+
+        A file with one slot is from before there were two.
+        """
         data = self._files.read(MARK)
         if data is None:
             raise _missing(MARK)
-        sequence, size = self._read_single_record(MARK, data)
-        return int.from_bytes(sequence, "big"), int.from_bytes(size, "big")
+        has_two_slots = len(data) == 2 * MARK_SLOT_BYTES
+        synced_slot = data[MARK_SLOT_BYTES:] if has_two_slots else data
+        mark = _unpack_mark(self._read_single_record(MARK, synced_slot))
+        if has_two_slots:
+            scan = scan_records(data[:MARK_SLOT_BYTES])
+            mark = max([mark, *map(_unpack_mark, scan.values)])
+        return mark
 
     def _newest_sequence(self, marked_sequence):
         sequences = [
@@ -302,6 +334,7 @@
             identity.disk_id,
             identity.cluster_id,
             configuration_to_plain(voters),
+            identity.creates_with,
         ]
         self._run_disk_operation(
             IDENTITY,
@@ -324,7 +357,7 @@
 
         After a failure they stay queued, and the next call writes them again.
         """
-        data = b"".join(self._pending_records)
+        data = pack_batch(self._pending_records)
         name = f"{LOG_PREFIX}{self._log_sequence}"
         self._run_disk_operation(name, lambda: self._write_log(name, data))
         self._pending_records.clear()
@@ -366,7 +399,7 @@
         self._log_sequence = sequence
         self._log_bytes = len(data)
         self._is_torn = False
-        self._write_mark()
+        self._files.replace(MARK, self._mark_slot() * 2)
 
     def _write_log(self, name, data):
         began = self._monotonic()
@@ -382,10 +415,18 @@
         with contextlib.suppress(OSError):
             self._write_mark()
 
+    def _renew_mark(self):
+        """Write both slots; a disk that refuses it keeps a valid mark."""
+        try:
+            self._files.replace(MARK, self._mark_slot() * 2)
+        except OSError:
+            self._remove_temporaries()
+
     def _write_mark(self):
-        self._files.overwrite(
-            MARK, _pack_mark(self._log_sequence, self._log_bytes)
-        )
+        self._files.overwrite(MARK, self._mark_slot())
+
+    def _mark_slot(self):
+        return _pack_mark(self._log_sequence, self._log_bytes)
 
     def _run_disk_operation(self, name, operation):
         try:
@@ -411,6 +452,14 @@
 
 
 def _pack_mark(sequence, size):
-    # Integers of fixed width keep the file at the same length, since it is
+    # Integers of fixed width keep a slot at the same length, since it is
     # overwritten in place.
     return pack_record([sequence.to_bytes(8, "big"), size.to_bytes(8, "big")])
+
+
+def _unpack_mark(values):
+    sequence, size = values
+    return int.from_bytes(sequence, "big"), int.from_bytes(size, "big")
+
+
+MARK_SLOT_BYTES = len(_pack_mark(0, 0))
