daemon: signals at the end of a stop end no process

What callers saw: a process that stops after SIGTERM ended by a further SIGHUP or SIGTERM (exit code -1 or -15 in place of 0).

Cause: at its end the interpreter restores the default actions of the signals that have a handler, some time before the process is gone. Class: a signal whose default action ends the process, at a moment without a handler.

Evidence: a process that gets signals each millisecond while it stops: 4 of 4 ended by the signal (SIGHUP and SIGTERM, proxy and control host), 2 of 2 with both signals together.

Why it works: the signals are ignored from the end of the daemon on, and an ignored signal stays ignored until the process is gone.

--- a/verbenanotch/cli/daemon.py
+++ b/verbenanotch/cli/daemon.py
@@ -86,6 +86,9 @@
         interfaces=interfaces,
         reload=conf.Reloader(settings_path).load,
     )
+    # The interpreter restores the default actions some time before its end.
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
     sys.exit(code)
 
 
