daemon: end answers that are not read, while others need the room

Cause: the bytes of an answer are counted until the caller has read them, and a send waits 75 s. Class: a common budget that one peer may hold for as long as it likes. Besides, a send copied what was left of the body for each system call, so that an unread answer was in memory twice.

Why it works: while bodies take over half of the budget, a connection is ended whose peer has taken no byte for 5 s. The bytes that the kernel still has to send tell a slow peer from one that does not read. Without a shortage, the limit stays at 75 s.

--- a/tests/unit/test_loop.py
+++ b/tests/unit/test_loop.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import socket
+import tracemalloc
 
 import eventlet
 import greenlet
@@ -258,3 +259,38 @@
     client.close()
     eventlet.sleep(0.01)
     assert server.has_ended()
+
+
+def test_sending_a_large_answer_does_not_copy_what_is_left(sockets):
+    client, server = sockets
+    data = bytes(16 * 1024 * 1024)
+    tracemalloc.start()
+    try:
+        greenthread = eventlet.spawn(server.sendall, data)
+        eventlet.sleep(0.05)
+        assert tracemalloc.get_traced_memory()[1] < len(data) / 16
+    finally:
+        tracemalloc.stop()
+    received = 0
+    while received < len(data):
+        received += len(client.recv(1024 * 1024))
+    greenthread.wait()
+
+
+def test_a_send_is_blocked_only_while_the_peer_reads_nothing(sockets):
+    client, server = sockets
+    assert not server.is_blocked_for(0)
+    greenthread = eventlet.spawn(server.sendall, bytes(16 * 1024 * 1024))
+    eventlet.sleep(0.05)
+    assert not server.is_blocked_for(0.01)
+    eventlet.sleep(0.05)
+    assert server.is_blocked_for(0.01)
+    assert not server.is_blocked_for(60)
+    # Too little for the send to continue.
+    client.recv(64 * 1024)
+    eventlet.sleep(0.05)
+    assert not server.is_blocked_for(0.01)
+    server.abort()
+    with pytest.raises(OSError, match="Broken pipe"):
+        greenthread.wait()
+    assert not server.is_blocked_for(0)
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -274,6 +274,20 @@
                 connection[2] = wsgi.STATE_CLOSE
                 greenio.shutdown_safe(connection[1])
 
+    def end_unread(self, seconds):
+        """End the connections that have sent nothing for `seconds`.
+
+        Their clients do not read the answers. Returns the number of them.
+        """
+        ended = [
+            sock
+            for _, sock, _ in self._connections_by_id.values()
+            if sock.is_blocked_for(seconds)
+        ]
+        for sock in ended:
+            sock.abort()
+        return len(ended)
+
     def stop(self):
         """Stop accepting connections and close the idle ones."""
         self.stop_accepting()
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -44,7 +44,7 @@
 from verbenanotch.quotas import ProxyLimits
 from verbenanotch.rollouts import OutcomeCounter, RolloutsWatched
 from verbenanotch.routing import is_rejected
-from verbenanotch.telemetry import emit
+from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import Listener, Purpose
 
 EXPIRY_INTERVAL_SECONDS = 0.5
@@ -53,6 +53,10 @@
 POLL_INTERVAL_SECONDS = 0.02
 RECONCILE_INTERVAL_SECONDS = 0.1
 OUTCOME_REPORT_INTERVAL_SECONDS = 0.25
+UNREAD_INTERVAL_SECONDS = 1.0
+# While room for bodies is short, a caller that reads nothing of its answer for
+# this long gives way to the others.
+MAX_UNREAD_SECONDS = 5.0
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -205,6 +209,7 @@
         )
         self._greenthreads = []
         self._reconciler = None
+        self._unread_watcher = None
 
     def start(self):
         """Start serving."""
@@ -228,6 +233,9 @@
                 self._outcome_reporter.report,
             ),
         ]
+        self._unread_watcher = eventlet.spawn(
+            _run_every, UNREAD_INTERVAL_SECONDS, self._end_unread_answers
+        )
         self._reconciler = eventlet.spawn(
             _run_every, RECONCILE_INTERVAL_SECONDS, self._reconcile_records
         )
@@ -285,6 +293,7 @@
             peer_server=self._peer_server,
             grace_seconds=end - time.monotonic(),
         )
+        self._unread_watcher.kill()
         self._caller_http.close_idle()
         self._target_http.stop()
         if self._ready_http is not None:
@@ -347,6 +356,15 @@
     def _reconcile_records(self):
         self._record_server.reconcile(self._ask_holder)
 
+    def _end_unread_answers(self):
+        """Free the bodies of callers that do not read, if room is short."""
+        if not self._body_budget.is_short:
+            return
+        count = self._caller_http.end_unread(MAX_UNREAD_SECONDS)
+        if count:
+            emit(events.ANSWERS_UNREAD, count=count)
+            metrics.increment("proxy.unread_answers_ended", count)
+
     def _serve_callers(self):
         """Accept callers once a snapshot allows their requests to be routed.
 
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -84,3 +84,11 @@
     "an address is in use; the start waits until it is free",
     "If it stays in use, stop the process that uses it.",
 )
+ANSWERS_UNREAD = event(
+    9015,
+    "answers-unread",
+    Level.WARNING,
+    "ended the connections of `count` callers that did not read their "
+    "answers, while the bodies of others needed the room",
+    "Find out why they stopped reading, or raise proxy.max_receiving_bytes.",
+)
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -10,7 +10,10 @@
 import collections
 import contextlib
 import errno
+import fcntl
 import socket
+import struct
+import termios
 import time
 
 import eventlet
@@ -51,6 +54,8 @@
         # Pairs of the time of arrival and the bytes that were read ahead.
         self._ahead = collections.deque()
         self._ahead_bytes = 0
+        self._blocked_since = None
+        self._blocked_bytes = 0
         self.received_at = 0.0
         self.on_unread = None
 
@@ -83,6 +88,42 @@
         except BlockingIOError:
             return 0
 
+    def sendall(self, data, flags=0):
+        """Send all bytes; what is left is not copied for each system call."""
+        unsent = memoryview(data)
+        try:
+            while unsent:
+                self._blocked_since = time.monotonic()
+                unsent = unsent[self.send(unsent, flags) :]
+        finally:
+            self._blocked_since = None
+
+    def is_blocked_for(self, seconds):
+        """Return whether the peer has taken nothing of a `sendall` so long.
+
+        The time starts anew with each call that finds the peer's progress.
+        """
+        if self._blocked_since is None:
+            return False
+        queued_bytes = self._queued_bytes()
+        if queued_bytes != self._blocked_bytes:
+            self._blocked_bytes = queued_bytes
+            self._blocked_since = time.monotonic()
+        return time.monotonic() - self._blocked_since >= seconds
+
+    def _queued_bytes(self):
+        """Return the bytes that the kernel still has to send.
+
+        A send continues only once a large part of them has been taken, so a
+        slow peer is told from one that does not read by this number alone.
+        """
+        buffer = bytearray(struct.calcsize("i"))
+        try:
+            fcntl.ioctl(self.fd.fileno(), termios.TIOCOUTQ, buffer)
+        except OSError:
+            return 0
+        return struct.unpack("i", buffer)[0]
+
     def recv_into(self, buffer, size=0, flags=0):
         """Read the next bytes into a buffer; return their number."""
         if self._ahead:
--- a/verbenanotch/proxy/_body_budget.py
+++ b/verbenanotch/proxy/_body_budget.py
@@ -18,6 +18,7 @@
 # Of all bytes.
 LARGE_REQUESTS_SHARE = 1 / 2
 SMALL_BODIES_SHARE = 1 / 16
+SHORT_SHARE = 1 / 2
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -72,6 +73,11 @@
         """Bytes of all bodies."""
         return self._all.used_bytes
 
+    @property
+    def is_short(self):
+        """Whether bodies of a usual load may soon find no room."""
+        return self.used_bytes > self.max_bytes * SHORT_SHARE
+
     def reserve_request(self):
         """Return the Reservation for the body of a request."""
         return Reservation(
