daemon: bound the heads of requests that are being read

What callers saw: nothing yet; found by search. Any client of any HTTP port (callers, targets, operators) takes a process over its memory by heads that it does not complete.

Cause: a head may have 64 KB and a server 4096 connections; nothing counts them together, and each byte extends the wait by 75 s. Class: a limit for each peer, none for all.

Evidence: 3000 connections with 56 KB of a head each.

Why it works: heads over 4 KiB take their bytes from 16 MiB of their server until they are complete; without room they are refused as not run (503). Small heads have their room in any case, so that no stranger keeps them out.

--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -13,6 +13,7 @@
 from verbenanotch import loop
 from verbenanotch.daemon import events
 from verbenanotch.daemon._failures import RequestFailureLog
+from verbenanotch.daemon._head_bytes import HeadBytes
 from verbenanotch.http1 import ChunkedBody, read_request_head
 from verbenanotch.http1.exceptions import HttpError, RequestRefusedError
 from verbenanotch.telemetry import emit, metrics
@@ -62,7 +63,8 @@
         self.request_version = self.default_request_version
         self.requestline = self.raw_requestline.decode("latin-1").strip()
         try:
-            head = read_request_head(self.rfile, self.raw_requestline)
+            with self._owner.head_bytes.counted(self.rfile) as lines:
+                head = read_request_head(lines, self.raw_requestline)
         except RequestRefusedError as error:
             metrics.increment(f"daemon.http_heads_refused.{error.kind}")
             self.send_error(error.status, error.kind, str(error))
@@ -223,6 +225,7 @@
             capitalize_response_headers=False,
         )
         self._server.log = RequestFailureLog()
+        self.head_bytes = HeadBytes()
         self._workers = loop.Workers()
         self._connections_by_id = {}
         self._acceptor = None
