--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -92,3 +92,11 @@
     "If it comes close to the limit of the process, look at "
     "`proxy.body_bytes` and lower `proxy.max_receiving_bytes`.",
 )
+ANSWERS_UNREAD = event(
+    9016,
+    "answers-unread",
+    Level.WARNING,
+    "ended the connections of `count` callers that did not read their "
+    "answers, while the bodies of others needed the room",
+    "Find out why they stopped reading, or raise proxy.max_receiving_bytes.",
+)
