replication: a folder that can't be listed keeps no host out

What callers saw: a control host whose disk failed for a moment took no part in the cluster until it was restarted, although the disk worked again.

An error of the listing was not an error of the disk to it but an internal one (`replica-failed`). Class: a cause that passes, taken for final.

Evidence: a follower whose folder can't be listed for some time, on a disk that is full or works: 2 of 2 stayed out (the test waits 15 s). After: 2 of 2 take part again; 85 tests of the storage and of this kind pass.

--- a/tests/unit/test_replication_full_disks.py
+++ b/tests/unit/test_replication_full_disks.py
@@ -28,7 +28,8 @@
     """Files of a disk that is full, or fails at times.
 
     A full disk takes half of what is written, and no other change. With
-    `fails_each`, each such sync of a file fails.
+    `fails_each`, each such sync of a file fails; with `refuses_lists` so
+    does each look into the folder.
     """
 
     def __init__(self, *, directory):
@@ -36,9 +37,16 @@
         super().__init__(directory=directory)
         self.is_full = False
         self.refuses_removals = False
+        self.refuses_lists = False
         self.fails_each = 0
         self._syncs = 0
 
+    def names(self):
+        """Return the names, or fail as a faulty disk does."""
+        if self.refuses_lists:
+            raise OSError(errno.EIO, "input/output error")
+        return super().names()
+
     def append(self, name, data):
         """Append half of the data, if the disk is full."""
         if self.is_full:
@@ -223,6 +231,22 @@
         assert len([n for n in names if n.startswith("snapshot-")]) == 1
 
 
+@pytest.mark.parametrize("is_full", [True, False])
+def test_a_folder_that_cannot_be_listed_keeps_no_host_out(disks, is_full):
+    """Guard against a replica that fails as it tidies up its folder."""
+    disks.cluster.agree(disks.submit(0))
+    name = disks.cluster.followers()[0].name
+    files = disks.files_by_name[name]
+    files.refuses_lists = True
+    files.is_full = is_full
+    versions = [disks.submit(number) for number in range(1, 12)]
+    eventlet.sleep(WAIT_SECONDS)
+    files.refuses_lists = False
+    disks.empty(name)
+    disks.cluster.agree(versions[-1])
+    assert disks.status(name).role in ("leader", "follower")
+
+
 def test_a_disk_that_fails_each_third_sync_keeps_up(disks):
     for files in disks.files_by_name.values():
         files.fails_each = 3
--- a/verbenanotch/replication/_storage.py
+++ b/verbenanotch/replication/_storage.py
@@ -105,10 +105,21 @@
         return self._recover(identity)
 
     def _remove_temporaries(self):
-        for name in self._files.names():
+        for name in self._names_if_listed():
             if name.endswith(TEMPORARY_SUFFIX):
                 self._try_to_remove(name)
 
+    def _names_if_listed(self):
+        """Return the names of all files, or none if the disk refuses.
+
+        For removals only, which are tried again later.
+        """
+        try:
+            return self._files.names()
+        except OSError:
+            metrics.increment("replication.removals_failed")
+            return []
+
     def _try_to_remove(self, name):
         """Remove a file that is not used; one that stays does no harm.
 
@@ -289,7 +300,7 @@
         return metadata, content
 
     def _remove_stale_files(self, keep):
-        for name in self._files.names():
+        for name in self._names_if_listed():
             is_log_or_snapshot = name.startswith((LOG_PREFIX, SNAPSHOT_PREFIX))
             if is_log_or_snapshot and name not in keep:
                 self._try_to_remove(name)
