loop: bound what all sockets read ahead together

What callers saw: nothing yet; found by search. A caller that sends more behind a request in progress makes the proxy keep 64 KB of it, to notice its end; 4096 connections may do so.

Cause and class: a limit for each peer, none for all (as for heads).

Not measured with real processes.

Why it works: sockets read ahead only while all of them keep less than 16 MiB.

--- a/tests/unit/test_loop.py
+++ b/tests/unit/test_loop.py
@@ -13,6 +13,10 @@
 from tests.support.leaving_callers import RESET_ON_CLOSE
 from verbenanotch import loop
 
+SENDERS = 400
+# A bound that is stated in the design of the request path.
+MAX_ALL_AHEAD_BYTES = 16 * 1024 * 1024
+
 
 @pytest.fixture
 def sockets():
@@ -294,3 +298,56 @@
     with pytest.raises(OSError, match="Broken pipe"):
         greenthread.wait()
     assert not server.is_blocked_for(0)
+
+
+@pytest.fixture
+def senders():
+    """Connect many clients that send much; return the servers' sockets."""
+    listener = loop.listen("127.0.0.1", 0, backlog=SENDERS)
+    clients, servers = [], []
+    for _ in range(SENDERS):
+        client = loop.connect(*listener.getsockname(), timeout_seconds=5)
+        clients.append(client)
+        servers.append(listener.accept()[0])
+        client.sendall(bytes(64 * 1024))
+    yield servers
+    for sock in (*clients, *servers, listener):
+        sock.close()
+
+
+def read_all_ahead(servers):
+    """Read ahead from all sockets; return the bytes that are kept."""
+    tracemalloc.start()
+    try:
+        for _ in range(5):
+            eventlet.sleep(0.01)
+            for server in servers:
+                assert not server.read_ahead()
+        return tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
+def test_bytes_that_all_sockets_read_ahead_are_bounded(senders):
+    assert read_all_ahead(senders) < MAX_ALL_AHEAD_BYTES * 1.25
+    assert all(server.is_ahead_full for server in senders)
+    for server in senders:
+        server.settimeout(1)
+        left = 64 * 1024
+        while left:
+            left -= len(server.recv(left))
+    assert not any(server.is_ahead_full for server in senders)
+
+
+def test_closed_sockets_leave_the_room_of_what_they_read_ahead(
+    sockets, senders
+):
+    client, server = sockets
+    read_all_ahead(senders)
+    for sender in senders:
+        sender.close()
+    assert not server.is_ahead_full
+    client.sendall(b"abc")
+    eventlet.sleep(0.05)
+    assert not server.read_ahead()
+    assert server.recv(100) == b"abc"
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -28,11 +28,27 @@
 # A peer that sends more than this unread is held back by the flow control of
 # the kernel.
 MAX_AHEAD_BYTES = 64 * 1024
+# Of all sockets of the process.
+MAX_ALL_AHEAD_BYTES = 16 * 1024 * 1024
 # The time that a process has to end after SIGTERM, and some more.
 PORT_WAIT_SECONDS = 10.0
 PORT_RETRY_SECONDS = 0.1
 
 
+class _AheadBytes:
+    """Bytes that all sockets have read ahead."""
+
+    def __init__(self):
+        self.used = 0
+
+    @property
+    def left(self):
+        return MAX_ALL_AHEAD_BYTES - self.used
+
+
+_all_ahead_bytes = _AheadBytes()
+
+
 class LoopSocket(GreenSocket):
     """Wait for data before each read; keep the registration between reads.
 
@@ -137,15 +153,17 @@
     def read_ahead(self):
         """Keep the bytes that have arrived; return whether the stream ended.
 
-        They are returned by later reads. At most MAX_AHEAD_BYTES are kept; the
-        end of a stream behind more of them is told by `has_ended` alone. Never
-        blocks, and does nothing while a greenthread reads.
+        They are returned by later reads. At most MAX_AHEAD_BYTES are kept, and
+        MAX_ALL_AHEAD_BYTES of all sockets; the end of a stream behind more of
+        them is told by `has_ended` alone. Never blocks, and does nothing while
+        a greenthread reads.
         """
-        while self._reader is None and self._ahead_bytes < MAX_AHEAD_BYTES:
+        while self._reader is None and not self.is_ahead_full:
+            room = min(
+                MAX_AHEAD_BYTES - self._ahead_bytes, _all_ahead_bytes.left
+            )
             try:
-                data = self.fd.recv(
-                    MAX_AHEAD_BYTES - self._ahead_bytes, socket.MSG_DONTWAIT
-                )
+                data = self.fd.recv(room, socket.MSG_DONTWAIT)
             except BlockingIOError:
                 return False
             except (OSError, ValueError, AttributeError):
@@ -153,13 +171,15 @@
             if not data:
                 return True
             self._ahead.append((time.monotonic(), data))
-            self._ahead_bytes += len(data)
+            self._count_ahead(len(data))
         return False
 
     @property
     def is_ahead_full(self):
         """Whether `read_ahead` keeps no further bytes."""
-        return self._ahead_bytes >= MAX_AHEAD_BYTES
+        return (
+            self._ahead_bytes >= MAX_AHEAD_BYTES or _all_ahead_bytes.left <= 0
+        )
 
     def accept(self):
         """Return the next connection as a LoopSocket, and its address.
@@ -230,6 +250,8 @@
             # hub's own table is updated.
             listener, self._hub_listener = self._hub_listener, None
             BaseHub.remove(hubs.get_hub(), listener)
+        self._ahead.clear()
+        self._count_ahead(-self._ahead_bytes)
         if self.fd is not None:
             self.fd.close()
 
@@ -238,9 +260,13 @@
         if len(data) > size:
             self._ahead.appendleft((self.received_at, data[size:]))
             data = data[:size]
-        self._ahead_bytes -= len(data)
+        self._count_ahead(-len(data))
         return data
 
+    def _count_ahead(self, count):
+        self._ahead_bytes += count
+        _all_ahead_bytes.used += count
+
     def _read(self, read, *args):
         while True:
             if not self.act_non_blocking:
