loop: bound what a turn of the event loop does

What callers saw: requests whose callers had left were started over 0.5 s later, beside a proxy that had a backlog of pipelined requests (event 9013).

Cause: eventlet's hub runs every task that is due before it looks at the sockets again, and readers start all that they may within one look. The class: a view that gets older with the backlog. Traced in real proxies: 60 connections, turns of 0.33 s, of which tasks 0.24 s (about 960, one for each pipelined request), readers 0.09 s, the garbage collector 0.005 s. The processor time of the turns was nearly their time, so that this was not a lack of processor time.

Why it works: both parts of a turn end after 0.05 s; what is left keeps its order and follows once the sockets were looked at. Readers that go on later have their connection watched, and the ends that are found are handled before the backlog. The longest parts are in metrics and event 9013.

--- a/tests/integration/test_requests_of_callers_that_left.py
+++ b/tests/integration/test_requests_of_callers_that_left.py
@@ -39,6 +39,9 @@
 NEW_CALLERS = 200
 WORK_SECONDS = 1.5
 WORK_PATH = "/pay/1?latency_ms=1500"
+# Their requests are a backlog of work for longer than MAX_LATE_SECONDS.
+BACKLOG_CONNECTIONS = 400
+LEAVE_INTERVAL_SECONDS = 0.01
 UNREAD_KIND = RequestKind(method="POST", body_bytes=100_000)
 LARGE_KIND = RequestKind(method="PUT", body_bytes=4000)
 
@@ -165,6 +168,40 @@
     running.stop()
 
 
+def test_calls_left_at_a_proxy_with_a_backlog_do_not_run(mesh, tmp_path):
+    """Guard against ends of connections that wait behind a proxy's work."""
+    holders = [
+        connect(mesh, WITH_TARGET, f"holder-{index}") for index in range(SLOTS)
+    ]
+    for holder in holders:
+        holder.send(KINDS_BY_NAME["unsafe"], WORK_PATH)
+    eventlet.sleep(SECONDS_UNTIL_LEAVING)
+    callers = send_each_kind(mesh, WITHOUT_TARGET, "backlog")
+    eventlet.sleep(SECONDS_UNTIL_LEAVING)
+    surge = Surge(
+        address=mesh.topology.hosts_by_name[WITHOUT_TARGET].address,
+        port=plans.CALLER_PORT,
+        connections=BACKLOG_CONNECTIONS,
+        requests=REQUESTS_PER_CONNECTION,
+    )
+    left_at_by_id = {}
+    for caller in callers:
+        eventlet.sleep(LEAVE_INTERVAL_SECONDS)
+        caller.leave()
+        for request_id in caller.request_ids:
+            left_at_by_id[request_id] = time.time()
+    eventlet.sleep(WORK_SECONDS + SETTLE_SECONDS)
+    surge.stop()
+    late = [
+        (entry.request_id, entry.time - left_at_by_id[entry.request_id])
+        for entry in read_ledgers(tmp_path)
+        if entry.phase == "started"
+        and entry.request_id in left_at_by_id
+        and entry.time > left_at_by_id[entry.request_id] + MAX_LATE_SECONDS
+    ]
+    assert late == []
+
+
 @pytest.mark.usefixtures("surge")
 def test_requests_left_at_a_busy_proxy_do_not_run(mesh, tmp_path):
     """Guard against requests that run after a wait in the listen queue."""
--- a/verbenanotch/cli/daemon.py
+++ b/verbenanotch/cli/daemon.py
@@ -78,8 +78,9 @@
 
     `verbenanotch.daemon` is imported here so that `--check` doesn't load it.
     """
-    from verbenanotch import daemon
+    from verbenanotch import daemon, loop
 
+    loop.bound_turns()
     interfaces = importlib.import_module(interfaces_module).interfaces
     code = daemon.run(
         settings,
--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -75,6 +75,7 @@
         """Read requests until the connection is to be closed."""
         self.close_connection = True
         while self._wait_for_request():
+            self._let_others_read()
             self.handle_one_request()
             if self.close_connection:
                 break
@@ -190,6 +191,15 @@
         self._arrived_at = self.connection.received_at
         return True
 
+    def _let_others_read(self):
+        """Go on in a later turn if this one has taken its time.
+
+        The sockets that are ready and not read yet may have ended.
+        """
+        if loop.is_part_over():
+            with self._watched():
+                eventlet.sleep(0)
+
     def _mark_if_idle(self):
         """Show in the state of the connection that it may be closed."""
         if (
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -72,8 +72,9 @@
     9013,
     "loop-lagged",
     Level.WARNING,
-    "the event loop ran late, so that what arrived meanwhile was not read; "
-    "logged once a second",
+    "the event loop ran late, so that work that had arrived waited; logged "
+    "once a second with the longest times of a turn for sockets and for "
+    "tasks, during which nothing is read",
     "Give the daemon more processor time, or spread its callers over more "
     "hosts; a process that was suspended logs this once.",
 )
--- a/verbenanotch/loop/__init__.py
+++ b/verbenanotch/loop/__init__.py
@@ -1,4 +1,4 @@
-"""Sockets, file objects and reusable greenthreads on the eventlet hub."""
+"""Sockets, file objects, greenthreads and turns of the eventlet hub."""
 
 from verbenanotch.loop._files import (
     MAX_JOINED_BYTES,
@@ -6,6 +6,12 @@
     SocketWriter,
 )
 from verbenanotch.loop._socket import LoopSocket, connect, listen
+from verbenanotch.loop._turns import (
+    bound_turns,
+    is_part_over,
+    spawn_first,
+    take_longest_parts,
+)
 from verbenanotch.loop._workers import Workers
 
 __all__ = [
@@ -14,6 +20,10 @@
     "SocketReader",
     "SocketWriter",
     "Workers",
+    "bound_turns",
     "connect",
+    "is_part_over",
     "listen",
+    "spawn_first",
+    "take_longest_parts",
 ]
--- a/verbenanotch/proxy/_disconnect_monitor.py
+++ b/verbenanotch/proxy/_disconnect_monitor.py
@@ -2,6 +2,8 @@
 
 import eventlet
 
+from verbenanotch import loop
+
 # How often sockets whose buffer for unread bytes is full are checked: the loop
 # can't report the end of a stream behind unread bytes.
 SWEEP_INTERVAL_SECONDS = 0.15
@@ -51,8 +53,8 @@
 
     def _on_unread(self, sock):
         # The action of a cancellation must not run in the event loop itself,
-        # which must never block.
-        eventlet.spawn_n(self._check, sock)
+        # which must never block, and must not wait for a backlog of work.
+        loop.spawn_first(self._check, sock)
 
     def _check(self, sock):
         cancellation = self._cancellations_by_socket.get(sock)
