deploy: find the packages however the path is set

deploy/daemon.py is started without the site module. It took the first entry of the path for its own folder, and the folder of the dependencies for given: with PYTHONSAFEPATH, or without PYTHONPATH, the daemon did not start. It adds the root of the project in front and target/deps behind what is there.

Tried by hand after a build: without PYTHONPATH, and with PYTHONSAFEPATH=1; both failed before (ModuleNotFoundError) and work now. test_deploy_start passes.

--- a/deploy/daemon.py
+++ b/deploy/daemon.py
@@ -11,7 +11,9 @@
 import os.path  # noqa: E402
 import sys  # noqa: E402
 
-sys.path[0] = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, ROOT)
+sys.path.append(os.path.join(ROOT, "target", "deps"))
 
 from verbenanotch.cli.daemon import main  # noqa: E402
 
