--- a/tests/unit/test_event_file.py
+++ b/tests/unit/test_event_file.py
@@ -1,34 +1,32 @@
 """Guard against events that can't be written and end what they tell."""
 
+import contextlib
 import resource
 
-import pytest
-
 from verbenanotch.telemetry._event_file import EventFile
 
 
-@pytest.fixture
-def file_limit():
-    """Return a function that limits the size of files of this process."""
+@contextlib.contextmanager
+def file_limit(size):
+    """Limit the size of files of this process, the report of pytest too."""
     before = resource.getrlimit(resource.RLIMIT_FSIZE)
+    resource.setrlimit(resource.RLIMIT_FSIZE, (size, before[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_FSIZE, before)
 
-    def limit(size):
-        resource.setrlimit(resource.RLIMIT_FSIZE, (size, before[1]))
-
-    yield limit
-    resource.setrlimit(resource.RLIMIT_FSIZE, before)
 
-
-def test_lines_that_a_full_disk_refuses_are_dropped(tmp_path, file_limit):
+def test_lines_that_a_full_disk_refuses_are_dropped(tmp_path):
     path = tmp_path / "events"
     notices = []
     file = EventFile(path=str(path), notify=notices.append)
     file.write("first")
-    file_limit(8)
-    file.write("second")
-    file.write("third")
-    file_limit(1000)
-    file.write("last")
+    with file_limit(8):
+        file.write("second")
+        file.write("third")
+    with file_limit(1000):
+        file.write("last")
     assert path.read_text().splitlines() == ["first", "se", "last"]
     assert len(notices) == 2
     assert "refuses" in notices[0]
