daemon: one wait for the answers of a stop

The wait of a control host for its operators repeated that of a proxy for its callers: nothing in flight, and a linger while connections are open. Both call one function now; the bounds and the events are as they were.

--- a/verbenanotch/daemon/_shutdown.py
+++ b/verbenanotch/daemon/_shutdown.py
@@ -56,12 +56,9 @@
     go on meanwhile, as a submission waits for its quorum. While operators
     keep connections open, wait for at least LINGER_SECONDS.
     """
-    started = time.monotonic()
-    while time.monotonic() - started < MAX_OPERATOR_WAIT_SECONDS:
-        lingered = time.monotonic() - started >= LINGER_SECONDS
-        if not http.in_flight and (lingered or not http.connection_count):
-            return
-        eventlet.sleep(POLL_INTERVAL_SECONDS)
+    _wait_for_answers(
+        http, lambda: http.in_flight, max_seconds=MAX_OPERATOR_WAIT_SECONDS
+    )
 
 
 def wait_for_targets(local_targets):
@@ -105,16 +102,29 @@
         caller_requests=caller_http.in_flight,
         peer_calls=peer_server.in_flight,
     )
-    started = time.monotonic()
-    while time.monotonic() - started < grace_seconds:
-        lingered = time.monotonic() - started >= LINGER_SECONDS
-        linger_done = lingered or caller_http.connection_count == 0
-        in_flight = caller_http.in_flight + peer_server.in_flight
-        if linger_done and in_flight == 0:
-            return
-        eventlet.sleep(POLL_INTERVAL_SECONDS)
+    if _wait_for_answers(
+        caller_http,
+        lambda: caller_http.in_flight + peer_server.in_flight,
+        max_seconds=grace_seconds,
+    ):
+        return
     emit(
         events.SHUTDOWN_CUT,
         caller_requests=caller_http.in_flight,
         peer_calls=peer_server.in_flight,
     )
+
+
+def _wait_for_answers(http, in_flight, *, max_seconds):
+    """Wait until `in_flight()` is 0; return whether it became so in time.
+
+    While clients keep connections to `http` open, wait for at least
+    LINGER_SECONDS.
+    """
+    started = time.monotonic()
+    while time.monotonic() - started < max_seconds:
+        lingered = time.monotonic() - started >= LINGER_SECONDS
+        if (lingered or not http.connection_count) and not in_flight():
+            return True
+        eventlet.sleep(POLL_INTERVAL_SECONDS)
+    return False
