replication: a voter stands for election until its removal is committed

What operators saw: after a change of voters that was not answered, no leader was elected any more; each submission was refused while all hosts ran and all disks took writes.

Cause: a member whose newest configuration, committed or not, lacks it did not start elections. If it has the newest log, the others do not get its vote, and nobody is elected. The source (Ongaro, 4.2.2) has such a server start elections until the removal is committed.

--- a/tests/unit/test_replication_core.py
+++ b/tests/unit/test_replication_core.py
@@ -302,6 +302,59 @@
     assert core.may_change_voters()
 
 
+def exchange_messages(cores, now):
+    """Tick the cores and deliver all messages between them."""
+    cores_by_id = {core.own_id: core for core in cores}
+    for core in cores:
+        core.tick(now)
+    while any(not core.has_no_pending_effects for core in cores):
+        for core in cores:
+            effects = sync(core, now)
+            for sent in (*effects.messages, *effects.appends):
+                cores_by_id[sent.receiver_id].receive(
+                    core.own_id, sent.message, now
+                )
+
+
+def test_a_leader_that_lost_its_role_as_it_left_is_elected_again():
+    """Guard against voters that wait for ever for an entry of another.
+
+    Only the voter that leaves has the removal, so no other can be elected
+    without it (Ongaro, section 4.2.2).
+    """
+    leaving = make_core(voters=(A, B), terms=(1,), term=1)
+    lead(leaving)
+    acknowledge(leaving, B, 2, 3.0)
+    entry, _ = leaving.change_voters("", "a", 3.0)
+    sync(leaving, 3.0)
+    leaving.tick(5.0)
+    assert leaving.role == Role.FOLLOWER
+    staying = make_core(voters=(A, B), terms=(1, 2), term=2, own=B)
+    for step in range(100):
+        exchange_messages([leaving, staying], 5.0 + step * 0.1)
+    assert staying.role == Role.LEADER
+    assert staying.commit_index > entry.index
+    assert set(leaving.log.configuration.voters_by_id) == {B.id}
+    assert leaving.role == Role.FOLLOWER
+
+
+@pytest.mark.parametrize("is_removed", [True, False])
+def test_a_member_without_a_vote_does_not_stand(is_removed):
+    """Guard against a member that disturbs voters it does not belong to."""
+    core = make_core(voters=(A, B) if is_removed else (B, C), own=A)
+    if is_removed:
+        lead(core)
+        acknowledge(core, B, 1, 3.0)
+        entry, _ = core.change_voters("", "a", 3.0)
+        sync(core, 3.0)
+        acknowledge(core, B, entry.index, 3.0)
+        assert core.commit_index == entry.index
+    core.take_effects()
+    core.tick(20.0)
+    assert core.role == Role.FOLLOWER
+    assert not core.take_effects().messages
+
+
 def test_new_disk_replaces_the_lost_one_in_two_committed_steps():
     core = make_core()
     lead(core)
--- a/tests/unit/test_replication_full_disks.py
+++ b/tests/unit/test_replication_full_disks.py
@@ -15,9 +15,12 @@
 from verbenanotch.storage import Files
 
 NAMES = ("c1", "c2", "c3")
+LEARNERS = ("c4", "c5")
 SEEDS = 12
 STEPS = 14
 SEEDS_IN_TURN = 2
+SEEDS_OF_CHANGES = 3
+CHANGES = 6
 WAIT_SECONDS = 0.6
 START_SECONDS = 10.0
 DISKS_IN_TURN = 5
@@ -398,3 +401,46 @@
         submitter.kill()
         disks.empty()
         disks.cluster.close()
+
+
+def change_voters_forever(disks, chance):
+    """Let one leader after the other add or remove a voter."""
+    while True:
+        name = chance.choice([*NAMES, *LEARNERS])
+        host = chance.choice(list(disks.cluster.hosts_by_name.values()))
+        is_voter = name in host.replica.status().voters_by_name
+        change = {"remove": name} if is_voter else {"add": name}
+        host.replica.change_voters(timeout_seconds=0.3, **change)
+        eventlet.sleep(chance.random() * 0.2)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS_OF_CHANGES))
+def test_disks_full_as_voters_change_lose_nothing(tmp_path, seed):
+    """Guard against a change of voters that a full disk leaves half-done."""
+    chance = random.Random(seed)
+    disks = Disks(
+        path=tmp_path,
+        learners=LEARNERS,
+        snapshot_every_entries=chance.choice([5, 20, 1000]),
+    )
+    names = list(disks.files_by_name)
+    changer = eventlet.spawn(change_voters_forever, disks, chance)
+    try:
+        accepted = [disks.submit(0, seconds=30.0)]
+        for number in range(1, CHANGES):
+            disks.fill(*chance.sample(names, chance.randint(1, len(names))))
+            eventlet.sleep(chance.random())
+            disks.empty()
+            accepted.append(disks.submit(number, seconds=30.0))
+        changer.kill()
+        last = disks.submit(CHANGES, seconds=30.0)
+        disks.cluster.agree(last)
+        for name in names:
+            assert set(accepted) <= set(disks.versions(name))
+            disks.cluster.stop(name)
+            disks.start(name)
+        disks.cluster.agree(disks.submit(CHANGES + 1, seconds=30.0))
+    finally:
+        changer.kill()
+        disks.empty()
+        disks.cluster.close()
--- a/verbenanotch/replication/_core.py
+++ b/verbenanotch/replication/_core.py
@@ -80,6 +80,17 @@
         """Return whether this member is in the newest configuration."""
         return self.own_id in self.log.configuration.voters_by_id
 
+    @property
+    def may_be_elected(self):
+        """Return whether this member may become a candidate.
+
+        A voter may until its removal is committed: the others can have older
+        logs, and none of them is elected without its vote (Ongaro, section
+        4.2.2).
+        """
+        committed = self.log.configuration_at(self.commit_index)
+        return self.is_voter or self.own_id in committed.voters_by_id
+
     @property
     def applicable_index(self):
         """Return the last index that is committed and synced here."""
@@ -119,7 +130,7 @@
         elif now >= self._election_deadline:
             self._reset_election_deadline(now)
             self.leader_id = NO_MEMBER
-            if self.is_voter:
+            if self.may_be_elected:
                 self._start_pre_vote(now)
 
     def on_synced(self, index, term, now):
