daemon: a connection that waits forgets the requests that were answered

What callers saw: nothing; found by a trace of what open connections keep.

Cause: a connection kept the head, the fields and the environment of its last request until the next one, through the 75 s of a kept connection and through the linger behind a last answer. A server has up to 4096 connections, and nothing counts what they keep. While a refused body was dropped, it was read in pieces of 16 KB besides. Class: what is done is kept by who waits.

Change: the request is forgotten with its answer, on all servers (callers, targets, operators, readiness, metrics); a body is dropped in pieces of 4 KB.

--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -29,6 +29,7 @@
 # What is left of a body after its answer is read up to this size, so that the
 # connection can be used again; a longer rest ends the connection.
 MAX_DISCARDED_BYTES = 64 * 1024
+DISCARDED_PIECE_BYTES = 4 * 1024
 # A server whose application has no bound of its own reads at most
 # MAX_LARGE_BODIES at once; chunked bodies may all be large.
 LARGE_BODY_BYTES = 1024 * 1024
@@ -80,6 +81,15 @@
         self.wfile.flush()
         self.linger()
 
+    def handle_one_request(self):
+        """Serve one request, then forget it: the connection may stay long."""
+        try:
+            super().handle_one_request()
+        finally:
+            self.raw_requestline = b""
+            self.requestline = self.path = ""
+            self.headers = self.environ = None
+
     def linger(self):
         """Read what the client sends behind the last answer, and drop it.
 
@@ -104,7 +114,7 @@
             eventlet.Timeout(BODY_LINGER_SECONDS, False),
             contextlib.suppress(OSError, ValueError, wsgi.ChunkReadError),
         ):
-            self._body.discard()
+            self._body.discard(DISCARDED_PIECE_BYTES)
 
     def finish(self):
         """Send buffered bytes; the server closes the connection."""
