loop: a socket that has read nothing ahead keeps no room for it

What callers saw: nothing; found by the trace of half-sent heads.

Cause: each socket kept an empty deque, 760 bytes, from its start on.

Change: the deque exists while it has bytes.

--- a/tests/unit/test_loop.py
+++ b/tests/unit/test_loop.py
@@ -3,6 +3,7 @@
 import contextlib
 import gc
 import io
+import itertools
 import socket
 import tracemalloc
 import weakref
@@ -16,6 +17,8 @@
 from verbenanotch import loop
 
 SENDERS = 400
+SOCKET_PAIRS = 100
+MAX_SOCKET_BYTES = 1400
 # A bound that is stated in the design of the request path.
 MAX_ALL_AHEAD_BYTES = 16 * 1024 * 1024
 
@@ -369,3 +372,24 @@
     eventlet.sleep(0.05)
     assert not server.read_ahead()
     assert server.recv(100) == b"abc"
+
+
+@pytest.mark.parametrize("has_read_ahead", [False, True])
+def test_a_socket_without_bytes_read_ahead_keeps_no_room_for_them(
+    has_read_ahead,
+):
+    tracemalloc.start()
+    pairs = [
+        [loop.LoopSocket(sock) for sock in socket.socketpair()]
+        for _ in range(SOCKET_PAIRS)
+    ]
+    if has_read_ahead:
+        for client, server in pairs:
+            client.sendall(b"a")
+            server.read_ahead()
+            server.recv(1)
+    used_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    for sock in itertools.chain(*pairs):
+        sock.close()
+    assert used_bytes / SOCKET_PAIRS < 2 * MAX_SOCKET_BYTES
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -68,7 +68,8 @@
         self._reader = None
         self._is_aborted = False
         # Pairs of the time of arrival and the bytes that were read ahead.
-        self._ahead = collections.deque()
+        # None while there are none: an empty deque takes 760 bytes.
+        self._ahead = None
         self._ahead_bytes = 0
         self._blocked_since = None
         self._blocked_bytes = 0
@@ -170,6 +171,8 @@
                 return True
             if not data:
                 return True
+            if self._ahead is None:
+                self._ahead = collections.deque()
             self._ahead.append((time.monotonic(), data))
             self._count_ahead(len(data))
         return False
@@ -250,7 +253,7 @@
             # hub's own table is updated.
             listener, self._hub_listener = self._hub_listener, None
             BaseHub.remove(hubs.get_hub(), listener)
-        self._ahead.clear()
+        self._ahead = None
         self._count_ahead(-self._ahead_bytes)
         if self.fd is not None:
             self.fd.close()
@@ -260,6 +263,8 @@
         if len(data) > size:
             self._ahead.appendleft((self.received_at, data[size:]))
             data = data[:size]
+        elif not self._ahead:
+            self._ahead = None
         self._count_ahead(-len(data))
         return data
 
