--- a/tests/unit/test_loop.py
+++ b/tests/unit/test_loop.py
@@ -1,9 +1,12 @@
 """Sockets that stay registered with the hub, and reused greenthreads."""
 
 import contextlib
+import gc
 import io
+import itertools
 import socket
 import tracemalloc
+import weakref
 
 import eventlet
 import greenlet
@@ -14,10 +17,16 @@
 from verbenanotch import loop
 
 SENDERS = 400
+SOCKET_PAIRS = 100
+MAX_SOCKET_BYTES = 1400
 # A bound that is stated in the design of the request path.
 MAX_ALL_AHEAD_BYTES = 16 * 1024 * 1024
 
 
+class Argument:
+    """An object that can be referred to weakly."""
+
+
 @pytest.fixture
 def sockets():
     listener = loop.listen("127.0.0.1", 0, backlog=8)
@@ -193,6 +202,18 @@
     assert seen[0][1] is seen[1][1]
 
 
+@pytest.mark.parametrize("task_count", [1, 2])
+def test_an_idle_greenthread_does_not_keep_what_its_tasks_got(task_count):
+    workers = loop.Workers(max_idle=1)
+    arguments = [Argument() for _ in range(task_count)]
+    kept = weakref.WeakSet(arguments)
+    while arguments:
+        workers.run(id, arguments.pop())
+        eventlet.sleep(0)
+    gc.collect()
+    assert not kept
+
+
 def test_blocked_tasks_run_concurrently():
     workers = loop.Workers(max_idle=1)
     release, done = eventlet.Event(), []
@@ -351,3 +372,24 @@
     eventlet.sleep(0.05)
     assert not server.read_ahead()
     assert server.recv(100) == b"abc"
+
+
+@pytest.mark.parametrize("has_read_ahead", [False, True])
+def test_a_socket_without_bytes_read_ahead_keeps_no_room_for_them(
+    has_read_ahead,
+):
+    tracemalloc.start()
+    pairs = [
+        [loop.LoopSocket(sock) for sock in socket.socketpair()]
+        for _ in range(SOCKET_PAIRS)
+    ]
+    if has_read_ahead:
+        for client, server in pairs:
+            client.sendall(b"a")
+            server.read_ahead()
+            server.recv(1)
+    used_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    for sock in itertools.chain(*pairs):
+        sock.close()
+    assert used_bytes / SOCKET_PAIRS < 2 * MAX_SOCKET_BYTES
