tests: a set-up that ends although one call failed

The set-up of the tests of target limits waited until 20 calls in a row at each of six proxies were served by all four targets.

Cause, in the test: it took the choice of an idle proxy for what the proxy knows. A proxy prefers its zone and tries another zone's target only when it looks faster; one call that failed there, as its proxy stood still, multiplies its expected time by 1.8, so that it isn't chosen until the others are busy.

The set-up now sends more calls at once than a zone's targets take, as the tests of crashing requests did, and waits for each proxy in turn. That is no weaker: calls of every proxy must be answered by all targets.

--- a/tests/integration/request_load.py
+++ b/tests/integration/request_load.py
@@ -25,6 +25,9 @@
 SERVICE = "pay"
 IDEMPOTENT_SHARE = 0.3
 MAX_BODY_BYTES = 100_000
+# Calls at once that exceed the slots of all targets but one, and their time.
+CALLS_FOR_ALL_TARGETS = 40
+CALL_LATENCY_MS = 200
 
 
 @attrs.frozen(kw_only=True)
@@ -161,6 +164,32 @@
             assert result.is_own_and_complete, result
 
 
+def wait_until_all_targets_used(mesh, proxies):
+    """Wait until the requests of each proxy go to the targets of all zones.
+
+    More are sent at once than the targets of one zone take: a proxy that
+    sends few may have a reason to prefer some targets to others that it
+    knows.
+    """
+    for proxy in proxies:
+        mesh.wait_until(
+            lambda proxy=proxy: (
+                len(_targets_of_calls_at_once(mesh, proxy))
+                == len(mesh.targets())
+            ),
+            what=f"use of all targets by {proxy}",
+        )
+
+
+def _targets_of_calls_at_once(mesh, proxy):
+    path = f"/pay/1?latency_ms={CALL_LATENCY_MS}"
+    answers = eventlet.GreenPool().imap(
+        lambda _: mesh.call("GET", path, proxy=proxy),
+        range(CALLS_FOR_ALL_TARGETS),
+    )
+    return {a.value["target"] for a in answers if a.outcome == "answered"}
+
+
 def _result(request_id, method, proxy, answer):
     return Result(
         request_id=request_id,
--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -13,7 +13,11 @@
     REQUEST_ID_PREFIX,
     CrashingCaller,
 )
-from tests.integration.request_load import MESH_TEXT, SERVICE
+from tests.integration.request_load import (
+    MESH_TEXT,
+    SERVICE,
+    wait_until_all_targets_used,
+)
 from tests.support.harness import Mesh
 
 ZONES = ("z1", "z2", "z3", "z4")
@@ -24,7 +28,6 @@
 MAX_CRASHES = 6
 RESTART_INTERVAL_SECONDS = 1.0
 HARMLESS_TIMEOUT_SECONDS = 10.0
-CALLS_FOR_ALL_TARGETS = 40
 
 
 @pytest.fixture
@@ -53,19 +56,6 @@
     return answer.outcome == "answered"
 
 
-def _uses_all_targets(mesh, proxy):
-    """Return whether more calls than a target takes go to those of all zones.
-
-    A proxy that knows only its own zone refuses the others.
-    """
-    answers = eventlet.GreenPool().imap(
-        lambda _: mesh.call("GET", "/pay/1?latency_ms=200", proxy=proxy),
-        range(CALLS_FOR_ALL_TARGETS),
-    )
-    ids = {a.value["target"] for a in answers if a.outcome == "answered"}
-    return len(ids) == len(TARGET_PROXIES)
-
-
 @pytest.mark.parametrize(
     "caller_options",
     [
@@ -143,10 +133,7 @@
 
 
 def test_a_request_crashes_few_targets_without_control_hosts(mesh):
-    mesh.wait_until(
-        lambda: all(_uses_all_targets(mesh, proxy) for proxy in PROXIES),
-        what="proxies that know the targets of all zones",
-    )
+    wait_until_all_targets_used(mesh, PROXIES)
     for control in CONTROLS:
         mesh.kill(control)
     with CrashingCaller(mesh=mesh, path="/pay/1") as caller:
--- a/tests/integration/test_even_load.py
+++ b/tests/integration/test_even_load.py
@@ -53,14 +53,14 @@
             for proxy in TARGET_PROXIES
         ]
         running.accept(MESH_TEXT)
-        running.wait_until(
-            lambda: all(
-                len(running.served_by("/pay/1", proxy=proxy, calls=20))
-                >= TARGETS_PER_ZONE
-                for proxy in PROXIES
-            ),
-            what="the targets of its zone at each proxy",
-        )
+        for proxy in PROXIES:
+            running.wait_until(
+                lambda proxy=proxy: (
+                    len(running.served_by("/pay/1", proxy=proxy, calls=20))
+                    >= TARGETS_PER_ZONE
+                ),
+                what=f"the targets of its zone at {proxy}",
+            )
         yield running
 
 
--- a/tests/integration/test_target_limits.py
+++ b/tests/integration/test_target_limits.py
@@ -14,6 +14,7 @@
     SERVICE,
     Load,
     assert_consistent_with_ledgers,
+    wait_until_all_targets_used,
 )
 from tests.support.harness import Mesh
 from tests.support.ledger import read_ledgers
@@ -50,20 +51,10 @@
             for proxy in TARGET_PROXIES
         ]
         running.accept(MESH_TEXT)
-        running.wait_until(
-            lambda: all(
-                _knows_all_targets(running, proxy) for proxy in PROXIES
-            ),
-            what="all targets at all proxies",
-        )
+        wait_until_all_targets_used(running, PROXIES)
         yield running
 
 
-def _knows_all_targets(mesh, proxy):
-    served = mesh.served_by("/pay/1", proxy=proxy, calls=20)
-    return len(served) == len(TARGET_PROXIES)
-
-
 def leave_alone(mesh):
     eventlet.sleep(8)
 
@@ -131,3 +122,18 @@
     assert arrivals(mesh, leaving, load, said_at + DRAIN_SECONDS) == []
     assert_consistent_with_ledgers(load, mesh.folder)
     assert load.counts()["answered"] >= SERVED_SHARE * len(load.results)
+
+
+def test_all_targets_are_used_again_after_a_proxy_stood_still(mesh):
+    """Guard against one failed call that keeps a target out of use.
+
+    It also delayed the set-up of these tests beyond its limit.
+    """
+    entry, still = PROXIES[0], TARGET_PROXIES[-1]
+    mesh.freeze(still)
+    mesh.wait_until(
+        lambda: mesh.call("GET", "/pay/1", proxy=entry).outcome == "unknown",
+        what=f"call that fails at {still}",
+    )
+    mesh.thaw(still)
+    wait_until_all_targets_used(mesh, [entry])
