idempotency: an answer that is too large to record is not encoded

The answer to a keyed request was encoded for each holder, once as a record and once as a frame, before its size was checked: one of 67 MB takes a proxy whose host has 300 MB to 273 MB by itself (measured in a review, with plain messages). No holder got it: the key stayed in progress until its deadline. A holder on the proxy's own host did record answers of 4 to 16 MB, which it could send to nobody.

The coordinator compares the answer with the largest that fits into a message (3.75 MiB) and, if it does not fit, records at once that it is not known. The caller gets the answer as before; the same key then gets key-attempt-lost.

Before: 2 of 2 new tests failed: 67,000,095 bytes were encoded for a holder, and answers of 4.3 MB were recorded whose message has 4,502,596 bytes of 4,194,304 allowed. Now the largest message of the former has under 1,024 bytes and the memory grows by less than 1 MB (the bounds of the test).

--- a/tests/unit/test_proxy_keyed.py
+++ b/tests/unit/test_proxy_keyed.py
@@ -3,17 +3,23 @@
 import itertools
 import random
 import time
+import tracemalloc
 
 import attrs
 import pytest
 
 from tests.unit.test_proxy_entry import FakeSnapshotStore, make_record
 from verbenanotch.catalog import Service, Version
-from verbenanotch.idempotency import Agree, new_key, set_digest
+from verbenanotch.idempotency import (
+    MAX_ANSWER_BYTES,
+    Agree,
+    new_key,
+    set_digest,
+)
 from verbenanotch.proxy import KeyedRequests, RecordServer
 from verbenanotch.proxy._outcome import Answered, NotRun, Rejected, Unknown
 from verbenanotch.proxy._request import Request
-from verbenanotch.wire import encode
+from verbenanotch.wire import MAX_FRAME_BYTES, encode
 
 # Wall clock time at which the tests start.
 START_SECONDS = 1_800_000_000.0
@@ -495,3 +501,50 @@
     outcome = keyed.run(request, lambda: pytest.fail("the request was run"))
     assert isinstance(outcome, Unknown)
     assert outcome.reason == "key-not-holder"
+
+
+def encode_messages(hosts):
+    """Encode each message as for a connection; return the list of sizes."""
+    sizes = []
+    ask = hosts.ask
+
+    def encode_and_ask(service, member, message, timeout_seconds):
+        sizes.append(len(encode(message)))
+        return ask(service, member, message, timeout_seconds)
+
+    hosts.ask = encode_and_ask
+    return sizes
+
+
+def test_an_answer_that_is_too_large_to_record_is_never_encoded(hosts):
+    """One of 67 MB took its proxy to 273 MB, and no holder got it."""
+    key = hosts.key()
+    large = Answered(status=201, headers=(), body=bytes(67_000_000))
+    sizes = encode_messages(hosts)
+    tracemalloc.start()
+    try:
+        assert hosts.pay(key, outcome=large) is large
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert max(sizes) < 1024
+    assert peak_bytes < 1_000_000
+    assert hosts.pay(key) == Unknown(reason="key-attempt-lost")
+    assert hosts.runs == [key]
+
+
+def test_the_largest_answer_that_is_recorded_fits_into_a_frame(hosts):
+    """Its holder could neither send it nor transfer its record."""
+    sizes = encode_messages(hosts)
+    keys = [hosts.key() for _ in range(20)]
+    headers = tuple((f"X-{number}", "é" * 100) for number in range(1000))
+    for key in keys:
+        answer = Answered(
+            status=200,
+            headers=headers,
+            body=bytes(random.Random(key).randrange(3_000_000, 4_300_000)),
+        )
+        hosts.pay(key, outcome=answer)
+        again = [hosts.pay(key, entry) for entry in ("h1", "h2", "h3")]
+        assert again in ([answer] * 3, [again[0]] * 3)
+    assert MAX_ANSWER_BYTES / 2 < max(sizes) < MAX_FRAME_BYTES - 1024
--- a/verbenanotch/idempotency/__init__.py
+++ b/verbenanotch/idempotency/__init__.py
@@ -27,7 +27,10 @@
     Dispatch,
     HolderTable,
 )
-from verbenanotch.idempotency._holder import Holder, push_transfers
+from verbenanotch.idempotency._holder import (
+    Holder,
+    push_transfers,
+)
 from verbenanotch.idempotency._keys import issued_at_ms, new_key
 from verbenanotch.idempotency._members import (
     RecordHolder,
@@ -58,9 +61,10 @@
     State,
 )
 from verbenanotch.idempotency._publisher import ViewPublisher
-from verbenanotch.idempotency._records import RecordStore
+from verbenanotch.idempotency._records import MAX_ANSWER_BYTES, RecordStore
 
 __all__ = [
+    "MAX_ANSWER_BYTES",
     "Acknowledged",
     "Agree",
     "Agreed",
--- a/verbenanotch/idempotency/_coordinator.py
+++ b/verbenanotch/idempotency/_coordinator.py
@@ -30,6 +30,7 @@
     Refused,
     ReleaseAttempt,
 )
+from verbenanotch.idempotency._records import MAX_ANSWER_BYTES, answer_bytes
 
 REFUSED_RETRY_AFTER_MS = 1000
 
@@ -126,11 +127,17 @@
                 return reply
 
     def finish(self, dispatch, answer, *, table):
-        """Record the answer at the holders.
+        """Record the answer at the holders, or that it is not known.
+
+        The latter is for an answer over `MAX_ANSWER_BYTES`, which fits into
+        no message: a later attempt with the key gets OutcomeUnknown.
 
         `table` is the current HolderTable: its holders of the key receive the
         answer as well if they have changed since the dispatch.
         """
+        if answer_bytes(answer) > MAX_ANSWER_BYTES:
+            self.mark_unknown(dispatch, table=table)
+            return
         self._end(
             dispatch,
             Finish(key=dispatch.key, token=dispatch.token, answer=answer),
--- a/verbenanotch/idempotency/_records.py
+++ b/verbenanotch/idempotency/_records.py
@@ -17,11 +17,15 @@
     Refused,
     State,
 )
+from verbenanotch.wire import MAX_FRAME_BYTES
 
 # Memory counted for the Python objects of a record and of each header of its
 # answer; `bench.routing_records` compares the sum with that of tracemalloc.
 RECORD_OVERHEAD_BYTES = 800
 HEADER_OVERHEAD_BYTES = 150
+# The rest of a frame is for what surrounds a record in it, and for headers,
+# which are counted in characters.
+MAX_ANSWER_BYTES = MAX_FRAME_BYTES - 256 * 1024
 IN_PROGRESS_RETRY_AFTER_MS = 200
 FULL_RETRY_AFTER_MS = 5000
 MAX_RELEASED_TOKENS = 8
@@ -292,14 +296,18 @@
     """Return the estimated memory of a record, in bytes."""
     size = RECORD_OVERHEAD_BYTES + 2 * len(record.key)
     if record.answer is not None:
-        size += len(record.answer.body)
-        size += sum(
-            HEADER_OVERHEAD_BYTES + len(name) + len(value)
-            for name, value in record.answer.headers
-        )
+        size += answer_bytes(record.answer)
     return size
 
 
+def answer_bytes(answer):
+    """Return the estimated memory of an answer, in bytes."""
+    return len(answer.body) + sum(
+        HEADER_OVERHEAD_BYTES + len(name) + len(value)
+        for name, value in answer.headers
+    )
+
+
 def merge(one, other):
     """Return the merged record of two records of one key.
 
--- a/verbenanotch/wire/__init__.py
+++ b/verbenanotch/wire/__init__.py
@@ -9,7 +9,7 @@
     message,
     to_plain,
 )
-from verbenanotch.wire._connection import Connection
+from verbenanotch.wire._connection import MAX_FRAME_BYTES, Connection
 from verbenanotch.wire._handshake import PROTOCOL_VERSION, Purpose
 from verbenanotch.wire._listener import Listener, dial, dial_from_host
 from verbenanotch.wire.exceptions import (
@@ -22,6 +22,7 @@
 )
 
 __all__ = [
+    "MAX_FRAME_BYTES",
     "PROTOCOL_VERSION",
     "AuthenticationFailedError",
     "Connection",
