proxy: transferred records of large answers fit into a message

Sixteen records were transferred in one message whatever their sizes. With answers of 500 KB it is over the limit of a frame, so that no transfer ends: the holders agree on no new set, and each key whose holders changed is refused.

Records are grouped by size, as those of the views are, then by number.

--- a/tests/unit/test_proxy_keyed.py
+++ b/tests/unit/test_proxy_keyed.py
@@ -13,6 +13,7 @@
 from verbenanotch.idempotency import (
     MAX_ANSWER_BYTES,
     Agree,
+    RecordBatch,
     new_key,
     set_digest,
 )
@@ -548,3 +549,27 @@
         again = [hosts.pay(key, entry) for entry in ("h1", "h2", "h3")]
         assert again in ([answer] * 3, [again[0]] * 3)
     assert MAX_ANSWER_BYTES / 2 < max(sizes) < MAX_FRAME_BYTES - 1024
+
+
+def test_transferred_records_fit_into_frames(hosts):
+    """Ten answers of 500 KB did not: no later key could be started."""
+    keys = [hosts.key() for _ in range(30)]
+    answer = Answered(status=201, headers=(), body=bytes(500_000))
+    for key in keys:
+        assert hosts.pay(key, outcome=answer) == answer
+    batch_sizes = []
+    ask = hosts.ask
+
+    def refuse_large(service, member, message, timeout_seconds):
+        if isinstance(message, RecordBatch):
+            batch_sizes.append(len(encode(message)))
+            if batch_sizes[-1] > MAX_FRAME_BYTES:
+                return None
+        return ask(service, member, message, timeout_seconds)
+
+    hosts.ask = refuse_large
+    hosts.restart(1)
+    assert batch_sizes
+    assert max(batch_sizes) < MAX_FRAME_BYTES - 1024
+    for key in keys:
+        assert hosts.pay(key) == answer
--- a/verbenanotch/idempotency/__init__.py
+++ b/verbenanotch/idempotency/__init__.py
@@ -29,6 +29,7 @@
 )
 from verbenanotch.idempotency._holder import (
     Holder,
+    group_by_size,
     push_transfers,
 )
 from verbenanotch.idempotency._keys import issued_at_ms, new_key
@@ -94,6 +95,7 @@
     "State",
     "View",
     "ViewPublisher",
+    "group_by_size",
     "holders_for_key",
     "home_zone",
     "identities",
--- a/verbenanotch/idempotency/_holder.py
+++ b/verbenanotch/idempotency/_holder.py
@@ -165,7 +165,7 @@
         There is at least one, since the receiver waits for it.
         """
         records = self._store.records_in_shard(transfer.shard_number)
-        groups = _group_by_size(records)
+        groups = group_by_size(records)
         return tuple(
             Handoff(
                 shard_number=transfer.shard_number,
@@ -327,7 +327,7 @@
     return undelivered
 
 
-def _group_by_size(records):
+def group_by_size(records):
     """Return the records in groups of up to `MAX_CHUNK_BYTES`.
 
     There is at least one group, which may be empty. A record that is larger
--- a/verbenanotch/proxy/_record_server.py
+++ b/verbenanotch/proxy/_record_server.py
@@ -22,6 +22,7 @@
     Refused,
     ReleaseAttempt,
     View,
+    group_by_size,
     identities,
 )
 from verbenanotch.proxy import events
@@ -337,12 +338,11 @@
                 if member is not None and member.host != self._host_name:
                     records_by_member.setdefault(member, []).append(record)
         for member, records in records_by_member.items():
-            for start in range(0, len(records), MAX_BATCH_RECORDS):
-                batch = tuple(records[start : start + MAX_BATCH_RECORDS])
+            for batch in _batches(records):
                 reply = ask(
                     service,
                     member,
-                    RecordBatch(records=batch),
+                    RecordBatch(records=tuple(batch)),
                     RECONCILE_TIMEOUT_SECONDS,
                 )
                 if reply != Acknowledged(applied=True):
@@ -353,6 +353,13 @@
         return int(self._wall_clock() * MILLISECONDS_PER_SECOND)
 
 
+def _batches(records):
+    """Yield the records in groups that fit into a message."""
+    for group in group_by_size(records):
+        for start in range(0, len(group), MAX_BATCH_RECORDS):
+            yield group[start : start + MAX_BATCH_RECORDS]
+
+
 def _formatted(members):
     """Return identities in the form that is logged."""
     return [f"{host}/{incarnation}" for host, incarnation in members]
