proxy: count the answers of keyed requests in every phase

The answer to a keyed request was counted in no budget while it was recorded at its holders, up to 0.5 s for each of them, and an answer on record was counted nowhere: callers that repeat keys with answers of some megabytes fill a proxy whatever its limit of bodies says.

A new answer is counted from the end of its run. One on record takes its room like any other: at the link to its holder and for the caller.

--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -31,6 +31,7 @@
 
 MAX_BODY_BYTES = 1000
 MAX_PIPELINED = 4
+KEY = "1796337870882-booking"
 # More than any request needs that waits for nothing.
 TURNS_BEFORE_CLOSE = 30
 ANSWER = Answered(status=200, headers=(("X-From", "t"),), body=b"hello")
@@ -192,8 +193,7 @@
         settings=settings,
         snapshot_store=snapshot_store,
         dispatcher=dispatcher,
-        keyed=None,
-        **options,
+        **{"keyed": None, **options},
     )
     server = HttpServer(
         address="127.0.0.1",
@@ -556,6 +556,56 @@
     assert budget.used_bytes == 0
 
 
+class SlowHolders:
+    """KeyedRequests that record the bytes while an answer is recorded."""
+
+    def __init__(self, budget):
+        """Start without a record, and with no answer to an earlier try."""
+        self._budget = budget
+        self.kept_bytes = []
+        self.earlier_answer = None
+
+    def run(self, request, run_request):
+        """Return the earlier answer, or run the request."""
+        if self.earlier_answer is not None:
+            return self.earlier_answer
+        outcome = run_request()
+        self.kept_bytes.append(self._budget.used_bytes)
+        return outcome
+
+
+@pytest.fixture
+def keyed_entry(entry, budget):
+    with run_entry(
+        SETTINGS,
+        entry.snapshot_store,
+        body_budget=budget,
+        keyed=SlowHolders(budget),
+    ) as running:
+        yield running
+
+
+def test_the_answer_to_a_keyed_request_is_counted_while_it_is_recorded(
+    keyed_entry, budget
+):
+    holders = keyed_entry.interface._keyed
+    answer = keyed_entry.send_request(body=b"x" * 7, Idempotency_Key=KEY)
+    assert answer.body == b"hello"
+    assert holders.kept_bytes == [len(b"hello") + 7]
+    assert budget.used_bytes == 0
+
+
+def test_an_earlier_answer_without_room_is_unknown(keyed_entry, budget):
+    keyed_entry.interface._keyed.earlier_answer = ANSWER
+    with budget.reserve_answer() as reservation:
+        reservation.take(996)
+        refused = keyed_entry.send_request(Idempotency_Key=KEY)
+        assert (refused.status, refused.reason) == (504, "answers-too-large")
+    assert budget.used_bytes == 0
+    again = keyed_entry.send_request(Idempotency_Key=KEY)
+    assert again.body == ANSWER.body
+
+
 def test_a_request_without_room_is_not_run(counted_entry, budget):
     with budget.reserve_answer() as reservation:
         reservation.take(995)
--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -11,6 +11,7 @@
 from eventlet import event
 
 from verbenanotch.conf import HostSettings, ProxySettings, Settings
+from verbenanotch.idempotency import AlreadyFinished, Answer, Lookup
 from verbenanotch.membership import HostRecord
 from verbenanotch.proxy import PeerPool, PeerServer
 from verbenanotch.proxy._body_frames import CHUNK_BYTES
@@ -22,10 +23,11 @@
     ForwardAnswered,
     GoAway,
     Ping,
+    RecordReply,
 )
 from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
 from verbenanotch.telemetry import metrics
-from verbenanotch.wire import Listener, Purpose, WireError
+from verbenanotch.wire import Listener, Purpose, WireError, encode
 
 KEY = "0123456789abcdef"
 MAX_BODY_BYTES = 1024 * 1024
@@ -328,6 +330,31 @@
     finished.send()
 
 
+def test_a_large_answer_of_a_holder_is_dropped_without_room(scripted_peer):
+    """Answers to many repeated keyed requests were not counted."""
+    answer = AlreadyFinished(answer=Answer(status=200, body=bytes(100_000)))
+
+    def handle(connection):
+        while True:
+            connection.send(
+                RecordReply(
+                    stream_id=connection.receive().stream_id,
+                    payload=encode(answer),
+                )
+            )
+
+    link = scripted_peer(handle)
+    peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
+    budget = link.pool._body_budget
+    question = Lookup(key="key", digest=b"")
+    with budget.reserve_answer() as reservation:
+        reservation.keep(budget.max_bytes - 100_000)
+        assert peer.ask("pay", question, 1.0) is None
+    assert budget.used_bytes == 0
+    assert peer.ask("pay", question, 1.0) == answer
+    assert budget.used_bytes == 0
+
+
 def test_a_silent_peer_gets_no_calls_until_it_sends_a_message(scripted_peer):
     resume = event.Event()
 
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -22,6 +22,7 @@
 from verbenanotch.proxy._request import Request, RequestReader
 from verbenanotch.proxy._response import respond
 from verbenanotch.proxy._tracing import TraceSampler
+from verbenanotch.proxy.exceptions import AnswersTooLargeError
 from verbenanotch.routing import choose_service
 from verbenanotch.telemetry import emit, metrics
 
@@ -207,12 +208,7 @@
         if request.key and not request.idempotent:
             # The response is stored for retries with the same key, so the
             # request runs to its end even if this caller disconnects.
-            outcome = self._keyed.run(
-                request,
-                lambda: self._dispatch(request, Cancellation()),
-            )
-            kept.answer.keep(len(getattr(outcome, "body", b"")))
-            return outcome
+            return self._run_keyed(request, kept)
         connection = environ[CONNECTION]
         cancellation = Cancellation(has_caller_left=connection.has_caller_left)
         connection.watch(cancellation)
@@ -225,6 +221,28 @@
         finally:
             connection.unwatch(cancellation)
 
+    def _run_keyed(self, request, kept):
+        """Return the outcome of a keyed request, new or on record.
+
+        A new answer is counted from before it is recorded, and can't be
+        refused. One on record can be asked for again.
+        """
+        ran = []
+
+        def run():
+            outcome = self._dispatch(request, Cancellation())
+            kept.answer.keep(len(getattr(outcome, "body", b"")))
+            ran.append(True)
+            return outcome
+
+        outcome = self._keyed.run(request, run)
+        if not ran:
+            try:
+                kept.answer.take(len(getattr(outcome, "body", b"")))
+            except AnswersTooLargeError as error:
+                return Unknown(reason=error.kind)
+        return outcome
+
     def _dispatch(self, request, cancellation):
         """Run a request unless its client account has used up its rate.
 
--- a/verbenanotch/proxy/_peer.py
+++ b/verbenanotch/proxy/_peer.py
@@ -189,6 +189,7 @@
             return None
         finally:
             del self._streams_by_id[stream_id]
+            stream.answer.release()
         return None if isinstance(reply, Unknown) else reply
 
     def post(self, message):
@@ -307,7 +308,7 @@
             case WindowUpdate(size=size):
                 stream.window.enlarge(size)
             case RecordReply(payload=data):
-                stream.finish(decode(msgpack.unpackb(data)))
+                self._receive_record_reply(stream, data)
             case ForwardNotRun() | ForwardUnknown():
                 stream.finish(outcome_from_reply(message))
                 stream.window.close()
@@ -328,6 +329,19 @@
         if stream.assembler.is_complete:
             stream.finish(outcome_from_reply(message))
 
+    def _receive_record_reply(self, stream, data):
+        """Finish a record request; one without room has no reply.
+
+        Only a reply with a long answer can be without room.
+        """
+        if len(data) > CHUNK_BYTES:
+            try:
+                stream.answer.take(len(data))
+            except AnswersTooLargeError as error:
+                stream.finish(Unknown(reason=error.kind))
+                return
+        stream.finish(decode(msgpack.unpackb(data)))
+
     def _take(self, stream, stream_id, data):
         """Take the bytes of an answer; return whether there is room."""
         try:
