wire: bound what all connections keep for peers that do not read

Each connection keeps up to 4 MiB and one frame for a peer that does not read, and each greenthread that waits for it keeps a frame, too. Nothing bounded them together: if many peers stand still at once, the process takes hundreds of megabytes until TCP gives the connections up after 10 s, and may be killed with all its requests (FAULT, LOST).

All connections queue at most 24 MiB together, and no one more than it leaves to the others; up to 64 KiB always pass. A sender encodes its message once there is room.

--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -11,6 +11,7 @@
 from eventlet import event
 
 from verbenanotch.wire._codec import decode, encode
+from verbenanotch.wire._pending import all_pending
 from verbenanotch.wire.exceptions import (
     ConnectionClosedError,
     FrameTooLargeError,
@@ -44,8 +45,9 @@
     Only one greenthread may receive. Frames are short until the peer is
     authenticated, see `accept_messages`. `peer_name` and `purpose` are set by
     the handshake. `incarnation` is unique among the connections of this
-    process. If `compresses` is set, messages of `MIN_COMPRESSED_BYTES` or
-    more are sent compressed; compressed messages are always accepted.
+    process. `pending_bytes` are queued. If `compresses` is set, messages of
+    `MIN_COMPRESSED_BYTES` or more are sent compressed; compressed messages are
+    always accepted.
     """
 
     def __init__(self, *, sock, max_frame_bytes=MAX_FRAME_BYTES):
@@ -62,7 +64,6 @@
             use_list=True,
         )
         self._pending = collections.deque()
-        self._pending_bytes = 0
         self._flushing = False
         self._capacity_event = None
         self._socket_calls = 0
@@ -72,6 +73,7 @@
         self.purpose = ""
         self.compresses = False
         self.incarnation = next(_incarnations)
+        self.pending_bytes = 0
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -90,12 +92,18 @@
     def send(self, message):
         """Queue a message and write all queued messages.
 
-        Blocks while more than `MAX_PENDING_BYTES` are queued for a slow peer.
-        Raises ConnectionClosedError, or FrameTooLargeError before anything is
-        sent.
+        Blocks while more than `MAX_PENDING_BYTES` are queued for a slow peer,
+        or too much for all peers. Raises ConnectionClosedError, or
+        FrameTooLargeError before anything is sent.
         """
-        data = self._frame(message)
         self._wait_for_capacity()
+        data = self._frame(message)
+        while not all_pending.has_room(self.pending_bytes, len(data)):
+            # A frame that waits would be one more that is kept.
+            del data
+            all_pending.wait(self)
+            self._wait_for_capacity()
+            data = self._frame(message)
         self._queue(data)
         if not self._flushing:
             self._flush()
@@ -184,6 +192,10 @@
         """Write one msgpack value that has no message number (handshake)."""
         self._write(msgpack.packb(value))
 
+    def is_unread_for(self, seconds):
+        """Return whether the peer has taken nothing of the queue so long."""
+        return self._flushing and self._socket.is_blocked_for(seconds)
+
     def close(self):
         """Close the socket and wake every waiting greenthread."""
         if self.closed:
@@ -258,7 +270,12 @@
 
     def _queue(self, data):
         self._pending.append(data)
-        self._pending_bytes += len(data)
+        self.pending_bytes += len(data)
+        all_pending.add(self, len(data))
+
+    def _release(self, count):
+        self.pending_bytes -= count
+        all_pending.remove(self, count)
 
     def _flush_in_background(self):
         if not self._flushing:
@@ -266,7 +283,7 @@
                 self._flush()
 
     def _wait_for_capacity(self):
-        while self._pending_bytes > MAX_PENDING_BYTES and not self.closed:
+        while self.pending_bytes > MAX_PENDING_BYTES and not self.closed:
             if self._capacity_event is None:
                 self._capacity_event = event.Event()
             self._capacity_event.wait()
@@ -280,8 +297,12 @@
                 data = b"".join(self._pending)
                 self._pending.clear()
                 self._write(data)
-                self._pending_bytes -= len(data)
+                self._release(len(data))
                 self._wake_senders()
+        except BaseException:
+            self._pending.clear()
+            self._release(self.pending_bytes)
+            raise
         finally:
             self._flushing = False
 
--- a/verbenanotch/wire/events.py
+++ b/verbenanotch/wire/events.py
@@ -23,3 +23,11 @@
     "the peer port is in use; the start waits until it is free",
     "If it stays in use, stop the process that uses it.",
 )
+PEER_UNREAD = event(
+    1004,
+    "peer-unread",
+    Level.WARNING,
+    "ended the connection of a peer that does not read, as the `bytes` queued "
+    "for it and for others take up the room for all",
+    "Find out why the peer stands still, or why so many do at once.",
+)
