proxy: bound the messages that wait for another proxy

A holder of records replies from a queue without a bound: a proxy that asks for large answers on record and does not read, or reads slowly, takes the whole memory. The replies were not counted among the bodies.

Replies of over 32 KiB take room from the BodyBudget until they are handed to the connection; without room they are dropped, as if lost on the way: the holder has not replied. A connection with 8,192 waiting messages is closed.

Before: 2 of 2 tests failed: no byte of 100 replies of 500 KB was counted, and a queue took any number of messages. Now they pass.

--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -4,6 +4,7 @@
 """
 
 import time
+import tracemalloc
 
 import attrs
 import eventlet
@@ -24,10 +25,13 @@
     GoAway,
     Ping,
     RecordReply,
+    RecordRequest,
 )
 from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
+from verbenanotch.proxy._send_queue import MAX_QUEUED_MESSAGES, SendQueue
 from verbenanotch.telemetry import metrics
-from verbenanotch.wire import Listener, Purpose, WireError, encode
+from verbenanotch.wire import Listener, Purpose, WireError, dial, encode
+from verbenanotch.wire._connection import MAX_PENDING_BYTES
 
 KEY = "0123456789abcdef"
 MAX_BODY_BYTES = 1024 * 1024
@@ -355,6 +359,76 @@
     assert budget.used_bytes == 0
 
 
+class LargeRecords:
+    """Record server whose answer to everything is large."""
+
+    def handle(self, service, message):
+        """Return an answer on record."""
+        return AlreadyFinished(answer=Answer(status=200, body=bytes(500_000)))
+
+
+def test_replies_to_a_peer_that_does_not_read_are_bounded(link):
+    """It asked for a large answer again and again; each was kept."""
+    link.server.record_server = LargeRecords()
+    budget = link.server.body_budget
+    connection = dial(
+        address="127.0.0.1",
+        port=link.record.peer_port,
+        key=KEY.encode(),
+        name="entry",
+        purpose=Purpose.REQUEST,
+    )
+    question = encode(Lookup(key="key", digest=b""))
+    tracemalloc.start()
+    try:
+        for stream_id in range(100):
+            connection.send(
+                RecordRequest(
+                    stream_id=stream_id, service="pay", payload=question
+                )
+            )
+            eventlet.sleep(0.005)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert 0 < budget.used_bytes <= budget.max_bytes
+    # Beside those counted, what the connection has queued, and copies.
+    assert peak_bytes < budget.max_bytes + 3 * MAX_PENDING_BYTES
+    connection.close()
+    eventlet.sleep(0.1)
+    assert budget.used_bytes == 0
+
+
+class StandingConnection:
+    """Connection whose peer reads nothing."""
+
+    closed = False
+
+    def send_at_once(self, message):
+        """Send nothing."""
+        return False
+
+    def send(self, message):
+        """Wait."""
+        eventlet.sleep(60)
+
+    def close(self):
+        """Close the connection."""
+        self.closed = True
+
+
+def test_a_connection_without_end_of_unsent_messages_is_closed():
+    connection = StandingConnection()
+    send_queue = SendQueue(connection=connection)
+    for number in range(MAX_QUEUED_MESSAGES):
+        send_queue.post(Ping(number=number))
+    assert not connection.closed
+    for number in range(100):
+        send_queue.post(Ping(number=number))
+    assert connection.closed
+    assert len(send_queue._messages) <= MAX_QUEUED_MESSAGES
+
+
 def test_a_silent_peer_gets_no_calls_until_it_sends_a_message(scripted_peer):
     resume = event.Event()
 
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -33,6 +33,7 @@
 from verbenanotch.proxy._outcome import Call, NotRun, Unknown
 from verbenanotch.proxy._send_queue import SendQueue
 from verbenanotch.proxy.exceptions import (
+    AnswersTooLargeError,
     BodiesFullError,
     ProxyError,
     StreamReusedError,
@@ -195,8 +196,18 @@
     def _reply_to_record_request(self, request):
         message = decode(msgpack.unpackb(request.payload))
         reply = self._server.record_server.handle(request.service, message)
+        payload = encode(reply)
+        kept = self._server.body_budget.reserve_answer()
+        if len(payload) > CHUNK_BYTES:
+            try:
+                kept.take(len(payload))
+            except AnswersTooLargeError:
+                # As if it were lost on the way: the holder did not reply.
+                metrics.increment("proxy.record_replies_dropped")
+                return
         self.send_queue.post(
-            RecordReply(stream_id=request.stream_id, payload=encode(reply))
+            RecordReply(stream_id=request.stream_id, payload=payload),
+            kept=kept,
         )
 
     def _open_stream(self, forward):
--- a/verbenanotch/proxy/_send_queue.py
+++ b/verbenanotch/proxy/_send_queue.py
@@ -4,8 +4,12 @@
 
 import eventlet
 
+from verbenanotch.telemetry import metrics
 from verbenanotch.wire import WireError
 
+# Several for each call that a peer may have in flight.
+MAX_QUEUED_MESSAGES = 8192
+
 
 class SendQueue:
     """Send small messages; those that would block, by another greenthread.
@@ -20,11 +24,22 @@
         self._messages = collections.deque()
         self._sending = False
 
-    def post(self, message):
-        """Send or queue a message; it is dropped if the connection closes."""
+    def post(self, message, *, kept=None):
+        """Send or queue a message; it is dropped if the connection closes.
+
+        `kept` is the Reservation of its bytes, which is released then. The
+        connection is closed if `MAX_QUEUED_MESSAGES` wait already: its peer
+        reads nothing and yet asks on.
+        """
         if not self._sending and self._connection.send_at_once(message):
+            _release(kept)
+            return
+        if len(self._messages) >= MAX_QUEUED_MESSAGES:
+            metrics.increment("proxy.send_queues_full")
+            _release(kept)
+            self._connection.close()
             return
-        self._messages.append(message)
+        self._messages.append((message, kept))
         if not self._sending:
             self._sending = True
             eventlet.spawn_n(self._send_all)
@@ -32,8 +47,22 @@
     def _send_all(self):
         try:
             while self._messages:
-                self._connection.send(self._messages.popleft())
+                message, kept = self._messages.popleft()
+                try:
+                    self._connection.send(message)
+                finally:
+                    _release(kept)
         except WireError:
-            self._messages.clear()
+            self._drop_all()
         finally:
             self._sending = False
+
+    def _drop_all(self):
+        while self._messages:
+            _, kept = self._messages.popleft()
+            _release(kept)
+
+
+def _release(kept):
+    if kept is not None:
+        kept.release()
