proxy: a message that fits into no frame takes no others with it

The queue to another proxy took a message over the limit of a frame for the end of the connection and dropped what was queued behind it, on a connection that stays open: calls whose refusals were dropped waited until their deadlines and were unknown.

Only that message is dropped, and counted (proxy.messages_too_large).

Before: the new test failed, a ping behind such a message was not sent; now it passes.

--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -30,7 +30,14 @@
 from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
 from verbenanotch.proxy._send_queue import MAX_QUEUED_MESSAGES, SendQueue
 from verbenanotch.telemetry import metrics
-from verbenanotch.wire import Listener, Purpose, WireError, dial, encode
+from verbenanotch.wire import (
+    MAX_FRAME_BYTES,
+    Listener,
+    Purpose,
+    WireError,
+    dial,
+    encode,
+)
 from verbenanotch.wire._connection import MAX_PENDING_BYTES
 
 KEY = "0123456789abcdef"
@@ -429,6 +436,18 @@
     assert len(send_queue._messages) <= MAX_QUEUED_MESSAGES
 
 
+def test_a_message_over_the_limit_of_a_frame_takes_no_others_with_it(link):
+    """The refusals queued behind it were lost: their calls were unknown."""
+    peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
+    too_large = BodyChunk(stream_id=1, data=bytes(MAX_FRAME_BYTES))
+    before = peer._last_received_at
+    for message in (too_large, Ping(number=1)):
+        peer._send_queue.post(message)
+    eventlet.sleep(0.1)
+    assert peer._last_received_at > before
+    assert not peer.closed
+
+
 def test_a_silent_peer_gets_no_calls_until_it_sends_a_message(scripted_peer):
     resume = event.Event()
 
--- a/verbenanotch/proxy/_send_queue.py
+++ b/verbenanotch/proxy/_send_queue.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from verbenanotch.telemetry import metrics
-from verbenanotch.wire import WireError
+from verbenanotch.wire import FrameTooLargeError, WireError
 
 # Several for each call that a peer may have in flight.
 MAX_QUEUED_MESSAGES = 8192
@@ -50,6 +50,8 @@
                 message, kept = self._messages.popleft()
                 try:
                     self._connection.send(message)
+                except FrameTooLargeError:
+                    metrics.increment("proxy.messages_too_large")
                 finally:
                     _release(kept)
         except WireError:
