http1: a body in tiny chunks takes no more than its bytes

A chunked body is read 64 KB at a time, and its chunks were kept in a list until then: with chunks of 2 bytes they take many times what the budget of bodies counts, for each caller and each target that sends them.

The chunks are added to one buffer.

Before: test_a_body_in_tiny_chunks_takes_no_more_than_its_bytes failed with 4,111,169 bytes for a body of 65,536; now it passes (bound: 262,144).

--- a/tests/unit/test_target_answers.py
+++ b/tests/unit/test_target_answers.py
@@ -1,10 +1,13 @@
 """Answers of targets that break off, are malformed or follow others."""
 
+import io
 import time
+import tracemalloc
 
 import pytest
 
 from tests.support.raw_target import RawTarget
+from verbenanotch.http1 import ChunkedBody
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._exchange import exchange
 from verbenanotch.proxy._outcome import Answered, Call, Unknown
@@ -162,6 +165,21 @@
     assert isinstance(outcome_of(head), Unknown)
 
 
+def test_a_body_in_tiny_chunks_takes_no_more_than_its_bytes():
+    """Its pieces took 4.1 MB for 64 KB, which are counted as 64 KB."""
+    reader = io.BytesIO(b"2\r\nab\r\n" * 32_768 + b"0\r\n\r\n")
+    body = ChunkedBody(reader=reader)
+    tracemalloc.start()
+    try:
+        data = body.read(65_536)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert data == b"ab" * 32_768
+    assert body.read(1) == b""
+    assert peak_bytes < 4 * len(data)
+
+
 def test_interim_responses_of_any_status_are_skipped(outcome_of):
     """Guard against Early Hints (103) that are taken for the answer."""
     interim = (
--- a/verbenanotch/http1/_chunks.py
+++ b/verbenanotch/http1/_chunks.py
@@ -49,7 +49,8 @@
             raise
 
     def _read(self, size):
-        pieces = []
+        # A list of short pieces would take many times their bytes.
+        data = bytearray()
         while size and not self.is_at_end:
             if not self._bytes_left:
                 self._start_chunk()
@@ -59,8 +60,8 @@
             )
             self._bytes_left -= len(piece)
             size -= len(piece)
-            pieces.append(piece)
-        return b"".join(pieces)
+            data += piece
+        return bytes(data)
 
     def _start_chunk(self):
         """Read the size of the next chunk; at the last one, the trailer."""
