http1: bound the number of fields in the head of an answer

The head of an answer may have 128 KiB, which are 25,000 short fields. Each takes many times its bytes, at the target's proxy and at the one of the caller, and no budget counts them; the time to handle them makes other calls late. Requests have had a limit of 100 fields.

--- a/tests/unit/test_target_answers.py
+++ b/tests/unit/test_target_answers.py
@@ -8,6 +8,7 @@
 
 from tests.support.raw_target import RawTarget
 from verbenanotch.http1 import ChunkedBody
+from verbenanotch.http1._answer import MAX_FIELDS
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._exchange import exchange
 from verbenanotch.proxy._outcome import Answered, Call, Unknown
@@ -180,6 +181,15 @@
     assert peak_bytes < 4 * len(data)
 
 
+def test_a_head_of_many_short_fields_is_unknown(outcome_of):
+    """Each field takes many times its bytes, at each proxy."""
+    head = HEAD + b"a:b\r\n" * MAX_FIELDS + b"Content-Length: 1\r\n\r\n"
+    outcome = outcome_of(head + b"x")
+    assert outcome.reason == "target-broke-off: answer-head-too-large"
+    few = HEAD + b"a:b\r\n" * (MAX_FIELDS // 2) + b"Content-Length: 1\r\n"
+    assert isinstance(outcome_of(few + b"\r\nx"), Answered)
+
+
 def test_interim_responses_of_any_status_are_skipped(outcome_of):
     """Guard against Early Hints (103) that are taken for the answer."""
     interim = (
--- a/verbenanotch/http1/_answer.py
+++ b/verbenanotch/http1/_answer.py
@@ -18,6 +18,9 @@
 
 # Of an answer and of the interim responses before it.
 MAX_HEAD_BYTES = 128 * 1024
+# Of an answer or interim response. A field takes about 200 bytes at each
+# proxy, however short it is. Most clients accept 100 or 128 of them.
+MAX_FIELDS = 512
 # Within a field, where an answer broke off and the next one follows.
 EMBEDDED_STATUS_LINE = re.compile(rb"[^\n]HTTP/1\.[01] [0-9]{3}[ \r]")
 VERSIONS = frozenset(("1.0", "1.1"))
@@ -105,6 +108,11 @@
         lines.append(line)
         if line == b"\r\n":
             return b"".join(lines)
+        if len(lines) > MAX_FIELDS + 1:
+            raise AnswerHeadTooLargeError(
+                f"the head of an answer has over {MAX_FIELDS} fields; "
+                "send fewer headers"
+            )
 
 
 def _parse_head(head):
