tests: answers without end of more kinds, to 50 callers, keyed too

Eight kinds more: endless status line, empty lines, fields of interim responses, tiny chunks, sizes of chunks, extensions (in one chunk and in each), trailer line. Fifty callers in place of 12, with and without idempotency keys, and the peak of the callers' proxy is checked beside that of the target's.

--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -4,6 +4,9 @@
 closes the connection.
 """
 
+import random
+import time
+
 import eventlet
 import pytest
 import urllib3
@@ -13,11 +16,13 @@
 from tests.support.endless_target import PARTS_BY_KIND, EndlessTarget
 from tests.support.harness import Mesh
 from tests.support.memory import MAX_MEMORY_KB, peak_memory_kb
+from verbenanotch.idempotency import new_key
 
 PROXIES = ["z1-proxy-1", "z1-proxy-2"]
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_RECEIVING_BYTES = 100_000_000
-CONCURRENT_CALLS = 12
+CONCURRENT_CALLS = 50
+SLOTS = 64
 MAX_TRIES = 20
 TIMEOUT_MS = 1500
 
@@ -46,7 +51,7 @@
     host = mesh.topology.hosts_by_name[PROXIES[0]]
     target = EndlessTarget(kind=request.param, address=host.address)
     target.announce(
-        proxy=host.server(plans.TARGET_PORT), service=SERVICE, slots=16
+        proxy=host.server(plans.TARGET_PORT), service=SERVICE, slots=SLOTS
     )
     # A call whose deadline passes on the way is unknown as well, so that only
     # the target tells that it is in use.
@@ -67,12 +72,29 @@
     )
 
 
+def assert_memory_is_bounded(mesh):
+    for proxy in PROXIES:
+        assert peak_memory_kb(mesh, proxy) < MAX_MEMORY_KB
+
+
 def test_answers_without_end_are_unknown_and_closed(mesh, endless):
     pool = eventlet.GreenPool()
     answers = list(pool.imap(lambda _: call(mesh), range(CONCURRENT_CALLS)))
     assert {answer.outcome for answer in answers} == {"unknown"}
     mesh.wait_until(lambda: endless.open_count == 0, what="closed connections")
-    assert peak_memory_kb(mesh, PROXIES[0]) < MAX_MEMORY_KB
+    assert_memory_is_bounded(mesh)
+
+
+def test_answers_without_end_to_keyed_requests_are_unknown(mesh, endless):
+    pool = eventlet.GreenPool()
+    keys = [
+        new_key(now_ms=time.time_ns() // 1_000_000, random=random)
+        for _ in range(CONCURRENT_CALLS)
+    ]
+    answers = list(pool.imap(lambda key: call(mesh, key=key), keys))
+    assert {answer.outcome for answer in answers} == {"unknown"}
+    mesh.wait_until(lambda: endless.open_count == 0, what="closed connections")
+    assert_memory_is_bounded(mesh)
 
 
 def test_answers_without_end_are_closed_once_the_caller_leaves(mesh, endless):
@@ -97,4 +119,4 @@
     for answers in pool.imap(leave, range(CONCURRENT_CALLS)):
         assert {answer.outcome for answer in answers} <= {"unknown"}
     mesh.wait_until(lambda: endless.open_count == 0, what="closed connections")
-    assert peak_memory_kb(mesh, PROXIES[0]) < MAX_MEMORY_KB
+    assert_memory_is_bounded(mesh)
--- a/tests/support/endless_target.py
+++ b/tests/support/endless_target.py
@@ -10,19 +10,25 @@
 CHUNK_BYTES = 64 * 1024
 HEAD = b"HTTP/1.1 200 OK\r\n"
 # What is sent once and what is repeated without end, by kind of answer.
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 PARTS_BY_KIND = {
+    "status-line": (b"HTTP/1.1 200 ", b"a" * CHUNK_BYTES),
     "header-line": (HEAD + b"X-A: ", b"a" * CHUNK_BYTES),
     "header-lines": (HEAD, b"X-A: a\r\n" * 1024),
     "no-http": (b"", b"\x00\xff" * CHUNK_BYTES),
     "interim-responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1024),
-    "chunks": (
-        HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
-        b"10000\r\n" + b"a" * 0x10000 + b"\r\n",
-    ),
-    "trailers": (
-        HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
-        b"X-A: a\r\n" * 1024,
+    "interim-fields": (
+        b"",
+        b"HTTP/1.1 103 A\r\n" + b"a:b\r\n" * 4096 + b"\r\n",
     ),
+    "empty-lines": (b"", b"\r\n" * 1024),
+    "chunks": (CHUNKED, b"10000\r\n" + b"a" * 0x10000 + b"\r\n"),
+    "tiny-chunks": (CHUNKED, b"2\r\nab\r\n" * 4096),
+    "chunk-sizes": (CHUNKED, b"0" * CHUNK_BYTES),
+    "chunk-extension": (CHUNKED + b"1;a=", b"a" * CHUNK_BYTES),
+    "chunk-extensions": (CHUNKED, b"1;a=" + b"a" * 8192 + b"\r\na\r\n"),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: a\r\n" * 1024),
+    "trailer-line": (CHUNKED + b"0\r\nX-A: ", b"a" * CHUNK_BYTES),
     "no-length": (HEAD + b"\r\n", b"a" * CHUNK_BYTES),
     "trickle": (HEAD + b"Content-Length: 100000\r\n\r\n", b"a"),
 }
