cli: an answer without end takes neither the memory nor all the time

The tool read the whole answer of whatever listens at an address of its settings. One without end took all memory, one that announces a terabyte ended the tool by a MemoryError, one that trickles was read for good, and deeply nested JSON ended it by a RecursionError.

It reads up to 64 MiB, in pieces, until the time limit of the request and some more; beyond that the outcome is not known, as for an answer that breaks off. An endless head of interim responses (100) has no time limit yet.

Before: 4 of 8 new tests failed (268 MB read where the test's server gave up; MemoryError; RecursionError; no end within 20 s); now they pass.

--- a/verbenanotch/cli/_client.py
+++ b/verbenanotch/cli/_client.py
@@ -2,6 +2,7 @@
 
 import http
 import json
+import time
 
 import attrs
 import urllib3
@@ -20,6 +21,9 @@
 RESPONSE_MARGIN_SECONDS = 3.0
 # How long a control host waits for an outcome.
 DEFAULT_TIMEOUT_SECONDS = 5.0
+# The status and the targets of the largest meshes have a few megabytes.
+MAX_BODY_BYTES = 64 * 1024 * 1024
+READ_BYTES = 64 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -117,6 +121,8 @@
         timeout_seconds=DEFAULT_TIMEOUT_SECONDS,
     ):
         """Return the Reply or Failure of a request to one control host."""
+        read_seconds = timeout_seconds + RESPONSE_MARGIN_SECONDS
+        deadline = time.monotonic() + CONNECT_TIMEOUT_SECONDS + read_seconds
         try:
             response = self._pool.request(
                 method,
@@ -129,16 +135,18 @@
                 },
                 timeout=urllib3.Timeout(
                     connect=CONNECT_TIMEOUT_SECONDS,
-                    read=timeout_seconds + RESPONSE_MARGIN_SECONDS,
+                    read=read_seconds,
                 ),
+                preload_content=False,
             )
+            data = _read_body(response, deadline)
         except urllib3.exceptions.HTTPError as error:
             return Failure(
                 server=server,
                 reason=str(error),
                 may_have_run=not _is_connect_failure(error),
             )
-        return _parse_response(server, response)
+        return _parse_response(server, response.status, data)
 
 
 def _is_connect_failure(error):
@@ -151,25 +159,47 @@
     )
 
 
-def _parse_response(server, response):
+def _read_body(response, deadline):
+    """Return the complete body; raises urllib3's HTTPError.
+
+    The server may be another than a control host, and its answer may have no
+    end. `deadline` is in monotonic seconds.
+    """
+    data = bytearray()
+    try:
+        while piece := response.read1(READ_BYTES):
+            data += piece
+            if len(data) > MAX_BODY_BYTES:
+                raise urllib3.exceptions.HTTPError(
+                    f"the answer is too large, over {MAX_BODY_BYTES} bytes"
+                )
+            if time.monotonic() > deadline:
+                raise urllib3.exceptions.HTTPError("the answer is too slow")
+    except urllib3.exceptions.HTTPError:
+        response.close()
+        raise
+    response.release_conn()
+    return bytes(data)
+
+
+def _parse_response(server, status, data):
     try:
-        value = json.loads(response.data)
-    except ValueError:
+        value = json.loads(data)
+    except (ValueError, RecursionError):
         value = None
     if not isinstance(value, dict):
         return Failure(
             server=server,
-            reason=f"status {response.status} without a JSON object",
+            reason=f"status {status} without a JSON object",
             may_have_run=True,
         )
-    if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+    if status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
         return Failure(
             server=server,
-            reason=value.get("reason", f"status {response.status}"),
-            may_have_run=response.status
-            != http.HTTPStatus.SERVICE_UNAVAILABLE,
+            reason=value.get("reason", f"status {status}"),
+            may_have_run=status != http.HTTPStatus.SERVICE_UNAVAILABLE,
         )
-    return Reply(server=server, status=response.status, value=value)
+    return Reply(server=server, status=status, value=value)
 
 
 def _make_error(failures):
