--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -4,6 +4,7 @@
 """
 
 import time
+import tracemalloc
 
 import attrs
 import eventlet
@@ -11,6 +12,7 @@
 from eventlet import event
 
 from verbenanotch.conf import HostSettings, ProxySettings, Settings
+from verbenanotch.idempotency import AlreadyFinished, Answer, Lookup
 from verbenanotch.membership import HostRecord
 from verbenanotch.proxy import PeerPool, PeerServer
 from verbenanotch.proxy._body_frames import CHUNK_BYTES
@@ -22,10 +24,21 @@
     ForwardAnswered,
     GoAway,
     Ping,
+    RecordReply,
+    RecordRequest,
 )
 from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
+from verbenanotch.proxy._send_queue import MAX_QUEUED_MESSAGES, SendQueue
 from verbenanotch.telemetry import metrics
-from verbenanotch.wire import Listener, Purpose, WireError
+from verbenanotch.wire import (
+    MAX_FRAME_BYTES,
+    Listener,
+    Purpose,
+    WireError,
+    dial,
+    encode,
+)
+from verbenanotch.wire._connection import MAX_PENDING_BYTES
 
 KEY = "0123456789abcdef"
 MAX_BODY_BYTES = 1024 * 1024
@@ -328,6 +341,113 @@
     finished.send()
 
 
+def test_a_large_answer_of_a_holder_is_dropped_without_room(scripted_peer):
+    """Answers to many repeated keyed requests were not counted."""
+    answer = AlreadyFinished(answer=Answer(status=200, body=bytes(100_000)))
+
+    def handle(connection):
+        while True:
+            connection.send(
+                RecordReply(
+                    stream_id=connection.receive().stream_id,
+                    payload=encode(answer),
+                )
+            )
+
+    link = scripted_peer(handle)
+    peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
+    budget = link.pool._body_budget
+    question = Lookup(key="key", digest=b"")
+    with budget.reserve_answer() as reservation:
+        reservation.keep(budget.max_bytes - 100_000)
+        assert peer.ask("pay", question, 1.0) is None
+    assert budget.used_bytes == 0
+    assert peer.ask("pay", question, 1.0) == answer
+    assert budget.used_bytes == 0
+
+
+class LargeRecords:
+    """Record server whose answer to everything is large."""
+
+    def handle(self, service, message):
+        """Return an answer on record."""
+        return AlreadyFinished(answer=Answer(status=200, body=bytes(500_000)))
+
+
+def test_replies_to_a_peer_that_does_not_read_are_bounded(link):
+    """It asked for a large answer again and again; each was kept."""
+    link.server.record_server = LargeRecords()
+    budget = link.server.body_budget
+    connection = dial(
+        address="127.0.0.1",
+        port=link.record.peer_port,
+        key=KEY.encode(),
+        name="entry",
+        purpose=Purpose.REQUEST,
+    )
+    question = encode(Lookup(key="key", digest=b""))
+    tracemalloc.start()
+    try:
+        for stream_id in range(100):
+            connection.send(
+                RecordRequest(
+                    stream_id=stream_id, service="pay", payload=question
+                )
+            )
+            eventlet.sleep(0.005)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert 0 < budget.used_bytes <= budget.max_bytes
+    # Beside those counted, what the connection has queued, and copies.
+    assert peak_bytes < budget.max_bytes + 3 * MAX_PENDING_BYTES
+    connection.close()
+    eventlet.sleep(0.1)
+    assert budget.used_bytes == 0
+
+
+class StandingConnection:
+    """Connection whose peer reads nothing."""
+
+    closed = False
+
+    def send_at_once(self, message):
+        """Send nothing."""
+        return False
+
+    def send(self, message):
+        """Wait."""
+        eventlet.sleep(60)
+
+    def close(self):
+        """Close the connection."""
+        self.closed = True
+
+
+def test_a_connection_without_end_of_unsent_messages_is_closed():
+    connection = StandingConnection()
+    send_queue = SendQueue(connection=connection)
+    for number in range(MAX_QUEUED_MESSAGES):
+        send_queue.post(Ping(number=number))
+    assert not connection.closed
+    for number in range(100):
+        send_queue.post(Ping(number=number))
+    assert connection.closed
+    assert len(send_queue._messages) <= MAX_QUEUED_MESSAGES
+
+
+def test_a_message_over_the_limit_of_a_frame_takes_no_others_with_it(link):
+    """The refusals queued behind it were lost: their calls were unknown."""
+    peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
+    too_large = BodyChunk(stream_id=1, data=bytes(MAX_FRAME_BYTES))
+    before = peer._last_received_at
+    for message in (too_large, Ping(number=1)):
+        peer._send_queue.post(message)
+    eventlet.sleep(0.1)
+    assert peer._last_received_at > before
+    assert not peer.closed
+
+
 def test_a_silent_peer_gets_no_calls_until_it_sends_a_message(scripted_peer):
     resume = event.Event()
 
