daemon: a failed task that has to last is started again

Cause: an exception ended a background task for good. A check of the settings that failed once was the last one, so that changed settings were no longer applied without a signal; a control host no longer expired leases or followed members; no further connection was accepted. The event log named the exception and nothing else followed. A change whose application failed was taken for applied.

--- /dev/null
+++ b/tests/unit/test_lasting_tasks.py
@@ -0,0 +1,161 @@
+"""One exception does not end a task that has to last as the daemon does."""
+
+import attrs
+import eventlet
+import pytest
+
+from tests.support.control_side import PEER_KEY, wait_until
+from tests.support.replicas import Cluster
+from tests.unit.test_proxy_peers import SETTINGS
+from verbenanotch import loop
+from verbenanotch.daemon import _control, _reload
+from verbenanotch.daemon._http import HttpServer
+from verbenanotch.daemon._interfaces import Interfaces
+from verbenanotch.loop import _lasting
+from verbenanotch.wire import Listener, Purpose, dial
+
+REPEATS = 2
+SECONDS = 5.0
+
+
+@pytest.fixture(autouse=True)
+def spawned(monkeypatch):
+    """Kill all greenthreads at the end of a test."""
+    spawned = []
+    spawn = eventlet.spawn
+
+    def record(function, *args):
+        spawned.append(spawn(function, *args))
+        return spawned[-1]
+
+    monkeypatch.setattr(eventlet, "spawn", record)
+    yield spawned
+    for greenthread in spawned:
+        greenthread.kill()
+
+
+@pytest.fixture
+def fail_once(monkeypatch):
+    """Return a function that lets the first call of a method fail.
+
+    It returns a list that grows by each call.
+    """
+
+    def patch(owner, name):
+        calls = []
+        original = getattr(owner, name)
+
+        def fail_first(*args, **kwargs):
+            calls.append(args)
+            if len(calls) == 1:
+                raise RuntimeError(f"{name} failed in a test")
+            return original(*args, **kwargs)
+
+        monkeypatch.setattr(owner, name, fail_first)
+        return calls
+
+    return patch
+
+
+def assert_repeated(calls):
+    wait_until(lambda: len(calls) > REPEATS, seconds=SECONDS)
+
+
+def test_a_task_runs_again_after_an_exception_until_it_returns(monkeypatch):
+    monkeypatch.setattr(_lasting, "RESTART_SECONDS", 0.01)
+    outcomes = [RuntimeError("failed"), eventlet.Timeout(), "done"]
+    outcomes[1].cancel()
+
+    def work(argument):
+        outcome = outcomes.pop(0)
+        if isinstance(outcome, BaseException):
+            raise outcome
+        return outcome + argument
+
+    assert loop.spawn_lasting(work, "!").wait() == "done!"
+
+
+def test_a_task_that_is_killed_ends():
+    task = loop.spawn_lasting(eventlet.sleep, SECONDS)
+    eventlet.sleep(0)
+    task.kill()
+    assert task.dead
+
+
+def test_a_reload_that_failed_does_not_end_the_checks(monkeypatch):
+    calls = []
+
+    def reload():
+        calls.append(None)
+        raise RuntimeError("the file changed while it was read")
+
+    monkeypatch.setattr(_reload.signal, "signal", lambda *args: None)
+    monkeypatch.setattr(_reload, "CHECK_INTERVAL_SECONDS", 0.01)
+    _reload.watch_settings(role=None, reload=reload, settings=SETTINGS)
+    assert_repeated(calls)
+
+
+@pytest.fixture
+def control_host(tmp_path, monkeypatch):
+    monkeypatch.setattr(_control, "EXPIRY_INTERVAL_SECONDS", 0.01)
+    monkeypatch.setattr(_control, "MEMBERS_INTERVAL_SECONDS", 0.01)
+    cluster = Cluster(path=tmp_path, voters=["host-1"])
+    settings = cluster.settings("host-1")
+    settings = attrs.evolve(
+        settings, control=attrs.evolve(settings.control, operator_port=0)
+    )
+    host = _control.ControlHost(settings=settings, interfaces=Interfaces())
+    yield host
+    host.stop()
+
+
+@pytest.mark.parametrize(
+    ("part", "method"),
+    [("_zone_table", "expire"), ("_zone_exchange", "add_control_hosts")],
+)
+def test_a_control_host_goes_on_to_watch_leases_and_members(
+    control_host, fail_once, part, method
+):
+    calls = fail_once(getattr(control_host, part), method)
+    control_host.start()
+    assert_repeated(calls)
+
+
+def test_an_http_server_goes_on_to_accept(fail_once):
+    server = HttpServer(address="127.0.0.1", port=0, application=None)
+    calls = fail_once(server, "_spawn")
+    server.start()
+    for _ in range(REPEATS + 1):
+        loop.connect(server.address, server.port, timeout_seconds=SECONDS)
+    assert_repeated(calls)
+    server.stop()
+
+
+def test_a_peer_port_goes_on_to_accept(monkeypatch):
+    served = []
+    listener = Listener(
+        address="127.0.0.1",
+        port=0,
+        key=PEER_KEY.encode(),
+        name="host-1",
+        handlers_by_purpose={Purpose.REQUEST: served.append},
+    )
+    accept = listener._socket.accept
+    outcomes = [RuntimeError("failed")]
+
+    def fail_first():
+        if outcomes:
+            raise outcomes.pop()
+        return accept()
+
+    monkeypatch.setattr(listener._socket, "accept", fail_first)
+    listener.start()
+    dial(
+        address=listener.address,
+        port=listener.port,
+        key=PEER_KEY.encode(),
+        name="host-2",
+        purpose=Purpose.REQUEST,
+    )
+    wait_until(lambda: served, seconds=SECONDS)
+    listener.stop()
--- a/tests/unit/test_reload.py
+++ b/tests/unit/test_reload.py
@@ -52,6 +52,22 @@
     assert role.received == [changed]
 
 
+def test_a_change_that_failed_to_apply_is_applied_by_the_next_check(
+    role, monkeypatch
+):
+    changed = attrs.evolve(
+        SETTINGS, discovery=conf.DiscoverySettings(seeds=("127.0.0.9",))
+    )
+    valid = Valid(value=changed, document=Document(text=""))
+    watcher = make_watcher(role, [valid, valid])
+    with monkeypatch.context() as context:
+        context.delattr(FakeRole, "reconfigure")
+        with pytest.raises(AttributeError):
+            watcher.check()
+    watcher.check()
+    assert role.received == [changed]
+
+
 SETTINGS_WITH_SEEDS = """
 [host]
 name = "{name}"
--- a/verbenanotch/daemon/_control.py
+++ b/verbenanotch/daemon/_control.py
@@ -6,6 +6,7 @@
 import attrs
 import eventlet
 
+from verbenanotch import loop
 from verbenanotch.conf import parse_endpoint
 from verbenanotch.crashes import CrashExchange, CrashStorage, CrashTable
 from verbenanotch.daemon import _shutdown
@@ -139,8 +140,8 @@
         self._http.start()
         self._rollouts.start()
         self._greenthreads = [
-            eventlet.spawn(self._expire_hosts_forever),
-            eventlet.spawn(self._follow_members_forever),
+            loop.spawn_lasting(self._expire_hosts_forever),
+            loop.spawn_lasting(self._follow_members_forever),
         ]
 
     def stop(self):
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -361,7 +361,7 @@
 
     def start(self):
         """Serve in the background."""
-        self._acceptor = eventlet.spawn(self._accept_forever)
+        self._acceptor = loop.spawn_lasting(self._accept_forever)
 
     def close_after_answers(self):
         """Continue to accept connections; close each after its next answer."""
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from verbenanotch import loop
 from verbenanotch.accounts import VersionFreshness
 from verbenanotch.catalog import NO_VERSION
 from verbenanotch.conf import parse_endpoint
@@ -224,8 +225,8 @@
         if self._ready_http is not None:
             self._ready_http.start()
         self._greenthreads = [
-            eventlet.spawn(self._serve_callers),
-            eventlet.spawn(self._target_discovery.run),
+            loop.spawn_lasting(self._serve_callers),
+            loop.spawn_lasting(self._target_discovery.run),
             eventlet.spawn(
                 _run_every, EXPIRY_INTERVAL_SECONDS, self._local_targets.expire
             ),
--- a/verbenanotch/daemon/_reload.py
+++ b/verbenanotch/daemon/_reload.py
@@ -6,6 +6,7 @@
 import eventlet
 from eventlet import hubs
 
+from verbenanotch import loop
 from verbenanotch.daemon import events
 from verbenanotch.documents import Invalid, Valid
 from verbenanotch.telemetry import emit
@@ -52,8 +53,8 @@
             if getattr(settings, field.name)
             != getattr(self._settings, field.name)
         ]
-        self._settings = settings
         self._role.reconfigure(settings)
+        self._settings = settings
         emit(events.RELOADED, sections=changed_sections)
 
 
@@ -65,7 +66,7 @@
         hubs.get_hub().schedule_call_global(0, eventlet.spawn_n, watcher.check)
 
     signal.signal(signal.SIGHUP, on_signal)
-    eventlet.spawn(_check_forever, watcher)
+    loop.spawn_lasting(_check_forever, watcher)
 
 
 def _check_forever(watcher):
--- a/verbenanotch/daemon/_run.py
+++ b/verbenanotch/daemon/_run.py
@@ -4,10 +4,10 @@
 import gc
 import signal
 
-import eventlet
 import greenlet
 from eventlet import event, hubs
 
+from verbenanotch import loop
 from verbenanotch.conf import parse_endpoint
 from verbenanotch.daemon import events
 from verbenanotch.daemon._failures import log_unhandled
@@ -75,8 +75,8 @@
     gc.set_threshold(*GC_THRESHOLDS)
     gc.enable()
     emit(events.STARTED, role=settings.host.role)
-    eventlet.spawn(LoopLag().run)
-    eventlet.spawn(MemoryLog().run)
+    loop.spawn_lasting(LoopLag().run)
+    loop.spawn_lasting(MemoryLog().run)
     if reload is not None:
         watch_settings(role=role, reload=reload, settings=settings)
     stop_request.wait()
--- a/verbenanotch/daemon/events.py
+++ b/verbenanotch/daemon/events.py
@@ -56,8 +56,8 @@
     9011,
     "greenthread-failed",
     Level.ERROR,
-    "an internal error ended a task in the background; logged once a second "
-    "for each type of error",
+    "an internal error ended a task in the background; one that has to last "
+    "is started again; logged once a second for each type of error",
     "Report the traceback to the project.",
 )
 HTTP_REQUEST_FAILED = event(
--- a/verbenanotch/loop/__init__.py
+++ b/verbenanotch/loop/__init__.py
@@ -5,6 +5,7 @@
     SocketReader,
     SocketWriter,
 )
+from verbenanotch.loop._lasting import spawn_lasting
 from verbenanotch.loop._socket import LoopSocket, connect, listen
 from verbenanotch.loop._turns import (
     bound_turns,
@@ -25,5 +26,6 @@
     "is_part_over",
     "listen",
     "spawn_first",
+    "spawn_lasting",
     "take_longest_parts",
 ]
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -49,7 +49,7 @@
 
     def start(self):
         """Accept connections in the background."""
-        self._acceptor = eventlet.spawn(self._accept_forever)
+        self._acceptor = loop.spawn_lasting(self._accept_forever)
 
     def stop(self):
         """Stop accepting and close every connection."""
