distribution: an unexpected error does not end a session's tasks

Cause: only errors of the connection were handled. After any other one a proxy no longer renewed its lease and lost its targets, no longer chose a control host, or kept a connection that it no longer read. A control host kept a proxy's connection open and sent it no further version, or never confirmed its own. A failed search for the minimum version was the last one, and the proxy never served.

Change: these tasks are started again; the end of what reads or writes a session closes its connection, so that both sides begin anew.

--- a/tests/unit/test_lasting_tasks.py
+++ b/tests/unit/test_lasting_tasks.py
@@ -4,16 +4,25 @@
 import eventlet
 import pytest
 
-from tests.support.control_side import PEER_KEY, wait_until
+from tests.support.control_side import (
+    PEER_KEY,
+    ControlSide,
+    FakeVersionStateMachine,
+    ProxySide,
+    make_mesh,
+    wait_until,
+)
 from tests.support.replicas import Cluster
 from tests.unit.test_proxy_peers import SETTINGS
 from verbenanotch import loop
 from verbenanotch.daemon import _control, _reload
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon._interfaces import Interfaces
+from verbenanotch.distribution import _minimum_version_search
 from verbenanotch.loop import _lasting
 from verbenanotch.wire import Listener, Purpose, dial
 
+SERVICE = "service-0"
 REPEATS = 2
 SECONDS = 5.0
 
@@ -159,3 +168,83 @@
     )
     wait_until(lambda: served, seconds=SECONDS)
     listener.stop()
+
+
+@pytest.fixture
+def versions():
+    versions = FakeVersionStateMachine()
+    versions.accept(make_mesh(1))
+    return versions
+
+
+@pytest.fixture
+def control(versions):
+    control = ControlSide(name="control-1", versions=versions)
+    yield control
+    control.stop()
+
+
+@pytest.fixture
+def proxy(control):
+    proxy = ProxySide(
+        name="proxy-1",
+        control_hosts_by_name={"control-1": control.peer},
+        services=[SERVICE],
+        entry_services=[SERVICE],
+    )
+    yield proxy
+    proxy.stop()
+
+
+@pytest.fixture
+def connected(control, proxy):
+    """Return the proxy once it has the accepted version."""
+    control.start()
+    proxy.start()
+    wait_for_version(proxy, control)
+    return proxy
+
+
+def wait_for_version(proxy, control):
+    newest = control.versions.current.version
+    wait_until(
+        lambda: proxy.snapshot_store.snapshot.version == newest,
+        seconds=SECONDS,
+    )
+
+
+@pytest.mark.parametrize("method", ["_announcement", "_unsubscribe_if_stale"])
+def test_a_proxy_goes_on_to_renew_and_to_choose(connected, fail_once, method):
+    assert_repeated(fail_once(connected.subscriber, method))
+
+
+def test_a_proxy_connects_again_after_an_update_that_failed(
+    connected, control, fail_once
+):
+    fail_once(connected.snapshot_store, "apply")
+    control.versions.accept(make_mesh(2))
+    wait_for_version(connected, control)
+
+
+def test_a_proxy_whose_update_failed_gets_the_next_one(
+    connected, control, fail_once
+):
+    fail_once(control.publisher, "_send_update")
+    control.versions.accept(make_mesh(2))
+    wait_for_version(connected, control)
+
+
+def test_a_control_host_goes_on_to_confirm_its_versions(control, fail_once):
+    control.start()
+    calls = fail_once(control.publisher._confirmer, "request_confirmation")
+    wait_until(lambda: len(calls) == 2, seconds=SECONDS)
+
+
+def test_a_search_that_failed_does_not_keep_a_proxy_from_serving(
+    control, proxy, monkeypatch, fail_once
+):
+    control.confirms = False
+    fail_once(_minimum_version_search, "query_peers")
+    control.start()
+    proxy.start()
+    wait_for_version(proxy, control)
--- a/verbenanotch/distribution/_minimum_version_search.py
+++ b/verbenanotch/distribution/_minimum_version_search.py
@@ -5,6 +5,7 @@
 import attrs
 import eventlet
 
+from verbenanotch import loop
 from verbenanotch.catalog import Version
 from verbenanotch.distribution import events
 from verbenanotch.distribution._messages import MinimumVersionRequest
@@ -55,7 +56,7 @@
             and self._snapshot_store.minimum_version is None
         ):
             self._answers = _Answers()
-            self._greenthread = eventlet.spawn(self._run, peers_by_host)
+            self._greenthread = loop.spawn_lasting(self._run, peers_by_host)
 
     def stop(self):
         """Stop a running search."""
@@ -76,6 +77,7 @@
             self._answers.peer_versions.append(reply.version)
 
     def _run(self, peers_by_host):
+        self._answers = _Answers()
         proxy = self._settings.proxy
         wait_seconds = proxy.floor_wait_ms / MILLISECONDS_PER_SECOND
         started_at = time.monotonic()
--- a/verbenanotch/distribution/_publisher.py
+++ b/verbenanotch/distribution/_publisher.py
@@ -7,6 +7,7 @@
 
 import eventlet
 
+from verbenanotch import loop
 from verbenanotch.catalog import NO_VERSION
 from verbenanotch.crashes import (
     CrashDigest,
@@ -119,8 +120,8 @@
         self._had_versions_at_start = self._versions.current is not None
         self._encode_event.set()
         self._greenthreads = [
-            eventlet.spawn(self._encode_forever),
-            eventlet.spawn(self._confirm_until_successful),
+            loop.spawn_lasting(self._encode_forever),
+            loop.spawn_lasting(self._confirm_until_successful),
         ]
 
     def stop(self):
@@ -349,15 +350,16 @@
                 # Changes during this pause are sent as one update.
                 eventlet.sleep(self._coalesce_seconds)
         except ConnectionClosedError:
-            session.connection.close()
+            pass
         except WireError as error:
-            # If the connection stayed open, the proxy would wait indefinitely.
             emit(
                 events.UPDATE_NOT_SENT,
                 peer=session.host,
                 kind=error.kind,
                 error=str(error),
             )
+        finally:
+            # If the connection stayed open, the proxy would wait indefinitely.
             session.connection.close()
 
     def _start_subscription(self, session):
--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from verbenanotch import loop
 from verbenanotch.catalog import NO_VERSION
 from verbenanotch.conf import ControlHostAddress
 from verbenanotch.crashes import (
@@ -154,8 +155,10 @@
     def start(self):
         """Start to dial every control host in the background."""
         self.set_configured_peers(self._configured_peers)
-        self._greenthreads.append(eventlet.spawn(self._renew_forever))
-        self._greenthreads.append(eventlet.spawn(self._choose_forever))
+        self._greenthreads += [
+            loop.spawn_lasting(self._renew_forever),
+            loop.spawn_lasting(self._choose_forever),
+        ]
 
     def set_configured_peers(self, peers_by_name):
         """Dial these peers of the settings, and the ones dialled already."""
@@ -171,7 +174,7 @@
                 self._stop_dialing(name)
         for name, peer in peers_by_name.items():
             if name not in self._dialers_by_name:
-                self._dialers_by_name[name] = eventlet.spawn(
+                self._dialers_by_name[name] = loop.spawn_lasting(
                     self._connect_forever, name, peer
                 )
 
@@ -249,11 +252,13 @@
         while True:
             try:
                 self._connect_and_receive(name, peer)
-            except WireError as error:
+            except Exception as error:
                 control = self._connections_by_name.pop(name, None)
                 if control is not None:
                     failures = 0
                     self._handle_lost_connection(control, error)
+                if not isinstance(error, WireError):
+                    raise
             wait = full_jitter(
                 failures,
                 base_seconds=RECONNECT_BASE_SECONDS,
