replication: a failed tick is a failed replica; dialling goes on

Cause: after one unexpected error in a tick the replica sent no heartbeat, called no election and went on to say that it was well; one in the search for peers or in a link left peers undialled until a restart. `fail` ended the ticks first, so that a failure found there would have left proposals waiting.

Change: a failed tick fails the replica, as a failed step does, and proposals end as unknown at once. The search and the links are started again.

--- a/tests/unit/test_lasting_tasks.py
+++ b/tests/unit/test_lasting_tasks.py
@@ -248,3 +248,24 @@
     control.start()
     proxy.start()
     wait_for_version(proxy, control)
+
+
+@pytest.fixture
+def cluster(tmp_path):
+    cluster = Cluster(path=tmp_path, voters=["host-1", "host-2", "host-3"])
+    yield cluster
+    cluster.close()
+
+
+def test_a_replica_goes_on_to_look_for_its_peers(cluster, fail_once):
+    cluster.start("host-1")
+    replica = cluster.hosts_by_name["host-1"].replica
+    assert_repeated(fail_once(replica._links, "ensure"))
+
+
+def test_a_replica_goes_on_to_dial_a_peer(cluster, fail_once):
+    cluster.start("host-1")
+    replica = cluster.hosts_by_name["host-1"].replica
+    wait_until(lambda: replica._links._links_by_name, seconds=SECONDS)
+    link = next(iter(replica._links._links_by_name.values()))
+    assert_repeated(fail_once(link, "_dial"))
--- a/tests/unit/test_replication_driver.py
+++ b/tests/unit/test_replication_driver.py
@@ -226,6 +226,26 @@
         super().sync(name)
 
 
+def test_a_failed_tick_fails_the_replica_and_its_proposals(
+    recorder, monkeypatch
+):
+    """Otherwise it would neither send heartbeats nor say that it failed."""
+    driver = make_driver(recorder, A, B)
+    monkeypatch.setattr(driver, "_tick_seconds", 0.05)
+    driver.start()
+    lead(driver)
+    run_pending(driver)
+    waiting = driver.propose(EntryKind.COMMAND, b"x")
+
+    def fail(now):
+        raise RuntimeError("the tick failed")
+
+    monkeypatch.setattr(driver.core, "tick", fail)
+    assert isinstance(waiting.wait(1), Unknown)
+    assert str(driver.error) == "the tick failed"
+    driver.stop()
+
+
 def test_disk_failure_stops_its_replica_and_others_continue(tmp_path):
     cluster = Cluster(path=tmp_path, voters=("c1", "c2", "c3"))
     cluster.start("c1", "c2")
--- a/verbenanotch/replication/_driver.py
+++ b/verbenanotch/replication/_driver.py
@@ -1,12 +1,13 @@
 """Execution of the core's effects on disk, links and state machine."""
 
 import math
+import sys
 import time
 import zlib
 
 import attrs
 import eventlet
-from eventlet import event
+from eventlet import event, hubs
 
 from verbenanotch.replication import events
 from verbenanotch.replication._entries import (
@@ -176,10 +177,10 @@
         self.error = error
         emit(events.REPLICA_FAILED, error=str(error))
         metrics.increment("replication.failed")
-        # Without ticks, the replica starts no election and sends no heartbeat.
-        self._greenthreads[0].kill()
         self.core.leader_id = NO_MEMBER
         self._resolve_as_unknown(f"the replica failed: {error}")
+        # Without ticks, the replica starts no election and sends no heartbeat.
+        self._greenthreads[0].kill()
 
     def _until_written(self, operation):
         """Repeat a disk operation until it succeeds.
@@ -224,8 +225,16 @@
         while True:
             eventlet.sleep(self._tick_seconds)
             if self.error is None:
-                self.core.tick(time.monotonic())
-                self.wake()
+                self._tick()
+
+    def _tick(self):
+        try:
+            self.core.tick(time.monotonic())
+        except Exception as error:
+            # The core may have changed in part.
+            hubs.get_hub().squelch_generic_exception(sys.exc_info())
+            self.fail(error)
+        self.wake()
 
     def _run(self):
         try:
--- a/verbenanotch/replication/_links.py
+++ b/verbenanotch/replication/_links.py
@@ -13,7 +13,7 @@
 import eventlet
 from eventlet import event, queue
 
-from verbenanotch import wire
+from verbenanotch import loop, wire
 from verbenanotch.replication import events
 from verbenanotch.replication._messages import Hello, Unchanged
 from verbenanotch.telemetry import emit
@@ -86,7 +86,7 @@
 
     def start(self):
         """Dial in the background."""
-        self._greenthread = eventlet.spawn(self._dial_forever)
+        self._greenthread = loop.spawn_lasting(self._dial_forever)
 
     def stop(self):
         """Close the connection."""
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -6,7 +6,7 @@
 import attrs
 import eventlet
 
-from verbenanotch import wire
+from verbenanotch import loop, wire
 from verbenanotch.replication import events
 from verbenanotch.replication._bootstrap import (
     Bootstrap,
@@ -115,7 +115,7 @@
         self._build_components(recovered)
         self._running = True
         self._driver.start()
-        self._dialer = eventlet.spawn(self._dial_forever)
+        self._dialer = loop.spawn_lasting(self._dial_forever)
         self._apply_decision(self._bootstrap.decide_at_start())
 
     def stop(self):
