membership, proxy, crashes: one error does not end a background task

Change: these tasks are started again; leases of the lost control host end, the connection is closed, and the records that may be missing in the file of crashes are written anew.

--- a/tests/unit/test_lasting_tasks.py
+++ b/tests/unit/test_lasting_tasks.py
@@ -1,5 +1,7 @@
 """One exception does not end a task that has to last as the daemon does."""
 
+import types
+
 import attrs
 import eventlet
 import pytest
@@ -15,11 +17,14 @@
 from tests.support.replicas import Cluster
 from tests.unit.test_proxy_peers import SETTINGS
 from verbenanotch import loop
+from verbenanotch.crashes import CrashStorage, CrashTable
 from verbenanotch.daemon import _control, _reload
 from verbenanotch.daemon._http import HttpServer
 from verbenanotch.daemon._interfaces import Interfaces
 from verbenanotch.distribution import _minimum_version_search
 from verbenanotch.loop import _lasting
+from verbenanotch.membership._exchange import RECEIVE_TIMEOUT_SECONDS
+from verbenanotch.proxy import DisconnectMonitor, PeerPool
 from verbenanotch.wire import Listener, Purpose, dial
 
 SERVICE = "service-0"
@@ -269,3 +274,57 @@
     wait_until(lambda: replica._links._links_by_name, seconds=SECONDS)
     link = next(iter(replica._links._links_by_name.values()))
     assert_repeated(fail_once(link, "_dial"))
+
+
+@pytest.fixture
+def exchanging(control, versions):
+    """Return two control hosts; the second one dials the first one."""
+    other = ControlSide(name="control-2", versions=versions)
+    control.start()
+    other.start({"control-1": control.peer})
+    wait_until(lambda: other.exchange.summaries_by_zone, seconds=SECONDS)
+    yield control, other
+    other.stop()
+
+
+def test_a_control_host_receives_a_table_again_after_an_error(
+    exchanging, fail_once
+):
+    assert_repeated(fail_once(exchanging[1].exchange, "_receive"))
+
+
+def test_a_control_host_that_failed_to_send_a_table_closes_at_once(
+    exchanging, fail_once
+):
+    calls = fail_once(exchanging[0].exchange, "_send_table")
+    wait_until(lambda: len(calls) > 1, seconds=RECEIVE_TIMEOUT_SECONDS / 2)
+
+
+def test_a_proxy_goes_on_to_check_its_peers(fail_once):
+    pool = PeerPool(settings=SETTINGS)
+    peer = types.SimpleNamespace(
+        closed=False, check_liveness=lambda now: None, close=lambda: None
+    )
+    pool._peers_by_address["127.0.0.9", 1] = peer
+    calls = fail_once(peer, "check_liveness")
+    pool.start()
+    assert_repeated(calls)
+    pool.stop()
+
+
+def test_a_proxy_goes_on_to_look_for_callers_that_left(fail_once):
+    monitor = DisconnectMonitor()
+    calls = fail_once(monitor, "sweep")
+    monitor.start()
+    assert_repeated(calls)
+    monitor.stop()
+
+
+def test_a_crash_is_stored_after_a_write_that_failed(tmp_path, fail_once):
+    storage = CrashStorage.in_folder(tmp_path)
+    record = CrashTable().add_crash(b"p" * 16, b"crash", 0.0)
+    fail_once(storage._files, "append")
+    storage.append([record], all_records=lambda: [record])
+    wait_until(
+        lambda: CrashStorage.in_folder(tmp_path).load(), seconds=SECONDS
+    )
--- a/verbenanotch/crashes/_storage.py
+++ b/verbenanotch/crashes/_storage.py
@@ -5,6 +5,7 @@
 import attrs
 import eventlet
 
+from verbenanotch import loop
 from verbenanotch.crashes import events
 from verbenanotch.crashes._records import CrashRecord
 from verbenanotch.storage import Files, pack_record, scan_records
@@ -72,7 +73,7 @@
         now_ms = self._wall_clock_ms()
         self._pending += [_pack(record, now_ms) for record in records]
         if self._writer is None:
-            self._writer = eventlet.spawn(self._write, all_records)
+            self._writer = loop.spawn_lasting(self._write, all_records)
 
     def flush(self):
         """Wait until all records that were appended are stored.
@@ -95,9 +96,11 @@
         while self._pending or self._must_replace:
             try:
                 self._write_pending(all_records)
-            except OSError as error:
+            except Exception as error:
                 self._must_replace = True
                 metrics.increment("crashes.writes_failed")
+                if not isinstance(error, OSError):
+                    raise
                 emit(events.STORAGE_FAILED, error=str(error))
                 eventlet.sleep(RETRY_SECONDS)
         self._writer = None
--- a/verbenanotch/membership/_exchange.py
+++ b/verbenanotch/membership/_exchange.py
@@ -6,6 +6,7 @@
 import attrs
 import eventlet
 
+from verbenanotch import loop
 from verbenanotch.conf import ControlHostAddress
 from verbenanotch.crashes import (
     CrashDigest,
@@ -183,6 +184,8 @@
                 eventlet.sleep(coalesce_seconds)
                 session.wake_event.wait(SUMMARY_INTERVAL_SECONDS)
         except ConnectionClosedError:
+            pass
+        finally:
             session.connection.close()
 
     def _update_published_tables(self):
@@ -234,7 +237,7 @@
 
     def _start_subscription(self, zone, peers_by_name):
         self._greenthreads.append(
-            eventlet.spawn(self._run_forever, zone, peers_by_name)
+            loop.spawn_lasting(self._run_forever, zone, peers_by_name)
         )
 
     def _run_forever(self, zone, peers_by_name):
@@ -250,7 +253,8 @@
                 if subscription.has_received:
                     failures = 0
                     emit(events.ZONE_LOST, peer=name, error=str(error))
-            self._remove_leases_of(subscription)
+            finally:
+                self._remove_leases_of(subscription)
             names = [*names[1:], name]
             failures += 1
             wait = full_jitter(
--- a/verbenanotch/proxy/_disconnect_monitor.py
+++ b/verbenanotch/proxy/_disconnect_monitor.py
@@ -24,7 +24,7 @@
 
     def start(self):
         """Start the periodic check in the background."""
-        self._sweeper = eventlet.spawn(self._sweep_forever)
+        self._sweeper = loop.spawn_lasting(self._sweep_forever)
 
     def stop(self):
         """Stop the periodic check."""
--- a/verbenanotch/proxy/_peer_pool.py
+++ b/verbenanotch/proxy/_peer_pool.py
@@ -5,6 +5,7 @@
 import eventlet
 from eventlet import event
 
+from verbenanotch import loop
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._outcome import NotRun
@@ -42,7 +43,7 @@
 
     def start(self):
         """Start checking in the background whether peers respond."""
-        self._liveness_checker = eventlet.spawn(self._check_forever)
+        self._liveness_checker = loop.spawn_lasting(self._check_forever)
 
     def stop(self):
         """Close every connection."""
