proxy: a target that resets new connections has not crashed

Cause: after a call that a target broke off, each failure of a new connection stood for a crash, also a reset and a time-out. A target that was full was taken out for the whole of its incarnation, however often it announced itself (409, outdated-announcement): callers got 503 until it was started again, and the call counted as one that crashes targets.

Change: only a refused connection shows that nothing listens. One that ends otherwise is tried again within the same time.

Measured: two tests fail before and pass after.

--- a/tests/unit/test_target_crashes.py
+++ b/tests/unit/test_target_crashes.py
@@ -124,6 +124,27 @@
     assert targets.targets_by_id == {}
 
 
+@pytest.mark.parametrize("error", [ConnectionResetError, TimeoutError])
+def test_a_full_target_that_ends_new_connections_is_running(
+    run, monkeypatch, error
+):
+    """It would get no requests until its next start."""
+    connect = TargetConnections.connect
+    attempts = []
+
+    def connect_once(self, *, timeout_seconds):
+        attempts.append(timeout_seconds)
+        if len(attempts) > 1:
+            raise error("the target is full")
+        return connect(self, timeout_seconds=timeout_seconds)
+
+    monkeypatch.setattr(TargetConnections, "connect", connect_once)
+    targets, crashed = run(break_off)
+    assert len(attempts) > 1
+    assert crashed == []
+    assert list(targets.targets_by_id) == ["i-1"]
+
+
 def test_a_target_that_still_accepts_while_it_exits_has_crashed(run):
     def serve(listener):
         break_off(listener)
--- a/verbenanotch/proxy/_crash_detection.py
+++ b/verbenanotch/proxy/_crash_detection.py
@@ -87,12 +87,9 @@
             while not self._has_crashed and self._unfinished_calls.has_any(
                 time.monotonic()
             ):
-                connection = (
-                    self._connections.acquire_idle()
-                    or self._connections.probe()
-                )
+                connection = self._connections.acquire_idle() or self._probe()
                 if connection is None:
-                    self._mark_crashed()
+                    eventlet.sleep(WATCH_PAUSE_SECONDS)
                 elif connection.wait_for_input(timeout_seconds=WATCH_SECONDS):
                     connection.close()
                     if not self._is_crash():
@@ -108,27 +105,29 @@
         The operating system closes the sockets of a terminating process one
         after the other, so it may still accept a connection. A target that
         accepts is checked for `CRASH_RECHECK_SECONDS`; it has crashed if it
-        closed the connection and refuses a new one.
+        closed the connection and refuses a new one. A target that ends each
+        connection at once is only full.
         """
-        connection = None if self._has_crashed else self._connections.probe()
-        if connection is None:
-            self._mark_crashed()
-            return True
+        connection = None if self._has_crashed else self._probe()
         end = time.monotonic() + CRASH_RECHECK_SECONDS
         while not self._has_crashed and time.monotonic() < end:
             eventlet.sleep(RECHECK_INTERVAL_SECONDS)
-            if connection.was_closed_unused() and not self._accepts():
-                self._mark_crashed()
-        self._connections.release(connection)
+            if connection is None or connection.was_closed_unused():
+                self._release(self._probe())
+        self._release(connection)
         return self._has_crashed
 
-    def _accepts(self):
-        """Return whether the target accepts another connection."""
-        connection = self._connections.probe()
-        if connection is None:
-            return False
-        self._connections.release(connection)
-        return True
+    def _probe(self):
+        """Return a new connection or None; a target that refuses crashed."""
+        try:
+            return self._connections.probe()
+        except ConnectionRefusedError:
+            self._mark_crashed()
+            return None
+
+    def _release(self, connection):
+        if connection is not None:
+            self._connections.release(connection)
 
     def _mark_crashed(self):
         if not self._has_crashed:
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -189,12 +189,15 @@
         return TargetConnection(sock=sock)
 
     def probe(self):
-        """Return a new connection, or None if the target can't be reached.
+        """Return a new connection, or None if the target ends it at once.
 
-        No call uses it before it is released.
+        No call uses it before it is released. Raises ConnectionRefusedError
+        if nothing listens at the target's port.
         """
         try:
             return self.connect(timeout_seconds=PROBE_TIMEOUT_SECONDS)
+        except ConnectionRefusedError:
+            raise
         except OSError:
             return None
 
