daemon: heads that are too long are refused like others

What callers saw: a request line or a header of 8 KiB or more, or 64 KiB of headers, were refused by the library as HTTP/1.0 with an empty body, 400 for headers, without the outcome, the reason or a request id; and no such refusal was counted.

Measured: the three cases of the new test failed before and pass. In test_requests_behind_a_malformed_one_do_not_run the case of 70 KB of headers expected the library's 400; it expects exactly 431 now.

--- a/tests/unit/test_caller_pipelining.py
+++ b/tests/unit/test_caller_pipelining.py
@@ -117,6 +117,27 @@
     connected.sock.close()
 
 
+@pytest.mark.parametrize(
+    ("long_head", "status"),
+    [
+        (b"GET /" + b"a" * 9000 + b" HTTP/1.1\r\nHost: x\r\n\r\n", 414),
+        (request(1, extra=f"X-A: {'a' * 9000}\r\n"), 431),
+        (request(1, extra=f"X-A: {'a' * 7000}\r\n" * 10), 431),
+    ],
+)
+def test_a_head_that_is_too_long_is_refused_in_its_turn(
+    targets, caller, long_head, status
+):
+    """Guard against a refusal that does not say that nothing ran."""
+    caller.send(request(0), long_head)
+    targets.wait_for(0)
+    targets.finish(0)
+    assert caller.answer() == (200, "id-0", False)
+    refused_status, _, closes = caller.answer()
+    assert (refused_status, closes) == (status, True)
+    assert caller.answer() is None
+
+
 def test_safe_requests_run_side_by_side_and_are_answered_in_order(
     targets, caller
 ):
@@ -213,16 +234,22 @@
 
 
 @pytest.mark.parametrize(
-    "malformed",
+    ("malformed", "status"),
     [
-        b"nonsense\r\n\r\n",
-        b"GET /pay/1 HTTP/1.1\r\nContent-Length: 3\r\n"
-        b"Content-Length: 4\r\n\r\nabcd",
-        b"GET /pay/1 HTTP/1.1\r\nX: " + b"y" * 70_000 + b"\r\n\r\n",
+        (b"nonsense\r\n\r\n", b"400"),
+        (
+            b"GET /pay/1 HTTP/1.1\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabcd",
+            b"400",
+        ),
+        (
+            b"GET /pay/1 HTTP/1.1\r\nX: " + b"y" * 70_000 + b"\r\n\r\n",
+            b"431",
+        ),
     ],
 )
 def test_requests_behind_a_malformed_one_do_not_run(
-    targets, caller, malformed
+    targets, caller, malformed, status
 ):
     caller.send(request(0), malformed, request(2))
     targets.wait_for(0)
@@ -232,7 +259,7 @@
         received += data
     first, _, second = received.partition(b"hello")
     assert first.startswith(b"HTTP/1.1 200")
-    assert second.split(b" ", 2)[1] == b"400"
+    assert second.split(b" ", 2)[1] == status
     assert targets.started == ["id-0"]
 
 
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -34,6 +34,12 @@
 # MAX_LARGE_BODIES at once; chunked bodies may all be large.
 LARGE_BODY_BYTES = 1024 * 1024
 MAX_LARGE_BODIES = 4
+HEAD_TOO_LARGE = RequestRefusedError(
+    status=431,
+    kind="headers-too-large",
+    text=f"send header lines below {wsgi.MAX_HEADER_LINE} bytes, and at most "
+    f"{wsgi.MAX_TOTAL_HEADER_SIZE} bytes of them",
+)
 # The time that a client has to send the rest of a body behind the last answer.
 BODY_LINGER_SECONDS = 10.0
 # The CGI variables of these headers have no HTTP_ prefix.
@@ -88,6 +94,28 @@
             self.requestline = self.path = ""
             self.headers = self.environ = None
 
+    def _read_request_line(self):
+        """Return the first line of a request; an empty one ends the stream.
+
+        A line that is too long is refused here: the library's own answer has
+        neither a reason nor its turn behind earlier answers.
+        """
+        line = super()._read_request_line()
+        if len(line) < self.server.url_length_limit:
+            return line
+        self._refuse_head(
+            RequestRefusedError(
+                status=414,
+                kind="target-too-long",
+                text=f"send a request line below {len(line)} bytes",
+            )
+        )
+        return b""
+
+    def _refuse_head(self, error):
+        metrics.increment(f"daemon.http_heads_refused.{error.kind}")
+        self.send_error(error.status, error.kind, str(error))
+
     def end(self):
         """Tell the client that no more answers come; drop the last body.
 
@@ -127,8 +155,10 @@
             with self._owner.head_bytes.counted(self.rfile) as lines:
                 head = read_request_head(lines, self.raw_requestline)
         except RequestRefusedError as error:
-            metrics.increment(f"daemon.http_heads_refused.{error.kind}")
-            self.send_error(error.status, error.kind, str(error))
+            self._refuse_head(error)
+            return False
+        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+            self._refuse_head(HEAD_TOO_LARGE)
             return False
         self.command = head.method
         self.path = head.target
