wire: bound the time of a handshake that this host dialled

Each step of a handshake has a time limit, and the listener bounds all of them together since; the dialler did not. Something else at a peer's address that sends a byte now and then kept a dial open for up to 4 KiB of them, and all later dials to the address wait for it: requests to its targets are not run, and a replica is not linked.

The dialler has the bound of the listener, three times that of a step, and closes the connection whatever ends the handshake.

Before: test_a_dial_to_a_stranger_that_trickles_ends failed, no end within 5 s; now it passes.

--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -1,5 +1,6 @@
 """Authenticated connections between processes."""
 
+import contextlib
 import enum
 import os
 import socket
@@ -269,6 +270,31 @@
             eventlet.sleep(0.02)
 
 
+def test_a_dial_to_a_stranger_that_trickles_ends():
+    """Later dials to the address waited for it, for up to two hours."""
+
+    def trickle(sock, _):
+        with contextlib.suppress(OSError), contextlib.closing(sock):
+            sock.sendall(b"\xc5\x0f\x00")
+            while True:
+                sock.sendall(b"x")
+                eventlet.sleep(0.01)
+
+    stranger = eventlet.listen(("127.0.0.1", 0))
+    server = eventlet.spawn(eventlet.serve, stranger, trickle)
+    with eventlet.Timeout(WAKE_SECONDS), pytest.raises(ConnectionClosedError):
+        dial(
+            address="127.0.0.1",
+            port=stranger.getsockname()[1],
+            key=KEY,
+            name="client",
+            purpose=Purpose.REQUEST,
+            timeout_seconds=0.1,
+        )
+    server.kill()
+    stranger.close()
+
+
 class DelayedMacConnection(Connection):
     """Connection that keeps its MAC back in `delayed`."""
 
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -1,5 +1,7 @@
 """Accept and dial authenticated connections."""
 
+import contextlib
+
 import eventlet
 
 from verbenanotch import loop
@@ -11,8 +13,9 @@
 
 # Limits each send and receive of the handshake.
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
-# Limits the handshake of an accepted connection as a whole.
-MAX_HANDSHAKE_SECONDS = 3 * HANDSHAKE_TIMEOUT_SECONDS
+# Limits the handshake as a whole, in the time of one step.
+HANDSHAKE_STEPS = 3
+MAX_HANDSHAKE_SECONDS = HANDSHAKE_STEPS * HANDSHAKE_TIMEOUT_SECONDS
 LISTEN_BACKLOG = 1024
 # Configurations and host tables are repetitive text, which compresses well.
 # Request bodies are mostly compressed already, and compressing them again
@@ -93,8 +96,7 @@
     def _authenticate(self, connection):
         """Authenticate the peer; return the handler for its purpose."""
         connection.set_timeout(HANDSHAKE_TIMEOUT_SECONDS)
-        timeout = eventlet.Timeout(MAX_HANDSHAKE_SECONDS)
-        try:
+        with _limited_to(MAX_HANDSHAKE_SECONDS):
             connection.peer_name, connection.purpose = perform_handshake(
                 connection,
                 key=self._key,
@@ -102,12 +104,6 @@
                 purpose="",
                 role="listener",
             )
-        except eventlet.Timeout as error:
-            if error is not timeout:
-                raise
-            raise ConnectionClosedError("handshake timed out") from error
-        finally:
-            timeout.cancel()
         connection.accept_messages()
         connection.compresses = connection.purpose in COMPRESSED_PURPOSES
         connection.set_timeout(None)
@@ -120,10 +116,25 @@
         return handler
 
 
+@contextlib.contextmanager
+def _limited_to(seconds):
+    """Raise ConnectionClosedError after this time."""
+    timeout = eventlet.Timeout(seconds)
+    try:
+        yield
+    except eventlet.Timeout as error:
+        if error is not timeout:
+            raise
+        raise ConnectionClosedError("handshake timed out") from error
+    finally:
+        timeout.cancel()
+
+
 def dial(*, address, port, key, name, purpose, timeout_seconds=2.0):
     """Return an authenticated connection to a peer.
 
-    `timeout_seconds` bounds the connect and each step of the handshake.
+    `timeout_seconds` bounds the connect and each step of the handshake,
+    `HANDSHAKE_STEPS` times as much the handshake.
     Raises ConnectionClosedError if the peer cannot be reached, or the errors
     of the handshake.
     """
@@ -135,10 +146,11 @@
         ) from error
     connection = Connection(sock=sock)
     try:
-        connection.peer_name, _ = perform_handshake(
-            connection, key=key, name=name, purpose=purpose, role="dialer"
-        )
-    except WireError:
+        with _limited_to(HANDSHAKE_STEPS * timeout_seconds):
+            connection.peer_name, _ = perform_handshake(
+                connection, key=key, name=name, purpose=purpose, role="dialer"
+            )
+    except BaseException:
         connection.close()
         raise
     connection.accept_messages()
