conf: the bodies of a proxy fit into the memory of its host

proxy.max_receiving_bytes is the same whatever memory a deployment gives to the process: with less than the usual 300 MB the budget of bodies alone may get it killed.

host.memory_mb names that memory; the deployment fills it in. The limit of bodies is lowered to a third of it, never below that of a single body. It is not raised, and other budgets (unsent messages, heads, bytes read ahead) do not follow yet.

--- a/tests/unit/test_deploy_templates.py
+++ b/tests/unit/test_deploy_templates.py
@@ -108,6 +108,25 @@
     assert result.value.proxy.retry_burst == 33.5
 
 
+@pytest.mark.parametrize(
+    ("limits", "expected_bytes"),
+    [
+        ({"MemoryMb": 300}, 100_000_000),
+        ({"MemoryMb": 240.0}, 80_000_000),
+        ({"MemoryMb": 1024}, 100_000_000),
+        ({"MemoryMb": 0}, 100_000_000),
+        ({}, 100_000_000),
+    ],
+)
+def test_the_bodies_fit_into_the_memory_that_is_given(
+    load, limits, expected_bytes
+):
+    """Guard against a process that is killed where memory is scarce."""
+    result = load("proxy.toml", bounds={}, Limits=limits)
+    assert_valid(result)
+    assert result.value.proxy.max_receiving_bytes == expected_bytes
+
+
 @pytest.mark.parametrize("template", TEMPLATES)
 def test_each_bound_in_a_template_is_one_that_is_tested(template):
     text = (DEPLOY / template).read_text(encoding="utf-8")
--- a/verbenanotch/conf/_checks.py
+++ b/verbenanotch/conf/_checks.py
@@ -50,6 +50,12 @@
             "the key is too short",
             f"Use at least {MIN_KEY_CHARACTERS} characters.",
         )
+    if host.memory_mb < 0:
+        yield document.problem(
+            "host.memory_mb",
+            "is negative",
+            "Use the memory of the process, or 0 if it is not known.",
+        )
 
 
 def _section_problems(settings, document):
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -7,6 +7,11 @@
 from verbenanotch.conf._checks import find_problems
 from verbenanotch.documents import Document, Invalid, Valid, parse
 
+BYTES_PER_MB = 1_000_000
+# Bodies may be copied while they are passed on, and the rest of the process
+# needs room as well.
+BODIES_MEMORY_SHARE = 1 / 3
+
 
 @attrs.frozen(kw_only=True)
 class HostSettings:
@@ -16,7 +21,9 @@
     the proxies that call it, for hosts behind network address translation;
     an empty or zero value means `address` or `peer_port`. Hosts of several
     small availability zones that share their control hosts set the same
-    `control_zone`; an empty value means the availability zone.
+    `control_zone`; an empty value means the availability zone. `memory_mb` is
+    the memory that the process may use, in millions of bytes: limits that do
+    not fit into it are lowered; 0 means unknown.
     """
 
     name: str
@@ -28,6 +35,7 @@
     advertised_peer_port: int = 0
     region: str = "local"
     control_zone: str = ""
+    memory_mb: float = 0.0
     peer_key: str = attrs.field(repr=False)
 
     @property
@@ -336,11 +344,30 @@
             problems = tuple(find_problems(settings, document))
             if problems:
                 return Invalid(problems=problems)
-            return Valid(value=_with_seeds(settings), document=document)
+            settings = _within_memory(_with_seeds(settings))
+            return Valid(value=settings, document=document)
         case Invalid():
             return result
 
 
+def _within_memory(settings):
+    """Return the settings with limits that the memory of the host allows.
+
+    An idle proxy always accepts a single body of the largest size.
+    """
+    proxy, memory_mb = settings.proxy, settings.host.memory_mb
+    if not proxy or not memory_mb:
+        return settings
+    share_bytes = int(memory_mb * BYTES_PER_MB * BODIES_MEMORY_SHARE)
+    max_receiving_bytes = min(
+        proxy.max_receiving_bytes, max(proxy.max_body_bytes, share_bytes)
+    )
+    return attrs.evolve(
+        settings,
+        proxy=attrs.evolve(proxy, max_receiving_bytes=max_receiving_bytes),
+    )
+
+
 def _with_seeds(settings):
     """Return the settings with the seeds in place of missing control hosts."""
     seeds = settings.discovery.control_hosts_by_name
