wire: make no event for each write that nobody waits for

The room for unsent messages made an event after each write, on the path of each request. It is made now by the first message that waits. Not measured.

--- a/verbenanotch/wire/_pending.py
+++ b/verbenanotch/wire/_pending.py
@@ -28,7 +28,8 @@
         """Start without connections."""
         self.used_bytes = 0
         self._connections = set()
-        self._freed = event.Event()
+        # Set while a message waits for room.
+        self._freed = None
         self._checked_at = float("-inf")
 
     def has_room(self, own_bytes, count):
@@ -50,8 +51,9 @@
         self.used_bytes -= count
         if not connection.pending_bytes:
             self._connections.discard(connection)
-        freed, self._freed = self._freed, event.Event()
-        freed.send()
+        if self._freed is not None:
+            freed, self._freed = self._freed, None
+            freed.send()
 
     def wait(self, connection):
         """Wait a moment for room for a message of `connection`.
@@ -62,6 +64,8 @@
             eventlet.sleep(CHECK_SECONDS)
             return
         self._end_unread()
+        if self._freed is None:
+            self._freed = event.Event()
         self._freed.wait(timeout=CHECK_SECONDS)
 
     def _end_unread(self):
