--- a/verbenanotch/wire/_pending.py
+++ b/verbenanotch/wire/_pending.py
@@ -28,7 +28,7 @@
         """Start without connections."""
         self.used_bytes = 0
         self._connections = set()
-        # Exists while a message waits for room.
+        # Set while a message waits for room.
         self._freed = None
         self._checked_at = float("-inf")
 
