daemon: the heads of requests that run count until they end

What callers saw: nothing; found by search. A proxy with 300 MB is ended by callers with large heads whose requests wait for a target.

Cause: a head gave its bytes back once it was read, while its request kept it, in pipelines also behind earlier requests. A refused head was kept with its error while earlier answers were awaited; the request line was not counted, and is kept in several forms. Class: a limit for each peer, none for all.

Change: the 16 MiB for heads over 4 KiB hold from the first line of a head until its request has been answered, on all servers; a request without room is refused as not run (503 heads-full), as before. A refused head is dropped before its answer waits. HeadBytes moves to http1, as the proxies' side needs it, too.

--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -114,7 +114,8 @@
         answer = Answer(
             method=self.command, asks_keep_alive=connection == "keep-alive"
         )
-        self._options.workers.run(self._run, turn, self.environ, answer)
+        head, self._head = self._head, None
+        self._options.workers.run(self._run, turn, self.environ, answer, head)
 
     def send_error(self, code, message=None, explain=None):
         """Answer a request that can't be read; close the connection.
@@ -270,8 +271,15 @@
         with self._watched():
             super().handle_one_response()
 
-    def _run(self, turn, environ, answer):
+    def _run(self, turn, environ, answer, head):
         """Run a request in a worker and send the answers that are ready."""
+        try:
+            self._answer(turn, environ, answer)
+            self._send_answers()
+        finally:
+            head.release()
+
+    def _answer(self, turn, environ, answer):
         closes = False
         try:
             answer.read(self.server.app(environ, answer.start))
@@ -283,7 +291,6 @@
             answer.body = b""
             closes = True
         self._pipeline.finish(turn, answer, size=answer.size, closes=closes)
-        self._send_answers()
 
     def _send_answers(self):
         """Send the answers that are ready, in order, unless one is sending."""
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -15,9 +15,8 @@
 from verbenanotch import loop
 from verbenanotch.daemon import events
 from verbenanotch.daemon._failures import RequestFailureLog
-from verbenanotch.daemon._head_bytes import HeadBytes
 from verbenanotch.daemon._linger import linger
-from verbenanotch.http1 import ChunkedBody, read_request_head
+from verbenanotch.http1 import ChunkedBody, HeadBytes, read_request_head
 from verbenanotch.http1.exceptions import HttpError, RequestRefusedError
 from verbenanotch.telemetry import emit, metrics
 
@@ -58,6 +57,7 @@
         self._close_connection = True
         self._is_close_decided = False
         self._body = None
+        self._head = None
         self.has_ended = False
         super().__init__(conn_state, server)
 
@@ -81,9 +81,12 @@
 
     def handle_one_request(self):
         """Serve one request, then forget it: the connection may stay long."""
+        self._head = self._owner.head_bytes.reserve()
         try:
             super().handle_one_request()
         finally:
+            if self._head is not None:
+                self._head.release()
             self.raw_requestline = b""
             self.requestline = self.path = ""
             self.headers = self.environ = None
@@ -124,11 +127,19 @@
         self.request_version = self.default_request_version
         self.requestline = self.raw_requestline.decode("latin-1").strip()
         try:
-            with self._owner.head_bytes.counted(self.rfile) as lines:
-                head = read_request_head(lines, self.raw_requestline)
+            self._head.add(len(self.raw_requestline))
+            head = read_request_head(
+                self._head.lines(self.rfile), self.raw_requestline
+            )
         except RequestRefusedError as error:
-            metrics.increment(f"daemon.http_heads_refused.{error.kind}")
-            self.send_error(error.status, error.kind, str(error))
+            refusal = error.status, error.kind, str(error)
+        else:
+            refusal = None
+        if refusal is not None:
+            # The lines that were read went with the error.
+            self._head.release()
+            metrics.increment(f"daemon.http_heads_refused.{refusal[1]}")
+            self.send_error(*refusal)
             return False
         self.command = head.method
         self.path = head.target
--- a/verbenanotch/http1/__init__.py
+++ b/verbenanotch/http1/__init__.py
@@ -3,11 +3,13 @@
 from verbenanotch.http1._answer import Answer, read_answer
 from verbenanotch.http1._chunks import ChunkedBody
 from verbenanotch.http1._fields import HeaderFields
+from verbenanotch.http1._head_bytes import HeadBytes
 from verbenanotch.http1._request import RequestHead, read_request_head
 
 __all__ = [
     "Answer",
     "ChunkedBody",
+    "HeadBytes",
     "HeaderFields",
     "RequestHead",
     "read_answer",
