proxy: the heads of forwarded calls have a common limit

What callers saw: nothing; found by search. A proxy beside a target keeps the heads of all calls that other proxies forward to it until they end, and is ended by enough of them.

Cause: the bodies of these calls are counted, their heads are not, and each proxy that forwards calls has a limit of its own only. Class: a limit for each peer, none for all.

One without room is refused as not run, with the reason heads-full.

With several real proxies that forward to one, nothing was measured.

--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -7,6 +7,8 @@
 import msgpack
 
 from verbenanotch.crashes import CrashRecords
+from verbenanotch.http1 import HeadBytes
+from verbenanotch.http1.exceptions import RequestRefusedError
 from verbenanotch.loop import Workers
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy import events
@@ -47,17 +49,25 @@
 class _Stream:
     """One forwarded call, from its opening frame to its last reply frame.
 
-    `request` and `answer` are the Reservations of its bodies.
+    `request` and `answer` are the Reservations of its bodies, `head` is the
+    HeadReservation.
     """
 
     call: Call
     deadline: float
     assembler: BodyAssembler
     cancellation: Cancellation
+    head: object
     request: object
     answer: object
     window: FlowControlWindow = attrs.field(factory=FlowControlWindow)
 
+    def release(self):
+        """Give back the bytes of the head and of both bodies."""
+        self.head.release()
+        self.request.release()
+        self.answer.release()
+
 
 class PeerServer:
     """Run the calls that other proxies forward to this host."""
@@ -94,6 +104,7 @@
         self.body_budget = body_budget or BodyBudget(
             max_bytes=max_body_bytes * 2, max_body_bytes=max_body_bytes
         )
+        self.head_bytes = HeadBytes()
 
     def handle(self, connection):
         """Serve one peer until its connection closes."""
@@ -155,7 +166,7 @@
             stream.window.close()
             stream.cancellation.cancel()
             if not stream.assembler.is_complete:
-                stream.request.release()
+                stream.release()
 
     def _read_arrived(self):
         """Handle what has arrived, such as the Cancel of a call.
@@ -206,11 +217,15 @@
                 f"peer opened stream {stream_id} twice; "
                 "run the same release on every host"
             )
+        head = self._server.head_bytes.reserve()
         request = self._server.body_budget.reserve_request()
-        refusal = self._server.refusal() or self._take(
-            request, forward.body_bytes, len(forward.call.body)
+        refusal = (
+            self._server.refusal()
+            or self._take_head(head, forward.call)
+            or self._take(request, forward.body_bytes, len(forward.call.body))
         )
         if refusal is not None:
+            head.release()
             self._refuse(stream_id, refusal)
             return
         call = forward.call
@@ -222,6 +237,7 @@
                 body_bytes=forward.body_bytes, first_chunk=call.body
             ),
             cancellation=Cancellation(has_caller_left=self._read_arrived),
+            head=head,
             request=request,
             answer=self._server.body_budget.reserve_answer(),
         )
@@ -229,6 +245,17 @@
         if stream.assembler.is_complete:
             self._start_call(stream_id, stream)
 
+    def _take_head(self, head, call):
+        """Count the head of a call, or return NotRun."""
+        fields_bytes = sum(
+            len(name) + len(value) for name, value in call.headers
+        )
+        try:
+            head.add(len(call.path) + fields_bytes)
+        except RequestRefusedError:
+            return NotRun(reason=reasons.HEADS_FULL)
+        return None
+
     def _take(self, request, body_bytes, count):
         """Take `count` of the `body_bytes` of a request, or return NotRun."""
         if body_bytes > self._server.max_body_bytes:
@@ -255,7 +282,7 @@
             stream.request.take(len(data))
         except BodiesFullError:
             del self._streams_by_id[stream_id]
-            stream.request.release()
+            stream.release()
             self._refuse(stream_id, NotRun(reason=reasons.BODIES_FULL))
             return
         stream.assembler.add(data)
@@ -280,7 +307,7 @@
         stream.cancellation.cancel()
         if not stream.assembler.is_complete:
             del self._streams_by_id[stream_id]
-            stream.request.release()
+            stream.release()
 
     def _run_call(self, stream_id, stream):
         try:
@@ -315,8 +342,7 @@
         finally:
             self._streams_by_id.pop(stream_id, None)
             self._server.in_flight -= 1
-            stream.request.release()
-            stream.answer.release()
+            stream.release()
 
     def _reply(self, stream_id, stream, outcome):
         large_answers = self._server.large_answers
--- a/verbenanotch/proxy/_reasons.py
+++ b/verbenanotch/proxy/_reasons.py
@@ -27,6 +27,8 @@
 HOST_FULL = "host-full"
 # The bodies that the host keeps leave no room for that of the request.
 BODIES_FULL = "bodies-full"
+# The large heads of other requests leave no room for that of the request.
+HEADS_FULL = "heads-full"
 
 PEER_UNREACHABLE = "peer-unreachable"
 PEER_SILENT = "peer-silent"
