--- a/tests/unit/test_large_inputs.py
+++ b/tests/unit/test_large_inputs.py
@@ -6,10 +6,10 @@
 import pytest
 
 from verbenanotch.daemon._http import (
-    LARGE_BODY_BYTES,
     MAX_LARGE_BODIES,
     HttpServer,
 )
+from verbenanotch.daemon._request_body import LARGE_BODY_BYTES
 from verbenanotch.platform._fields import MAX_JSON_VALUES, load_object
 from verbenanotch.platform.exceptions import MalformedDocumentError
 
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -6,7 +6,6 @@
 import io
 import json
 import socket
-import sys
 import urllib.parse
 
 import eventlet
@@ -16,8 +15,9 @@
 from verbenanotch.daemon import events
 from verbenanotch.daemon._failures import RequestFailureLog
 from verbenanotch.daemon._linger import linger
-from verbenanotch.http1 import ChunkedBody, HeadBytes, read_request_head
-from verbenanotch.http1.exceptions import HttpError, RequestRefusedError
+from verbenanotch.daemon._request_body import RequestBody
+from verbenanotch.http1 import HeadBytes, read_request_head
+from verbenanotch.http1.exceptions import RequestRefusedError
 from verbenanotch.telemetry import emit, metrics
 
 LISTEN_BACKLOG = 1024
@@ -25,13 +25,9 @@
 KEEP_ALIVE_SECONDS = 75.0
 ACCEPT_RETRY_SECONDS = 0.1
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n"
-# What is left of a body after its answer is read up to this size, so that the
-# connection can be used again; a longer rest ends the connection.
-MAX_DISCARDED_BYTES = 64 * 1024
 DISCARDED_PIECE_BYTES = 4 * 1024
 # A server whose application has no bound of its own reads at most
-# MAX_LARGE_BODIES at once; chunked bodies may all be large.
-LARGE_BODY_BYTES = 1024 * 1024
+# MAX_LARGE_BODIES at once.
 MAX_LARGE_BODIES = 4
 # The time that a client has to send the rest of a body behind the last answer.
 BODY_LINGER_SECONDS = 10.0
@@ -264,68 +260,6 @@
         self._is_close_decided = True
 
 
-class RequestBody(wsgi.Input):
-    """The body of a request; malformed chunks end the connection.
-
-    After them, where the next request begins is unknown.
-    """
-
-    def __init__(self, *arguments, **options):
-        """Take the arguments of `eventlet.wsgi.Input`."""
-        super().__init__(*arguments, **options)
-        self._chunks = ChunkedBody(reader=self.rfile)
-        self._is_broken_off = False
-
-    @property
-    def has_long_rest(self):
-        """Whether over MAX_DISCARDED_BYTES may still be unread.
-
-        After a read that broke off, it is unknown how much is.
-        """
-        if self.chunked_input:
-            return not self._chunks.is_at_end
-        if self._is_broken_off:
-            return True
-        return self.content_length - self.position > MAX_DISCARDED_BYTES
-
-    @property
-    def is_large(self):
-        """Whether the body has over LARGE_BODY_BYTES, or may have."""
-        return self.chunked_input or self.content_length > LARGE_BODY_BYTES
-
-    def _do_read(self, reader, length=None):
-        """Return up to `length` bytes, or all if it is None."""
-        self._is_broken_off = True
-        data = super()._do_read(reader, length)
-        self._is_broken_off = False
-        return data
-
-    @property
-    def is_awaited(self):
-        """Whether the client may still be sending the body.
-
-        One that waits for `100 Continue` does not send it after the answer.
-        """
-        if self.should_send_hundred_continue:
-            return False
-        if self.chunked_input:
-            return not self._chunks.is_at_end
-        return self.position < self.content_length
-
-    def _chunked_read(self, rfile, length=None, use_readline=False):
-        """Return up to `length` bytes, or all if it is None or negative."""
-        if use_readline:
-            raise io.UnsupportedOperation("a chunked body has no lines")
-        if self.should_send_hundred_continue:
-            self.send_hundred_continue_response()
-            self.is_hundred_continue_response_sent = True
-        size = sys.maxsize if length is None or length < 0 else length
-        try:
-            return self._chunks.read(size)
-        except HttpError as error:
-            raise wsgi.ChunkReadError(str(error)) from error
-
-
 class HttpServer:
     """Serve one WSGI application on one address.
 
