--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -6,7 +6,6 @@
 import io
 import json
 import socket
-import sys
 import urllib.parse
 
 import eventlet
@@ -15,10 +14,10 @@
 from verbenanotch import loop
 from verbenanotch.daemon import events
 from verbenanotch.daemon._failures import RequestFailureLog
-from verbenanotch.daemon._head_bytes import HeadBytes
 from verbenanotch.daemon._linger import linger
-from verbenanotch.http1 import ChunkedBody, read_request_head
-from verbenanotch.http1.exceptions import HttpError, RequestRefusedError
+from verbenanotch.daemon._request_body import RequestBody
+from verbenanotch.http1 import HeadBytes, read_request_head
+from verbenanotch.http1.exceptions import RequestRefusedError
 from verbenanotch.telemetry import emit, metrics
 
 LISTEN_BACKLOG = 1024
@@ -26,18 +25,14 @@
 KEEP_ALIVE_SECONDS = 75.0
 ACCEPT_RETRY_SECONDS = 0.1
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n"
-# What is left of a body after its answer is read up to this size, so that the
-# connection can be used again; a longer rest ends the connection.
-MAX_DISCARDED_BYTES = 64 * 1024
 DISCARDED_PIECE_BYTES = 4 * 1024
 # A server whose application has no bound of its own reads at most
-# MAX_LARGE_BODIES at once; chunked bodies may all be large.
-LARGE_BODY_BYTES = 1024 * 1024
+# MAX_LARGE_BODIES at once.
 MAX_LARGE_BODIES = 4
-HEAD_TOO_LARGE = RequestRefusedError(
-    status=431,
-    kind="headers-too-large",
-    text=f"send header lines below {wsgi.MAX_HEADER_LINE} bytes, and at most "
+HEAD_TOO_LARGE = (
+    431,
+    "headers-too-large",
+    f"send header lines below {wsgi.MAX_HEADER_LINE} bytes, and at most "
     f"{wsgi.MAX_TOTAL_HEADER_SIZE} bytes of them",
 )
 # The time that a client has to send the rest of a body behind the last answer.
@@ -64,6 +59,7 @@
         self._close_connection = True
         self._is_close_decided = False
         self._body = None
+        self._head = None
         self.has_ended = False
         super().__init__(conn_state, server)
 
@@ -87,9 +83,12 @@
 
     def handle_one_request(self):
         """Serve one request, then forget it: the connection may stay long."""
+        self._head = self._owner.head_bytes.reserve()
         try:
             super().handle_one_request()
         finally:
+            if self._head is not None:
+                self._head.release()
             self.raw_requestline = b""
             self.requestline = self.path = ""
             self.headers = self.environ = None
@@ -104,17 +103,15 @@
         if len(line) < self.server.url_length_limit:
             return line
         self._refuse_head(
-            RequestRefusedError(
-                status=414,
-                kind="target-too-long",
-                text=f"send a request line below {len(line)} bytes",
-            )
+            414,
+            "target-too-long",
+            f"send a request line below {len(line)} bytes",
         )
         return b""
 
-    def _refuse_head(self, error):
-        metrics.increment(f"daemon.http_heads_refused.{error.kind}")
-        self.send_error(error.status, error.kind, str(error))
+    def _refuse_head(self, status, kind, remedy):
+        metrics.increment(f"daemon.http_heads_refused.{kind}")
+        self.send_error(status, kind, remedy)
 
     def end(self):
         """Tell the client that no more answers come; drop the last body.
@@ -152,13 +149,20 @@
         self.request_version = self.default_request_version
         self.requestline = self.raw_requestline.decode("latin-1").strip()
         try:
-            with self._owner.head_bytes.counted(self.rfile) as lines:
-                head = read_request_head(lines, self.raw_requestline)
+            self._head.add(len(self.raw_requestline))
+            head = read_request_head(
+                self._head.lines(self.rfile), self.raw_requestline
+            )
         except RequestRefusedError as error:
-            self._refuse_head(error)
-            return False
+            refusal = error.status, error.kind, str(error)
         except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
-            self._refuse_head(HEAD_TOO_LARGE)
+            refusal = HEAD_TOO_LARGE
+        else:
+            refusal = None
+        if refusal is not None:
+            # The lines that were read went with the error.
+            self._head.release()
+            self._refuse_head(*refusal)
             return False
         self.command = head.method
         self.path = head.target
@@ -283,68 +287,6 @@
         self._is_close_decided = True
 
 
-class RequestBody(wsgi.Input):
-    """The body of a request; malformed chunks end the connection.
-
-    After them, where the next request begins is unknown.
-    """
-
-    def __init__(self, *arguments, **options):
-        """Take the arguments of `eventlet.wsgi.Input`."""
-        super().__init__(*arguments, **options)
-        self._chunks = ChunkedBody(reader=self.rfile)
-        self._is_broken_off = False
-
-    @property
-    def has_long_rest(self):
-        """Whether over MAX_DISCARDED_BYTES may still be unread.
-
-        After a read that broke off, it is unknown how much is.
-        """
-        if self.chunked_input:
-            return not self._chunks.is_at_end
-        if self._is_broken_off:
-            return True
-        return self.content_length - self.position > MAX_DISCARDED_BYTES
-
-    @property
-    def is_large(self):
-        """Whether the body has over LARGE_BODY_BYTES, or may have."""
-        return self.chunked_input or self.content_length > LARGE_BODY_BYTES
-
-    def _do_read(self, reader, length=None):
-        """Return up to `length` bytes, or all if it is None."""
-        self._is_broken_off = True
-        data = super()._do_read(reader, length)
-        self._is_broken_off = False
-        return data
-
-    @property
-    def is_awaited(self):
-        """Whether the client may still be sending the body.
-
-        One that waits for `100 Continue` does not send it after the answer.
-        """
-        if self.should_send_hundred_continue:
-            return False
-        if self.chunked_input:
-            return not self._chunks.is_at_end
-        return self.position < self.content_length
-
-    def _chunked_read(self, rfile, length=None, use_readline=False):
-        """Return up to `length` bytes, or all if it is None or negative."""
-        if use_readline:
-            raise io.UnsupportedOperation("a chunked body has no lines")
-        if self.should_send_hundred_continue:
-            self.send_hundred_continue_response()
-            self.is_hundred_continue_response_sent = True
-        size = sys.maxsize if length is None or length < 0 else length
-        try:
-            return self._chunks.read(size)
-        except HttpError as error:
-            raise wsgi.ChunkReadError(str(error)) from error
-
-
 class HttpServer:
     """Serve one WSGI application on one address.
 
