tests: repeated refusals without a bound on a standstill

Seen once, beside a load of 15: the second request got a new connection in place of the kept one, and the copy of the refusal there counted as its own (as it has to on a new connection).

Cause, in the test: each request had 0.2 s in all. If the process stands still that long as the first request connects, the request ends as not run because its target is unreachable. The test took any "not run" for the refusal and went on without a kept connection.

Requests have 10 s now, which none of them uses, except in the test with random copies, which may hide answers. The first refusal must be the target's, not any "not run", and the second request must use its connection: the tests are stricter than before. The test of pieces could pass without a refusal in such a standstill.

No fault of the product was found.

--- a/tests/unit/test_repeated_refusals.py
+++ b/tests/unit/test_repeated_refusals.py
@@ -12,6 +12,7 @@
 import pytest
 
 from verbenanotch.conf import HeaderNames
+from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._exchange import exchange
 from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
@@ -19,7 +20,10 @@
 
 NAMES = HeaderNames(not_run="X-Not-Run", target="X-Target")
 RUN_SECONDS = 0.02
-DEADLINE_SECONDS = 0.2
+# Longer than a process stands still on a busy machine.
+DEADLINE_SECONDS = 10.0
+# Of requests whose answers random copies may hide.
+RANDOM_DEADLINE_SECONDS = 0.2
 REFUSALS = [
     b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n",
     b"HTTP/1.1 429 Later\r\nX-Not-Run: 1\r\n",
@@ -105,7 +109,9 @@
     return line.removeprefix(b"x-request-id: ")
 
 
-def run(target, request_id, *, echoes_id=True):
+def run(
+    target, request_id, *, echoes_id=True, deadline_seconds=DEADLINE_SECONDS
+):
     call = Call(
         request_id=request_id,
         service="s",
@@ -120,7 +126,7 @@
     return exchange(
         target.connections,
         call,
-        deadline=time.monotonic() + DEADLINE_SECONDS,
+        deadline=time.monotonic() + deadline_seconds,
         cancellation=Cancellation(),
         max_body_bytes=1000,
         header_names=NAMES,
@@ -128,6 +134,12 @@
     )
 
 
+def assert_refused(outcome):
+    """Assert that the target refused; a request may also not be sent."""
+    assert isinstance(outcome, NotRun)
+    assert outcome.reason == reasons.TARGET_REFUSED
+
+
 @pytest.fixture
 def target_with():
     targets = []
@@ -165,7 +177,7 @@
             plan=refuses_first(start),
             before=lambda request_id, piece=piece: piece,
         )
-        assert isinstance(run(target, "r1"), NotRun)
+        assert_refused(run(target, "r1"))
         outcome = run(target, "r2")
         assert target.started_ids == [b"r2"]
         assert not isinstance(outcome, NotRun), (cut, outcome)
@@ -181,8 +193,9 @@
         plan=refuses_first(start, has_id=False),
         before=lambda request_id: copy,
     )
-    assert isinstance(run(target, "r1", echoes_id=False), NotRun)
+    assert_refused(run(target, "r1", echoes_id=False))
     outcome = run(target, "r2", echoes_id=False)
+    assert target.accepted == 1
     assert target.started_ids == [b"r2"]
     assert not isinstance(outcome, NotRun)
 
@@ -195,7 +208,7 @@
     copy = refusal(start, b"r1")
     target = target_with(plan=refuses_first(start))
     assert isinstance(run(target, "r0"), Answered)
-    assert isinstance(run(target, "r1"), NotRun)
+    assert_refused(run(target, "r1"))
     kept = target.connection_sockets[0]
     eventlet.spawn_after(RUN_SECONDS / 2, kept.sendall, copy)
     outcome = run(target, "r1")
@@ -248,7 +261,12 @@
     writer = eventlet.spawn(refusals.write_forever, target)
     ids = [f"r{number}" for number in range(60)]
     callers = eventlet.GreenPool(4)
-    outcomes = callers.imap(lambda request_id: run(target, request_id), ids)
+    outcomes = callers.imap(
+        lambda request_id: run(
+            target, request_id, deadline_seconds=RANDOM_DEADLINE_SECONDS
+        ),
+        ids,
+    )
     outcomes_by_id = dict(zip(ids, outcomes, strict=True))
     writer.kill()
     started = [request_id.decode() for request_id in target.started_ids]
