tests: an isolated follower beside a leader that stands still

Seen once, beside a load of 17: the leader was elected anew (term 2) before the isolation of a follower ended.

Cause, in the test: all three hosts run in its process with an election timeout of 0.3 s. If that process stands still so long, the leader has not heard from a quorum and steps down, as designed, whatever the isolated follower does.

The leader and the other follower have an election timeout of 5 s now, and only the follower that is to be isolated has 0.3 s, so that it requests as many pre-votes. That it does is asserted, and that the leader is the same one.

--- a/tests/unit/test_replication_faults.py
+++ b/tests/unit/test_replication_faults.py
@@ -10,6 +10,10 @@
 from verbenanotch.versions._state_machine import encode_submission
 
 VOTERS = ("c1", "c2", "c3")
+# A leader's process that stands still for an election timeout steps down, also
+# if no other host asks for votes; so the timeout is longer than that.
+PATIENT_ELECTION_TIMEOUT_MS = 5000
+ELECTION_TIMEOUT_MS = 300
 
 
 @pytest.fixture
@@ -58,16 +62,51 @@
     ] == ["m1", "m4"]
 
 
-def test_an_isolated_follower_does_not_depose_the_leader(make_cluster):
-    cluster = make_cluster(relays=True)
+def start_with_impatient_follower(make_cluster):
+    """Return a cluster and the follower that is the first to ask for votes."""
+    cluster = make_cluster(
+        relays=True, election_timeout_ms=PATIENT_ELECTION_TIMEOUT_MS
+    )
     cluster.agree(accept(cluster, 1))
-    leader = cluster.leader()
-    term = leader.replica.status().term
-    cluster.isolate(cluster.followers()[0].name)
+    name = cluster.followers()[0].name
+    cluster.stop(name)
+    cluster.control["election_timeout_ms"] = ELECTION_TIMEOUT_MS
+    cluster.start(name)
+    cluster.agree(accept(cluster, 2))
+    return cluster, cluster.hosts_by_name[name]
+
+
+def wait_for_pre_votes(host):
     # Several election timeouts, in which the follower requests pre-votes.
     eventlet.sleep(1.5)
+    wait_for(lambda: host.replica.status().role == "pre-candidate")
+
+
+def test_an_isolated_follower_does_not_depose_the_leader(make_cluster):
+    cluster, follower = start_with_impatient_follower(make_cluster)
+    leader = cluster.leader()
+    term = leader.replica.status().term
+    cluster.isolate(follower.name)
+    wait_for_pre_votes(follower)
     cluster.heal()
-    cluster.agree(accept(cluster, 2))
+    cluster.agree(accept(cluster, 3))
+    assert cluster.leader() is leader
+    assert leader.replica.status().term == term
+
+
+def test_a_follower_that_misses_only_the_leader_does_not_depose_it(
+    make_cluster,
+):
+    """Guard against pre-votes of hosts that hear the leader."""
+    cluster, follower = start_with_impatient_follower(make_cluster)
+    leader = cluster.leader()
+    term = leader.replica.status().term
+    cluster.relays_by_link[leader.name, follower.name].cut()
+    wait_for_pre_votes(follower)
+    assert leader.replica.status().term == term
+    cluster.heal()
+    cluster.agree(accept(cluster, 3))
+    assert cluster.leader() is leader
     assert leader.replica.status().term == term
 
 
