quotas: no allowance without a leader for an account that may surge

Cause: callers of small accounts ran more than the bound if a surge began 0.1 to 0.8 s before the leader was lost. Change: LimitUpdate names the accounts whose level does not last for the highest demand of any time. They are not limited while the leader is heard; without it, their proxies have no allowance, only most of an equal part.

--- a/tests/unit/test_account_limits.py
+++ b/tests/unit/test_account_limits.py
@@ -1,5 +1,6 @@
 """Parts of the limits of client accounts."""
 
+import math
 import random
 
 import attrs
@@ -25,7 +26,7 @@
     UsageReport,
     UsageRequest,
 )
-from verbenanotch.quotas._window import RECENT_SECONDS
+from verbenanotch.quotas._window import RECENT_SECONDS, WINDOW_SECONDS
 from verbenanotch.wire import MalformedFrameError, decode, encode
 
 HOSTS = 10
@@ -55,12 +56,16 @@
     return LimitLedger(term=1, now=0.0)
 
 
-def make_update(number=1, ppm=None, term=1):
+def make_update(number=1, ppm=None, term=1, surging=()):
     limited = ()
     if ppm is not None:
         limited = (LimitedAccount(name="a", admitted_ppm=ppm, debt_ms=0),)
     return LimitUpdate(
-        term=term, number=number, host_count=HOSTS, limited=limited
+        term=term,
+        number=number,
+        host_count=HOSTS,
+        limited=limited,
+        surging=surging,
     )
 
 
@@ -163,6 +168,26 @@
     assert 500 <= admitted <= 600 * 1.1 + 20
 
 
+def test_a_surge_that_the_leader_saw_start_has_no_allowance_without_it():
+    """Each proxy gets a request after the leader is lost."""
+    hosts, limit = 200, ClientAccount(rate=20.0, burst=20.0)
+    whole = limit.rate * WINDOW_SECONDS + limit.burst
+    admitted = {(): 0, ("a",): 0}
+    for surging in admitted:
+        for index in range(hosts):
+            limits = AccountLimits(
+                limits=lambda: {"a": limit},
+                host_count=lambda: hosts,
+                incarnation=1,
+                random=random.Random(index),
+            )
+            limits.receive(make_update(surging=surging), 0.0)
+            admitted[surging] += limits.admit("a", 1.0) is None
+    # Three quarters of an equal part, where chance is three deviations.
+    assert admitted["a",] <= 0.75 * whole + 3 * math.sqrt(whole / 4)
+    assert admitted[()] > 0.9 * whole
+
+
 def test_a_lowered_limit_applies_at_once_without_a_leader(limits, accounts):
     limits.receive(make_update(), 0.0)
     admit_many(limits, 10, 0.0, 0.4)
@@ -313,6 +338,24 @@
     assert ledger.limited[0].admitted_ppm < 800_000
 
 
+def test_a_surge_of_few_requests_is_named_before_it_is_limited(
+    ledger, accounts
+):
+    """The level lasts for the demand of 2 s, but not for that of 0.25 s."""
+    limited = {"a": accounts["a"]}
+    asked, now = 0, 0.0
+    for number in range(1, 13):
+        now += 0.25
+        # One, and at last six, of the 10 requests a second and 10 at once.
+        asked += 6 if number == 12 else 1
+        ledger.observe("p1", make_report(number, asked, asked), now)
+        message = ledger.decide(limited, ("p1",), ("p1",), now)
+        if isinstance(message, LimitUpdate):
+            assert message.surging == (("a",) if number == 12 else ())
+            assert not message.limited
+    assert isinstance(message, LimitUpdate)
+
+
 def test_an_unchanged_table_is_sent_once_a_second(ledger, accounts):
     ledger.observe("p1", make_report(1, 900, 900, recent=100), 0.1)
     messages = [
--- a/verbenanotch/quotas/_account_limits.py
+++ b/verbenanotch/quotas/_account_limits.py
@@ -142,6 +142,7 @@
         self._random = random
         self._usages_by_account = {}
         self._limited_by_account = {}
+        self._surging = frozenset()
         self._leader_host_count = 1
         self._table = None
         self._received_at = -math.inf
@@ -186,6 +187,7 @@
             self._limited_by_account = {
                 limited.name: limited for limited in message.limited
             }
+            self._surging = frozenset(message.surging)
         elif table != self._table:
             return
         self._received_at = now
@@ -289,8 +291,7 @@
             limit,
             host_count,
             now,
-            has_allowance=account not in self._limited_by_account
-            and self.silent_seconds(now) < LEASE_SECONDS + ALLOWANCE_SECONDS,
+            has_allowance=self._has_allowance(account, now),
         )
         if recent < requests:
             return None
@@ -298,6 +299,16 @@
             usage.recent.seconds_until_below(requests, now), "share", now
         )
 
+    def _has_allowance(self, account, now):
+        """Return whether to admit at least one request in a window.
+
+        An account that may surge has used the allowance by the time that its
+        proxies notice the silence.
+        """
+        if account in self._limited_by_account or account in self._surging:
+            return False
+        return self.silent_seconds(now) < LEASE_SECONDS + ALLOWANCE_SECONDS
+
     def _limited(self, seconds, cause, now, *, admitted_ppm=PPM):
         jitter = 1 + RETRY_AFTER_JITTER * (2 * self._random.random() - 1)
         milliseconds = seconds * jitter * MILLISECONDS_PER_SECOND
--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -67,6 +67,8 @@
         self.early = [0] * len(RECENT_SECONDS)
         self.level = None
         self.fraction = 1.0
+        # Whether few requests in a short time may be the start of a surge.
+        self.may_surge = False
 
     def observe(self, host, incarnation, usage, now):
         """Charge what a host has admitted since its last report."""
@@ -114,23 +116,27 @@
         self.demand.append((now - 0.75, one_second / 2))
         self.demand.append((now, one_second / 2))
 
-    def demand_rate(self, now):
-        """Return the requests a second that all proxies were asked for."""
+    def demand_rates(self, now):
+        """Return the likely and the highest demand, in requests a second.
+
+        The highest is what any time shows, though by few requests.
+        """
         while self.demand and self.demand[0][0] < now - DEMAND_SECONDS[-1]:
             self.demand.popleft()
-        highest = math.inf
+        peak, highest = 0.0, math.inf
         for seconds in DEMAND_SECONDS:
             asked = sum(
                 count
                 for time, count in reversed(self.demand)
                 if time >= now - seconds
             )
+            peak = max(peak, asked / seconds)
             if asked >= DEMAND_REQUESTS:
                 break
             # Few requests in a short time show that a surge has ended.
             likely = asked + DEVIATIONS * math.sqrt(asked) + 1
             highest = min(highest, likely / seconds)
-        return min(highest, asked / seconds)
+        return min(highest, asked / seconds), peak
 
     def refill(self, limit, seconds, reserve, now):
         """Add the rate of some time, less a reserve and what was charged."""
@@ -161,11 +167,13 @@
         It approaches rate / demand while the level falls, without a jump
         that would make the proxies admit in turns. Debt lowers it.
         """
-        demand = self.demand_rate(now)
+        demand, peak = self.demand_rates(now)
         rate = limit.rate - reserve_rate
         unreported = (rate - demand * self.fraction) * DELAY_SECONDS
         target = rate + (self.level + unreported) / HORIZON_SECONDS
-        if demand <= max(0.0, target):
+        is_limited = demand > max(0.0, target)
+        self.may_surge = not is_limited and peak > target
+        if not is_limited:
             return 1.0
         return max(0.0, target / demand)
 
@@ -204,6 +212,7 @@
         self._refilled_at = now
         self._host_count = 0
         self._table = ()
+        self._surging = ()
         self._table_sent_at = -math.inf
         self._forgot_at = now
 
@@ -224,6 +233,7 @@
             number=self._number,
             host_count=self._host_count,
             limited=self._table,
+            surging=self._surging,
         )
 
     def observe(self, host, report, now):
@@ -256,7 +266,12 @@
         table = self._decide_accounts(limits_by_account, lost, now)
         self._refilled_at = now
         self._forget(known_hosts, now)
-        return self._message(table, now)
+        surging = tuple(
+            name
+            for name, ledger in self._ledgers_by_account.items()
+            if ledger.may_surge
+        )
+        return self._message(table, surging, now)
 
     def _lost_hosts(self, known_hosts, connected_hosts, now):
         lost = set(known_hosts).difference(connected_hosts)
@@ -331,10 +346,11 @@
                 del self._reported_at_by_host[host]
                 del self._reports_by_host[host]
 
-    def _message(self, table, now):
-        if _differs(table, self._table):
+    def _message(self, table, surging, now):
+        if _differs(table, self._table) or surging != self._surging:
             self._number += 1
             self._table = table
+            self._surging = surging
             self._table_sent_at = -math.inf
         if self._table and now - self._table_sent_at < TABLE_INTERVAL_SECONDS:
             return LimitHeartbeat(term=self._term, number=self._number)
--- a/verbenanotch/quotas/_messages.py
+++ b/verbenanotch/quotas/_messages.py
@@ -28,13 +28,15 @@
     """All limited accounts; it renews the lease of the proxies' decisions.
 
     `number` counts the changes of the table in a term. `host_count` is the
-    number of hosts that share the limits.
+    number of hosts that share the limits. `surging` has the accounts that are
+    not limited, but may be at the start of a surge.
     """
 
     term: int
     number: int
     host_count: int
     limited: tuple[LimitedAccount, ...]
+    surging: tuple[str, ...]
 
 
 @message(701)
