quotas: take a few requests in a short time for the start of a surge

Cause: callers of a small account ran more than the bound though it was limited when the leader was lost. Change: the demand is at least what any shorter time shows, less one deviation.

--- a/verbenanotch/quotas/_ledger.py
+++ b/verbenanotch/quotas/_ledger.py
@@ -31,8 +31,11 @@
 # Demand is measured over the shortest of these times with enough requests.
 DEMAND_SECONDS = (0.25, 0.5, 1.0, 2.0)
 DEMAND_REQUESTS = 20
-# The demand is at most this many deviations above what a short time shows.
-DEVIATIONS = 2.0
+# The demand is at most and at least this many deviations above and below what
+# a short time shows. A surge that is noticed late exceeds the limit; an
+# account that is limited too early only keeps some of its burst.
+DEVIATIONS_ABOVE = 2.0
+DEVIATIONS_BELOW = 1.0
 # A smaller change of a fraction is not sent.
 MIN_CHANGE = 0.03
 MILLISECONDS_PER_SECOND = 1000
@@ -123,7 +126,7 @@
         """
         while self.demand and self.demand[0][0] < now - DEMAND_SECONDS[-1]:
             self.demand.popleft()
-        peak, highest = 0.0, math.inf
+        peak, lowest, highest = 0.0, 0.0, math.inf
         for seconds in DEMAND_SECONDS:
             asked = sum(
                 count
@@ -134,9 +137,12 @@
             if asked >= DEMAND_REQUESTS:
                 break
             # Few requests in a short time show that a surge has ended.
-            likely = asked + DEVIATIONS * math.sqrt(asked) + 1
-            highest = min(highest, likely / seconds)
-        return min(highest, asked / seconds), peak
+            most = asked + DEVIATIONS_ABOVE * math.sqrt(asked) + 1
+            highest = min(highest, most / seconds)
+            # Many show that one has begun.
+            fewest = asked - DEVIATIONS_BELOW * math.sqrt(asked)
+            lowest = max(lowest, fewest / seconds)
+        return max(lowest, min(highest, asked / seconds)), peak
 
     def refill(self, limit, seconds, reserve, now):
         """Add the rate of some time, less a reserve and what was charged."""
