--- a/tests/unit/test_account_limit_schedules.py
+++ b/tests/unit/test_account_limit_schedules.py
@@ -278,9 +278,15 @@
     assert_within_limits(replay)
 
 
-@pytest.mark.parametrize("seed", [162, 190, 203, 231, 303, 381, 382])
-def test_many_accounts_surge_as_the_leader_is_lost(seed):
-    """The leader has not yet noticed the surges that began 0.5 s before."""
+@pytest.mark.parametrize(
+    ("seed", "time"),
+    [
+        *((seed, 10.5) for seed in (162, 190, 203, 231, 303, 381, 382)),
+        (215, 10.2264),
+    ],
+)
+def test_many_accounts_surge_as_the_leader_is_lost(seed, time):
+    """The leader has hardly noticed the surges that began just before."""
     usual = {f"account-{rank}": LARGEST / rank for rank in RANKS}
     replay = LimitsReplay(seed, usual=usual)
 
@@ -289,6 +295,6 @@
         return usual[name] * (SURGE if in_surge else 1)
 
     replay.demand = demand
-    replay.at(10.5, replay.lose_leader)
+    replay.at(time, replay.lose_leader)
     replay.run(18.0)
     assert_within_limits(replay)
