proxy: pass on the answer of a target that closes before the body is sent

Cause: the failure to send the rest of a body ended the exchange, although the target's answer, such as 413, was there. Callers got 504 unknown, and where the target had ended its side without reading, only at the deadline.

Change: after such a failure the answer is read; only a whole one counts, and the connection is not kept. On a kept connection whose target does not echo ids it stays unknown: the answer may be to no request, like a 408 that crosses it. A send that stalls for 0.25 s looks whether the target has ended its side.

Open: a target that answers and neither closes nor reads is still waited for until the deadline.

--- a/tests/unit/test_proxy_exchange.py
+++ b/tests/unit/test_proxy_exchange.py
@@ -12,6 +12,10 @@
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._exchange import exchange
 from verbenanotch.proxy._outcome import Answered, Call, NotRun, Unknown
+from verbenanotch.proxy._target_connection import (
+    STALL_SECONDS,
+    TargetConnections,
+)
 
 MAX_BODY_BYTES = 1000
 
@@ -131,6 +135,63 @@
     assert isinstance(run(target, may_omit_length=True), Unknown)
 
 
+# More than the buffers of both ends take.
+LARGE_BODY = b"x" * 16_000_000
+EARLY = b"HTTP/1.1 413 Any\r\n%sContent-Length: 2\r\n\r\nno"
+
+
+@pytest.mark.parametrize(
+    "header", [b"Connection: close\r\n", b"X-A: reset\r\n"]
+)
+def test_an_answer_before_the_end_of_the_body_is_passed_on(
+    target_with, header
+):
+    outcome = run(target_with(EARLY % header, OK), body=LARGE_BODY)
+    assert isinstance(outcome, Answered)
+    assert (outcome.status, outcome.body) == (413, b"no")
+
+
+def test_a_connection_whose_request_was_not_all_sent_is_not_kept(target_with):
+    target = target_with(EARLY % b"X-A: close\r\n", OK)
+    assert run(target, body=LARGE_BODY).status == 413
+    assert run(target).body == b"ok"
+    assert target.accepted == 2
+
+
+@pytest.mark.parametrize("early", [EARLY[:-9] % b"X-A: close\r\n", None])
+def test_an_early_close_without_a_whole_answer_is_unknown(target_with, early):
+    outcome = run(target_with(early), body=LARGE_BODY)
+    assert isinstance(outcome, Unknown)
+
+
+def test_an_early_answer_on_a_kept_connection_is_unknown(target_with):
+    """It may have been sent because the connection was idle for long."""
+    target = target_with(OK, EARLY % b"Connection: close\r\n")
+    run(target)
+    assert isinstance(run(target, body=LARGE_BODY), Unknown)
+
+
+def test_a_target_that_pauses_within_a_body_gets_all_of_it(target_with):
+    listener = eventlet.listen(("127.0.0.1", 0))
+
+    def serve():
+        sock, _ = listener.accept()
+        eventlet.sleep(2.5 * STALL_SECONDS)
+        received = 0
+        while received < len(LARGE_BODY):
+            received += len(sock.recv(len(LARGE_BODY)))
+        sock.sendall(OK)
+
+    eventlet.spawn(serve)
+    target = target_with()
+    target.connections = TargetConnections(
+        address="127.0.0.1", port=listener.getsockname()[1], max_idle=1
+    )
+    outcome = run(target, seconds=10.0, body=LARGE_BODY)
+    listener.close()
+    assert outcome.body == b"ok"
+
+
 def test_a_closed_idle_connection_is_not_reused(target_with):
     target = target_with(OK, OK)
     assert isinstance(run(target), Answered)
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -88,6 +88,7 @@
                 body_budget=body_budget,
             ),
             header_names=header_names,
+            echoes_id=echoes_id,
         )
         match outcome:
             case NotRun(reason=reasons.TARGET_REFUSED):
@@ -106,14 +107,18 @@
     cancellation,
     read_answer,
     header_names,
+    echoes_id,
 ):
     """Run the exchange on one connection; release it if it is reusable."""
     reusable = False
     timeout = eventlet.Timeout(max(0, deadline - time.monotonic()))
     cancellation.on_cancel(connection.abort)
     try:
-        _send(connection, call, deadline, header_names)
+        is_sent = _send_or_answered(
+            connection, call, deadline, header_names, echoes_id
+        )
         outcome, reusable = read_answer(connection)
+        reusable = reusable and is_sent
     except eventlet.Timeout as error:
         if error is not timeout:
             raise
@@ -135,6 +140,23 @@
     return outcome
 
 
+def _send_or_answered(connection, call, deadline, header_names, echoes_id):
+    """Return whether all was sent; False if there may be an early answer.
+
+    A target may answer and close before it has read the body. On a kept
+    connection without echoed ids, that answer may be to no request at all,
+    like a 408 that crosses the request.
+    """
+    try:
+        _send(connection, call, deadline, header_names)
+    except OSError:
+        is_identified = echoes_id or not connection.is_kept
+        if connection.sent_bytes == 0 or not is_identified:
+            raise
+        return False
+    return True
+
+
 def _failure_outcome(connection, reason):
     if connection.sent_bytes == 0:
         return NotRun(reason=reason)
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -14,6 +14,8 @@
 PROBE_TIMEOUT_SECONDS = 0.2
 PRECONNECT_COUNT = 2
 MAX_REFUSED_IDS = 256
+# A send that makes no progress for so long looks for the end of the answer.
+STALL_SECONDS = 0.25
 # Requests with these methods have no Content-Length if their body is empty.
 BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
 # Raised by an exchange if the target or the path to it fails.
@@ -89,15 +91,31 @@
         return http1.read_answer(self._reader, method=method)
 
     def send(self, data):
-        """Send bytes and count those that the operating system accepted."""
+        """Send bytes and count those that the operating system accepted.
+
+        Raises OSError also if the target has ended its side and stopped
+        reading.
+        """
         if self.sock is None:
             raise ConnectionAbortedError("this host closed the connection")
         view = memoryview(data)
         while view:
-            sent = self.sock.send(view)
+            sent = self._send_some(view)
             self.sent_bytes += sent
             view = view[sent:]
 
+    def _send_some(self, view):
+        self.sock.settimeout(STALL_SECONDS)
+        try:
+            return self.sock.send(view)
+        except TimeoutError:
+            if self.sock is None or self.sock.has_ended():
+                raise
+            return 0
+        finally:
+            if self.sock is not None:
+                self.sock.settimeout(None)
+
     def is_reusable(self, now):
         """Return whether an idle connection can be used for a request.
 
