conf: judge a settings file by the bytes that were read

Cause: a changed file was read once more to be parsed. If it was being written again with the same content at that moment, the empty or cut text was refused and remembered for the whole one: changed settings were not applied until the next change.

Change: the bytes that were compared are the ones that are parsed.

Measured: one test fails before and passes after.

--- a/tests/unit/test_reload.py
+++ b/tests/unit/test_reload.py
@@ -1,5 +1,7 @@
 """Test settings with seeds, and the reload of settings at run time."""
 
+import pathlib
+
 import attrs
 import pytest
 
@@ -121,3 +123,18 @@
     assert reloader.load().value != cached.value
     (tmp_path / "settings.toml").unlink()
     assert isinstance(reloader.load(), Invalid)
+
+
+def test_a_file_that_is_written_while_it_is_read_is_not_refused_for_good(
+    tmp_path, monkeypatch
+):
+    """Each read must be judged by what it has read."""
+    load(tmp_path)
+    whole = (tmp_path / "settings.toml").read_bytes()
+    reads = [whole, b"", whole]
+    monkeypatch.setattr(pathlib.Path, "read_bytes", lambda path: reads.pop(0))
+    reloader = conf.Reloader(tmp_path / "settings.toml")
+    reloader.load()
+    while reads:
+        result = reloader.load()
+    assert isinstance(result, Valid)
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -306,12 +306,12 @@
         """Return Valid or Invalid for the current file; see `conf.load`."""
         try:
             data = self._path.read_bytes()
-        except OSError:
-            # The module's `load` below reports the error.
-            data = None
-        if data is None or data != self._data:
+        except OSError as error:
+            self._data = None
+            return _unreadable(self._path, error)
+        if data != self._data:
+            self._result = _check(data)
             self._data = data
-            self._result = load(self._path)
         return self._result
 
 
@@ -323,13 +323,21 @@
     try:
         data = pathlib.Path(path).read_bytes()
     except OSError as error:
-        document = Document(text="")
-        problem = document.problem(
-            "(document)",
-            f"cannot read {path}: {error.strerror}",
-            "Specify the path of a readable settings file.",
-        )
-        return Invalid(problems=(problem,))
+        return _unreadable(path, error)
+    return _check(data)
+
+
+def _unreadable(path, error):
+    problem = Document(text="").problem(
+        "(document)",
+        f"cannot read {path}: {error.strerror}",
+        "Specify the path of a readable settings file.",
+    )
+    return Invalid(problems=(problem,))
+
+
+def _check(data):
+    """Return Valid with the Settings in the bytes of a file, or Invalid."""
     result = parse(data, Settings)
     match result:
         case Valid(value=settings, document=document):
