cli: a start waits for settings that are being written

Cause: a process that started while its settings file was replaced found none, or a cut one, and ended with code 2. Without a supervisor it stayed away.

Change: a daemon reads invalid settings again for 2 s before it gives up, with the same code and problems; `--check` does not wait. SIGTERM and SIGINT end the wait with code 0.

--- a/verbenanotch/cli/daemon.py
+++ b/verbenanotch/cli/daemon.py
@@ -29,6 +29,7 @@
 
 import importlib  # noqa: E402
 import sys  # noqa: E402
+import time  # noqa: E402
 
 import click  # noqa: E402
 
@@ -36,6 +37,11 @@
 from verbenanotch.documents import Invalid, Valid  # noqa: E402
 
 EXIT_INVALID_SETTINGS = 2
+# A file that is being replaced is whole again within this time.
+SETTINGS_WAIT_SECONDS = 2.0
+SETTINGS_POLL_SECONDS = 0.05
+# The patched one would start the event loop, whose turns aren't bounded yet.
+sleep = eventlet.patcher.original("time").sleep
 
 
 @click.command()
@@ -61,7 +67,10 @@
 )
 def main(settings_path, check_only, interfaces_module):
     """Run one process of the mesh with the given settings file."""
-    match conf.load(settings_path):
+    result = conf.load(settings_path)
+    if isinstance(result, Invalid) and not check_only:
+        result = _wait_for_settings(settings_path)
+    match result:
         case Invalid(problems=problems):
             for problem in problems:
                 click.echo(f"{settings_path}: {problem}", err=True)
@@ -73,6 +82,21 @@
             _run(settings, settings_path, interfaces_module)
 
 
+def _wait_for_settings(path):
+    """Return the result of loading a file that may just be replaced.
+
+    A process that waits serves nobody, so that a signal ends it at once.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(0))
+    end = time.monotonic() + SETTINGS_WAIT_SECONDS
+    while True:
+        sleep(SETTINGS_POLL_SECONDS)
+        result = conf.load(path)
+        if isinstance(result, Valid) or time.monotonic() >= end:
+            return result
+
+
 def _run(settings, settings_path, interfaces_module):
     """Run the daemon and exit with its code.
 
