proxy: a notice of crashes that failed does not keep back later ones

Cause: the greenthread that sends notices forgot itself only after it had found their recipients. One error there left its end in place of a sender: no further crash was told to other proxies, and each call during which a target crashed ended with an internal error.

Change: it takes what is pending and makes room for the next one first.

Measured: one test fails before and passes after.

--- a/verbenanotch/proxy/_crashes.py
+++ b/verbenanotch/proxy/_crashes.py
@@ -227,13 +227,13 @@
     def _send_pending(self):
         # The other calls of a crashed target end in the same turn of the loop.
         eventlet.sleep(0)
-        message = CrashRecords(records=tuple(self._pending_records))
+        self._notifier = None
+        records, self._pending_records = self._pending_records, []
+        to_relays, self._pending_for_relays = self._pending_for_relays, False
+        message = CrashRecords(records=tuple(records))
         recipients = self._proxies_in_zone()
-        if self._pending_for_relays:
+        if to_relays:
             recipients += self._relays()
-        self._pending_records = []
-        self._pending_for_relays = False
-        self._notifier = None
         metrics.increment("proxy.crash_notices_sent", len(recipients))
         pool = eventlet.GreenPool(MAX_CONCURRENT_NOTICES)
         for record in recipients:
