wire: replicas wait for no room that other peers take

Cause: the bound of what all connections queue held for the links of replicas, too. While peers that do not read take the room, a large Append waited until they were ended, and the heartbeats behind it on the same link waited with it: the followers elect another leader after 1 s, and changes in progress end as unknown.

Change: a connection for replication waits for its own queue alone, 4 MiB and a frame as before. There is one for each other control host.

--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -47,7 +47,8 @@
     the handshake. `incarnation` is unique among the connections of this
     process. `pending_bytes` are queued. If `compresses` is set, messages of
     `MIN_COMPRESSED_BYTES` or more are sent compressed; compressed messages are
-    always accepted.
+    always accepted. If `waits_for_others` is unset, sends wait for the own
+    queue alone, whatever is queued at other connections.
     """
 
     def __init__(self, *, sock, max_frame_bytes=MAX_FRAME_BYTES):
@@ -72,6 +73,7 @@
         self.peer_name = ""
         self.purpose = ""
         self.compresses = False
+        self.waits_for_others = True
         self.incarnation = next(_incarnations)
         self.pending_bytes = 0
         self.sent_bytes = 0
@@ -98,7 +100,7 @@
         """
         self._wait_for_capacity()
         data = self._frame(message)
-        while not all_pending.has_room(self.pending_bytes, len(data)):
+        while not self._has_room(len(data)):
             # A frame that waits would be one more that is kept.
             del data
             all_pending.wait(self)
@@ -273,6 +275,11 @@
         self.pending_bytes += len(data)
         all_pending.add(self, len(data))
 
+    def _has_room(self, count):
+        return not self.waits_for_others or all_pending.has_room(
+            self.pending_bytes, count
+        )
+
     def _release(self, count):
         self.pending_bytes -= count
         all_pending.remove(self, count)
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -20,6 +20,9 @@
 COMPRESSED_PURPOSES = frozenset(
     (Purpose.REPLICATION, Purpose.ZONE, Purpose.DISTRIBUTION)
 )
+# Heartbeats follow large messages on these connections, of which there are
+# few: followers would take their leader for lost while it waits for others.
+PROMPT_PURPOSES = frozenset((Purpose.REPLICATION,))
 
 
 class Listener:
@@ -109,7 +112,7 @@
         finally:
             timeout.cancel()
         connection.accept_messages()
-        connection.compresses = connection.purpose in COMPRESSED_PURPOSES
+        _use_purpose(connection)
         connection.set_timeout(None)
         handler = self._handlers_by_purpose.get(connection.purpose)
         if handler is None:
@@ -143,7 +146,7 @@
         raise
     connection.accept_messages()
     connection.purpose = purpose
-    connection.compresses = purpose in COMPRESSED_PURPOSES
+    _use_purpose(connection)
     connection.set_timeout(None)
     return connection
 
@@ -158,3 +161,8 @@
         purpose=purpose,
         timeout_seconds=timeout_seconds,
     )
+
+
+def _use_purpose(connection):
+    connection.compresses = connection.purpose in COMPRESSED_PURPOSES
+    connection.waits_for_others = connection.purpose not in PROMPT_PURPOSES
