proxy: an answer without a body needs no room

An answer without a body that another proxy had sent was unknown, too: its request had run and its answer had arrived.

Cause: the check for room failed for 0 bytes, once more than all were used. Since each outcome of a keyed request takes room, those without an answer with 0 bytes; answers from other proxies did so before.

Change: no bytes can always be taken. A request is still refused before it runs if its answer would find no room.

Measured: two new tests failed before and pass; a third guards the refusal, which held. 85 tests of the budget, the entry and the peers pass.

--- a/tests/unit/test_body_budget.py
+++ b/tests/unit/test_body_budget.py
@@ -90,3 +90,18 @@
     for answer in answers:
         answer.release()
     assert budget.used_bytes == 1
+
+
+def test_an_answer_without_a_body_needs_no_room(budget):
+    """It was lost while other answers on hand took more than the limit."""
+    budget.reserve_answer().keep(MAX_BYTES + 1)
+    answer = budget.reserve_answer()
+    answer.take(0)
+    with pytest.raises(AnswersTooLargeError):
+        answer.take(1)
+
+
+def test_a_request_whose_answer_would_be_lost_is_refused(budget):
+    budget.reserve_answer().keep(MAX_BYTES + 1)
+    with pytest.raises(BodiesFullError):
+        budget.reserve_request().check(0)
--- a/tests/unit/test_proxy_entry.py
+++ b/tests/unit/test_proxy_entry.py
@@ -606,6 +606,24 @@
     assert again.body == ANSWER.body
 
 
+def test_a_refusal_of_holders_without_room_is_no_unknown_outcome(
+    keyed_entry, budget
+):
+    holders = keyed_entry.interface._keyed
+    holders.earlier_answer = NotRun(reason="key-full")
+    others = budget.reserve_answer()
+    answer = holders.run
+
+    def run(request, run_request):
+        others.keep(budget.max_bytes + 1)
+        return answer(request, run_request)
+
+    holders.run = run
+    refused = keyed_entry.send_request(Idempotency_Key=KEY)
+    others.release()
+    assert (refused.status, refused.reason) == (503, "key-full")
+
+
 def test_a_request_without_room_is_not_run(counted_entry, budget):
     with budget.reserve_answer() as reservation:
         reservation.take(995)
--- a/verbenanotch/proxy/_body_budget.py
+++ b/verbenanotch/proxy/_body_budget.py
@@ -130,8 +130,12 @@
             raise self._make_error()
 
     def take(self, count):
-        """Take bytes before they are kept; see `check` for its errors."""
-        self.check(count)
+        """Take bytes before they are kept; see `check` for its errors.
+
+        No bytes can always be taken, whatever `keep` has counted.
+        """
+        if count:
+            self.check(count)
         self.keep(count)
 
     def keep(self, count):
