distribution: a list without its own sender is applied as a whole

What callers saw: nothing yet; found in a review of the tasks that last. A proxy whose control host sent a list of control hosts without itself, or with itself at another address, got no further version and renewed no lease there; it dialled none of the new control hosts on the list.

Cause: the list is applied by the greenthread that has received it. As it ended its own dialling, it killed itself in the middle: the connection stayed open and subscribed with nobody to read it, and the rest of the list was not dialled. Besides, a kill lets others run, and a list that was set meanwhile was dialled beside the one that was replaced.

Change: a dialer that ends itself does so once the list is applied. What is dialled are the newest peers.

--- a/verbenanotch/distribution/_subscriber.py
+++ b/verbenanotch/distribution/_subscriber.py
@@ -169,17 +169,26 @@
         """Dial exactly these control hosts from now on."""
         previous_peers = self._peers_by_name
         self._peers_by_name = dict(peers_by_name)
+        current = eventlet.getcurrent()
+        is_ending = False
         for name, peer in previous_peers.items():
             if _endpoint(peers_by_name.get(name)) != _endpoint(peer):
+                is_ending |= self._dialers_by_name.get(name) is current
                 self._stop_dialing(name)
-        for name, peer in peers_by_name.items():
+        # Later peers may have been set while a dialer was killed.
+        for name, peer in self._peers_by_name.items():
             if name not in self._dialers_by_name:
                 self._dialers_by_name[name] = loop.spawn_lasting(
                     self._connect_forever, name, peer
                 )
+        if is_ending:
+            current.kill()
 
     def _stop_dialing(self, name):
-        self._dialers_by_name.pop(name).kill()
+        """End a dialer, unless it is this greenthread, and its connection."""
+        dialer = self._dialers_by_name.pop(name)
+        if dialer is not eventlet.getcurrent():
+            dialer.kill()
         control = self._connections_by_name.pop(name, None)
         if control is not None:
             self._handle_lost_connection(
