daemon: one check of the settings at a time

What operators saw: nothing yet; found in a review of the tasks that last.

To apply them may take turns of the loop, as it ends tasks. A SIGHUP meanwhile, or the check of each second, found them changed still and applied them a second time beside the first; the older one of two changes could be taken for the active one.

Change: a check waits for the one before it.

Measured: the new test failed before (applied twice) and passes; test_reload and test_lasting_tasks pass (28 tests).

--- a/tests/unit/test_reload.py
+++ b/tests/unit/test_reload.py
@@ -1,6 +1,7 @@
 """Test settings with seeds, and the reload of settings at run time."""
 
 import attrs
+import eventlet
 import pytest
 
 from tests.unit.test_proxy_peers import SETTINGS
@@ -68,6 +69,25 @@
     assert role.received == [changed]
 
 
+def test_a_signal_while_a_change_is_applied_applies_it_once(role, monkeypatch):
+    """To apply a change may take turns of the loop, as tasks are ended."""
+    record = role.reconfigure
+
+    def reconfigure(settings):
+        eventlet.sleep(0.01)
+        record(settings)
+
+    monkeypatch.setattr(role, "reconfigure", reconfigure)
+    changed = attrs.evolve(
+        SETTINGS, discovery=conf.DiscoverySettings(seeds=("127.0.0.9",))
+    )
+    valid = Valid(value=changed, document=Document(text=""))
+    watcher = make_watcher(role, [valid, valid])
+    for check in [eventlet.spawn(watcher.check) for _ in range(2)]:
+        check.wait()
+    assert role.received == [changed]
+
+
 SETTINGS_WITH_SEEDS = """
 [host]
 name = "{name}"
--- a/verbenanotch/daemon/_reload.py
+++ b/verbenanotch/daemon/_reload.py
@@ -4,7 +4,7 @@
 
 import attrs
 import eventlet
-from eventlet import hubs
+from eventlet import hubs, semaphore
 
 from verbenanotch import loop
 from verbenanotch.daemon import events
@@ -27,12 +27,18 @@
         self._reload = reload
         self._settings = settings
         self._problems = ()
+        # Other greenthreads may run while a change is applied.
+        self._turn = semaphore.Semaphore()
 
     def check(self):
         """Reload the settings once; keep the active ones if they are invalid.
 
-        The same problems are logged only once.
+        The same problems are logged only once. A check waits for another one.
         """
+        with self._turn:
+            self._check()
+
+    def _check(self):
         match self._reload():
             case Valid(value=settings):
                 self._problems = ()
