replication: a failed replica stays failed

What operators saw: nothing yet; found in a review of the ticks that fail.

Cause: a replica that has failed for good and one that waits for its disk were told apart by nothing. Once a write succeeded the failure was forgotten, whatever it was. A log that conflicts with a committed entry raises after the new term of its leader was set, and the sync of that term made the replica well: it answered messages and voted on a log that is wrong, without ticks, and said that it was well. A tick that fails while entries are being sent did the same.

Change: only a replica that waits for its disk resumes; one that has failed executes nothing further.

Measured: two new tests failed before (no error afterwards, in both) and pass; test_replication_driver, test_replication_full_disks and test_replication_core pass (71 tests).

--- a/tests/unit/test_replication_driver.py
+++ b/tests/unit/test_replication_driver.py
@@ -27,6 +27,7 @@
 )
 from verbenanotch.replication._log import Log, SnapshotMetadata
 from verbenanotch.replication._messages import Append, SnapshotChunk, VoteReply
+from verbenanotch.replication.exceptions import LogConflictError
 from verbenanotch.storage import Files
 from verbenanotch.versions._state_machine import encode_submission
 
@@ -246,6 +247,48 @@
     driver.stop()
 
 
+def test_a_replica_whose_log_conflicts_stays_failed(driver, recorder):
+    """The sync of its new term made it well again, but for its ticks."""
+    driver.receive(B.id, append(entries=(1,), commit_index=1))
+    run_pending(driver)
+    recorder.calls.clear()
+    conflicting = Append(
+        term=3,
+        previous_index=0,
+        previous_term=0,
+        entries=(Entry(term=2, index=1, kind=EntryKind.EMPTY),),
+        commit_index=0,
+        round=1,
+    )
+    driver.receive(B.id, conflicting)
+    run_pending(driver)
+    assert isinstance(driver.error, LogConflictError)
+    driver.receive(B.id, append(term=3))
+    run_pending(driver)
+    assert recorder.calls == []
+
+
+def test_a_replica_that_fails_while_it_sends_stays_failed(
+    driver, recorder, monkeypatch
+):
+    """The sync of what it had sent made it well again, but for its ticks."""
+    lead(driver)
+    run_pending(driver)
+    driver.core._leader_state.progress_by_id[B.id].awaited_round = 0
+
+    def fail(now):
+        raise RuntimeError("the tick failed")
+
+    def send(receiver_id, message):
+        eventlet.spawn_n(driver._tick)
+
+    monkeypatch.setattr(driver.core, "tick", fail)
+    monkeypatch.setattr(driver, "_send", send)
+    driver.propose(EntryKind.COMMAND, b"x")
+    run_pending(driver)
+    assert str(driver.error) == "the tick failed"
+
+
 def test_disk_failure_stops_its_replica_and_others_continue(tmp_path):
     cluster = Cluster(path=tmp_path, voters=("c1", "c2", "c3"))
     cluster.start("c1", "c2")
--- a/verbenanotch/replication/_driver.py
+++ b/verbenanotch/replication/_driver.py
@@ -74,6 +74,8 @@
         self.applied_index = core.log.snapshot.index
         self._recorded_commit_index = core.commit_index
         self.error = None
+        # Whether `error` is a disk that may take writes again.
+        self._is_suspended = False
         self._storage = storage
         self._state_machine = state_machine
         self._send = send
@@ -206,17 +208,21 @@
                 return
 
     def _suspend(self, error):
+        if self.error is not None and not self._is_suspended:
+            return
         if self.error is None:
             emit(events.REPLICA_SUSPENDED, error=str(error))
             metrics.increment("replication.suspended")
             self.core.leader_id = NO_MEMBER
             self._resolve_as_unknown(f"the disk failed: {error}")
         self.error = error
+        self._is_suspended = True
 
     def _resume(self):
-        if self.error is None:
+        if not self._is_suspended:
             return
         self.error = None
+        self._is_suspended = False
         emit(events.REPLICA_RESUMED)
         if self.core.role == Role.LEADER:
             self.core.leader_id = self.core.own_id
@@ -238,9 +244,11 @@
 
     def _run(self):
         try:
-            while self.error is None:
+            while True:
                 self._wake_event.wait()
                 self._wake_event = event.Event()
+                if self.error is not None:
+                    return
                 self._step()
         except Exception as error:
             # After any error here, memory may differ from the disk.
@@ -250,7 +258,7 @@
 
     def _step(self):
         """Execute all effects, including those that a sync produces."""
-        while True:
+        while self.error is None:
             effects = self.core.take_effects()
             if not effects.is_empty:
                 self._execute(effects)
