proxy: a call or a record waits for room until its deadline

Cause: the wait for room in the queues of all connections had no end. A record of over 64 KiB for a holder that reads waited beside peers that do not, whatever the 0.5 s of the holder said, and the caller waited for its answer meanwhile; a call with such a head waited past its deadline and ended as unknown.

Change: `Connection.send` takes a deadline and raises NoRoomError if nothing was queued by then. A holder has not replied then; a call is not run.

Measured: two new tests failed before (2 s without an end, of 0.3 s allowed) and pass. The tests of peers, wire, pending bytes and large answers pass (80).

--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -12,7 +12,13 @@
 from eventlet import event
 
 from verbenanotch.conf import HostSettings, ProxySettings, Settings
-from verbenanotch.idempotency import AlreadyFinished, Answer, Lookup
+from verbenanotch.idempotency import (
+    Acknowledged,
+    AlreadyFinished,
+    Answer,
+    Finish,
+    Lookup,
+)
 from verbenanotch.membership import HostRecord
 from verbenanotch.proxy import PeerPool, PeerServer
 from verbenanotch.proxy._body_frames import CHUNK_BYTES
@@ -39,6 +45,7 @@
     encode,
 )
 from verbenanotch.wire._connection import MAX_PENDING_BYTES
+from verbenanotch.wire._pending import MAX_ALL_PENDING_BYTES, all_pending
 
 KEY = "0123456789abcdef"
 MAX_BODY_BYTES = 1024 * 1024
@@ -448,6 +455,55 @@
     assert not peer.closed
 
 
+@pytest.fixture
+def full_process(monkeypatch):
+    """Let peers that do not read take the room of all connections."""
+    with monkeypatch.context() as context:
+        context.setattr(all_pending, "used_bytes", MAX_ALL_PENDING_BYTES)
+        yield context
+
+
+def test_a_holder_is_asked_in_time_beside_peers_that_do_not_read(
+    scripted_peer, full_process
+):
+    """A caller waited for its answer until there was room to record it."""
+    received = []
+
+    def handle(connection):
+        while True:
+            request = connection.receive()
+            received.append(request)
+            connection.send(
+                RecordReply(
+                    stream_id=request.stream_id,
+                    payload=encode(Acknowledged(applied=True)),
+                )
+            )
+
+    link = scripted_peer(handle)
+    peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
+    large = Finish(
+        key="key",
+        token="token",
+        answer=Answer(status=200, body=bytes(100_000)),
+    )
+    with eventlet.Timeout(2):
+        assert peer.ask("pay", large, 0.3) is None
+    assert not received
+    full_process.undo()
+    assert peer.ask("pay", large, 1.0) == Acknowledged(applied=True)
+
+
+def test_a_call_without_room_until_its_deadline_is_not_run(link, full_process):
+    headers = (("X-Long", "x" * 100_000),)
+    with eventlet.Timeout(2):
+        outcome = link.forward(make_call(headers=headers), seconds=0.3)
+    assert outcome == NotRun(reason="deadline-passed")
+    assert not link.targets.calls
+    full_process.undo()
+    assert isinstance(link.forward(make_call(headers=headers)), Answered)
+
+
 def test_a_silent_peer_gets_no_calls_until_it_sends_a_message(scripted_peer):
     resume = event.Event()
 
--- a/verbenanotch/proxy/_peer.py
+++ b/verbenanotch/proxy/_peer.py
@@ -39,6 +39,7 @@
 from verbenanotch.telemetry import emit, metrics
 from verbenanotch.wire import (
     FrameTooLargeError,
+    NoRoomError,
     WireError,
     decode,
     encode,
@@ -176,6 +177,7 @@
         """
         if self.closed or self.suspect:
             return None
+        deadline = time.monotonic() + timeout_seconds
         stream_id = next(self._stream_ids)
         stream = _Stream(self._body_budget.reserve_answer())
         self._streams_by_id[stream_id] = stream
@@ -183,8 +185,8 @@
             stream_id=stream_id, service=service, payload=encode(message)
         )
         try:
-            self._connection.send(request)
-            reply = stream.wait(timeout_seconds)
+            self._connection.send(request, deadline=deadline)
+            reply = stream.wait(deadline - time.monotonic())
         except WireError:
             return None
         finally:
@@ -234,7 +236,7 @@
             stream_id=stream_id, body_bytes=len(body), call=opening_call
         )
         try:
-            self._connection.send(forward)
+            self._connection.send(forward, deadline=deadline)
             if len(body) <= CHUNK_BYTES or send_remaining_chunks(
                 self._connection,
                 stream_id=stream_id,
@@ -245,6 +247,8 @@
                 return None
         except FrameTooLargeError:
             return NotRun(reason="headers-too-large")
+        except NoRoomError:
+            return NotRun(reason=reasons.DEADLINE_PASSED)
         except WireError:
             return Unknown(reason=reasons.PEER_LOST)
         self._send_queue.post(Cancel(stream_id=stream_id))
--- a/verbenanotch/wire/__init__.py
+++ b/verbenanotch/wire/__init__.py
@@ -17,6 +17,7 @@
     ConnectionClosedError,
     FrameTooLargeError,
     MalformedFrameError,
+    NoRoomError,
     ProtocolVersionMismatchError,
     WireError,
 )
@@ -30,6 +31,7 @@
     "FrameTooLargeError",
     "Listener",
     "MalformedFrameError",
+    "NoRoomError",
     "ProtocolVersionMismatchError",
     "Purpose",
     "WireError",
--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -3,7 +3,9 @@
 import collections
 import contextlib
 import itertools
+import math
 import socket
+import time
 import zlib
 
 import eventlet
@@ -16,6 +18,7 @@
     ConnectionClosedError,
     FrameTooLargeError,
     MalformedFrameError,
+    NoRoomError,
 )
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -91,20 +94,22 @@
         )
         self._unpacker.feed(received)
 
-    def send(self, message):
+    def send(self, message, *, deadline=math.inf):
         """Queue a message and write all queued messages.
 
         Blocks while more than `MAX_PENDING_BYTES` are queued for a slow peer,
-        or too much for all peers. Raises ConnectionClosedError, or
-        FrameTooLargeError before anything is sent.
+        or too much for all peers. Raises ConnectionClosedError, or before
+        anything is sent FrameTooLargeError, or NoRoomError if the message is
+        not queued by the `deadline`, in monotonic seconds.
         """
-        self._wait_for_capacity()
+        self._wait_for_capacity(deadline)
         data = self._frame(message)
         while not self._has_room(len(data)):
             # A frame that waits would be one more that is kept.
             del data
+            _check_time(deadline)
             all_pending.wait(self)
-            self._wait_for_capacity()
+            self._wait_for_capacity(deadline)
             data = self._frame(message)
         self._queue(data)
         if not self._flushing:
@@ -289,11 +294,15 @@
             with contextlib.suppress(ConnectionClosedError):
                 self._flush()
 
-    def _wait_for_capacity(self):
+    def _wait_for_capacity(self, deadline):
         while self.pending_bytes > MAX_PENDING_BYTES and not self.closed:
+            _check_time(deadline)
             if self._capacity_event is None:
                 self._capacity_event = event.Event()
-            self._capacity_event.wait()
+            remaining = deadline - time.monotonic()
+            self._capacity_event.wait(
+                timeout=None if remaining == math.inf else max(0, remaining)
+            )
         if self.closed:
             raise ConnectionClosedError("the connection is closed; dial again")
 
@@ -340,6 +349,14 @@
             capacity_event.send()
 
 
+def _check_time(deadline):
+    if time.monotonic() >= deadline:
+        raise NoRoomError(
+            "the queues to peers that do not read are full; "
+            "find out why they stand still"
+        )
+
+
 def _set_options(sock):
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
--- a/verbenanotch/wire/exceptions.py
+++ b/verbenanotch/wire/exceptions.py
@@ -13,6 +13,15 @@
     kind = "connection-closed"
 
 
+class NoRoomError(WireError):
+    """A message found no room in the queues until its deadline.
+
+    Nothing of it was sent, and the connection stays open.
+    """
+
+    kind = "no-room"
+
+
 class FrameTooLargeError(WireError):
     """A frame exceeds the size limit."""
 
