wire: zones wait for no room that other peers take

A large table that waits for room holds up the summaries behind it, which are the heartbeat of a zone: after 5 s without one the other control host takes the connection for lost.

Change: the connections between control hosts, for replication and for zones, wait for their own queues alone.

--- a/tests/unit/test_pending_bytes.py
+++ b/tests/unit/test_pending_bytes.py
@@ -40,7 +40,7 @@
 
 @pytest.fixture
 def peer():
-    """Start a peer that reads on connections of zones and replicas alone."""
+    """Start a peer that reads on all connections but those for requests."""
     ended = event.Event()
 
     def echo(connection):
@@ -54,6 +54,7 @@
         name="peer",
         handlers_by_purpose={
             Purpose.REQUEST: lambda connection: ended.wait(),
+            Purpose.DISTRIBUTION: echo,
             Purpose.ZONE: echo,
             Purpose.REPLICATION: echo,
         },
@@ -114,7 +115,7 @@
     standing, peer
 ):
     """Small messages pass at once; large ones once a connection has ended."""
-    reading = connect(peer, Purpose.ZONE)
+    reading = connect(peer, Purpose.DISTRIBUTION)
     eventlet.sleep(SECONDS)
     ended = metrics.totals_by_name["wire.unread_ended"]
     with eventlet.Timeout(SECONDS):
@@ -131,14 +132,17 @@
     reading.close()
 
 
-def test_replicas_wait_for_no_room_that_others_take(standing, peer):
-    """The heartbeats behind a large message came too late for followers."""
-    replica = connect(peer, Purpose.REPLICATION)
+@pytest.mark.parametrize("purpose", [Purpose.REPLICATION, Purpose.ZONE])
+def test_control_hosts_wait_for_no_room_that_others_take(
+    standing, peer, purpose
+):
+    """The heartbeats behind a large message came too late for others."""
+    control = connect(peer, purpose)
     eventlet.sleep(SECONDS)
     sent_at = time.monotonic()
     with eventlet.Timeout(WAKE_SECONDS):
         large = Parcel(data=random.Random(1).randbytes(MESSAGE_BYTES))
-        replica.send(large)
-        assert replica.receive() == large
+        control.send(large)
+        assert control.receive() == large
     assert time.monotonic() - sent_at < ELECTION_SECONDS
-    replica.close()
+    control.close()
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -21,8 +21,8 @@
     (Purpose.REPLICATION, Purpose.ZONE, Purpose.DISTRIBUTION)
 )
 # Heartbeats follow large messages on these connections, of which there are
-# few: followers would take their leader for lost while it waits for others.
-PROMPT_PURPOSES = frozenset((Purpose.REPLICATION,))
+# few: a leader or a zone that waits for others would be taken for lost.
+PROMPT_PURPOSES = frozenset((Purpose.REPLICATION, Purpose.ZONE))
 
 
 class Listener:
