proxy: a message that can't be encoded takes no others with it

Cause: any error but those of the wire ended the greenthread that sends the queue to another proxy. What was queued behind such a message stayed there, with its room, until a later message had to be queued, and those in between overtook it.

Change: the error is reported as any that nothing handles, and only that message is dropped.

--- a/tests/unit/test_proxy_peers.py
+++ b/tests/unit/test_proxy_peers.py
@@ -443,12 +443,19 @@
     assert len(send_queue._messages) <= MAX_QUEUED_MESSAGES
 
 
-def test_a_message_over_the_limit_of_a_frame_takes_no_others_with_it(link):
+@pytest.mark.parametrize(
+    "unsent",
+    [
+        BodyChunk(stream_id=1, data=bytes(MAX_FRAME_BYTES)),
+        GoAway(reason="\ud800"),
+    ],
+    ids=["over the limit of a frame", "not encodable"],
+)
+def test_a_message_that_cannot_be_sent_takes_no_others_with_it(link, unsent):
     """The refusals queued behind it were lost: their calls were unknown."""
     peer = link.pool.connect(link.record, deadline=time.monotonic() + 1)
-    too_large = BodyChunk(stream_id=1, data=bytes(MAX_FRAME_BYTES))
     before = peer._last_received_at
-    for message in (too_large, Ping(number=1)):
+    for message in (unsent, Ping(number=1)):
         peer._send_queue.post(message)
     eventlet.sleep(0.1)
     assert peer._last_received_at > before
--- a/verbenanotch/proxy/_send_queue.py
+++ b/verbenanotch/proxy/_send_queue.py
@@ -1,8 +1,10 @@
 """A queue for messages that a receiving greenthread sends."""
 
 import collections
+import sys
 
 import eventlet
+from eventlet import hubs
 
 from verbenanotch.telemetry import metrics
 from verbenanotch.wire import FrameTooLargeError, WireError
@@ -52,6 +54,10 @@
                     self._connection.send(message)
                 except FrameTooLargeError:
                     metrics.increment("proxy.messages_too_large")
+                except WireError:
+                    raise
+                except Exception:
+                    hubs.get_hub().squelch_generic_exception(sys.exc_info())
                 finally:
                     _release(kept)
         except WireError:
