proxy: a notice of a crash that fails ends no later one

Cause: the greenthread that tells other proxies of a crash was replaced only once it had chosen them. After an error there it stayed: no later crash was told, and each call that a crash broke off ended with the old error, as unknown without the crashes that its entry proxy has to know before it repeats the request.

Change: the greenthread is replaced before anything can fail, and an error in it is reported without changing the outcome of the calls.

Measured: the new test failed before and passes; test_crash_guard, test_crashes and test_target_crashes pass (64 tests).

--- a/tests/unit/test_crash_guard.py
+++ b/tests/unit/test_crash_guard.py
@@ -165,6 +165,23 @@
     assert isinstance(next(iter(messages.values())), CrashRecords)
 
 
+def test_a_notice_that_fails_changes_no_outcome_and_ends_no_later_one(
+    proxy, monkeypatch
+):
+    """Each later crash got the error of the first notice as its outcome."""
+
+    def fail():
+        raise RuntimeError("no proxies in a test")
+
+    with monkeypatch.context() as context:
+        context.setattr(proxy.guard, "_proxies_in_zone", fail)
+        (record,) = proxy.crash(b"1")
+    assert record.fingerprint == FINGERPRINT
+    assert not proxy.hosts_told()
+    proxy.crash(b"2")
+    assert zones_of(proxy.hosts_told()).count("z1") == PROXIES_PER_ZONE - 1
+
+
 def test_the_outcome_carries_the_crashes_to_the_entry_proxy(proxy):
     proxy.crash(b"1")
     (record,) = proxy.crash(b"2")
--- a/verbenanotch/proxy/_crashes.py
+++ b/verbenanotch/proxy/_crashes.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import random
+import sys
 import time
 
 import eventlet
 import xxhash
+from eventlet import hubs
 
 from verbenanotch.crashes import (
     Blocked,
@@ -228,12 +230,20 @@
         # The other calls of a crashed target end in the same turn of the loop.
         eventlet.sleep(0)
         message = CrashRecords(records=tuple(self._pending_records))
-        recipients = self._proxies_in_zone()
-        if self._pending_for_relays:
-            recipients += self._relays()
+        for_relays = self._pending_for_relays
         self._pending_records = []
         self._pending_for_relays = False
         self._notifier = None
+        try:
+            self._send(message, for_relays=for_relays)
+        except Exception:
+            # The calls that wait for the notice have outcomes of their own.
+            hubs.get_hub().squelch_generic_exception(sys.exc_info())
+
+    def _send(self, message, *, for_relays):
+        recipients = self._proxies_in_zone()
+        if for_relays:
+            recipients += self._relays()
         metrics.increment("proxy.crash_notices_sent", len(recipients))
         pool = eventlet.GreenPool(MAX_CONCURRENT_NOTICES)
         for record in recipients:
