wire: senders wait in turn for a slow peer

Cause: the senders that wait for a connection with 4 MiB queued were woken all at once, in no order, and one that sent on without a wait came before them. On a link that is always full a call could wait for as long as others sent.

Change: they wait in the order in which they came, and one that comes later, or again, waits behind them.

Measured: the new test failed before (the messages of one sender came first, all of them) and passes; test_wire and test_proxy_peers pass.

--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -26,11 +26,13 @@
     encode,
     message,
 )
-from verbenanotch.wire._connection import MAX_FRAME_BYTES
+from verbenanotch.wire._connection import MAX_FRAME_BYTES, MAX_PENDING_BYTES
 from verbenanotch.wire._handshake import perform_handshake
 
 KEY = b"0123456789abcdef"
 WAKE_SECONDS = 5.0
+# Messages of 1 MB, more than a connection and the kernel queue.
+FILLING = 30
 
 
 class Color(enum.IntEnum):
@@ -311,3 +313,23 @@
         )
         assert 0 < timeout_ms <= 10_000
     connection.close()
+
+
+def test_senders_wait_in_turn_for_a_slow_peer(connected):
+    """One that sent on was always first; others waited as long as it did."""
+    sender, receiver = connected
+
+    def send(name, texts):
+        for text in texts:
+            sender.send(Echo(text=f"{name}{text}"))
+
+    for _ in range(FILLING):
+        eventlet.spawn(sender.send, Echo(text="x" * 1_000_000))
+        eventlet.sleep(0.01)
+    assert sender.pending_bytes > MAX_PENDING_BYTES
+    for name in "abcde":
+        eventlet.spawn(send, name, "123")
+        eventlet.sleep(0)
+    texts = [receiver.receive().text for _ in range(FILLING + 15)]
+    texts = [text for text in texts if len(text) == 2]
+    assert texts == [f"{name}{text}" for text in "123" for name in "abcde"]
--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -69,7 +69,8 @@
         )
         self._pending = collections.deque()
         self._flushing = False
-        self._capacity_event = None
+        # Events of the senders that wait for capacity, in their order.
+        self._waiting = collections.deque()
         self._socket_calls = 0
         self._burst_bytes = 0
         self.closed = False
@@ -214,7 +215,7 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._close_when_unused()
-        self._wake_senders()
+        self._wake_sender()
 
     def set_timeout(self, seconds):
         """Limit each socket operation to `seconds`; None removes the limit."""
@@ -295,17 +296,39 @@
                 self._flush()
 
     def _wait_for_capacity(self, deadline):
-        while self.pending_bytes > MAX_PENDING_BYTES and not self.closed:
-            _check_time(deadline)
-            if self._capacity_event is None:
-                self._capacity_event = event.Event()
-            remaining = deadline - time.monotonic()
-            self._capacity_event.wait(
-                timeout=None if remaining == math.inf else max(0, remaining)
-            )
+        """Wait in turn: on a busy link, others would else always be first."""
+        if self._is_full or self._waiting:
+            turn = event.Event()
+            self._waiting.append(turn)
+            try:
+                while self._is_full or self._waiting[0] is not turn:
+                    turn = self._wait_for_turn(turn, deadline)
+            finally:
+                self._waiting.remove(turn)
+                self._wake_sender()
         if self.closed:
             raise ConnectionClosedError("the connection is closed; dial again")
 
+    def _wait_for_turn(self, turn, deadline):
+        """Wait for an Event in `_waiting`; return the one in its place."""
+        _check_time(deadline)
+        remaining = deadline - time.monotonic()
+        turn.wait(timeout=None if remaining == math.inf else max(0, remaining))
+        following = event.Event()
+        self._waiting[self._waiting.index(turn)] = following
+        return following
+
+    @property
+    def _is_full(self):
+        return self.pending_bytes > MAX_PENDING_BYTES and not self.closed
+
+    def _wake_sender(self):
+        """Wake the first sender that waits, if there is capacity."""
+        if self._waiting and not self._is_full:
+            turn = self._waiting[0]
+            if not turn.ready():
+                turn.send()
+
     def _flush(self):
         self._flushing = True
         try:
@@ -314,7 +337,7 @@
                 self._pending.clear()
                 self._write(data)
                 self._release(len(data))
-                self._wake_senders()
+                self._wake_sender()
         except BaseException:
             self._pending.clear()
             self._release(self.pending_bytes)
@@ -343,11 +366,6 @@
         if self.closed and not self._socket_calls:
             self._socket.close()
 
-    def _wake_senders(self):
-        if self._capacity_event is not None:
-            capacity_event, self._capacity_event = self._capacity_event, None
-            capacity_event.send()
-
 
 def _check_time(deadline):
     if time.monotonic() >= deadline:
