wire: a sender does not send what others queue behind it

Cause: the greenthread that finds nobody sending wrote until nothing was queued any more. On a link that is always busy it went on with the messages of others, and its own call, whose answer may have arrived, waited past its deadline.

Change: it writes what is queued when it begins; the rest is written in the background, in the same order.

--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -3,6 +3,7 @@
 import enum
 import os
 import socket
+import time
 import zlib
 
 import attrs
@@ -33,6 +34,11 @@
 WAKE_SECONDS = 5.0
 # Messages of 1 MB, more than a connection and the kernel queue.
 FILLING = 30
+BUSY_SECONDS = 3.0
+BUSY_BYTES = 128 * 1024
+# More than the reader takes.
+BUSY_SENDERS = 24
+BUSY_PAUSE_SECONDS = 0.1
 
 
 class Color(enum.IntEnum):
@@ -333,3 +339,28 @@
     texts = [receiver.receive().text for _ in range(FILLING + 15)]
     texts = [text for text in texts if len(text) == 2]
     assert texts == [f"{name}{text}" for text in "123" for name in "abcde"]
+
+
+def test_a_sender_does_not_send_what_others_queue_behind_it(connected):
+    """On a busy link a call was held until nothing was queued any more."""
+    sender, receiver = connected
+    last_sent_at = time.monotonic() + BUSY_SECONDS
+    waited_seconds = []
+
+    def send():
+        while time.monotonic() < last_sent_at:
+            began = time.monotonic()
+            sender.send(Echo(text="", bodies=(bytes(BUSY_BYTES),)))
+            waited_seconds.append(time.monotonic() - began)
+            eventlet.sleep(BUSY_PAUSE_SECONDS)
+
+    def receive_slowly():
+        while True:
+            receiver.receive()
+            eventlet.sleep(0.01)
+
+    reader = eventlet.spawn(receive_slowly)
+    for greenthread in [eventlet.spawn(send) for _ in range(BUSY_SENDERS)]:
+        greenthread.wait()
+    reader.kill()
+    assert max(waited_seconds) < BUSY_SECONDS / 2
--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -291,7 +291,7 @@
         all_pending.remove(self, count)
 
     def _flush_in_background(self):
-        if not self._flushing:
+        if self._pending and not self._flushing:
             with contextlib.suppress(ConnectionClosedError):
                 self._flush()
 
@@ -330,20 +330,26 @@
                 turn.send()
 
     def _flush(self):
+        """Write what is queued now; what follows is written in the background.
+
+        On a busy link, a sender would else write what others queue for as
+        long as they do.
+        """
         self._flushing = True
         try:
-            while self._pending:
-                data = b"".join(self._pending)
-                self._pending.clear()
-                self._write(data)
-                self._release(len(data))
-                self._wake_sender()
+            data = b"".join(self._pending)
+            self._pending.clear()
+            self._write(data)
+            self._release(len(data))
+            self._wake_sender()
         except BaseException:
             self._pending.clear()
             self._release(self.pending_bytes)
             raise
         finally:
             self._flushing = False
+        if self._pending:
+            eventlet.spawn_n(self._flush_in_background)
 
     def _write(self, data):
         self._socket_calls += 1
