--- a/verbenanotch/wire/_connection.py
+++ b/verbenanotch/wire/_connection.py
@@ -3,7 +3,9 @@
 import collections
 import contextlib
 import itertools
+import math
 import socket
+import time
 import zlib
 
 import eventlet
@@ -16,6 +18,7 @@
     ConnectionClosedError,
     FrameTooLargeError,
     MalformedFrameError,
+    NoRoomError,
 )
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -47,7 +50,8 @@
     the handshake. `incarnation` is unique among the connections of this
     process. `pending_bytes` are queued. If `compresses` is set, messages of
     `MIN_COMPRESSED_BYTES` or more are sent compressed; compressed messages are
-    always accepted.
+    always accepted. If `waits_for_others` is unset, sends wait for the own
+    queue alone, whatever is queued at other connections.
     """
 
     def __init__(self, *, sock, max_frame_bytes=MAX_FRAME_BYTES):
@@ -65,13 +69,15 @@
         )
         self._pending = collections.deque()
         self._flushing = False
-        self._capacity_event = None
+        # Events of the senders that wait for capacity, in their order.
+        self._waiting = collections.deque()
         self._socket_calls = 0
         self._burst_bytes = 0
         self.closed = False
         self.peer_name = ""
         self.purpose = ""
         self.compresses = False
+        self.waits_for_others = True
         self.incarnation = next(_incarnations)
         self.pending_bytes = 0
         self.sent_bytes = 0
@@ -89,20 +95,22 @@
         )
         self._unpacker.feed(received)
 
-    def send(self, message):
+    def send(self, message, *, deadline=math.inf):
         """Queue a message and write all queued messages.
 
         Blocks while more than `MAX_PENDING_BYTES` are queued for a slow peer,
-        or too much for all peers. Raises ConnectionClosedError, or
-        FrameTooLargeError before anything is sent.
+        or too much for all peers. Raises ConnectionClosedError, or before
+        anything is sent FrameTooLargeError, or NoRoomError if the message is
+        not queued by the `deadline`, in monotonic seconds.
         """
-        self._wait_for_capacity()
+        self._wait_for_capacity(deadline)
         data = self._frame(message)
-        while not all_pending.has_room(self.pending_bytes, len(data)):
+        while not self._has_room(len(data)):
             # A frame that waits would be one more that is kept.
             del data
+            _check_time(deadline)
             all_pending.wait(self)
-            self._wait_for_capacity()
+            self._wait_for_capacity(deadline)
             data = self._frame(message)
         self._queue(data)
         if not self._flushing:
@@ -207,7 +215,7 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._close_when_unused()
-        self._wake_senders()
+        self._wake_sender()
 
     def set_timeout(self, seconds):
         """Limit each socket operation to `seconds`; None removes the limit."""
@@ -273,38 +281,75 @@
         self.pending_bytes += len(data)
         all_pending.add(self, len(data))
 
+    def _has_room(self, count):
+        return not self.waits_for_others or all_pending.has_room(
+            self.pending_bytes, count
+        )
+
     def _release(self, count):
         self.pending_bytes -= count
         all_pending.remove(self, count)
 
     def _flush_in_background(self):
-        if not self._flushing:
+        if self._pending and not self._flushing:
             with contextlib.suppress(ConnectionClosedError):
                 self._flush()
 
-    def _wait_for_capacity(self):
-        while self.pending_bytes > MAX_PENDING_BYTES and not self.closed:
-            if self._capacity_event is None:
-                self._capacity_event = event.Event()
-            self._capacity_event.wait()
+    def _wait_for_capacity(self, deadline):
+        """Wait in turn: on a busy link, others would else always be first."""
+        if self._is_full or self._waiting:
+            turn = event.Event()
+            self._waiting.append(turn)
+            try:
+                while self._is_full or self._waiting[0] is not turn:
+                    turn = self._wait_for_turn(turn, deadline)
+            finally:
+                self._waiting.remove(turn)
+                self._wake_sender()
         if self.closed:
             raise ConnectionClosedError("the connection is closed; dial again")
 
+    def _wait_for_turn(self, turn, deadline):
+        """Wait for an Event in `_waiting`; return the one in its place."""
+        _check_time(deadline)
+        remaining = deadline - time.monotonic()
+        turn.wait(timeout=None if remaining == math.inf else max(0, remaining))
+        following = event.Event()
+        self._waiting[self._waiting.index(turn)] = following
+        return following
+
+    @property
+    def _is_full(self):
+        return self.pending_bytes > MAX_PENDING_BYTES and not self.closed
+
+    def _wake_sender(self):
+        """Wake the first sender that waits, if there is capacity."""
+        if self._waiting and not self._is_full:
+            turn = self._waiting[0]
+            if not turn.ready():
+                turn.send()
+
     def _flush(self):
+        """Write what is queued now; what follows is written in the background.
+
+        On a busy link, a sender would else write what others queue for as
+        long as they do.
+        """
         self._flushing = True
         try:
-            while self._pending:
-                data = b"".join(self._pending)
-                self._pending.clear()
-                self._write(data)
-                self._release(len(data))
-                self._wake_senders()
+            data = b"".join(self._pending)
+            self._pending.clear()
+            self._write(data)
+            self._release(len(data))
+            self._wake_sender()
         except BaseException:
             self._pending.clear()
             self._release(self.pending_bytes)
             raise
         finally:
             self._flushing = False
+        if self._pending:
+            eventlet.spawn_n(self._flush_in_background)
 
     def _write(self, data):
         self._socket_calls += 1
@@ -327,10 +372,13 @@
         if self.closed and not self._socket_calls:
             self._socket.close()
 
-    def _wake_senders(self):
-        if self._capacity_event is not None:
-            capacity_event, self._capacity_event = self._capacity_event, None
-            capacity_event.send()
+
+def _check_time(deadline):
+    if time.monotonic() >= deadline:
+        raise NoRoomError(
+            "the queues to peers that do not read are full; "
+            "find out why they stand still"
+        )
 
 
 def _set_options(sock):
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -23,6 +23,9 @@
 COMPRESSED_PURPOSES = frozenset(
     (Purpose.REPLICATION, Purpose.ZONE, Purpose.DISTRIBUTION)
 )
+# Heartbeats follow large messages on these connections, of which there are
+# few: a leader or a zone that waits for others would be taken for lost.
+PROMPT_PURPOSES = frozenset((Purpose.REPLICATION, Purpose.ZONE))
 
 
 class Listener:
@@ -105,7 +108,7 @@
                 role="listener",
             )
         connection.accept_messages()
-        connection.compresses = connection.purpose in COMPRESSED_PURPOSES
+        _use_purpose(connection)
         connection.set_timeout(None)
         handler = self._handlers_by_purpose.get(connection.purpose)
         if handler is None:
@@ -155,7 +158,7 @@
         raise
     connection.accept_messages()
     connection.purpose = purpose
-    connection.compresses = purpose in COMPRESSED_PURPOSES
+    _use_purpose(connection)
     connection.set_timeout(None)
     return connection
 
@@ -170,3 +173,8 @@
         purpose=purpose,
         timeout_seconds=timeout_seconds,
     )
+
+
+def _use_purpose(connection):
+    connection.compresses = connection.purpose in COMPRESSED_PURPOSES
+    connection.waits_for_others = connection.purpose not in PROMPT_PURPOSES
