tests: endless answers with a path for each test

Traced by the logs of the mesh, which the tests share: nine and more calls of one test before it, and some of another, were in flight when those tests ended their targets, as they arrived late. The proxy took that for two crashes by the same request, as it should, and refused the request for 2 s (47 times crashes-targets), while the next test called it.

Each test calls a path of its own; what is asserted stays.

--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -4,6 +4,7 @@
 closes the connection.
 """
 
+import itertools
 import random
 import time
 
@@ -26,6 +27,8 @@
 MAX_TRIES = 20
 TIMEOUT_MS = 1500
 
+_path_numbers = itertools.count(1)
+
 
 @pytest.fixture(scope="module")
 def mesh(tmp_path_factory):
@@ -46,8 +49,18 @@
         yield running
 
 
+@pytest.fixture
+def path():
+    """Return a path that no other test calls.
+
+    A call that arrives late is broken off by the end of its test's target,
+    which is a crash. Requests with the path are refused after two of them.
+    """
+    return f"/pay/{next(_path_numbers)}"
+
+
 @pytest.fixture(params=sorted(PARTS_BY_KIND))
-def endless(request, mesh):
+def endless(request, mesh, path):
     host = mesh.topology.hosts_by_name[PROXIES[0]]
     target = EndlessTarget(kind=request.param, address=host.address)
     target.announce(
@@ -57,7 +70,7 @@
     # the target tells that it is in use.
     mesh.wait_until(
         lambda: (
-            call(mesh, timeout_ms=50).outcome == "unknown"
+            call(mesh, path, timeout_ms=50).outcome == "unknown"
             and target.request_count
         ),
         what="requests at the target",
@@ -66,9 +79,9 @@
     target.stop()
 
 
-def call(mesh, *, timeout_ms=TIMEOUT_MS, proxy=PROXIES[1], **options):
+def call(mesh, path, *, timeout_ms=TIMEOUT_MS, proxy=PROXIES[1], **options):
     return mesh.call(
-        "POST", "/pay/1", proxy=proxy, timeout_ms=timeout_ms, **options
+        "POST", path, proxy=proxy, timeout_ms=timeout_ms, **options
     )
 
 
@@ -77,27 +90,33 @@
         assert peak_memory_kb(mesh, proxy) < MAX_MEMORY_KB
 
 
-def test_answers_without_end_are_unknown_and_closed(mesh, endless):
+def test_answers_without_end_are_unknown_and_closed(mesh, path, endless):
     pool = eventlet.GreenPool()
-    answers = list(pool.imap(lambda _: call(mesh), range(CONCURRENT_CALLS)))
+    answers = list(
+        pool.imap(lambda _: call(mesh, path), range(CONCURRENT_CALLS))
+    )
     assert {answer.outcome for answer in answers} == {"unknown"}
     mesh.wait_until(lambda: endless.open_count == 0, what="closed connections")
     assert_memory_is_bounded(mesh)
 
 
-def test_answers_without_end_to_keyed_requests_are_unknown(mesh, endless):
+def test_answers_without_end_to_keyed_requests_are_unknown(
+    mesh, path, endless
+):
     pool = eventlet.GreenPool()
     keys = [
         new_key(now_ms=time.time_ns() // 1_000_000, random=random)
         for _ in range(CONCURRENT_CALLS)
     ]
-    answers = list(pool.imap(lambda key: call(mesh, key=key), keys))
+    answers = list(pool.imap(lambda key: call(mesh, path, key=key), keys))
     assert {answer.outcome for answer in answers} == {"unknown"}
     mesh.wait_until(lambda: endless.open_count == 0, what="closed connections")
     assert_memory_is_bounded(mesh)
 
 
-def test_answers_without_end_are_closed_once_the_caller_leaves(mesh, endless):
+def test_answers_without_end_are_closed_once_the_caller_leaves(
+    mesh, path, endless
+):
     pool = eventlet.GreenPool()
 
     def leave(_):
@@ -110,7 +129,7 @@
         for _ in range(MAX_TRIES):
             try:
                 answers.append(
-                    call(mesh, timeout_ms=60_000, timeout_seconds=0.01)
+                    call(mesh, path, timeout_ms=60_000, timeout_seconds=0.01)
                 )
             except urllib3.exceptions.HTTPError:
                 return answers
