loop: one report of an exception that a greenthread goes on after

The same call to the hub stood in five places (lasting tasks, workers, the queue to a proxy, notices of crashes, the ticks of a replica). They call loop.report_failure now; what is reported is as before.

--- a/verbenanotch/loop/__init__.py
+++ b/verbenanotch/loop/__init__.py
@@ -1,5 +1,6 @@
 """Sockets, file objects, greenthreads and turns of the eventlet hub."""
 
+from verbenanotch.loop._failures import report_failure
 from verbenanotch.loop._files import (
     MAX_JOINED_BYTES,
     SocketReader,
@@ -25,6 +26,7 @@
     "connect",
     "is_part_over",
     "listen",
+    "report_failure",
     "spawn_first",
     "spawn_lasting",
     "take_longest_parts",
--- a/verbenanotch/loop/_lasting.py
+++ b/verbenanotch/loop/_lasting.py
@@ -1,9 +1,8 @@
 """Background tasks that an exception does not end."""
 
-import sys
-
 import eventlet
-from eventlet import hubs
+
+from verbenanotch.loop._failures import report_failure
 
 RESTART_SECONDS = 0.25
 
@@ -22,5 +21,5 @@
         try:
             return function(*args)
         except (Exception, eventlet.Timeout):
-            hubs.get_hub().squelch_generic_exception(sys.exc_info())
+            report_failure()
         eventlet.sleep(RESTART_SECONDS)
--- a/verbenanotch/loop/_workers.py
+++ b/verbenanotch/loop/_workers.py
@@ -1,11 +1,11 @@
 """A pool of reusable greenthreads."""
 
-import sys
-
 import eventlet
 import greenlet
 from eventlet import hubs
 
+from verbenanotch.loop._failures import report_failure
+
 # An idle greenthread keeps about 20 KB.
 MAX_IDLE = 128
 
@@ -40,7 +40,7 @@
             except Exception:
                 # An exception that a task does not handle must not end the
                 # greenthread.
-                hubs.get_hub().squelch_generic_exception(sys.exc_info())
+                report_failure()
             if len(self._idle) >= self._max_idle:
                 return
             del task, args
--- a/verbenanotch/proxy/_crashes.py
+++ b/verbenanotch/proxy/_crashes.py
@@ -2,13 +2,12 @@
 
 import contextlib
 import random
-import sys
 import time
 
 import eventlet
 import xxhash
-from eventlet import hubs
 
+from verbenanotch import loop
 from verbenanotch.crashes import (
     Blocked,
     CrashExchange,
@@ -238,7 +237,7 @@
             self._send(message, for_relays=for_relays)
         except Exception:
             # The calls that wait for the notice have outcomes of their own.
-            hubs.get_hub().squelch_generic_exception(sys.exc_info())
+            loop.report_failure()
 
     def _send(self, message, *, for_relays):
         recipients = self._proxies_in_zone()
--- a/verbenanotch/proxy/_send_queue.py
+++ b/verbenanotch/proxy/_send_queue.py
@@ -1,11 +1,10 @@
 """A queue for messages that a receiving greenthread sends."""
 
 import collections
-import sys
 
 import eventlet
-from eventlet import hubs
 
+from verbenanotch import loop
 from verbenanotch.telemetry import metrics
 from verbenanotch.wire import FrameTooLargeError, WireError
 
@@ -57,7 +56,7 @@
                 except WireError:
                     raise
                 except Exception:
-                    hubs.get_hub().squelch_generic_exception(sys.exc_info())
+                    loop.report_failure()
                 finally:
                     _release(kept)
         except WireError:
--- a/verbenanotch/replication/_driver.py
+++ b/verbenanotch/replication/_driver.py
@@ -1,14 +1,14 @@
 """Execution of the core's effects on disk, links and state machine."""
 
 import math
-import sys
 import time
 import zlib
 
 import attrs
 import eventlet
-from eventlet import event, hubs
+from eventlet import event
 
+from verbenanotch import loop
 from verbenanotch.replication import events
 from verbenanotch.replication._entries import (
     EntryKind,
@@ -238,7 +238,7 @@
             self.core.tick(time.monotonic())
         except Exception as error:
             # The core may have changed in part.
-            hubs.get_hub().squelch_generic_exception(sys.exc_info())
+            loop.report_failure()
             self.fail(error)
         self.wake()
 
