tests: one mesh and one start for targets with large answers

The tests of large bodies, loads together, large keyed, unread and endless answers each spelled the body limits of the users' machines and the announcement of an EndlessTarget; two of them had the same mesh. BODY_LIMITS, start_endless_target and start_mesh serve all. Limits, slots and assertions are as they were.

--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -12,16 +12,13 @@
 import pytest
 import urllib3
 
-from examples import topology as plans
 from tests.integration.request_load import MESH_TEXT, SERVICE
-from tests.support.endless_target import PARTS_BY_KIND, EndlessTarget
+from tests.support.endless_target import PARTS_BY_KIND, start_endless_target
 from tests.support.harness import Mesh
-from tests.support.memory import MAX_MEMORY_KB, peak_memory_kb
+from tests.support.memory import BODY_LIMITS, MAX_MEMORY_KB, peak_memory_kb
 from verbenanotch.idempotency import new_key
 
 PROXIES = ["z1-proxy-1", "z1-proxy-2"]
-MAX_BODY_BYTES = 64 * 1024 * 1024
-MAX_RECEIVING_BYTES = 100_000_000
 CONCURRENT_CALLS = 50
 SLOTS = 64
 MAX_TRIES = 20
@@ -38,8 +35,7 @@
         proxies_per_zone=len(PROXIES),
         overrides={
             "proxy": {
-                "max_body_bytes": MAX_BODY_BYTES,
-                "max_receiving_bytes": MAX_RECEIVING_BYTES,
+                **BODY_LIMITS,
                 "targets_may_omit_length": True,
                 "probe_targets": False,
             }
@@ -61,10 +57,8 @@
 
 @pytest.fixture(params=sorted(PARTS_BY_KIND))
 def endless(request, mesh, path):
-    host = mesh.topology.hosts_by_name[PROXIES[0]]
-    target = EndlessTarget(kind=request.param, address=host.address)
-    target.announce(
-        proxy=host.server(plans.TARGET_PORT), service=SERVICE, slots=SLOTS
+    target = start_endless_target(
+        mesh, PROXIES[0], service=SERVICE, kind=request.param, slots=SLOTS
     )
     # A call whose deadline passes on the way is unknown as well, so that only
     # the target tells that it is in use.
--- a/tests/integration/test_large_bodies.py
+++ b/tests/integration/test_large_bodies.py
@@ -12,13 +12,11 @@
 
 from examples import topology as plans
 from tests.integration.request_load import MESH_TEXT, SERVICE
-from tests.support.endless_target import LARGE_BODY, EndlessTarget
+from tests.support.endless_target import LARGE_BODY, start_endless_target
 from tests.support.harness import Mesh
-from tests.support.memory import MAX_MEMORY_KB, peak_memory_kb
+from tests.support.memory import BODY_LIMITS, MAX_MEMORY_KB, peak_memory_kb
 
 PROXIES = ["z1-proxy-1", "z1-proxy-2"]
-MAX_BODY_BYTES = 64 * 1024 * 1024
-MAX_RECEIVING_BYTES = 100_000_000
 LINK_MBPS = 1000.0
 CONNECTIONS = 40
 SECONDS = 6.0
@@ -29,19 +27,14 @@
 HEAD = b"POST /pay/1 HTTP/1.1\r\nHost: a\r\n"
 
 
-@pytest.fixture
-def mesh(tmp_path):
+@contextlib.contextmanager
+def start_mesh(folder):
+    """Run two proxies with targets that are of use."""
     with Mesh(
-        folder=tmp_path,
+        folder=folder,
         control_hosts_per_zone=1,
         proxies_per_zone=len(PROXIES),
-        overrides={
-            "proxy": {
-                "max_body_bytes": MAX_BODY_BYTES,
-                "max_receiving_bytes": MAX_RECEIVING_BYTES,
-                "link_mbps": LINK_MBPS,
-            }
-        },
+        overrides={"proxy": {**BODY_LIMITS, "link_mbps": LINK_MBPS}},
     ) as running:
         for proxy in PROXIES:
             running.start_target(proxy, SERVICE)
@@ -53,6 +46,12 @@
         yield running
 
 
+@pytest.fixture
+def mesh(tmp_path):
+    with start_mesh(tmp_path) as running:
+        yield running
+
+
 def is_served(mesh, proxy):
     answer = mesh.call("POST", "/pay/1", proxy=proxy, timeout_ms=1500)
     return answer.outcome == "answered"
@@ -98,15 +97,14 @@
 def large_targets(mesh):
     """Return a function that adds targets whose answers are large."""
     started = []
-    host = mesh.topology.hosts_by_name[PROXIES[0]]
 
     def add(count):
         for _ in range(count):
-            target = EndlessTarget(kind=LARGE_BODY, address=host.address)
-            target.announce(
-                proxy=host.server(plans.TARGET_PORT), service=SERVICE, slots=16
+            started.append(
+                start_endless_target(
+                    mesh, PROXIES[0], service=SERVICE, kind=LARGE_BODY
+                )
             )
-            started.append(target)
         mesh.wait_until(
             lambda: (
                 is_served(mesh, PROXIES[0])
--- a/tests/integration/test_large_keyed_answers.py
+++ b/tests/integration/test_large_keyed_answers.py
@@ -9,20 +9,15 @@
 
 import pytest
 
-from examples import topology as plans
 from tests.integration.request_load import MESH_TEXT, SERVICE
-from tests.integration.test_large_bodies import (
-    MAX_BODY_BYTES,
-    MAX_RECEIVING_BYTES,
-    PROXIES,
-)
+from tests.integration.test_large_bodies import PROXIES
 from tests.support.endless_target import (
     LARGE_BODY,
     LARGE_BODY_BYTES,
-    EndlessTarget,
+    start_endless_target,
 )
 from tests.support.harness import Mesh
-from tests.support.memory import MAX_MEMORY_KB, peak_memory_kb
+from tests.support.memory import BODY_LIMITS, MAX_MEMORY_KB, peak_memory_kb
 from verbenanotch.idempotency import new_key
 
 ANSWERS = 4
@@ -34,22 +29,14 @@
         folder=tmp_path,
         control_hosts_per_zone=1,
         proxies_per_zone=len(PROXIES),
-        overrides={
-            "proxy": {
-                "max_body_bytes": MAX_BODY_BYTES,
-                "max_receiving_bytes": MAX_RECEIVING_BYTES,
-                "probe_targets": False,
-            }
-        },
+        overrides={"proxy": {**BODY_LIMITS, "probe_targets": False}},
     ) as running:
-        targets = []
-        for name in PROXIES:
-            host = running.topology.hosts_by_name[name]
-            target = EndlessTarget(kind=LARGE_BODY, address=host.address)
-            target.announce(
-                proxy=host.server(plans.TARGET_PORT), service=SERVICE, slots=16
+        targets = [
+            start_endless_target(
+                running, name, service=SERVICE, kind=LARGE_BODY
             )
-            targets.append(target)
+            for name in PROXIES
+        ]
         running.accept(MESH_TEXT)
         yield running
         for target in targets:
--- a/tests/integration/test_loads_together.py
+++ b/tests/integration/test_loads_together.py
@@ -7,60 +7,36 @@
 import eventlet
 import pytest
 
-from examples import topology as plans
 from examples.launcher import Child
 from tests.integration.one_load import LOADS_BY_KIND
-from tests.integration.request_load import MESH_TEXT, SERVICE
+from tests.integration.request_load import SERVICE
 from tests.integration.test_large_bodies import (
-    LINK_MBPS,
-    MAX_BODY_BYTES,
-    MAX_RECEIVING_BYTES,
+    PROXIES,
     is_served,
+    start_mesh,
 )
-from tests.support.endless_target import LARGE_BODY, EndlessTarget
-from tests.support.harness import Mesh
+from tests.support.endless_target import LARGE_BODY, start_endless_target
 from tests.support.memory import MAX_MEMORY_KB, peak_memory_kb
 
-PROXIES = ["z1-proxy-1", "z1-proxy-2"]
 TARGETS = 4
 SECONDS = 10.0
 
 
 @pytest.fixture
 def mesh(tmp_path):
-    with Mesh(
-        folder=tmp_path,
-        control_hosts_per_zone=1,
-        proxies_per_zone=len(PROXIES),
-        overrides={
-            "proxy": {
-                "max_body_bytes": MAX_BODY_BYTES,
-                "max_receiving_bytes": MAX_RECEIVING_BYTES,
-                "link_mbps": LINK_MBPS,
-            }
-        },
-    ) as running:
-        for proxy in PROXIES:
-            running.start_target(proxy, SERVICE)
-        running.accept(MESH_TEXT)
-        running.wait_until(
-            lambda: all(is_served(running, proxy) for proxy in PROXIES),
-            what="served requests",
-        )
+    with start_mesh(tmp_path) as running:
         yield running
 
 
 @pytest.fixture
 def large_targets(mesh):
     """Add targets beside the first proxy whose answers are large."""
-    host = mesh.topology.hosts_by_name[PROXIES[0]]
-    targets = []
-    for _ in range(TARGETS):
-        target = EndlessTarget(kind=LARGE_BODY, address=host.address)
-        target.announce(
-            proxy=host.server(plans.TARGET_PORT), service=SERVICE, slots=16
+    targets = [
+        start_endless_target(
+            mesh, PROXIES[0], service=SERVICE, kind=LARGE_BODY
         )
-        targets.append(target)
+        for _ in range(TARGETS)
+    ]
     yield targets
     for target in targets:
         target.stop()
--- a/tests/integration/test_unread_answers.py
+++ b/tests/integration/test_unread_answers.py
@@ -8,20 +8,15 @@
 import eventlet
 import pytest
 
-from examples import topology as plans
 from tests.integration.request_load import MESH_TEXT, SERVICE
-from tests.integration.test_large_bodies import (
-    MAX_BODY_BYTES,
-    MAX_RECEIVING_BYTES,
-    ask,
-)
+from tests.integration.test_large_bodies import ask
 from tests.support.endless_target import (
     LARGE_BODY,
     LARGE_BODY_BYTES,
-    EndlessTarget,
+    start_endless_target,
 )
 from tests.support.harness import Mesh
-from tests.support.memory import MAX_MEMORY_KB, peak_memory_kb
+from tests.support.memory import BODY_LIMITS, MAX_MEMORY_KB, peak_memory_kb
 
 PROXY = "z1-proxy-1"
 PIECE_BYTES = 1024 * 1024
@@ -36,17 +31,10 @@
         folder=tmp_path,
         control_hosts_per_zone=1,
         proxies_per_zone=1,
-        overrides={
-            "proxy": {
-                "max_body_bytes": MAX_BODY_BYTES,
-                "max_receiving_bytes": MAX_RECEIVING_BYTES,
-            }
-        },
+        overrides={"proxy": BODY_LIMITS},
     ) as running:
-        host = running.topology.hosts_by_name[PROXY]
-        target = EndlessTarget(kind=LARGE_BODY, address=host.address)
-        target.announce(
-            proxy=host.server(plans.TARGET_PORT), service=SERVICE, slots=16
+        target = start_endless_target(
+            running, PROXY, service=SERVICE, kind=LARGE_BODY
         )
         running.accept(MESH_TEXT)
         yield running
--- a/tests/support/endless_target.py
+++ b/tests/support/endless_target.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from examples import topology as plans
 from examples.announcer import Announcer
 
 CHUNK_BYTES = 64 * 1024
@@ -42,6 +43,19 @@
 PAUSE_SECONDS_BY_KIND = {"trickle": 0.05}
 
 
+SLOTS = 16
+
+
+def start_endless_target(mesh, proxy, *, service, kind, slots=SLOTS):
+    """Return an EndlessTarget that is announced to a proxy beside it."""
+    host = mesh.topology.hosts_by_name[proxy]
+    target = EndlessTarget(kind=kind, address=host.address)
+    target.announce(
+        proxy=host.server(plans.TARGET_PORT), service=service, slots=slots
+    )
+    return target
+
+
 class EndlessTarget:
     """Server in this process that answers every request without end.
 
--- a/tests/support/memory.py
+++ b/tests/support/memory.py
@@ -4,6 +4,11 @@
 
 # The memory of a host on the users' machines.
 MAX_MEMORY_KB = 300 * 1000
+# The limits of a proxy on these machines.
+BODY_LIMITS = {
+    "max_body_bytes": 64 * 1024 * 1024,
+    "max_receiving_bytes": 100_000_000,
+}
 
 
 def peak_memory_kb(mesh, name):
