tests: one place that chooses the seeds of random soaks

Four soaks read VERBENANOTCH_FIRST_SEED and VERBENANOTCH_SEEDS in the same way. chosen_seeds does it; the defaults (1, 1, 1 and 3 seeds) are as they were.

--- a/tests/integration/test_breaks_random.py
+++ b/tests/integration/test_breaks_random.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import os
 import random
 import signal
 import time
@@ -18,9 +17,9 @@
 from tests.support.harness import Mesh
 from tests.support.kept_caller import KeptCaller
 from tests.support.rude_target import RudeTarget
+from tests.support.seeds import chosen_seeds
 
-FIRST_SEED = int(os.environ.get("VERBENANOTCH_FIRST_SEED", "0"))
-SEEDS = int(os.environ.get("VERBENANOTCH_SEEDS", "1"))
+SEEDS = chosen_seeds(1)
 SERVICE = "pay"
 SLOTS = 6
 WITH_TARGETS = ["z1-proxy-1", "z1-proxy-2"]
@@ -205,7 +204,7 @@
     )
 
 
-@pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + SEEDS))
+@pytest.mark.parametrize("seed", SEEDS)
 def test_requests_end_truthfully_while_targets_and_proxies_break_off(
     mesh, make_targets, seed
 ):
--- a/tests/integration/test_kept_callers_random.py
+++ b/tests/integration/test_kept_callers_random.py
@@ -6,7 +6,6 @@
 other seeds.
 """
 
-import os
 import random
 import signal
 import time
@@ -19,9 +18,9 @@
 from tests.support.kept_caller import KeptCaller
 from tests.support.ledger import read_ledgers, runs_by_request_id
 from tests.support.network import accepts_connections
+from tests.support.seeds import chosen_seeds
 
-FIRST_SEED = int(os.environ.get("VERBENANOTCH_FIRST_SEED", "0"))
-SEEDS = int(os.environ.get("VERBENANOTCH_SEEDS", "1"))
+SEEDS = chosen_seeds(1)
 SERVICE = "pay"
 SLOTS = 4
 SHED_OVER = 5
@@ -196,7 +195,7 @@
     ]
 
 
-@pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + SEEDS))
+@pytest.mark.parametrize("seed", SEEDS)
 def test_no_request_that_was_read_ends_without_an_answer(mesh, tmp_path, seed):
     chance = random.Random(seed)
     callers = make_callers(mesh, seed)
--- a/tests/integration/test_leaving_callers_random.py
+++ b/tests/integration/test_leaving_callers_random.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import os
 import random
 import time
 
@@ -23,9 +22,9 @@
     mesh_text,
 )
 from tests.support.ledger import read_ledgers
+from tests.support.seeds import chosen_seeds
 
-FIRST_SEED = int(os.environ.get("VERBENANOTCH_FIRST_SEED", "0"))
-SEEDS = int(os.environ.get("VERBENANOTCH_SEEDS", "3"))
+SEEDS = chosen_seeds(3)
 # Fewer than the callers need, so that many wait in the queues.
 SLOTS = 6
 WITH_TARGETS = ["z1-proxy-1", "z1-proxy-2"]
@@ -145,7 +144,7 @@
         return left_at
 
 
-@pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + SEEDS))
+@pytest.mark.parametrize("seed", SEEDS)
 def test_no_request_starts_long_after_its_caller_left(tmp_path, seed):
     with Mesh(
         folder=tmp_path, control_hosts_per_zone=1, proxies_per_zone=3
--- a/tests/integration/test_signals_random.py
+++ b/tests/integration/test_signals_random.py
@@ -4,7 +4,6 @@
 VERBENANOTCH_SEEDS choose other seeds.
 """
 
-import os
 import pathlib
 import random
 import re
@@ -22,9 +21,9 @@
     assert_consistent_with_ledgers,
 )
 from tests.support.harness import Mesh
+from tests.support.seeds import chosen_seeds
 
-FIRST_SEED = int(os.environ.get("VERBENANOTCH_FIRST_SEED", "0"))
-SEEDS = int(os.environ.get("VERBENANOTCH_SEEDS", "1"))
+SEEDS = chosen_seeds(1)
 PROXIES = ["z1-proxy-1", "z1-proxy-2", "z1-proxy-3"]
 CONTROL_HOSTS = ["z1-control-1", "z1-control-2", "z1-control-3"]
 HOSTS = [*PROXIES, *CONTROL_HOSTS]
@@ -195,7 +194,7 @@
         greenthread.wait()
 
 
-@pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + SEEDS))
+@pytest.mark.parametrize("seed", SEEDS)
 def test_requests_are_answered_around_planned_signals(mesh, tmp_path, seed):
     signals = Signals(mesh=mesh, chance=random.Random(seed))
     with Load(mesh=mesh, proxies=PROXIES, seed=seed) as load:
@@ -205,7 +204,7 @@
     assert [r for r in load.results if r.outcome != "answered"] == []
 
 
-@pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + SEEDS))
+@pytest.mark.parametrize("seed", SEEDS)
 def test_no_process_ends_by_itself_in_a_series_of_signals(
     mesh, tmp_path, seed
 ):
