daemon: a stop answers each request that has arrived before it closes

Cause: a stopping server closed each connection with the first answer after SIGTERM. What had arrived behind it, read or not, was dropped: requests that waited for their turn, and any that came while an earlier one was in progress. Class: the end of a connection is decided apart from what is due on it.

An answer says that the connection closes only if nothing has arrived behind it: no request that the reader holds, no byte in its buffer or in the socket. Requests behind an answer without `Connection: close` are taken and answered. The same held at the ports for targets, operators and readiness. Requests that can't end in time are refused at once as before, so pipelines drain.

--- a/tests/unit/test_unannounced_closes.py
+++ b/tests/unit/test_unannounced_closes.py
@@ -10,6 +10,7 @@
 
 import eventlet
 import pytest
+from eventlet import event
 
 from tests.unit.test_early_answers import wait_until_closed
 from tests.unit.test_proxy_entry import entry  # noqa: F401
@@ -140,3 +141,35 @@
         sock.sendall(inner + request("GET", 0))
         heads = read_answers(sock)
     assert len(heads) == 2
+
+
+def test_a_stop_answers_requests_that_arrived_together():
+    """Guard against pipelined requests that a stop drops at other ports."""
+    begun = event.Event()
+
+    def application(environ, start_response):
+        if environ["PATH_INFO"] == "/0":
+            begun.send()
+            eventlet.sleep(0.1)
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    server = HttpServer(address="127.0.0.1", port=0, application=application)
+    server.start()
+    with socket.create_connection(("127.0.0.1", server.port)) as sock:
+        sock.settimeout(TIMEOUT_SECONDS)
+        sock.sendall(
+            b"".join(
+                b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % number
+                for number in range(3)
+            )
+        )
+        begun.wait()
+        server.stop()
+        data = b""
+        while received := sock.recv(1 << 16):
+            data += received
+    heads = HEAD_PATTERN.findall(data)
+    assert heads == [b"200"] * 3
+    assert data.count(b"Connection: close") == 1
+    assert data.rstrip().endswith(b"Connection: close")
--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -306,15 +306,27 @@
             self._notify()
 
     def _take(self):
-        """Return the next answer; a server that stops takes no more requests.
+        """Return the next answer, which may be the last one.
 
-        The pipeline then closes the connection with the last answer. Without
-        one, nothing would tell the caller, so its next request is taken.
+        A server that stops closes the connection with an answer behind which
+        no request has arrived. Without an answer nothing would tell the
+        caller, so its next request is taken.
         """
-        if self._owner.stopping and len(self._pipeline):
+        if (
+            self._owner.stopping
+            and self._pipeline.is_last_ready
+            and not self._has_further_request()
+        ):
             self._pipeline.close()
         return self._pipeline.take()
 
+    def _has_further_request(self):
+        """Return whether a request behind those in progress has arrived.
+
+        While the reader waits for one, its file has none, but the socket may.
+        """
+        return not self._is_reading or self.connection.has_arrived()
+
     def _send(self, following):
         answer = following.answer
         try:
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -263,6 +263,12 @@
         """
         return self._close_connection
 
+    @property
+    def has_further_input(self):
+        """Whether bytes behind the current request have arrived."""
+        rest = 0 if self._body is None else self._body.unread_bytes
+        return loop.has_input(self.rfile, behind=rest)
+
     @property
     def close_connection(self):
         """Whether the connection closes after the current answer.
@@ -271,13 +277,14 @@
         to what the head says, which then holds. So the answer to a request
         that was received before the server began to stop also has the header
         `Connection: close`, and so has one that is given before a long body
-        was read.
+        was read. While a further request has arrived, a server that stops
+        leaves the connection open, to answer that one, too.
         """
         if self._is_close_decided:
             return self._close_connection
         return (
             self._close_connection
-            or self._owner.stopping
+            or (self._owner.stopping and not self.has_further_input)
             or (self._body is not None and self._body.has_long_rest)
         )
 
--- a/verbenanotch/daemon/_pipeline.py
+++ b/verbenanotch/daemon/_pipeline.py
@@ -59,6 +59,11 @@
         """Whether every answer has been sent."""
         return not self._turns and not self._unsent_bytes
 
+    @property
+    def is_last_ready(self):
+        """Whether the only answer that was not taken yet is ready."""
+        return len(self._turns) == 1 and self._turns[0].answer is not None
+
     def may_start(self, *, is_concurrent):
         """Return whether the next request may start now.
 
--- a/verbenanotch/daemon/_request_body.py
+++ b/verbenanotch/daemon/_request_body.py
@@ -37,7 +37,12 @@
             return not self._chunks.is_at_end
         if self._is_broken_off:
             return True
-        return self.content_length - self.position > MAX_DISCARDED_BYTES
+        return self.unread_bytes > MAX_DISCARDED_BYTES
+
+    @property
+    def unread_bytes(self):
+        """Bytes of a body with a length that were not read; 0 in chunks."""
+        return 0 if self.chunked_input else self.content_length - self.position
 
     @property
     def is_large(self):
--- a/verbenanotch/loop/__init__.py
+++ b/verbenanotch/loop/__init__.py
@@ -5,6 +5,7 @@
     MAX_JOINED_BYTES,
     SocketReader,
     SocketWriter,
+    has_input,
 )
 from verbenanotch.loop._lasting import spawn_lasting
 from verbenanotch.loop._socket import LoopSocket, connect, listen
@@ -24,6 +25,7 @@
     "Workers",
     "bound_turns",
     "connect",
+    "has_input",
     "is_part_over",
     "listen",
     "report_failure",
--- a/verbenanotch/loop/_files.py
+++ b/verbenanotch/loop/_files.py
@@ -23,6 +23,27 @@
         """Read bytes into `buffer`; return their number, None while paused."""
         return None if self.is_paused else self._socket.recv_into(buffer)
 
+    def has_arrived(self):
+        """Return whether the socket has bytes to read."""
+        return self._socket.has_arrived()
+
+
+def has_input(file, *, behind=0):
+    """Return whether a buffered SocketReader has more than `behind` bytes.
+
+    Those that have arrived count, unless some of the `behind` bytes have to
+    be received first. Never blocks; no greenthread may be reading from `file`.
+    """
+    raw = file.raw
+    raw.is_paused = True
+    try:
+        buffered_bytes = len(file.peek(1))
+    finally:
+        raw.is_paused = False
+    return buffered_bytes > behind or (
+        buffered_bytes == behind and raw.has_arrived()
+    )
+
 
 class SocketWriter:
     """Buffer writes and send them together on `flush`."""
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -213,6 +213,10 @@
         except (OSError, ValueError):
             return b""
 
+    def has_arrived(self):
+        """Return whether bytes can be read without waiting for them."""
+        return bool(self._ahead or self.peek())
+
     def has_ended(self):
         """Return whether the peer has closed or reset the connection.
 
