replication: blank first voters create a cluster without the permission

A control host that was killed 0.05 to 0.3 s after the first start of the whole system, or lost its disk then, left the mesh without a cluster for good: no configuration was accepted (FAULT). So did a kill of all three.

Cause: only the first host by name creates the cluster, and only with a permission that is stored once the data folder is open. A process that is killed before, or a new disk, never has it. Class: a promise to a process that its restart does not keep; held for the time after the store alone.

If `tolerated_losses` is set and the first voters are more than that, disks without permission create the cluster all the same once all first voters are blank: had one of them belonged to a cluster, more disks would be lost than the deployment tolerates. A host without permission takes the first voters that a blank peer names, after 3 s those of its settings, and keeps them.

Without `tolerated_losses` nothing changes. Blank hosts say with whom they would create a cluster in a field of Hello that was empty before.

--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -81,7 +81,9 @@
     `admission_limit` is the maximum number of subscriptions that are started
     concurrently. `whole_state_updates` sends full states instead of deltas.
     A host with `may_create_cluster` creates the cluster together with the
-    other initial voters; without it, the host only joins an existing one.
+    other initial voters; without it, the host joins an existing one, or
+    creates one if the initial voters are more than `tolerated_losses` and all
+    of them blank.
     With `tolerated_losses` above 0, the leader automatically keeps twice
     that number plus one voters: it replaces voters that have been
     unreachable for `voter_patience_ms` by control hosts that have caught up.
--- a/verbenanotch/replication/_messages.py
+++ b/verbenanotch/replication/_messages.py
@@ -11,8 +11,9 @@
 class Hello:
     """The sender's identity; sent first and then periodically.
 
-    `cluster_id` and `first_voters` are empty as long as the sender belongs
-    to no cluster.
+    `cluster_id` is empty as long as the sender belongs to no cluster.
+    `first_voters` are then those with which it would create one: their names
+    alone, or none.
     """
 
     member: Member
--- a/verbenanotch/replication/_replica.py
+++ b/verbenanotch/replication/_replica.py
@@ -13,6 +13,7 @@
     Create,
     Join,
     Mismatch,
+    Unpermitted,
 )
 from verbenanotch.replication._core import Core
 from verbenanotch.replication._core_output import Timing
@@ -43,6 +44,8 @@
 DIAL_INTERVAL_SECONDS = 0.2
 # Without a leader for this long, all control hosts are dialled.
 MAX_LEADERLESS_SECONDS = 3.0
+# Members of a cluster and permitted disks are heard of before, if they run.
+UNPERMITTED_WAIT_SECONDS = 3.0
 MILLISECONDS_PER_SECOND = 1000
 # Errors of the path or its permissions. Others, such as those of a disk that
 # is full or fails, may pass.
@@ -116,7 +119,9 @@
         self._running = True
         self._driver.start()
         self._dialer = loop.spawn_lasting(self._dial_forever)
-        self._apply_decision(self._bootstrap.decide_at_start())
+        self._apply_decision(
+            self._bootstrap.decide_at_start(now=time.monotonic())
+        )
 
     def stop(self):
         """Close all connections and stop background work."""
@@ -197,7 +202,9 @@
     def on_hello(self, hello):
         """Process a peer's Hello; return whether it may stay connected."""
         decision = self._bootstrap.decide(
-            hello, own_cluster_id=self._identity.cluster_id
+            hello,
+            own_cluster_id=self._identity.cluster_id,
+            now=time.monotonic(),
         )
         if isinstance(decision, Mismatch):
             emit(
@@ -311,10 +318,21 @@
         self._requests = Requests(
             driver=self._driver, send=self._links.send, own_id=self._own.id
         )
-        self._bootstrap = Bootstrap(
+        self._bootstrap = self._make_bootstrap(recovered.identity)
+
+    def _make_bootstrap(self, identity):
+        """Return the Bootstrap of this disk."""
+        permitted_names = self._creates_with() or identity.creates_with
+        if permitted_names:
+            return Bootstrap(own=self._own, voter_names=permitted_names)
+        control = self._settings.control
+        return Bootstrap(
             own=self._own,
-            voter_names=(
-                self._creates_with() or recovered.identity.creates_with
+            voter_names=(),
+            unpermitted=Unpermitted(
+                voter_names=tuple(control.voters_by_name),
+                tolerated_losses=control.tolerated_losses,
+                decides_from=time.monotonic() + UNPERMITTED_WAIT_SECONDS,
             ),
         )
 
@@ -326,10 +344,16 @@
         )
 
     def _make_hello(self):
+        first_voters = self._identity.first_voters
+        if not self._identity.cluster_id:
+            first_voters = tuple(
+                Member(name=name, disk_id="", address="", peer_port=0)
+                for name in sorted(self._bootstrap.voter_names)
+            )
         return Hello(
             member=self._own,
             cluster_id=self._identity.cluster_id,
-            first_voters=self._identity.first_voters,
+            first_voters=first_voters,
         )
 
     def _apply_decision(self, decision):
