daemon: a stop ends connections that always have a further request

In the last 0.5 s a server that stops takes nothing more: the last answer in progress closes the connection. A connection with an unread request counts as in flight while the server stops, so that a stop does not end beside it; what lies behind an unread body in the socket is seen, too.

--- a/tests/unit/test_caller_pipelining.py
+++ b/tests/unit/test_caller_pipelining.py
@@ -334,6 +334,30 @@
     ]
 
 
+def test_a_stop_ends_a_connection_that_always_has_a_further_request(
+    entry,  # noqa: F811
+    targets,
+    caller,
+):
+    """Guard against a stop that waits for a caller until it is cut."""
+    caller.send(request(0))
+    targets.wait_for(0)
+    stop(entry)
+    for number in range(1, 4):
+        caller.send(request(number))
+        targets.wait_for(*range(number + 1))
+        targets.finish(number - 1)
+        assert caller.answer() == (200, f"id-{number - 1}", False)
+    entry.http.take_no_more()
+    caller.send(request(4))
+    targets.wait_for(0, 1, 2, 3, 4)
+    targets.finish(3)
+    caller.send(request(5))
+    targets.finish(4)
+    assert caller.answers() == [(200, "id-3", False), (200, "id-4", True)]
+    assert "id-5" not in targets.started
+
+
 def test_a_stop_counts_a_connection_as_idle_after_its_answers(
     entry,  # noqa: F811
     targets,
--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -312,14 +312,16 @@
         no request has arrived. Without an answer nothing would tell the
         caller, so its next request is taken.
         """
-        if (
-            self._owner.stopping
-            and self._pipeline.is_last_ready
-            and not self._has_further_request()
-        ):
+        if len(self._pipeline) and self._closes_now():
             self._pipeline.close()
         return self._pipeline.take()
 
+    def _closes_now(self):
+        """Return whether the last request in progress is to be the last."""
+        if not self._owner.stopping or self._owner.takes_no_more:
+            return self._owner.takes_no_more
+        return self._pipeline.is_last_ready and not self._has_further_request()
+
     def _has_further_request(self):
         """Return whether a request behind those in progress has arrived.
 
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -44,8 +44,8 @@
 class HttpProtocol(wsgi.HttpProtocol):
     """Eventlet's HTTP protocol, with fewer system calls per request.
 
-    While the server stops, each connection is closed after its next answer.
-    It is closed only by an answer that says so, or while it is idle: a client
+    While the server stops, each connection is closed after its answers. It
+    is closed only by an answer that says so, or while it is idle: a client
     that was told nothing may have sent its next request. `bounds_bodies` is
     unset if the application bounds all bodies together. `has_ended` is set
     once the last answer has been sent.
@@ -282,10 +282,12 @@
         """
         if self._is_close_decided:
             return self._close_connection
-        return (
-            self._close_connection
-            or (self._owner.stopping and not self.has_further_input)
-            or (self._body is not None and self._body.has_long_rest)
+        if self._close_connection or (
+            self._body is not None and self._body.has_long_rest
+        ):
+            return True
+        return self._owner.stopping and (
+            self._owner.takes_no_more or not self.has_further_input
         )
 
     @close_connection.setter
@@ -327,14 +329,19 @@
         self._connections_by_id = {}
         self._acceptor = None
         self.stopping = False
+        self.takes_no_more = False
         self.large_bodies = 0
 
     @property
     def in_flight(self):
-        """Number of connections whose request is being read or answered."""
+        """Number of connections whose request is being read or answered.
+
+        While the server stops, those with an unread one count, too.
+        """
         return sum(
-            connection[2] == wsgi.STATE_REQUEST
-            for connection in self._connections_by_id.values()
+            state == wsgi.STATE_REQUEST
+            or (self.stopping and self._has_unread(sock))
+            for _, sock, state in self._connections_by_id.values()
         )
 
     @property
@@ -347,15 +354,26 @@
         self._acceptor = loop.spawn_lasting(self._accept_forever)
 
     def close_after_answers(self):
-        """Continue to accept connections; close each after its next answer."""
+        """Continue to accept connections; close each after its answers.
+
+        It is closed by the answer behind which no request has arrived.
+        """
         self.stopping = True
 
+    def take_no_more(self):
+        """Close each connection after the answers to what was started.
+
+        A client that always has a further request on its way would else keep
+        its connection until the process ends.
+        """
+        self.stopping = self.takes_no_more = True
+
     def stop_accepting(self):
         """Close the listening socket; continue to serve open connections.
 
         Connections in the listen queue are served too, as their clients may
-        already have sent a request. Each connection is closed after its
-        next answer.
+        already have sent a request. Each connection is closed as by
+        `close_after_answers`.
         """
         self.stopping = True
         if self._acceptor is not None:
@@ -394,6 +412,10 @@
         self.stop_accepting()
         self.close_idle()
 
+    @staticmethod
+    def _has_unread(sock):
+        return sock.fd is not None and sock.has_arrived()
+
     def _accept_forever(self):
         while True:
             while len(self._connections_by_id) >= MAX_CONNECTIONS:
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -294,6 +294,9 @@
         self._peer_server.go_away(reason="shutdown")
         _shutdown.wait_for_targets(self._local_targets)
         self._caller_http.stop_accepting()
+        _shutdown.take_no_more_before(
+            self._caller_http, seconds=end - time.monotonic()
+        )
         _shutdown.wait_until_idle(
             caller_http=self._caller_http,
             peer_server=self._peer_server,
--- a/verbenanotch/daemon/_shutdown.py
+++ b/verbenanotch/daemon/_shutdown.py
@@ -13,6 +13,8 @@
 # Without this bound, callers that do not know of the shutdown yet and keep
 # sending requests could delay it indefinitely.
 MAX_TARGET_WAIT_SECONDS = 0.5
+# Of a stop: in it, connections that always have a further request are closed.
+LAST_SECONDS = 0.5
 # Longer than a submission waits for its outcome.
 MAX_OPERATOR_WAIT_SECONDS = 3.0
 POLL_INTERVAL_SECONDS = 0.02
@@ -56,6 +58,7 @@
     go on meanwhile, as a submission waits for its quorum. While operators
     keep connections open, wait for at least LINGER_SECONDS.
     """
+    take_no_more_before(http, seconds=MAX_OPERATOR_WAIT_SECONDS)
     _wait_for_answers(
         http, lambda: http.in_flight, max_seconds=MAX_OPERATOR_WAIT_SECONDS
     )
@@ -115,6 +118,14 @@
     )
 
 
+def take_no_more_before(http, *, seconds):
+    """Let a server take no more requests, shortly before `seconds` are over.
+
+    The seconds are those until the requests in progress are cut.
+    """
+    eventlet.spawn_after(max(0.0, seconds - LAST_SECONDS), http.take_no_more)
+
+
 def _wait_for_answers(http, in_flight, *, max_seconds):
     """Wait until `in_flight()` is 0; return whether it became so in time.
 
--- a/verbenanotch/loop/_files.py
+++ b/verbenanotch/loop/_files.py
@@ -23,26 +23,24 @@
         """Read bytes into `buffer`; return their number, None while paused."""
         return None if self.is_paused else self._socket.recv_into(buffer)
 
-    def has_arrived(self):
-        """Return whether the socket has bytes to read."""
-        return self._socket.has_arrived()
+    def has_arrived(self, *, behind=0):
+        """Return whether the socket has more than `behind` bytes to read."""
+        return self._socket.has_arrived(behind=behind)
 
 
 def has_input(file, *, behind=0):
-    """Return whether a buffered SocketReader has more than `behind` bytes.
+    """Return whether more than `behind` bytes have arrived for a reader.
 
-    Those that have arrived count, unless some of the `behind` bytes have to
-    be received first. Never blocks; no greenthread may be reading from `file`.
+    `file` buffers a SocketReader. Never blocks; no greenthread may be reading
+    from it.
     """
     raw = file.raw
     raw.is_paused = True
     try:
-        buffered_bytes = len(file.peek(1))
+        missing_bytes = behind - len(file.peek(1))
     finally:
         raw.is_paused = False
-    return buffered_bytes > behind or (
-        buffered_bytes == behind and raw.has_arrived()
-    )
+    return missing_bytes < 0 or raw.has_arrived(behind=missing_bytes)
 
 
 class SocketWriter:
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -134,9 +134,13 @@
         A send continues only once a large part of them has been taken, so a
         slow peer is told from one that does not read by this number alone.
         """
+        return self._kernel_bytes(termios.TIOCOUTQ)
+
+    def _kernel_bytes(self, request):
+        """Return the number that an ioctl tells, 0 if it fails."""
         buffer = bytearray(struct.calcsize("i"))
         try:
-            fcntl.ioctl(self.fd.fileno(), termios.TIOCOUTQ, buffer)
+            fcntl.ioctl(self.fd.fileno(), request, buffer)
         except OSError:
             return 0
         return struct.unpack("i", buffer)[0]
@@ -213,9 +217,12 @@
         except (OSError, ValueError):
             return b""
 
-    def has_arrived(self):
-        """Return whether bytes can be read without waiting for them."""
-        return bool(self._ahead or self.peek())
+    def has_arrived(self, *, behind=0):
+        """Return whether more than `behind` bytes can be read at once."""
+        behind -= self._ahead_bytes
+        if behind > 0:
+            return self._kernel_bytes(termios.FIONREAD) > behind
+        return behind < 0 or bool(self.peek())
 
     def has_ended(self):
         """Return whether the peer has closed or reset the connection.
