loop: bounded bytes that the kernel keeps unread for the sockets

Clients that send and are not read, or not fast enough, filled the memory of a process: the bytes that the kernel keeps for a socket count as its memory.

Cause: no socket had a receive buffer of its own, so that the kernel let each grow to net.ipv4.tcp_rmem. Class: what is kept for others has no common bound.

Accepted sockets get 64 KiB each while there are up to 128, half as much with each doubling, 4 KiB at least. Connections that wait to be accepted have 8 KiB, dials to targets shares of their own, links between processes 768 KiB each while they are few.

The unit files test_loop.py and test_wire.py pass.

--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -22,6 +22,15 @@
 from eventlet.greenio.base import GreenSocket, set_nonblocking
 from eventlet.hubs.hub import BaseHub
 
+from verbenanotch.loop._receive_buffers import (
+    MAX_LINK_UNREAD_BYTES,
+    MAX_UNAUTHENTICATED_BYTES,
+    accepted_buffers,
+    dialed_buffers,
+    link_buffers,
+    set_receive_buffer,
+)
+
 # Eventlet removes `poll` from the module that it patches.
 select = patcher.original("select")
 
@@ -73,6 +82,8 @@
         self._ahead_bytes = 0
         self._blocked_since = None
         self._blocked_bytes = 0
+        self._receive_buffers = None
+        self._is_for_links = False
         self.received_at = 0.0
         self.on_unread = None
 
@@ -202,7 +213,31 @@
             accepted, address = self._read(self.fd.accept)
         hubs.notify_opened(accepted.fileno())
         set_nonblocking(accepted)
-        return LoopSocket(accepted, set_nonblocking=False), address
+        sock = LoopSocket(accepted, set_nonblocking=False)
+        if self._is_for_links:
+            set_receive_buffer(sock, MAX_UNAUTHENTICATED_BYTES)
+        else:
+            sock.share_buffers(
+                accepted_buffers, present_bytes=accepted_buffers.waiting_bytes
+            )
+        return sock, address
+
+    def use_link_buffer(self):
+        """Let the kernel keep what a link to another process needs.
+
+        For sockets that were accepted for links.
+        """
+        self.share_buffers(
+            link_buffers, present_bytes=MAX_UNAUTHENTICATED_BYTES
+        )
+
+    def share_buffers(self, receive_buffers, *, present_bytes=0):
+        """Bound the unread bytes as one of the sockets of ReceiveBuffers.
+
+        `present_bytes` is a bound that the socket has already.
+        """
+        self._receive_buffers = receive_buffers
+        receive_buffers.add(self, present_bytes=present_bytes)
 
     def peek(self):
         """Return the next byte without consuming it or blocking.
@@ -268,6 +303,8 @@
         self._count_ahead(-self._ahead_bytes)
         if self.fd is not None:
             self.fd.close()
+        if self._receive_buffers is not None:
+            self._receive_buffers.remove(self)
 
     def _take_ahead(self, size):
         self.received_at, data = self._ahead.popleft()
@@ -334,9 +371,12 @@
             hubs.get_hub().remove(listener)
 
 
-def listen(address, port, *, backlog, on_wait=lambda: None):
+def listen(
+    address, port, *, backlog, on_wait=lambda: None, is_for_links=False
+):
     """Return a socket that listens on an IPv4 address.
 
+    `is_for_links` is set if `use_link_buffer` is called for connections.
     A `port` of 0 picks a free one. If the port is in use, `on_wait()` is
     called once, and the port may become free within PORT_WAIT_SECONDS: the
     process that was there before may still be ending. Raises OSError.
@@ -345,7 +385,7 @@
     waits = False
     while True:
         try:
-            return _listen_now(address, port, backlog)
+            return _listen_now(address, port, backlog, is_for_links)
         except OSError as error:
             if error.errno != errno.EADDRINUSE or time.monotonic() >= end:
                 raise
@@ -355,10 +395,16 @@
         eventlet.sleep(PORT_RETRY_SECONDS)
 
 
-def _listen_now(address, port, backlog):
+def _listen_now(address, port, backlog, is_for_links):
     sock = LoopSocket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if is_for_links:
+            sock._is_for_links = True
+            # A connection keeps the largest window of its listener.
+            set_receive_buffer(sock, MAX_LINK_UNREAD_BYTES)
+        else:
+            accepted_buffers.add_listener(sock)
         sock.bind((address, port))
         sock.listen(backlog)
     except BaseException:
@@ -367,14 +413,17 @@
     return sock
 
 
-def connect(address, port, *, timeout_seconds):
+def connect(address, port, *, timeout_seconds, is_for_links=False):
     """Return a socket connected to an IPv4 address.
 
-    The timeout also applies to later operations. Raises OSError.
+    The timeout also applies to later operations. `is_for_links` lets the
+    kernel keep more unread bytes. Raises OSError.
     """
     sock = LoopSocket(socket.AF_INET, socket.SOCK_STREAM)
     sock.settimeout(timeout_seconds)
     try:
+        # The window that is offered later has the scale of this moment.
+        sock.share_buffers(link_buffers if is_for_links else dialed_buffers)
         sock.connect((address, port))
     except BaseException:
         sock.close()
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -48,6 +48,7 @@
             on_wait=lambda: emit(
                 events.PORT_IN_USE, address=address, port=port
             ),
+            is_for_links=True,
         )
         self.address, self.port = self._socket.getsockname()[:2]
         self._connections = set()
@@ -81,6 +82,7 @@
         self._connections.add(connection)
         try:
             handler = self._authenticate(connection)
+            sock.use_link_buffer()
             handler(connection)
         except ConnectionClosedError:
             pass
@@ -142,7 +144,9 @@
     of the handshake.
     """
     try:
-        sock = loop.connect(address, port, timeout_seconds=timeout_seconds)
+        sock = loop.connect(
+            address, port, timeout_seconds=timeout_seconds, is_for_links=True
+        )
     except OSError as error:
         raise ConnectionClosedError(
             f"cannot connect to {address}:{port}: {error}"
