wire: bounded connections of peers that have not authenticated

Strangers who connect to the peer port and say nothing, or say it slowly, took a descriptor and buffers each for up to 6 s, without a bound on their number. Then accept fails for peers and callers, and so does each dial.

Cause: a connection was counted nowhere until its handshake was over. Class: what a client may take before it is known has no common bound.

At most 256 connections are unauthenticated; when another arrives, the oldest of them ends (wire.strangers_ended), so peers still get in. Authenticated ones do not count. After 64 accepts in a row the handshakes go on, so that a crowd does not keep the loop in the acceptor.

--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -11,9 +11,10 @@
 import eventlet
 import msgpack
 import pytest
-from eventlet import event
+from eventlet import event, patcher
 
 from verbenanotch import loop
+from verbenanotch.telemetry import metrics
 from verbenanotch.wire import (
     AuthenticationFailedError,
     Connection,
@@ -32,6 +33,9 @@
 from verbenanotch.wire._handshake import perform_handshake
 
 KEY = b"0123456789abcdef"
+# A bound that is stated in the design of the request path.
+MAX_STRANGERS = 256
+MORE_STRANGERS = 50
 WAKE_SECONDS = 5.0
 # Messages of 1 MB, more than a connection and the kernel queue.
 FILLING = 30
@@ -278,6 +282,45 @@
             eventlet.sleep(0.02)
 
 
+@pytest.fixture
+def silent_strangers(listener):
+    """Connect more often than strangers may, and say nothing."""
+    connect_at_once = patcher.original("socket").create_connection
+    strangers = [
+        connect_at_once(("127.0.0.1", listener.port))
+        for _ in range(MAX_STRANGERS + MORE_STRANGERS)
+    ]
+    yield strangers
+    for sock in strangers:
+        sock.close()
+
+
+def test_strangers_who_say_nothing_take_a_bounded_number_of_connections(
+    listener, silent_strangers
+):
+    """Guard against strangers who take all descriptors of a process."""
+    ended_before = metrics.totals_by_name["wire.strangers_ended"]
+    eventlet.sleep(0.2)
+    assert len(listener._connections) <= MAX_STRANGERS
+    ended = metrics.totals_by_name["wire.strangers_ended"] - ended_before
+    assert ended == MORE_STRANGERS
+    for sock in silent_strangers[:MORE_STRANGERS]:
+        sock.settimeout(WAKE_SECONDS)
+        with contextlib.suppress(ConnectionResetError):
+            while sock.recv(1024):
+                pass
+    test_messages_are_echoed_unchanged(listener)
+
+
+def test_authenticated_peers_are_not_ended_for_others(listener, monkeypatch):
+    monkeypatch.setattr(_listener, "MAX_STRANGERS", 2, raising=False)
+    connections = [connect(listener) for _ in range(6)]
+    for connection in connections:
+        connection.send(Echo(text="a"))
+        assert connection.receive() == Echo(text="a")
+        connection.close()
+
+
 def test_a_dial_to_a_stranger_that_trickles_ends():
     """Later dials to the address waited for it, for up to two hours."""
 
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -1,6 +1,7 @@
 """Accept and dial authenticated connections."""
 
 import contextlib
+import itertools
 
 import eventlet
 
@@ -17,6 +18,10 @@
 HANDSHAKE_STEPS = 3
 MAX_HANDSHAKE_SECONDS = HANDSHAKE_STEPS * HANDSHAKE_TIMEOUT_SECONDS
 LISTEN_BACKLOG = 1024
+# Connections whose peer has not authenticated yet.
+MAX_STRANGERS = 256
+# Accepted in a row before the handshakes go on.
+MAX_ACCEPTED_IN_A_ROW = 64
 # Configurations and host tables are repetitive text, which compresses well.
 # Request bodies are mostly compressed already, and compressing them again
 # would delay the requests.
@@ -34,6 +39,8 @@
     `handlers_by_purpose` maps a Purpose to a callable that takes the
     connection and returns when it no longer needs it. Each handler runs in
     its own greenthread; the connection is closed when the handler returns.
+    If more than MAX_STRANGERS peers have not authenticated, the oldest
+    connection of them ends.
     """
 
     def __init__(self, *, address, port, key, name, handlers_by_purpose):
@@ -52,6 +59,8 @@
         )
         self.address, self.port = self._socket.getsockname()[:2]
         self._connections = set()
+        # In the order of their arrival; the values are not used.
+        self._strangers = {}
         self._acceptor = None
 
     def start(self):
@@ -67,7 +76,7 @@
             connection.close()
 
     def _accept_forever(self):
-        while True:
+        for count in itertools.count(1):
             try:
                 sock, peer = self._socket.accept()
             except OSError as error:
@@ -75,13 +84,34 @@
                 # Without file descriptors, this would be a busy loop.
                 eventlet.sleep(0.1)
                 continue
-            eventlet.spawn(self._serve, sock, peer)
+            self._admit(sock, peer)
+            if count % MAX_ACCEPTED_IN_A_ROW == 0:
+                # The next one may have arrived, so that no accept waits.
+                eventlet.sleep(0)
 
-    def _serve(self, sock, peer):
-        connection = Connection(sock=sock)
+    def _admit(self, sock, peer):
+        """Serve a connection; end the oldest stranger if there are many."""
+        try:
+            connection = Connection(sock=sock)
+        except OSError:
+            # The peer has reset the connection.
+            sock.close()
+            return
         self._connections.add(connection)
+        self._strangers[connection] = None
+        if len(self._strangers) > MAX_STRANGERS:
+            self._end_stranger(next(iter(self._strangers)))
+        eventlet.spawn(self._serve, connection, sock, peer)
+
+    def _end_stranger(self, connection):
+        del self._strangers[connection]
+        metrics.increment("wire.strangers_ended")
+        connection.close()
+
+    def _serve(self, connection, sock, peer):
         try:
             handler = self._authenticate(connection)
+            self._strangers.pop(connection, None)
             sock.use_link_buffer()
             handler(connection)
         except ConnectionClosedError:
@@ -97,6 +127,7 @@
         finally:
             connection.close()
             self._connections.discard(connection)
+            self._strangers.pop(connection, None)
 
     def _authenticate(self, connection):
         """Authenticate the peer; return the handler for its purpose."""
