daemon: the rest of a body keeps nothing but the socket

A client whose request was answered before its body had come kept the whole connection for up to 10 s more: protocol, stack, buffers and parser. Chunks of one byte were parsed to be dropped. Many clients that stop short of the end took memory and turns of the loop so, at all HTTP ports.

Cause: the protocol dropped the rest itself, by the application's stream. Class: what waits behind an answer keeps what the answer needed.

The server now drops the rest as bytes, beside its lingering, once the protocol is gone. A body with a length ends where its bytes do, also after a read that broke off: what arrived of it counts as read. One in chunks ends where it seems to: behind `0 CRLF CRLF`. The connection is in flight meanwhile, as before.

Behaviour: a client that stops within its body loses the connection after 10 s, not 11 s.

test_body_rests.py: on, without the import of BodyRest, the objects of the protocol and the body were alive in all 4 cases, and a broken-off read left a connection that was not closed; passes now. test_early_answers, test_unannounced_closes and test_forgotten_heads pass.

--- a/verbenanotch/daemon/_caller_protocol.py
+++ b/verbenanotch/daemon/_caller_protocol.py
@@ -83,7 +83,7 @@
         self.end()
 
     def end(self):
-        """Tell the caller that no more answers come; drop the last body."""
+        """Tell the caller that no more answers come."""
         if self._abort_timer is not None:
             self._abort_timer.cancel()
         if self._is_gone:
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -14,7 +14,7 @@
 from verbenanotch import loop
 from verbenanotch.daemon import events
 from verbenanotch.daemon._failures import RequestFailureLog
-from verbenanotch.daemon._linger import linger
+from verbenanotch.daemon._linger import BodyRest, linger
 from verbenanotch.daemon._request_body import RequestBody
 from verbenanotch.http1 import HeadBytes, read_request_head
 from verbenanotch.http1.exceptions import RequestRefusedError
@@ -25,7 +25,6 @@
 KEEP_ALIVE_SECONDS = 75.0
 ACCEPT_RETRY_SECONDS = 0.1
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n"
-DISCARDED_PIECE_BYTES = 4 * 1024
 # A server whose application has no bound of its own reads at most
 # MAX_LARGE_BODIES at once.
 MAX_LARGE_BODIES = 4
@@ -47,8 +46,9 @@
     While the server stops, each connection is closed after its answers. It
     is closed only by an answer that says so, or while it is idle: a client
     that was told nothing may have sent its next request. `bounds_bodies` is
-    unset if the application bounds all bodies together. `has_ended` is set
-    once the last answer has been sent.
+    unset if the application bounds all bodies together. `rest` is the
+    BodyRest once the last answer has been sent, None before and if the client
+    is gone.
     """
 
     bounds_bodies = True
@@ -60,7 +60,7 @@
         self._is_close_decided = False
         self._body = None
         self._head = None
-        self.has_ended = False
+        self.rest = None
         super().__init__(conn_state, server)
 
     def setup(self):
@@ -114,26 +114,12 @@
         self.send_error(status, kind, remedy)
 
     def end(self):
-        """Tell the client that no more answers come; drop the last body.
-
-        The request counts as in flight until its body has been read.
-        """
+        """Tell the client that no more answers come."""
         with contextlib.suppress(OSError, ValueError):
             self.connection.fd.shutdown(socket.SHUT_WR)
-        if self._body is not None and self._body.is_awaited:
-            self.conn_state[2] = wsgi.STATE_REQUEST
-            self._drop_body()
+        self.rest = BodyRest() if self._body is None else self._body.rest
         self.rfile.close()
         self.conn_state[2] = wsgi.STATE_CLOSE
-        self.has_ended = True
-
-    def _drop_body(self):
-        self.connection.settimeout(BODY_LINGER_SECONDS)
-        with (
-            eventlet.Timeout(BODY_LINGER_SECONDS, False),
-            contextlib.suppress(OSError, ValueError, wsgi.ChunkReadError),
-        ):
-            self._body.discard(DISCARDED_PIECE_BYTES)
 
     def finish(self):
         """Send buffered bytes; the server closes the connection."""
@@ -440,8 +426,9 @@
         sock = connection[1]
         try:
             # Only the socket is kept while the connection lingers.
-            if self._protocol(connection, self._server).has_ended:
-                linger(sock)
+            rest = self._protocol(connection, self._server).rest
+            if rest is not None:
+                linger(connection, rest, body_seconds=BODY_LINGER_SECONDS)
         except OSError:
             # The client has disconnected or is idle; no error can be sent.
             pass
--- a/verbenanotch/daemon/_linger.py
+++ b/verbenanotch/daemon/_linger.py
@@ -7,19 +7,69 @@
 import contextlib
 import time
 
+from eventlet import wsgi
+
 from verbenanotch import loop
 
 LINGER_SECONDS = 1.0
+# As most clients end a body in chunks: without a trailer.
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class BodyRest:
+    """What a client may still send of a body behind the last answer.
+
+    Only its end is looked for; chunks are not read. Where a body in chunks
+    seems to end, the end may belong to the data of a chunk.
+    """
 
+    def __init__(self, *, size_bytes=0, tail=b""):
+        """Expect `size_bytes`, or a body in chunks if they are None.
 
-def linger(sock):
+        `tail` is the end of what has been received of it.
+        """
+        self._size_bytes = size_bytes
+        self._tail = tail
+
+    @property
+    def is_awaited(self):
+        """Whether the body seems to go on."""
+        if self._size_bytes is None:
+            return self._tail != LAST_CHUNK
+        return self._size_bytes > 0
+
+    def drop(self, data):
+        """Count bytes that the client has sent."""
+        if self._size_bytes is None:
+            tail = self._tail + data[-len(LAST_CHUNK) :]
+            self._tail = tail[-len(LAST_CHUNK) :]
+        else:
+            self._size_bytes = max(0, self._size_bytes - len(data))
+
+
+def linger(connection, rest, *, body_seconds):
     """Read what the client sends, and drop it, until it ends the stream.
 
-    Returns after LINGER_SECONDS in any case.
+    `connection` is eventlet's list of address, socket and state. While the
+    BodyRest is awaited, for up to `body_seconds`, the state is STATE_REQUEST.
+    Returns LINGER_SECONDS after the end of the body in any case.
     """
-    end = time.monotonic() + LINGER_SECONDS
+    sock = connection[1]
+    body_end = time.monotonic() + body_seconds
+    end = None
     with contextlib.suppress(OSError, ValueError):
-        while (remaining := end - time.monotonic()) > 0:
-            sock.settimeout(remaining)
-            if not sock.recv(loop.MAX_JOINED_BYTES):
+        while True:
+            now = time.monotonic()
+            if rest.is_awaited:
+                connection[2], end = wsgi.STATE_REQUEST, body_end
+            elif end is None or connection[2] == wsgi.STATE_REQUEST:
+                connection[2], end = wsgi.STATE_CLOSE, now + LINGER_SECONDS
+            if now >= end:
+                return
+            sock.settimeout(end - now)
+            data = sock.recv(loop.MAX_JOINED_BYTES)
+            if not data:
                 return
+            rest.drop(data)
+            # It must not be kept while the next bytes are awaited.
+            del data
--- a/verbenanotch/daemon/_request_body.py
+++ b/verbenanotch/daemon/_request_body.py
@@ -5,12 +5,14 @@
 
 from eventlet import wsgi
 
+from verbenanotch.daemon._linger import LAST_CHUNK, BodyRest
 from verbenanotch.http1 import ChunkedBody
 from verbenanotch.http1.exceptions import HttpError
 
 # What is left of a body after its answer is read up to this size, so that the
 # connection can be used again; a longer rest ends the connection.
 MAX_DISCARDED_BYTES = 64 * 1024
+PIECE_BYTES = 64 * 1024
 # Chunked bodies may all be large.
 LARGE_BODY_BYTES = 1024 * 1024
 
@@ -26,6 +28,51 @@
         super().__init__(*arguments, **options)
         self._chunks = ChunkedBody(reader=self.rfile)
         self._is_broken_off = False
+        self._is_malformed = False
+
+    def read(self, length=None):
+        """Return up to `length` bytes, or all if it is None or negative.
+
+        Raises ChunkReadError for malformed chunks.
+        """
+        if self.chunked_input:
+            try:
+                return self._chunked_read(self.rfile, length)
+            except wsgi.ChunkReadError:
+                self._is_malformed = True
+                raise
+        if self.should_send_hundred_continue:
+            self.send_hundred_continue_response()
+            self.is_hundred_continue_response_sent = True
+        size = self.unread_bytes
+        if length is not None and 0 <= length < size:
+            size = length
+        self._is_broken_off = True
+        data = self._read_exactly(size)
+        self._is_broken_off = False
+        return data
+
+    def _read_exactly(self, size):
+        """Return `size` bytes, fewer at the end of the stream.
+
+        What has arrived of a read that breaks off counts as read.
+        """
+        data = b""
+        while size:
+            piece = self.rfile.read1(min(size, PIECE_BYTES))
+            if not piece:
+                break
+            self.position += len(piece)
+            size -= len(piece)
+            if not data:
+                data = piece
+            elif isinstance(data, bytes):
+                data = bytearray(data + piece)
+            else:
+                data += piece
+            # It must not be kept while the next bytes are awaited.
+            del piece
+        return bytes(data)
 
     @property
     def has_long_rest(self):
@@ -49,12 +96,18 @@
         """Whether the body has over LARGE_BODY_BYTES, or may have."""
         return self.chunked_input or self.content_length > LARGE_BODY_BYTES
 
-    def _do_read(self, reader, length=None):
-        """Return up to `length` bytes, or all if it is None."""
-        self._is_broken_off = True
-        data = super()._do_read(reader, length)
-        self._is_broken_off = False
-        return data
+    @property
+    def rest(self):
+        """The BodyRest that the client may still be sending.
+
+        Behind malformed chunks, none is awaited.
+        """
+        if not self.is_awaited or self._is_malformed:
+            return BodyRest()
+        buffered = self._buffered()
+        if self.chunked_input:
+            return BodyRest(size_bytes=None, tail=buffered[-len(LAST_CHUNK) :])
+        return BodyRest(size_bytes=max(0, self.unread_bytes - len(buffered)))
 
     @property
     def is_awaited(self):
@@ -68,6 +121,22 @@
             return not self._chunks.is_at_end
         return self.position < self.content_length
 
+    def _buffered(self):
+        """Return the bytes that were received and not read."""
+        raw = self.rfile.raw
+        raw.is_paused = True
+        try:
+            return self.rfile.peek(1)
+        finally:
+            raw.is_paused = False
+
+    def _do_read(self, reader, length=None):
+        """Return a line or lines of up to `length` bytes."""
+        self._is_broken_off = True
+        data = super()._do_read(reader, length)
+        self._is_broken_off = False
+        return data
+
     def _chunked_read(self, rfile, length=None, use_readline=False):
         """Return up to `length` bytes, or all if it is None or negative."""
         if use_readline:
