daemon: at most 256 connections of a port linger

Each connection waits behind its last answer for its client to close it, for 1 s, or 10 s within a body. Clients that don't, and connect again, held two descriptors or more at once.

Cause: the number of waiting connections had no bound of its own. Beyond MAX_LINGERING, the one that waits longest is now reset, counted in `daemon.http_lingering_reset`.

--- /dev/null
+++ b/tests/unit/test_lingering.py
@@ -0,0 +1,55 @@
+"""Guard against clients that keep sockets behind their last answers."""
+
+import eventlet
+import pytest
+
+from tests.unit.test_early_answers import (  # noqa: F401
+    TIMEOUT_SECONDS,
+    http,
+    in_chunks,
+    read_all,
+    server,
+)
+from tests.unit.test_proxy_entry import entry  # noqa: F401
+from verbenanotch.daemon import _http, _linger
+from verbenanotch.telemetry import metrics
+
+MAX_LINGERING = 3
+BEHIND = 2
+RESETS = "daemon.http_lingering_reset"
+
+
+@pytest.fixture
+def callers(http):  # noqa: F811
+    """Return connections one by one; more of them linger than may."""
+    socks = [
+        eventlet.connect(("127.0.0.1", http.port))
+        for _ in range(MAX_LINGERING + BEHIND)
+    ]
+    yield socks
+    for sock in socks:
+        sock.close()
+
+
+def test_the_connections_that_linger_longest_are_reset(
+    monkeypatch,
+    http,  # noqa: F811
+    callers,
+):
+    monkeypatch.setattr(_linger, "MAX_LINGERING", MAX_LINGERING)
+    monkeypatch.setattr(_http, "BODY_LINGER_SECONDS", 6 * TIMEOUT_SECONDS)
+    resets = metrics.totals_by_name[RESETS]
+    for sock in callers:
+        sock.sendall(in_chunks()[0])
+        assert read_all(sock).startswith(b"HTTP/1.1 503 ")
+    with eventlet.Timeout(TIMEOUT_SECONDS):
+        while http.connection_count > MAX_LINGERING:
+            eventlet.sleep(0.01)
+    eventlet.sleep(0.1)
+    assert http.connection_count == http.in_flight == MAX_LINGERING
+    for sock in callers[:BEHIND]:
+        with pytest.raises(OSError):
+            sock.sendall(b"x")
+    for sock in callers[BEHIND:]:
+        sock.sendall(b"x")
+    assert metrics.totals_by_name[RESETS] == resets + BEHIND
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -14,7 +14,7 @@
 from verbenanotch import loop
 from verbenanotch.daemon import events
 from verbenanotch.daemon._failures import RequestFailureLog
-from verbenanotch.daemon._linger import BodyRest, linger
+from verbenanotch.daemon._linger import BodyRest, LingeringSockets, linger
 from verbenanotch.daemon._request_body import RequestBody
 from verbenanotch.http1 import HeadBytes, read_request_head
 from verbenanotch.http1.exceptions import RequestRefusedError
@@ -313,6 +313,7 @@
         self.head_bytes = HeadBytes()
         self._workers = loop.Workers()
         self._connections_by_id = {}
+        self._lingering = LingeringSockets()
         self._acceptor = None
         self.stopping = False
         self.takes_no_more = False
@@ -428,7 +429,8 @@
             # Only the socket is kept while the connection lingers.
             rest = self._protocol(connection, self._server).rest
             if rest is not None:
-                linger(connection, rest, body_seconds=BODY_LINGER_SECONDS)
+                with self._lingering.include(sock):
+                    linger(connection, rest, body_seconds=BODY_LINGER_SECONDS)
         except OSError:
             # The client has disconnected or is idle; no error can be sent.
             pass
--- a/verbenanotch/daemon/_linger.py
+++ b/verbenanotch/daemon/_linger.py
@@ -5,13 +5,20 @@
 """
 
 import contextlib
+import socket
+import struct
 import time
 
 from eventlet import wsgi
 
 from verbenanotch import loop
+from verbenanotch.telemetry import metrics
 
 LINGER_SECONDS = 1.0
+# Of one server.
+MAX_LINGERING = 256
+# An l_linger of zero seconds makes close() reset the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # As most clients end a body in chunks: without a trailer.
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -73,3 +80,45 @@
             rest.drop(data)
             # It must not be kept while the next bytes are awaited.
             del data
+
+
+class LingeringSockets:
+    """The sockets of one server that linger, the longest first.
+
+    Beyond MAX_LINGERING, the one that lingers longest is reset.
+    """
+
+    def __init__(self):
+        """Start without any."""
+        self._sockets_by_id = {}
+
+    def __len__(self):
+        """Return how many there are."""
+        return len(self._sockets_by_id)
+
+    @contextlib.contextmanager
+    def include(self, sock):
+        """Count a socket while it lingers."""
+        if len(self) >= MAX_LINGERING:
+            self.reset_longest()
+        self._sockets_by_id[id(sock)] = sock
+        try:
+            yield
+        finally:
+            self._sockets_by_id.pop(id(sock), None)
+
+    def reset_longest(self):
+        """Reset the socket that lingers longest; it is closed by its reader.
+
+        Returns whether there was one.
+        """
+        if not self._sockets_by_id:
+            return False
+        sock = self._sockets_by_id.pop(next(iter(self._sockets_by_id)))
+        metrics.increment("daemon.http_lingering_reset")
+        with contextlib.suppress(OSError):
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        sock.abort()
+        return True
