daemon: bodies at the other ports have a time and a common bound

At the ports for targets, operators, readiness and metrics, four clients that stopped short of the end of a body over 1 MB or in chunks kept all others out: operators' changes got 503 (bodies-full) for as long as they stayed. Bodies up to 1 MB had no bound at all, and a read no time limit.

Cause: a slot was freed by the end of its request alone. Class: a client decides how long it keeps what others need.

BodyReceipts counts the bodies that a server receives: 4 large ones, 16 MiB (the largest file of an operator has 4 MiB). One in receipt for 10 s is given up. If there is no room, the one in receipt for longest, at least 1 s, gives way; otherwise the new one is refused as before. An error in the greenthread that reads ends the read; applications don't catch it, as it is a BaseException, and the client gets 408 and `Connection: close`. What is left behind an answer that keeps the connection is read for 10 s, at the callers' port as well.

--- a/tests/unit/test_large_inputs.py
+++ b/tests/unit/test_large_inputs.py
@@ -5,6 +5,7 @@
 import eventlet
 import pytest
 
+from verbenanotch.daemon import _body_receipts
 from verbenanotch.daemon._http import (
     MAX_LARGE_BODIES,
     HttpServer,
@@ -45,7 +46,9 @@
 
 
 @pytest.mark.parametrize("head", LARGE_HEADS)
-def test_few_large_bodies_are_read_at_once(server, head):
+def test_few_large_bodies_are_read_at_once(monkeypatch, server, head):
+    # None of them gives way to another, however long the test takes.
+    monkeypatch.setattr(_body_receipts, "MIN_BODY_SECONDS", 3600.0)
     uploads = [
         eventlet.connect(("127.0.0.1", server.port))
         for _ in range(MAX_LARGE_BODIES)
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -13,6 +13,10 @@
 
 from verbenanotch import loop
 from verbenanotch.daemon import events
+from verbenanotch.daemon._body_receipts import (
+    BodyReceipts,
+    BodyRefusedError,
+)
 from verbenanotch.daemon._failures import RequestFailureLog
 from verbenanotch.daemon._linger import BodyRest, LingeringSockets, linger
 from verbenanotch.daemon._request_body import RequestBody
@@ -159,18 +163,24 @@
         return True
 
     def handle_one_response(self):
-        """Run the request unless too many large bodies are being read."""
-        if not (self.bounds_bodies and self._body.is_large):
+        """Run the request unless its body is refused."""
+        if not (self.bounds_bodies and self._body.is_expected):
             super().handle_one_response()
             return
-        if self._owner.large_bodies >= MAX_LARGE_BODIES:
-            self.send_error(503, "bodies-full", "Send the request later.")
-            return
-        self._owner.large_bodies += 1
         try:
-            super().handle_one_response()
-        finally:
-            self._owner.large_bodies -= 1
+            with self._owner.body_receipts.start(
+                is_large=self._body.is_large
+            ) as self._body.receipt:
+                super().handle_one_response()
+        except BodyRefusedError as error:
+            self._refuse_body(error)
+
+    def _refuse_body(self, error):
+        metrics.increment(f"daemon.http_bodies_refused.{error.kind}")
+        if self._body.headers_sent:
+            self.close_connection = True
+        else:
+            self.send_error(error.status, error.kind, error.remedy)
 
     def send_error(self, code, message=None, explain=None):
         """Answer a request that can't be read; close the connection.
@@ -315,9 +325,9 @@
         self._connections_by_id = {}
         self._lingering = LingeringSockets()
         self._acceptor = None
+        self.body_receipts = BodyReceipts(max_large=MAX_LARGE_BODIES)
         self.stopping = False
         self.takes_no_more = False
-        self.large_bodies = 0
 
     @property
     def in_flight(self):
@@ -331,6 +341,11 @@
             for _, sock, state in self._connections_by_id.values()
         )
 
+    @property
+    def large_bodies(self):
+        """Number of requests with a body over 1 MB or in chunks."""
+        return self.body_receipts.large_count
+
     @property
     def connection_count(self):
         """Number of open connections."""
--- a/verbenanotch/daemon/_request_body.py
+++ b/verbenanotch/daemon/_request_body.py
@@ -3,6 +3,7 @@
 import io
 import sys
 
+import eventlet
 from eventlet import wsgi
 
 from verbenanotch.daemon._linger import LAST_CHUNK, BodyRest
@@ -12,6 +13,8 @@
 # What is left of a body after its answer is read up to this size, so that the
 # connection can be used again; a longer rest ends the connection.
 MAX_DISCARDED_BYTES = 64 * 1024
+MAX_DISCARD_SECONDS = 10.0
+DISCARDED_PIECE_BYTES = 4 * 1024
 PIECE_BYTES = 64 * 1024
 # Chunked bodies may all be large.
 LARGE_BODY_BYTES = 1024 * 1024
@@ -20,7 +23,8 @@
 class RequestBody(wsgi.Input):
     """The body of a request; malformed chunks end the connection.
 
-    After them, where the next request begins is unknown.
+    After them, where the next request begins is unknown. `receipt` is the
+    BodyReceipt, or None if the application bounds all bodies together.
     """
 
     def __init__(self, *arguments, **options):
@@ -29,40 +33,80 @@
         self._chunks = ChunkedBody(reader=self.rfile)
         self._is_broken_off = False
         self._is_malformed = False
+        self._is_dropped = False
+        self.receipt = None
 
     def read(self, length=None):
         """Return up to `length` bytes, or all if it is None or negative.
 
-        Raises ChunkReadError for malformed chunks.
+        Raises ChunkReadError for malformed chunks, and BodyRefusedError if
+        the server receives the body no further.
         """
-        if self.chunked_input:
-            try:
-                return self._chunked_read(self.rfile, length)
-            except wsgi.ChunkReadError:
-                self._is_malformed = True
-                raise
+        if self.receipt is None:
+            return self._read(length)
+        with self.receipt.reading():
+            data = self._read(length)
+        if not self.is_awaited:
+            self.receipt.mark_complete()
+        return data
+
+    def discard(self, buffer_size=DISCARDED_PIECE_BYTES):
+        """Read what is left and drop it; raise OSError if it is late."""
+        self._is_dropped = True
+        with eventlet.Timeout(
+            MAX_DISCARD_SECONDS, TimeoutError("a body is late")
+        ):
+            super().discard(buffer_size)
+
+    @property
+    def is_expected(self):
+        """Whether the request has a body."""
+        return self.chunked_input or self.content_length > 0
+
+    def _read(self, length):
         if self.should_send_hundred_continue:
             self.send_hundred_continue_response()
             self.is_hundred_continue_response_sent = True
-        size = self.unread_bytes
+        size = sys.maxsize if self.chunked_input else self.unread_bytes
         if length is not None and 0 <= length < size:
             size = length
+        if self.chunked_input:
+            return self._read_chunks(size)
         self._is_broken_off = True
-        data = self._read_exactly(size)
+        data = self._read_pieces(size, self._read_piece)
         self._is_broken_off = False
         return data
 
-    def _read_exactly(self, size):
-        """Return `size` bytes, fewer at the end of the stream.
-
-        What has arrived of a read that breaks off counts as read.
+    def _read_chunks(self, size):
+        try:
+            if self.receipt is None:
+                return self._chunked_read(self.rfile, size)
+            return self._read_pieces(
+                size, lambda size: self._chunked_read(self.rfile, size)
+            )
+        except wsgi.ChunkReadError:
+            self._is_malformed = True
+            raise
+
+    def _read_piece(self, size):
+        """Return up to `size` bytes; they count as read at once.
+
+        So it is known how many are left after a read that breaks off.
         """
+        piece = self.rfile.read1(size)
+        self.position += len(piece)
+        return piece
+
+    def _read_pieces(self, size, read):
+        """Return `size` bytes that `read` returns, fewer at their end."""
         data = b""
         while size:
-            piece = self.rfile.read1(min(size, PIECE_BYTES))
+            wanted = min(size, PIECE_BYTES)
+            self._keep(wanted)
+            piece = read(wanted)
+            self._keep(len(piece) - wanted)
             if not piece:
                 break
-            self.position += len(piece)
             size -= len(piece)
             if not data:
                 data = piece
@@ -74,6 +118,10 @@
             del piece
         return bytes(data)
 
+    def _keep(self, count):
+        if self.receipt is not None and not self._is_dropped:
+            self.receipt.keep(count)
+
     @property
     def has_long_rest(self):
         """Whether over MAX_DISCARDED_BYTES may still be unread.
