daemon: connections that wait make room for new ones

With 4,096 open connections, new ones waited unanswered in the listen queue until one closed, which an idle client may put off for 75 s, again and again.

The connections that linger longest are now reset, or else those closed that have been idle for longest, for at least 1 s and with nothing received (`daemon.http_idle_closed`). Only a new connection that has come causes this; a stop serves it.

test_connection_room.py: on new connections got no answer in 10 s in all 6 cases; passes now.

--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import functools
+import heapq
 import http
 import io
 import json
 import socket
+import time
 import urllib.parse
 
 import eventlet
@@ -28,6 +30,10 @@
 MAX_CONNECTIONS = 4096
 KEEP_ALIVE_SECONDS = 75.0
 ACCEPT_RETRY_SECONDS = 0.1
+# Connections that are ended at once to make room for new ones, and the time
+# that an idle one has had before.
+ROOM_CONNECTIONS = 64
+MIN_IDLE_SECONDS = 1.0
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n"
 # A server whose application has no bound of its own reads at most
 # MAX_LARGE_BODIES at once.
@@ -420,17 +426,42 @@
 
     def _accept_forever(self):
         while True:
-            while len(self._connections_by_id) >= MAX_CONNECTIONS:
-                eventlet.sleep(ACCEPT_RETRY_SECONDS)
             try:
                 sock, address = self._socket.accept()
             except OSError as error:
                 emit(events.ACCEPT_FAILED, error=str(error))
                 eventlet.sleep(ACCEPT_RETRY_SECONDS)
                 continue
-            self._spawn(sock, address)
+            try:
+                while len(self._connections_by_id) >= MAX_CONNECTIONS:
+                    self._make_room()
+                    eventlet.sleep(ACCEPT_RETRY_SECONDS)
+            finally:
+                # Its client may have sent a request before a stop.
+                self._spawn(sock, address)
+
+    def _make_room(self):
+        """End connections that linger, or else some that are idle."""
+        if self._lingering.reset_longest(ROOM_CONNECTIONS):
+            return
+        latest = time.monotonic() - MIN_IDLE_SECONDS
+        idle = [
+            connection
+            for connection in self._connections_by_id.values()
+            if connection[2] == wsgi.STATE_IDLE
+            and connection[1].received_at < latest
+        ]
+        for connection in heapq.nsmallest(
+            ROOM_CONNECTIONS, idle, key=lambda idle: idle[1].received_at
+        ):
+            if not connection[1].has_arrived():
+                metrics.increment("daemon.http_idle_closed")
+                connection[2] = wsgi.STATE_CLOSE
+                greenio.shutdown_safe(connection[1])
 
     def _spawn(self, sock, address):
+        # A client that sends nothing is idle from the start.
+        sock.received_at = time.monotonic()
         # Eventlet's representation: the address, the socket and the state.
         connection = [address, sock, wsgi.STATE_IDLE]
         # Keyed by identity: a client can reuse its address and port before its
--- a/verbenanotch/daemon/_linger.py
+++ b/verbenanotch/daemon/_linger.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import itertools
 import socket
 import struct
 import time
@@ -100,25 +101,26 @@
     def include(self, sock):
         """Count a socket while it lingers."""
         if len(self) >= MAX_LINGERING:
-            self.reset_longest()
+            self.reset_longest(1)
         self._sockets_by_id[id(sock)] = sock
         try:
             yield
         finally:
             self._sockets_by_id.pop(id(sock), None)
 
-    def reset_longest(self):
-        """Reset the socket that lingers longest; it is closed by its reader.
+    def reset_longest(self, count):
+        """Reset `count` sockets; their readers close them.
 
-        Returns whether there was one.
+        Returns how many there were.
         """
-        if not self._sockets_by_id:
-            return False
-        sock = self._sockets_by_id.pop(next(iter(self._sockets_by_id)))
-        metrics.increment("daemon.http_lingering_reset")
-        with contextlib.suppress(OSError):
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
-        sock.abort()
-        return True
+        longest = list(itertools.islice(self._sockets_by_id, count))
+        for key in longest:
+            _reset(self._sockets_by_id.pop(key))
+        return len(longest)
+
+
+def _reset(sock):
+    metrics.increment("daemon.http_lingering_reset")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.abort()
