http1: bodies in tiny chunks take turns

Cause: a chunk takes about a microsecond whatever its size, so that 8 KB of chunks of one byte, one read buffer, take over a millisecond. In a turn of the loop every connection that has bytes parses a buffer; an ordinary request needs several turns.

Class: work for one client that is in no relation to its bytes and that a turn of the loop does for all clients at once.

Change: once 256 chunks, or lines of the trailer, of a body have a mean under 128 bytes, it waits for its turn before it parses what the buffer holds; one body goes on in each turn of the loop, in the order in which they came. Answers of targets have a queue of their own, so that no caller holds them up. http1 is given the function to wait with, and stays free of the loop.

A refused body waits for turns as well while the rest of it is parsed; it should be dropped unparsed, or its connections pile up.

--- a/verbenanotch/daemon/_request_body.py
+++ b/verbenanotch/daemon/_request_body.py
@@ -6,6 +6,7 @@
 import eventlet
 from eventlet import wsgi
 
+from verbenanotch import loop
 from verbenanotch.daemon._linger import LAST_CHUNK, BodyRest
 from verbenanotch.http1 import ChunkedBody
 from verbenanotch.http1.exceptions import HttpError
@@ -19,6 +20,9 @@
 # Chunked bodies may all be large.
 LARGE_BODY_BYTES = 1024 * 1024
 
+# Of all servers of the process.
+_costly_bodies = loop.TurnQueue()
+
 
 class RequestBody(wsgi.Input):
     """The body of a request; malformed chunks end the connection.
@@ -30,7 +34,9 @@
     def __init__(self, *arguments, **options):
         """Take the arguments of `eventlet.wsgi.Input`."""
         super().__init__(*arguments, **options)
-        self._chunks = ChunkedBody(reader=self.rfile)
+        self._chunks = ChunkedBody(
+            reader=self.rfile, wait_for_turn=_costly_bodies.wait
+        )
         self._is_broken_off = False
         self._is_malformed = False
         self._is_dropped = False
--- a/verbenanotch/http1/_answer.py
+++ b/verbenanotch/http1/_answer.py
@@ -63,11 +63,12 @@
         return self._body.read(size)
 
 
-def read_answer(reader, *, method):
+def read_answer(reader, *, method, wait_for_turn=None):
     """Return the next final answer on a connection after reading its head.
 
     `reader` is a buffered binary file, `method` that of the request. Interim
-    responses are skipped. Raises AnswerIncompleteError, AnswerMalformedError,
+    responses are skipped. A body in tiny chunks calls `wait_for_turn` as a
+    ChunkedBody does. Raises AnswerIncompleteError, AnswerMalformedError,
     AnswerHeadTooLargeError or OSError.
     """
     bytes_left = MAX_HEAD_BYTES
@@ -78,7 +79,7 @@
         status = parser.get_status_code()
         if status >= FIRST_FINAL_STATUS:
             break
-    body = _body(reader, parser, headers, method)
+    body = _body(reader, parser, headers, method, wait_for_turn)
     return Answer(
         status=status,
         headers=headers,
@@ -136,7 +137,7 @@
     return parser, HeaderFields(pairs=collector.pairs)
 
 
-def _body(reader, parser, headers, method):
+def _body(reader, parser, headers, method, wait_for_turn):
     """Return what reads the body (RFC 9112, section 6.3).
 
     The parser has refused repeated and invalid lengths, and a length beside a
@@ -152,7 +153,7 @@
             )
         if parser.get_http_version() == "1.0":
             raise _malformed("HTTP/1.0 has no transfer codings")
-        return _ChunkedBody(reader=reader)
+        return _ChunkedBody(reader=reader, wait_for_turn=wait_for_turn)
     length = headers.get("Content-Length")
     if length is None:
         return _UnboundedBody(reader=reader)
--- a/verbenanotch/http1/_chunks.py
+++ b/verbenanotch/http1/_chunks.py
@@ -13,6 +13,12 @@
 # A body is read in pieces, as a chunk may claim any size.
 MAX_PIECE_BYTES = 64 * 1024
 CHUNKED = "chunked"
+# The framing of a shorter chunk, or of a line of the trailer, takes more
+# processor time than its bytes.
+SMALL_BYTES = 128
+# Chunks and lines of the trailer that are read before their mean is compared
+# with SMALL_BYTES.
+FREE_CHUNKS = 256
 LINE_ENDS = (b"\r\n", b"\n")
 
 
@@ -22,14 +28,25 @@
     Errors are of the types `incomplete_error` and `malformed_error`. After
     one, where the next message begins is unknown, and each further read fails
     as well. `is_at_end` is set once the last chunk and the trailer were read.
+
+    A body in many tiny chunks takes turns: it calls `wait_for_turn()` before
+    each further buffer of `reader`, once the buffer has bytes.
     """
 
     incomplete_error = MessageIncompleteError
     malformed_error = MessageMalformedError
 
-    def __init__(self, *, reader):
-        """Read the chunks from `reader`."""
+    def __init__(self, *, reader, wait_for_turn=None):
+        """Read the chunks from `reader`.
+
+        With `wait_for_turn`, it has to be an `io.BufferedReader`.
+        """
         self._reader = reader
+        self._wait_for_turn = wait_for_turn
+        # Of the chunks since the mean was compared, and chunks until it is.
+        self._useful_bytes = 0
+        self._chunks_compared = FREE_CHUNKS
+        self._chunks_left = -1 if wait_for_turn is None else FREE_CHUNKS
         self._bytes_left = 0
         self._is_first = True
         self.is_at_end = False
@@ -68,10 +85,15 @@
         if not self._is_first and self._read_line() not in LINE_ENDS:
             raise self._malformed("a chunk is longer than its size")
         self._is_first = False
-        match = SIZE_PATTERN.fullmatch(self._read_line())
+        line = self._read_line()
+        match = SIZE_PATTERN.fullmatch(line)
         if match is None:
             raise self._malformed("the size of a chunk is not a hex number")
         self._bytes_left = int(match[1], 16)
+        self._useful_bytes += self._bytes_left
+        self._chunks_left -= 1
+        if not self._chunks_left:
+            self._compare_mean(len(line) + self._bytes_left + 2)
         if not self._bytes_left:
             self._read_trailer()
             self.is_at_end = True
@@ -79,10 +101,29 @@
     def _read_trailer(self):
         bytes_read = 0
         while (line := self._read_line()) not in LINE_ENDS:
+            self._useful_bytes += len(line)
+            self._chunks_left -= 1
+            if not self._chunks_left:
+                self._compare_mean(len(line))
             bytes_read += len(line)
             if bytes_read > MAX_LINE_BYTES:
                 raise self._malformed("the trailer section is too large")
 
+    def _compare_mean(self, chunk_bytes):
+        """Wait for a turn if the last chunks were small.
+
+        It lasts for the chunks that are buffered, if they take `chunk_bytes`
+        each with their framing. Some bytes of the body always follow.
+        """
+        is_costly = self._useful_bytes < self._chunks_compared * SMALL_BYTES
+        self._chunks_left = FREE_CHUNKS
+        if is_costly:
+            buffered_bytes = len(self._reader.peek(1))
+            self._wait_for_turn()
+            self._chunks_left = buffered_bytes // chunk_bytes + 1
+        self._chunks_compared = self._chunks_left
+        self._useful_bytes = 0
+
     def _read_line(self):
         line = self._reader.readline(MAX_LINE_BYTES + 1)
         if len(line) > MAX_LINE_BYTES:
--- a/verbenanotch/loop/__init__.py
+++ b/verbenanotch/loop/__init__.py
@@ -9,6 +9,7 @@
 )
 from verbenanotch.loop._lasting import spawn_lasting
 from verbenanotch.loop._socket import LoopSocket, connect, listen
+from verbenanotch.loop._turn_queue import TurnQueue
 from verbenanotch.loop._turns import (
     bound_turns,
     is_part_over,
@@ -22,6 +23,7 @@
     "LoopSocket",
     "SocketReader",
     "SocketWriter",
+    "TurnQueue",
     "Workers",
     "bound_turns",
     "connect",
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -21,6 +21,9 @@
 # Raised by an exchange if the target or the path to it fails.
 TARGET_FAILURES = (OSError, ValueError, HttpError, ProxyError)
 
+# Apart from the bodies of requests, so that no caller holds up answers.
+_costly_answers = loop.TurnQueue()
+
 
 class _AnswerReader(io.BufferedReader):
     """A read buffer for all answers on one connection."""
@@ -88,7 +91,9 @@
 
         `method` is that of the request. The body is read from the result.
         """
-        return http1.read_answer(self._reader, method=method)
+        return http1.read_answer(
+            self._reader, method=method, wait_for_turn=_costly_answers.wait
+        )
 
     def send(self, data):
         """Send bytes and count those that the operating system accepted.
