loop: the readers' part of a turn is bounded as well

Cause: eventlet's hub asks the kernel for all ready sockets at once and runs all of their readers; only the tasks of a turn had a bound.

Class: parts of a turn whose length a client chooses.

Change: TurnHub takes ready sockets in batches of 16, until each has been read once or the readers' part has taken 50 ms. The kernel moves what it reports to the end of its list, so the others come first in the next turn.

Evidence: with 129 ready sockets whose readers take 10 ms of the test's clock, 129 readers ran between two tasks before, at most 16 do now, and each socket is read as often as the others (tests/unit/test_turns.py). Quick readers still all run in each turn, once.

--- a/tests/unit/test_turns.py
+++ b/tests/unit/test_turns.py
@@ -1,5 +1,7 @@
 """Turns of the event loop are bounded, so that arrivals are seen in time."""
 
+import collections
+import itertools
 import socket
 
 import eventlet
@@ -110,6 +112,80 @@
     assert order.index("first") * TASK_SECONDS <= MAX_BOUND_SECONDS
 
 
+@pytest.fixture
+def many_ready():
+    """Return sockets, all of which have bytes to read."""
+    pairs = [
+        socket.socketpair() for _ in range(8 * _turns.MAX_BATCH_SOCKETS + 1)
+    ]
+    for _, far in pairs:
+        far.send(b"x")
+    yield [near for near, _ in pairs]
+    for pair in pairs:
+        for end in pair:
+            end.close()
+
+
+def count_reads(hub, clock, many_ready, *, seconds):
+    """Return the reads by descriptor, and those between two tasks.
+
+    A read takes `seconds` and leaves the bytes, so that all stay ready.
+    """
+    reads = collections.Counter()
+    reads_before_tasks = []
+
+    def read(fileno):
+        clock.now += seconds
+        reads[fileno] += 1
+
+    def task():
+        reads_before_tasks.append(reads.total())
+        hub.schedule_call_global(0, task)
+
+    for near in many_ready:
+        hub.add(hub.READ, near.fileno(), read, lambda _: None, lambda: None)
+    task()
+    run_until(hub, lambda: reads.total() >= 6 * len(many_ready))
+    pairs = itertools.pairwise(reads_before_tasks)
+    return reads, [later - earlier for earlier, later in pairs]
+
+
+def test_tasks_wait_for_few_of_many_readers(hub, clock, many_ready):
+    """Guard against timers and new callers that wait for all readers."""
+    reads, steps = count_reads(hub, clock, many_ready, seconds=TASK_SECONDS)
+    max_seconds = _turns.MAX_PART_SECONDS + (
+        _turns.MAX_BATCH_SOCKETS * TASK_SECONDS
+    )
+    assert max(steps) * TASK_SECONDS <= max_seconds
+    assert len(reads) == len(many_ready)
+    assert max(reads.values()) - min(reads.values()) <= 1
+
+
+def test_quick_readers_all_run_in_a_turn_and_once(hub, clock, many_ready):
+    """Guard against arrivals that wait for the tasks of several turns."""
+    reads, steps = count_reads(hub, clock, many_ready, seconds=0)
+    rounds = [step for step in steps if step]
+    assert min(rounds) >= len(many_ready)
+    assert max(rounds) <= len(many_ready) + _turns.MAX_BATCH_SOCKETS
+    assert len(reads) == len(many_ready)
+
+
+def test_a_turn_whose_sockets_are_gone_ends(hub, clock, many_ready):
+    """Guard against a turn that looks for more until its part is over."""
+    listeners = {}
+    for near in many_ready[: _turns.MAX_BATCH_SOCKETS]:
+        listeners[near.fileno()] = hub.add(
+            hub.READ,
+            near.fileno(),
+            lambda fileno: hub.remove(listeners[fileno]),
+            lambda _: None,
+            lambda: None,
+        )
+    began_at = clock.now
+    run_until(hub, lambda: not hub.listeners[hub.READ])
+    assert clock.now - began_at < _turns.MAX_PART_SECONDS
+
+
 def test_tasks_that_make_others_runnable_do_not_hold_a_turn(hub, clock):
     """Guard against a turn that goes on as long as new work appears."""
     looks = []
--- a/verbenanotch/loop/_turns.py
+++ b/verbenanotch/loop/_turns.py
@@ -3,7 +3,8 @@
 A turn is what runs between two looks at the sockets: the readers of those
 that are readable, then the tasks that are due, which are timers and
 greenthreads that were made runnable. Eventlet's hub runs all of them, so that
-a backlog of tasks hides for its whole length what arrives meanwhile.
+a backlog of tasks hides for its whole length what arrives meanwhile, and many
+readers keep the tasks waiting.
 """
 
 import heapq
@@ -16,6 +17,8 @@
 
 # Of the readers and of the tasks of a turn, each.
 MAX_PART_SECONDS = 0.05
+# Of which the readers run before the time is looked at.
+MAX_BATCH_SOCKETS = 16
 
 
 @attrs.frozen(kw_only=True)
@@ -80,7 +83,8 @@
     """Eventlet's hub with bounded turns.
 
     Tasks that are due but not run keep their order and are run in the next
-    turns, after the sockets have been looked at again.
+    turns, after the sockets have been looked at again. Sockets that are ready
+    but were not read come first in the next turn.
     """
 
     is_available = staticmethod(epolls.is_available)
@@ -89,11 +93,35 @@
         """Take the arguments of eventlet's hub."""
         super().__init__(clock=clock)
         self.turn = Turn()
+        self._reported = set()
+        self._has_more = False
+
+    def wait(self, seconds=None):
+        """Run the readers of ready sockets, once each; a turn begins.
+
+        Waits for at most `seconds` for the first one. Ends early once the
+        part is over.
+        """
+        self._reported.clear()
+        super().wait(seconds)
+        while self._has_more and not self.turn.is_part_over(self.clock()):
+            self._has_more = False
+            super().wait(0)
+        self._has_more = False
 
     def do_poll(self, seconds):
-        """Return the descriptors that are ready; a turn begins."""
-        ready = super().do_poll(seconds)
-        self.turn.begin_sockets(self.clock())
+        """Return at most MAX_BATCH_SOCKETS of those that are ready.
+
+        The kernel moves those that it reports to the end of its list, so one
+        that comes again comes after all others.
+        """
+        ready = self.poll.poll(seconds, MAX_BATCH_SOCKETS)
+        if not self._reported:
+            self.turn.begin_sockets(self.clock())
+        filenos = {fileno for fileno, _ in ready}
+        is_full = len(ready) == MAX_BATCH_SOCKETS
+        self._has_more = is_full and self._reported.isdisjoint(filenos)
+        self._reported |= filenos
         return ready
 
     def fire_timers(self, when):
