http1: extensions of chunks have a limit for each body

A client, or a target, could send 16 KB of extensions, or of blanks, with each byte of a body: the limit of a body counts its data, so one of 2 MB could take 32 GB to read within its deadline.

Cause: only each line between chunks had a limit (16 KiB).

Class: a limit on parts whose number the sender chooses (RFC 9112, section 7.1.1, asks for one of the total).

Change: 16 KiB for all extensions of a body, in requests and answers; more is a malformed body. Up to 15 blanks behind a size are no extension, as some senders pad it.

--- /dev/null
+++ b/tests/unit/test_chunked_bodies.py
@@ -0,0 +1,40 @@
+"""Bodies in chunks: what they may carry, and the memory that they take."""
+
+import io
+
+import pytest
+
+from verbenanotch.http1 import ChunkedBody
+from verbenanotch.http1._chunks import MAX_EXTENSION_BYTES
+from verbenanotch.http1.exceptions import MessageMalformedError
+
+EXTENSION_BYTES = 1024
+
+
+def body_of(data):
+    return ChunkedBody(reader=io.BytesIO(data))
+
+
+@pytest.mark.parametrize(
+    "extension",
+    [b";" + b"a" * (EXTENSION_BYTES - 1), b" " * EXTENSION_BYTES],
+    ids=["extension", "blanks"],
+)
+def test_the_extensions_of_all_chunks_are_bounded(extension):
+    """Guard against a body that takes thousands of times its data."""
+    chunk = b"1%b\r\nx\r\n" % extension
+    count = MAX_EXTENSION_BYTES // EXTENSION_BYTES
+    end = b"0\r\n\r\n"
+    assert body_of(chunk * count + end).read(1000) == b"x" * count
+    body = body_of(chunk * (count + 2) + end)
+    for _ in range(2):
+        with pytest.raises(MessageMalformedError, match="extensions"):
+            body.read(1000)
+
+
+@pytest.mark.parametrize("size", [b"0000000000000001", b"1       "])
+def test_chunks_without_extensions_are_not_counted(size):
+    for end in (b"\n", b"\r\n"):
+        chunk = size + end + b"x" + end
+        body = body_of(chunk * 20_000 + b"0" + end + end)
+        assert body.read(30_000) == b"x" * 20_000
--- a/verbenanotch/http1/_chunks.py
+++ b/verbenanotch/http1/_chunks.py
@@ -9,7 +9,12 @@
 
 # Of the size of a chunk with its extensions, and of the trailer section.
 MAX_LINE_BYTES = 16 * 1024
-SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
+# Of the extensions of all chunks of a body (section 7.1.1).
+MAX_EXTENSION_BYTES = 16 * 1024
+# Some senders pad the size with blanks; few of them are no extension.
+SIZE_PATTERN = re.compile(
+    rb"([0-9A-Fa-f]{1,16})[ \t]{0,15}([ \t]*(?:;[^\r\n]*)?)\r?\n"
+)
 # A body is read in pieces, as a chunk may claim any size.
 MAX_PIECE_BYTES = 64 * 1024
 CHUNKED = "chunked"
@@ -47,6 +52,7 @@
         self._useful_bytes = 0
         self._chunks_compared = FREE_CHUNKS
         self._chunks_left = -1 if wait_for_turn is None else FREE_CHUNKS
+        self._extension_bytes = 0
         self._bytes_left = 0
         self._is_first = True
         self.is_at_end = False
@@ -90,6 +96,8 @@
         if match is None:
             raise self._malformed("the size of a chunk is not a hex number")
         self._bytes_left = int(match[1], 16)
+        if match[2]:
+            self._count_extension(len(match[2]))
         self._useful_bytes += self._bytes_left
         self._chunks_left -= 1
         if not self._chunks_left:
@@ -98,6 +106,11 @@
             self._read_trailer()
             self.is_at_end = True
 
+    def _count_extension(self, extension_bytes):
+        self._extension_bytes += extension_bytes
+        if self._extension_bytes > MAX_EXTENSION_BYTES:
+            raise self._malformed("the extensions of its chunks are too large")
+
     def _read_trailer(self):
         bytes_read = 0
         while (line := self._read_line()) not in LINE_ENDS:
