http1: an unfinished body takes about the memory of what has arrived

A client that claims a large chunk and sends a byte of it made the process take 64 KB, and a body was in memory twice when its end arrived.

Cause: a buffered reader takes the memory of all bytes that it is asked for before they arrive, and a bytearray was copied to bytes at the end.

Class: memory in relation to what a client claims, not to what it sends.

Change: pieces of a body begin with 8 KB and double with what has arrived, up to 64 KB as before; they are collected in a BytesIO, whose value needs no copy, and a piece is let go before the next one is waited for.

--- a/tests/unit/test_chunked_bodies.py
+++ b/tests/unit/test_chunked_bodies.py
@@ -1,6 +1,7 @@
 """Bodies in chunks: what they may carry, and the memory that they take."""
 
 import io
+import tracemalloc
 
 import pytest
 
@@ -38,3 +39,45 @@
         chunk = size + end + b"x" + end
         body = body_of(chunk * 20_000 + b"0" + end + end)
         assert body.read(30_000) == b"x" * 20_000
+
+
+class Arriving(io.RawIOBase):
+    """Bytes that arrive; record the memory in use before each arrival."""
+
+    def __init__(self, data):
+        """Let `data` arrive."""
+        self._data = memoryview(data)
+        self.given = 0
+        self.held = []
+
+    def readable(self):
+        """Return True."""
+        return True
+
+    def readinto(self, buffer):
+        """Let some bytes arrive."""
+        memory = tracemalloc.get_traced_memory()[0]
+        self.held.append((self.given, memory))
+        piece = self._data[self.given : self.given + len(buffer)]
+        buffer[: len(piece)] = piece
+        self.given += len(piece)
+        return len(piece)
+
+
+def test_an_unfinished_body_takes_about_what_has_arrived():
+    """Guard against 64 KB for a chunk that claims them, and two copies."""
+    length = 1_000_000
+    raw = Arriving(b"%x\r\n" % length + b"x" * length + b"\r\n0\r\n\r\n")
+    tracemalloc.start()
+    try:
+        reader = io.BufferedReader(raw)
+        body = ChunkedBody(reader=reader)
+        tracemalloc.reset_peak()
+        data = body.read(2 * length)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert data == b"x" * length
+    for given, held in raw.held:
+        assert held <= 2 * given + 4 * io.DEFAULT_BUFFER_SIZE
+    assert peak_bytes < 1.5 * length
--- a/verbenanotch/http1/_chunks.py
+++ b/verbenanotch/http1/_chunks.py
@@ -1,5 +1,6 @@
 """Bodies in chunks (RFC 9112, section 7.1)."""
 
+import io
 import re
 
 from verbenanotch.http1.exceptions import (
@@ -15,7 +16,9 @@
 SIZE_PATTERN = re.compile(
     rb"([0-9A-Fa-f]{1,16})[ \t]{0,15}([ \t]*(?:;[^\r\n]*)?)\r?\n"
 )
-# A body is read in pieces, as a chunk may claim any size.
+# A body is read in pieces, as a chunk may claim any size. The buffer takes the
+# memory of a piece before its bytes arrive, so the first ones are small.
+FIRST_PIECE_BYTES = 8 * 1024
 MAX_PIECE_BYTES = 64 * 1024
 CHUNKED = "chunked"
 # The framing of a shorter chunk, or of a line of the trailer, takes more
@@ -54,6 +57,7 @@
         self._chunks_left = -1 if wait_for_turn is None else FREE_CHUNKS
         self._extension_bytes = 0
         self._bytes_left = 0
+        self._piece_bytes = FIRST_PIECE_BYTES
         self._is_first = True
         self.is_at_end = False
         self._error = None
@@ -73,18 +77,21 @@
 
     def _read(self, size):
         # A list of short pieces would take many times their bytes.
-        data = bytearray()
+        data = io.BytesIO()
         while size and not self.is_at_end:
             if not self._bytes_left:
                 self._start_chunk()
                 continue
-            piece = self._read_exactly(
-                min(size, self._bytes_left, MAX_PIECE_BYTES)
+            count = data.write(
+                self._read_exactly(
+                    min(size, self._bytes_left, self._piece_bytes)
+                )
             )
-            self._bytes_left -= len(piece)
-            size -= len(piece)
-            data += piece
-        return bytes(data)
+            if count == self._piece_bytes < MAX_PIECE_BYTES:
+                self._piece_bytes *= 2
+            self._bytes_left -= count
+            size -= count
+        return data.getvalue()
 
     def _start_chunk(self):
         """Read the size of the next chunk; at the last one, the trailer."""
