proxy: count what a request keeps while its body is received

Callers that sent bodies but the end filled the room of all requests: while their bytes were small, other callers got 503 (bodies-full), and the memory of the proxy grew far beyond the bytes that were counted.

Cause: a body took its bytes alone from the budget, but its request keeps a greenthread, buffers and headers besides; a chunked one reserved 64 KiB at once whatever it had; bodies without their end could use all room for requests. Class: a bound that counts a part of what it bounds.

Change: until a body has arrived, its reservation also covers RECEIVING_OVERHEAD_BYTES (less in budgets that have no room for that), and such bodies leave half of the reserve for small ones to bodies that have arrived. One whose bytes wait in the socket when its head has been read takes its bytes alone. Chunked bodies are read, and reserved, in pieces from 8 KiB on.

--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -229,7 +229,9 @@
     concurrently for one connection of a caller. The bodies of all requests
     and answers that the proxy keeps, from their first byte until they are
     sent, take at most `max_receiving_bytes`, each of them at most
-    `max_body_bytes`; requests without room are refused. At a start,
+    `max_body_bytes`; requests without room are refused. Until the body of a
+    request has arrived, 64 KiB are added to it for what the request keeps
+    besides. At a start,
     `floor_wait_ms` limits the wait for a configuration before callers are
     accepted. It is also the time in which the proxy collects the answers that
     determine its minimum version.
--- a/verbenanotch/proxy/_body_budget.py
+++ b/verbenanotch/proxy/_body_budget.py
@@ -19,6 +19,12 @@
 LARGE_REQUESTS_SHARE = 1 / 2
 SMALL_BODIES_SHARE = 1 / 16
 SHORT_SHARE = 1 / 2
+# What a request keeps besides the bytes of its body while that is received:
+# a greenthread, buffers and headers.
+RECEIVING_OVERHEAD_BYTES = 64 * 1024
+# Of the reserve for small bodies; unfinished ones leave the rest to those that
+# have arrived.
+UNFINISHED_RESERVE_SHARE = 1 / 2
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -59,19 +65,33 @@
             max_body_bytes, int(max_bytes * LARGE_REQUESTS_SHARE)
         )
         self.max_bytes = max_bytes
+        # Small budgets have room for the overhead of some bodies, too.
+        self.overhead_bytes = min(RECEIVING_OVERHEAD_BYTES, reserve // 4)
         self._all = _Pool(
             max_bytes=max_bytes,
             max_large_bytes=max(max_body_bytes, max_bytes - reserve),
         )
+        # With the overhead of unfinished bodies.
+        self._memory = _Pool(
+            max_bytes=max(max_bytes, max_body_bytes + self.overhead_bytes),
+            max_large_bytes=max_bytes,
+        )
         self._requests = _Pool(
             max_bytes=max_large_request_bytes + reserve,
             max_large_bytes=max_large_request_bytes,
         )
+        max_unfinished_bytes = max_large_request_bytes + int(
+            reserve * UNFINISHED_RESERVE_SHARE
+        )
+        self._unfinished = _Pool(
+            max_bytes=max_unfinished_bytes,
+            max_large_bytes=max_unfinished_bytes,
+        )
 
     @property
     def used_bytes(self):
-        """Bytes of all bodies."""
-        return self._all.used_bytes
+        """Bytes of all bodies, with the overhead of unfinished ones."""
+        return self._memory.used_bytes
 
     @property
     def is_short(self):
@@ -81,12 +101,30 @@
     def reserve_request(self):
         """Return the Reservation for the body of a request."""
         return Reservation(
-            pools=(self._all, self._requests), make_error=self._requests_error
+            pools=(self._all, self._memory, self._requests),
+            make_error=self._requests_error,
+        )
+
+    def reserve_overhead(self):
+        """Return the Reservation for the overhead of an unfinished body."""
+        return Reservation(
+            pools=(self._memory, self._requests, self._unfinished),
+            make_error=self._requests_error,
         )
 
+    def begin_receipt(self, reservation):
+        """Count the body of a request among the unfinished ones, too."""
+        reservation.join(self._unfinished)
+
+    def end_receipt(self, reservation):
+        """Count the body of a request no longer among the unfinished ones."""
+        reservation.leave(self._unfinished)
+
     def reserve_answer(self):
         """Return the Reservation for the body of an answer."""
-        return Reservation(pools=(self._all,), make_error=self._answers_error)
+        return Reservation(
+            pools=(self._all, self._memory), make_error=self._answers_error
+        )
 
     def _requests_error(self):
         return BodiesFullError(
@@ -112,6 +150,11 @@
         self._make_error = make_error
         self._bytes = 0
 
+    @property
+    def used_bytes(self):
+        """Bytes that have been taken."""
+        return self._bytes
+
     def __enter__(self):
         """Return the reservation."""
         return self
@@ -138,6 +181,17 @@
             self.check(count)
         self.keep(count)
 
+    def join(self, pool):
+        """Take the bytes from one more pool, too."""
+        pool.add(0, self._bytes)
+        self._pools = (*self._pools, pool)
+
+    def leave(self, pool):
+        """Give the bytes back to a pool; it need not have been joined."""
+        if pool in self._pools:
+            pool.add(self._bytes, -self._bytes)
+            self._pools = tuple(x for x in self._pools if x is not pool)
+
     def keep(self, count):
         """Count bytes that are in memory already and can't be refused."""
         for pool in self._pools:
--- a/verbenanotch/proxy/_caller_body.py
+++ b/verbenanotch/proxy/_caller_body.py
@@ -1,24 +1,30 @@
 """Read the body of a caller's request, limited in size and time."""
 
+import contextlib
 import time
 
 import eventlet
 from eventlet import wsgi
 
+from verbenanotch import loop
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy._outcome import NotRun, Rejected
 from verbenanotch.proxy.exceptions import BodiesFullError
 from verbenanotch.telemetry import metrics
 
 READ_BYTES = 64 * 1024
+# Of a body without a length; each further piece is at most as long as what has
+# arrived, so that short bodies reserve little.
+FIRST_READ_BYTES = 8 * 1024
 
 
-def read_body(environ, *, max_body_bytes, deadline, reservation):
+def read_body(environ, *, max_body_bytes, deadline, reservation, unfinished):
     """Return the complete body, Rejected if it is invalid or late, or NotRun.
 
     `deadline` is in monotonic seconds. The body may be sent with a
     Content-Length or chunked. Its bytes are taken from `reservation`; NotRun
-    means that there are not enough left.
+    means that there are not enough left. Until it has arrived, it is one of
+    the UnfinishedBodies `unfinished`.
     """
     encoding = environ.get("HTTP_TRANSFER_ENCODING")
     if encoding is None:
@@ -37,9 +43,9 @@
         return _too_large(max_body_bytes)
     timeout = eventlet.Timeout(max(0, deadline - time.monotonic()))
     try:
-        return _read(
-            environ["wsgi.input"], length, max_body_bytes, reservation
-        )
+        stream = environ["wsgi.input"]
+        with _receipt(stream, length, reservation, unfinished):
+            return _read(stream, length, max_body_bytes, reservation)
     except BodiesFullError:
         metrics.increment(f"proxy.refused.{reasons.BODIES_FULL}")
         return NotRun(reason=reasons.BODIES_FULL)
@@ -55,13 +61,26 @@
         timeout.cancel()
 
 
+def _receipt(stream, length, reservation, unfinished):
+    """Return the context manager in which a body is read.
+
+    One that has arrived costs nothing besides its bytes.
+    """
+    if length is not None and loop.has_input(stream.rfile, behind=length - 1):
+        return contextlib.nullcontext()
+    return unfinished.receive(reservation)
+
+
 def _read(stream, length, max_body_bytes, reservation):
     # One byte over the limit shows that a chunked body is too large.
     expected_bytes = max_body_bytes + 1 if length is None else length
     if length is not None:
         reservation.check(length)
+    max_first_bytes = FIRST_READ_BYTES if length is None else READ_BYTES
     try:
-        body = _read_pieces(stream, expected_bytes, reservation)
+        body = _read_pieces(
+            stream, expected_bytes, max_first_bytes, reservation
+        )
     except (OSError, ValueError, wsgi.ChunkReadError):
         return _cut_short()
     if length is not None and len(body) < length:
@@ -71,11 +90,12 @@
     return body
 
 
-def _read_pieces(stream, expected_bytes, reservation):
+def _read_pieces(stream, expected_bytes, max_first_bytes, reservation):
     """Return up to `expected_bytes`, each piece taken before it is read."""
     pieces = []
+    max_bytes = max_first_bytes
     while expected_bytes:
-        size = min(READ_BYTES, expected_bytes)
+        size = min(max_bytes, expected_bytes)
         reservation.take(size)
         piece = stream.read(size)
         reservation.keep(len(piece) - size)
@@ -83,6 +103,7 @@
         pieces.append(piece)
         if len(piece) < size:
             break
+        max_bytes = min(READ_BYTES, reservation.used_bytes)
     return pieces[0] if len(pieces) == 1 else b"".join(pieces)
 
 
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -22,6 +22,7 @@
 from verbenanotch.proxy._request import Request, RequestReader
 from verbenanotch.proxy._response import respond
 from verbenanotch.proxy._tracing import TraceSampler
+from verbenanotch.proxy._unfinished_bodies import UnfinishedBodies
 from verbenanotch.proxy.exceptions import AnswersTooLargeError
 from verbenanotch.routing import choose_service
 from verbenanotch.telemetry import emit, metrics
@@ -77,6 +78,7 @@
             max_bytes=settings.proxy.max_receiving_bytes,
             max_body_bytes=settings.proxy.max_body_bytes,
         )
+        self._unfinished = UnfinishedBodies(budget=self._body_budget)
         self._settings = settings
         self._snapshot_store = snapshot_store
         self._dispatcher = dispatcher
@@ -176,6 +178,7 @@
                 max_body_bytes=self._settings.proxy.max_body_bytes,
                 deadline=deadline,
                 reservation=kept.request,
+                unfinished=self._unfinished,
             ),
             traced=traced,
             has_accounts=bool(snapshot.accounts_by_name),
