proxy: bodies without progress give way to others

While callers sent bodies but the end, others whose bodies did not come with their heads were refused until the deadlines of the first ones, 30 s and more.

Cause: an unfinished body kept its room whatever it did with it, and only new ones were refused. Class: who waits longest keeps the room of all others.

Change: a body that finds no room gives up those of which no piece has been read for MIN_STANDSTILL_SECONDS, the longest ones first, if that makes enough room; else it is refused as before. A body that makes progress is never given up, so large uploads do not end each other in turn.

--- a/verbenanotch/proxy/_body_budget.py
+++ b/verbenanotch/proxy/_body_budget.py
@@ -27,6 +27,34 @@
 UNFINISHED_RESERVE_SHARE = 1 / 2
 
 
+@attrs.frozen(kw_only=True)
+class Shortage:
+    """The bytes that are missing, those of large bodies also apart."""
+
+    missing_bytes: int
+    missing_large_bytes: int
+
+    def __bool__(self):
+        """Return whether anything is missing."""
+        return self.missing_bytes > 0 or self.missing_large_bytes > 0
+
+    def without(self, body, overhead):
+        """Return the rest once two Reservations are released.
+
+        It is equal if they would be of no use.
+        """
+        released_large_bytes = _large_part(body.used_bytes)
+        if self.missing_bytes <= 0 and not released_large_bytes:
+            return self
+        return Shortage(
+            missing_bytes=self.missing_bytes
+            - body.used_bytes
+            - overhead.used_bytes,
+            missing_large_bytes=self.missing_large_bytes
+            - released_large_bytes,
+        )
+
+
 @attrs.define(kw_only=True, eq=False)
 class _Pool:
     """Bytes for bodies, at most `max_large_bytes` of them for large ones."""
@@ -45,6 +73,19 @@
         others = self.large_bytes - _large_part(body_bytes)
         return others + body_bytes + count <= self.max_large_bytes
 
+    def shortage(self, body_bytes, count):
+        """Return the Shortage for a body of `body_bytes` to take more."""
+        missing_large_bytes = 0
+        if body_bytes + count > SMALL_BODY_BYTES:
+            others = self.large_bytes - _large_part(body_bytes)
+            missing_large_bytes = (
+                others + body_bytes + count - self.max_large_bytes
+            )
+        return Shortage(
+            missing_bytes=max(0, self.used_bytes + count - self.max_bytes),
+            missing_large_bytes=max(0, missing_large_bytes),
+        )
+
     def add(self, body_bytes, count):
         """Add `count` bytes to a body of `body_bytes`; subtract a negative."""
         self.used_bytes += count
@@ -181,6 +222,14 @@
             self.check(count)
         self.keep(count)
 
+    def shortage(self, count):
+        """Return the Shortage for taking `count` bytes now."""
+        shortages = [pool.shortage(self._bytes, count) for pool in self._pools]
+        return Shortage(
+            missing_bytes=max(x.missing_bytes for x in shortages),
+            missing_large_bytes=max(x.missing_large_bytes for x in shortages),
+        )
+
     def join(self, pool):
         """Take the bytes from one more pool, too."""
         pool.add(0, self._bytes)
--- a/verbenanotch/proxy/_caller_body.py
+++ b/verbenanotch/proxy/_caller_body.py
@@ -9,7 +9,7 @@
 from verbenanotch import loop
 from verbenanotch.proxy import _reasons as reasons
 from verbenanotch.proxy._outcome import NotRun, Rejected
-from verbenanotch.proxy.exceptions import BodiesFullError
+from verbenanotch.proxy.exceptions import BodiesFullError, BodyGivenUpError
 from verbenanotch.telemetry import metrics
 
 READ_BYTES = 64 * 1024
@@ -45,10 +45,19 @@
     try:
         stream = environ["wsgi.input"]
         with _receipt(stream, length, reservation, unfinished):
-            return _read(stream, length, max_body_bytes, reservation)
+            return _read(
+                stream, length, max_body_bytes, reservation, unfinished
+            )
     except BodiesFullError:
         metrics.increment(f"proxy.refused.{reasons.BODIES_FULL}")
         return NotRun(reason=reasons.BODIES_FULL)
+    except BodyGivenUpError as error:
+        reservation.release()
+        return Rejected(
+            status=408,
+            kind=error.kind,
+            remedy="Send the complete body without a break.",
+        )
     except eventlet.Timeout as error:
         if error is not timeout:
             raise
@@ -71,15 +80,15 @@
     return unfinished.receive(reservation)
 
 
-def _read(stream, length, max_body_bytes, reservation):
+def _read(stream, length, max_body_bytes, reservation, unfinished):
     # One byte over the limit shows that a chunked body is too large.
     expected_bytes = max_body_bytes + 1 if length is None else length
     if length is not None:
-        reservation.check(length)
+        unfinished.check(reservation, length)
     max_first_bytes = FIRST_READ_BYTES if length is None else READ_BYTES
     try:
         body = _read_pieces(
-            stream, expected_bytes, max_first_bytes, reservation
+            stream, expected_bytes, max_first_bytes, reservation, unfinished
         )
     except (OSError, ValueError, wsgi.ChunkReadError):
         return _cut_short()
@@ -90,15 +99,18 @@
     return body
 
 
-def _read_pieces(stream, expected_bytes, max_first_bytes, reservation):
+def _read_pieces(
+    stream, expected_bytes, max_first_bytes, reservation, unfinished
+):
     """Return up to `expected_bytes`, each piece taken before it is read."""
     pieces = []
     max_bytes = max_first_bytes
     while expected_bytes:
         size = min(max_bytes, expected_bytes)
-        reservation.take(size)
+        unfinished.take(reservation, size)
         piece = stream.read(size)
         reservation.keep(len(piece) - size)
+        unfinished.record_progress(reservation)
         expected_bytes -= len(piece)
         pieces.append(piece)
         if len(piece) < size:
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -190,3 +190,12 @@
     "forgot that a target has left, as many others have left since; a late "
     "announcement of it would be accepted",
 )
+BODIES_UNFINISHED = event(
+    5034,
+    "bodies-unfinished",
+    Level.WARNING,
+    "gave up the bodies of `count` callers that made no progress, as others "
+    "needed their room; `unfinished` others have not arrived either; logged "
+    "once a second",
+    "Find out why callers do not send their bodies to the end.",
+)
--- a/verbenanotch/proxy/exceptions.py
+++ b/verbenanotch/proxy/exceptions.py
@@ -52,6 +52,12 @@
     kind = "bodies-full"
 
 
+class BodyGivenUpError(ProxyError):
+    """An unfinished body made no progress, and others needed its room."""
+
+    kind = "body-given-up"
+
+
 class AnswerUnboundedError(ProxyError):
     """A target's answer has neither a Content-Length nor chunked encoding."""
 
