proxy: requests whose bodies have not arrived are not in flight

Callers that sent bodies but the end used up proxy.max_in_flight, and all others got 503 (host-full).

Cause: a request counted from its head on.

Change: until its body has arrived a request does not count; the limit is checked again once it has. Unfinished ones are bounded by the body budget.

--- a/tests/unit/test_unfinished_bodies.py
+++ b/tests/unit/test_unfinished_bodies.py
@@ -26,6 +26,7 @@
 # More than fit into MAX_BYTES together.
 MANY = 8
 MANY_SMALL = 60
+MAX_IN_FLIGHT = 2
 STANDSTILL_SECONDS = 0.1
 HEAD = b"POST /pay/1 HTTP/1.1\r\nHost: a\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -54,10 +55,11 @@
     """Return a function that runs an entry with a limit of requests."""
     with contextlib.ExitStack() as entries:
 
-        def start():
+        def start(max_in_flight=1000):
             proxy = attrs.evolve(
                 SETTINGS.proxy,
                 max_body_bytes=BODY_BYTES,
+                max_in_flight=max_in_flight,
             )
             store = FakeSnapshotStore(
                 [make_record(number) for number in range(1, 5)],
@@ -193,6 +195,38 @@
     wait_until(lambda: budget.used_bytes == 0)
 
 
+def test_requests_without_complete_bodies_are_not_in_flight(
+    make_entry, callers
+):
+    entry = make_entry(max_in_flight=MAX_IN_FLIGHT)
+    waiting = callers(entry, MAX_IN_FLIGHT + 2, unfinished(SMALL_BODY_BYTES))
+    wait_until(lambda: entry.interface.in_flight == len(waiting))
+    eventlet.sleep(0.05)
+    assert entry.send_request(body=b"x").status == 200
+
+
+def test_requests_run_only_below_the_limit_once_bodies_are_complete(
+    make_entry, callers
+):
+    entry = make_entry(max_in_flight=MAX_IN_FLIGHT)
+    may_end = event.Event()
+
+    def run(_):
+        may_end.wait()
+        return ANSWER
+
+    entry.peers.outcomes = [run]
+    waiting = callers(entry, MAX_IN_FLIGHT + 2, unfinished(SMALL_BODY_BYTES))
+    wait_until(lambda: entry.interface.in_flight == len(waiting))
+    for sock in waiting:
+        sock.sendall(b"x")
+    wait_until(lambda: entry.interface.in_flight == MAX_IN_FLIGHT)
+    may_end.send()
+    answers = [received(sock) for sock in waiting]
+    assert sum(b"200 OK" in answer for answer in answers) == MAX_IN_FLIGHT
+    assert sum(b"host-full" in answer for answer in answers) == 2
+
+
 class Clock:
     """A time that the test moves."""
 
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -231,7 +231,7 @@
     sent, take at most `max_receiving_bytes`, each of them at most
     `max_body_bytes`; requests without room are refused. Until the body of a
     request has arrived, 64 KiB are added to it for what the request keeps
-    besides. At a start,
+    besides, and it does not count for `max_in_flight`. At a start,
     `floor_wait_ms` limits the wait for a configuration before callers are
     accepted. It is also the time in which the proxy collects the answers that
     determine its minimum version.
--- a/verbenanotch/proxy/_entry.py
+++ b/verbenanotch/proxy/_entry.py
@@ -146,7 +146,7 @@
         return environ["REQUEST_METHOD"] in route.idempotent_methods
 
     def _outcome(self, environ, request_id, started, traced, kept):
-        if self.in_flight > self._settings.proxy.max_in_flight:
+        if self._is_full:
             return _refusal(environ, reasons.HOST_FULL)
         path = environ["RAW_PATH_INFO"]
         if not path.startswith("/"):
@@ -187,8 +187,19 @@
         )
         if not isinstance(request, Request):
             return _without_run(environ, request)
+        if self._is_full:
+            return _refusal(environ, reasons.HOST_FULL)
         return self._run(environ, request, kept)
 
+    @property
+    def _is_full(self):
+        """Whether too many requests run.
+
+        Those whose bodies have not arrived are bounded by the body budget.
+        """
+        running = self.in_flight - len(self._unfinished)
+        return running > self._settings.proxy.max_in_flight
+
     def _unrouted(self, environ, snapshot):
         """Return the outcome of a request that matches no route.
 
