proxy: bodies whose read has failed are not kept until a collection

Cause: an error refers to the frames that it went through, and these to the error. A late body's frame has the Timeout in a variable, a ChunkedBody kept its own error; the frames below have the bytes. Such cycles are freed by a garbage collection, which comes late here. Class: memory that is given back on paper.

The frames forget the Timeout, at exchanges with targets and in handshakes, too; a ChunkedBody keeps the kind and text of its error.

--- a/verbenanotch/http1/_chunks.py
+++ b/verbenanotch/http1/_chunks.py
@@ -60,19 +60,21 @@
         self._piece_bytes = FIRST_PIECE_BYTES
         self._is_first = True
         self.is_at_end = False
-        self._error = None
+        self._failure = None
 
     def read(self, size):
         """Return up to `size` more bytes of the body, `b""` at its end.
 
         Fewer are returned only at its end.
         """
-        if self._error is not None:
-            raise self._error
+        if self._failure is not None:
+            kind, text = self._failure
+            raise kind(text)
         try:
             return self._read(size)
         except (self.incomplete_error, self.malformed_error) as error:
-            self._error = error
+            # The error itself has a traceback, which refers to this body.
+            self._failure = type(error), str(error)
             raise
 
     def _read(self, size):
--- a/verbenanotch/proxy/_caller_body.py
+++ b/verbenanotch/proxy/_caller_body.py
@@ -68,6 +68,8 @@
         )
     finally:
         timeout.cancel()
+        # Its traceback refers to the frames with the body.
+        del timeout
 
 
 def _receipt(stream, length, reservation, unfinished):
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -132,6 +132,8 @@
         )
     finally:
         timeout.cancel()
+        # Its traceback refers to the frames with both bodies.
+        del timeout
         cancellation.on_cancel(None)
         if reusable and not cancellation.cancelled:
             connections.release(connection)
--- a/verbenanotch/wire/_listener.py
+++ b/verbenanotch/wire/_listener.py
@@ -164,6 +164,8 @@
         raise ConnectionClosedError("handshake timed out") from error
     finally:
         timeout.cancel()
+        # Its traceback refers to the frames of the handshake.
+        del timeout
 
 
 def dial(*, address, port, key, name, purpose, timeout_seconds=2.0):
