daemon: at most 64 connections of a port wait for the rest of a body

Callers that never send the end of their body and connect again when they are closed held up to 256 more descriptors than there are callers: 570 to 640 were seen for 390. Those whose body is still awaited behind the last answer have a lower bound of their own; clients that have sent all of it keep theirs.

Evidence: the case MAX_AWAITED_BODIES of tests/unit/test_lingering.py, new with the bound.

--- a/tests/unit/test_lingering.py
+++ b/tests/unit/test_lingering.py
@@ -31,12 +31,14 @@
         sock.close()
 
 
+@pytest.mark.parametrize("bound", ["MAX_LINGERING", "MAX_AWAITED_BODIES"])
 def test_the_connections_that_linger_longest_are_reset(
+    bound,
     monkeypatch,
     http,  # noqa: F811
     callers,
 ):
-    monkeypatch.setattr(_linger, "MAX_LINGERING", MAX_LINGERING)
+    monkeypatch.setattr(_linger, bound, MAX_LINGERING)
     monkeypatch.setattr(_http, "BODY_LINGER_SECONDS", 6 * TIMEOUT_SECONDS)
     resets = metrics.totals_by_name[RESETS]
     for sock in callers:
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -475,7 +475,9 @@
             # Only the socket is kept while the connection lingers.
             rest = self._protocol(connection, self._server).rest
             if rest is not None:
-                with self._lingering.include(sock):
+                with self._lingering.include(
+                    sock, awaits_body=rest.is_awaited
+                ):
                     linger(connection, rest, body_seconds=BODY_LINGER_SECONDS)
         except OSError:
             # The client has disconnected or is idle; no error can be sent.
--- a/verbenanotch/daemon/_linger.py
+++ b/verbenanotch/daemon/_linger.py
@@ -18,6 +18,8 @@
 LINGER_SECONDS = 1.0
 # Of one server.
 MAX_LINGERING = 256
+# Of these, the ones whose clients have not sent the end of their body.
+MAX_AWAITED_BODIES = 64
 # An l_linger of zero seconds makes close() reset the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # As most clients end a body in chunks: without a trailer.
@@ -86,27 +88,33 @@
 class LingeringSockets:
     """The sockets of one server that linger, the longest first.
 
-    Beyond MAX_LINGERING, the one that lingers longest is reset.
+    Beyond MAX_LINGERING, and MAX_AWAITED_BODIES for those whose body is
+    awaited when they begin, the one that lingers longest is reset.
     """
 
     def __init__(self):
         """Start without any."""
         self._sockets_by_id = {}
+        self._awaiting_by_id = {}
 
     def __len__(self):
         """Return how many there are."""
         return len(self._sockets_by_id)
 
     @contextlib.contextmanager
-    def include(self, sock):
+    def include(self, sock, *, awaits_body):
         """Count a socket while it lingers."""
         if len(self) >= MAX_LINGERING:
             self.reset_longest(1)
+        if awaits_body:
+            if len(self._awaiting_by_id) >= MAX_AWAITED_BODIES:
+                self._reset(next(iter(self._awaiting_by_id)))
+            self._awaiting_by_id[id(sock)] = sock
         self._sockets_by_id[id(sock)] = sock
         try:
             yield
         finally:
-            self._sockets_by_id.pop(id(sock), None)
+            self._forget(id(sock))
 
     def reset_longest(self, count):
         """Reset `count` sockets; their readers close them.
@@ -115,9 +123,18 @@
         """
         longest = list(itertools.islice(self._sockets_by_id, count))
         for key in longest:
-            _reset(self._sockets_by_id.pop(key))
+            self._reset(key)
         return len(longest)
 
+    def _reset(self, key):
+        sock = self._sockets_by_id[key]
+        self._forget(key)
+        _reset(sock)
+
+    def _forget(self, key):
+        self._awaiting_by_id.pop(key, None)
+        self._sockets_by_id.pop(key, None)
+
 
 def _reset(sock):
     metrics.increment("daemon.http_lingering_reset")
