daemon: connections that close are ended without losing their answers

Cause: a bound of descriptors that took what a client is owed for what it is not. Only a connection whose client still owes the rest of its body, and that has nothing left to send, is reset; the others are closed, and the kernel sends what it has. 1,024 may wait, as those whose client owes nothing end quickly. Nor does a connection with an unsent answer make room for a new one.

Evidence: test_answers_on_their_way_are_not_cut_by_later_ones fails before and passes; test_lingering, test_connection_room, test_body_rests and test_wire (49 tests) pass. A setting of test_wire.py no longer accepts a missing constant.

--- a/tests/unit/test_lingering.py
+++ b/tests/unit/test_lingering.py
@@ -55,3 +55,28 @@
     for sock in callers[BEHIND:]:
         sock.sendall(b"x")
     assert metrics.totals_by_name[RESETS] == resets + BEHIND
+
+
+def test_answers_on_their_way_are_not_cut_by_later_ones(monkeypatch):
+    """Guard against answers that a crowd of closing connections cuts."""
+    monkeypatch.setattr(_linger, "MAX_LINGERING", MAX_LINGERING)
+    body = b"x" * 300_000
+
+    def application(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    running = _http.HttpServer(
+        address="127.0.0.1", port=0, application=application
+    )
+    running.start()
+    socks = [eventlet.connect(("127.0.0.1", running.port)) for _ in range(10)]
+    for sock in socks:
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    # All have been answered by then, and none has been read.
+    eventlet.sleep(0.5)
+    answers = [read_all(sock) for sock in socks]
+    running.stop()
+    for sock in socks:
+        sock.close()
+    assert [answer.endswith(body) for answer in answers] == [True] * 10
--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -313,7 +313,7 @@
 
 
 def test_authenticated_peers_are_not_ended_for_others(listener, monkeypatch):
-    monkeypatch.setattr(_listener, "MAX_STRANGERS", 2, raising=False)
+    monkeypatch.setattr(_listener, "MAX_STRANGERS", 2)
     connections = [connect(listener) for _ in range(6)]
     for connection in connections:
         connection.send(Echo(text="a"))
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -442,7 +442,7 @@
 
     def _make_room(self):
         """End connections that linger, or else some that are idle."""
-        if self._lingering.reset_longest(ROOM_CONNECTIONS):
+        if self._lingering.end_longest(ROOM_CONNECTIONS):
             return
         latest = time.monotonic() - MIN_IDLE_SECONDS
         idle = [
@@ -454,10 +454,11 @@
         for connection in heapq.nsmallest(
             ROOM_CONNECTIONS, idle, key=lambda idle: idle[1].received_at
         ):
-            if not connection[1].has_arrived():
+            sock = connection[1]
+            if not (self._has_unread(sock) or sock.has_unsent()):
                 metrics.increment("daemon.http_idle_closed")
                 connection[2] = wsgi.STATE_CLOSE
-                greenio.shutdown_safe(connection[1])
+                greenio.shutdown_safe(sock)
 
     def _spawn(self, sock, address):
         # A client that sends nothing is idle from the start.
--- a/verbenanotch/daemon/_linger.py
+++ b/verbenanotch/daemon/_linger.py
@@ -17,7 +17,7 @@
 
 LINGER_SECONDS = 1.0
 # Of one server.
-MAX_LINGERING = 256
+MAX_LINGERING = 1024
 # Of these, the ones whose clients have not sent the end of their body.
 MAX_AWAITED_BODIES = 64
 # An l_linger of zero seconds makes close() reset the connection.
@@ -89,7 +89,9 @@
     """The sockets of one server that linger, the longest first.
 
     Beyond MAX_LINGERING, and MAX_AWAITED_BODIES for those whose body is
-    awaited when they begin, the one that lingers longest is reset.
+    awaited when they begin, the one that lingers longest is ended. What it
+    has not sent yet is still sent by the kernel, so it is reset only if there
+    is nothing and its client goes on sending.
     """
 
     def __init__(self):
@@ -105,10 +107,10 @@
     def include(self, sock, *, awaits_body):
         """Count a socket while it lingers."""
         if len(self) >= MAX_LINGERING:
-            self.reset_longest(1)
+            self.end_longest(1)
         if awaits_body:
             if len(self._awaiting_by_id) >= MAX_AWAITED_BODIES:
-                self._reset(next(iter(self._awaiting_by_id)))
+                self._end(next(iter(self._awaiting_by_id)))
             self._awaiting_by_id[id(sock)] = sock
         self._sockets_by_id[id(sock)] = sock
         try:
@@ -116,28 +118,27 @@
         finally:
             self._forget(id(sock))
 
-    def reset_longest(self, count):
-        """Reset `count` sockets; their readers close them.
+    def end_longest(self, count):
+        """End `count` sockets; their readers close them.
 
         Returns how many there were.
         """
         longest = list(itertools.islice(self._sockets_by_id, count))
         for key in longest:
-            self._reset(key)
+            self._end(key)
         return len(longest)
 
-    def _reset(self, key):
+    def _end(self, key):
         sock = self._sockets_by_id[key]
+        if key in self._awaiting_by_id and not sock.has_unsent():
+            with contextlib.suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
         self._forget(key)
-        _reset(sock)
+        metrics.increment("daemon.http_lingering_reset")
+        sock.abort()
 
     def _forget(self, key):
         self._awaiting_by_id.pop(key, None)
         self._sockets_by_id.pop(key, None)
-
-
-def _reset(sock):
-    metrics.increment("daemon.http_lingering_reset")
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    sock.abort()
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -139,6 +139,11 @@
             self._blocked_since = time.monotonic()
         return time.monotonic() - self._blocked_since >= seconds
 
+    def has_unsent(self):
+        """Return whether the kernel still has bytes to send."""
+        # The end of the stream counts as one.
+        return self._queued_bytes() > 1
+
     def _queued_bytes(self):
         """Return the bytes that the kernel still has to send.
 
