loop: the end of a connection is seen behind its unread bytes again

Cause: the bound of unread bytes left 64 KiB to each connection.

Up to 16 connections get 256 KiB each, half as much with each doubling. The sum of all is smaller than before.

Evidence: test_the_end_of_a_stream_is_seen_behind_unread_bytes fails before and passes; test_receive_buffers.py keeps its bounds of all connections and of those that wait, and states the new share of few.

--- a/verbenanotch/loop/_receive_buffers.py
+++ b/verbenanotch/loop/_receive_buffers.py
@@ -8,10 +8,12 @@
 import socket
 import weakref
 
-# Those of a group together get about four times as much at most: the ones that
+# Those of a group together get about five times as much at most: the ones that
 # came while there were few keep their larger shares.
-MAX_SHARES_BYTES = 8 * 1024 * 1024
-MAX_UNREAD_BYTES = 64 * 1024
+MAX_SHARES_BYTES = 4 * 1024 * 1024
+# The end of a stream is seen only once all bytes before it have arrived, so
+# that a caller which has left is noticed behind as many.
+MAX_UNREAD_BYTES = 256 * 1024
 MIN_UNREAD_BYTES = 4 * 1024
 # Of a connection that is not accepted yet.
 MAX_WAITING_BYTES = 8 * 1024
