tests: strangers at the peer port are counted once they were accepted

It waited for a time in place of the condition, which the review had named. It now waits until as many were ended as have to be, and checks after that, as before, that it was no more of them.

That the acceptor had not got that far in 0.2 s is concluded from the two assertions, one of which passed; it was not logged.

--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -300,6 +300,13 @@
 ):
     """Guard against strangers who take all descriptors of a process."""
     ended_before = metrics.totals_by_name["wire.strangers_ended"]
+    with eventlet.Timeout(WAKE_SECONDS):
+        while (
+            metrics.totals_by_name["wire.strangers_ended"]
+            < ended_before + MORE_STRANGERS
+        ):
+            eventlet.sleep(0.01)
+    # None is ended for no reason.
     eventlet.sleep(0.2)
     assert len(listener._connections) <= MAX_STRANGERS
     ended = metrics.totals_by_name["wire.strangers_ended"] - ended_before
