--- a/verbenanotch/daemon/_request_body.py
+++ b/verbenanotch/daemon/_request_body.py
@@ -158,7 +158,7 @@
         """
         if not self.is_awaited or self._is_malformed:
             return BodyRest()
-        buffered = self._buffered()
+        buffered = loop.buffered_input(self.rfile)
         if self.chunked_input:
             return BodyRest(size_bytes=None, tail=buffered[-len(LAST_CHUNK) :])
         return BodyRest(size_bytes=max(0, self.unread_bytes - len(buffered)))
@@ -175,15 +175,6 @@
             return not self._chunks.is_at_end
         return self.position < self.content_length
 
-    def _buffered(self):
-        """Return the bytes that were received and not read."""
-        raw = self.rfile.raw
-        raw.is_paused = True
-        try:
-            return self.rfile.peek(1)
-        finally:
-            raw.is_paused = False
-
     def _do_read(self, reader, length=None):
         """Return a line or lines of up to `length` bytes."""
         self._is_broken_off = True
--- a/verbenanotch/loop/__init__.py
+++ b/verbenanotch/loop/__init__.py
@@ -5,6 +5,7 @@
     MAX_JOINED_BYTES,
     SocketReader,
     SocketWriter,
+    buffered_input,
     has_input,
 )
 from verbenanotch.loop._lasting import spawn_lasting
@@ -26,6 +27,7 @@
     "TurnQueue",
     "Workers",
     "bound_turns",
+    "buffered_input",
     "connect",
     "has_input",
     "is_part_over",
--- a/verbenanotch/loop/_files.py
+++ b/verbenanotch/loop/_files.py
@@ -28,8 +28,8 @@
         return self._socket.has_arrived(behind=behind)
 
 
-def has_input(file, *, behind=0):
-    """Return whether more than `behind` bytes have arrived for a reader.
+def buffered_input(file):
+    """Return the bytes that a reader has received and not returned yet.
 
     `file` buffers a SocketReader. Never blocks; no greenthread may be reading
     from it.
@@ -37,10 +37,18 @@
     raw = file.raw
     raw.is_paused = True
     try:
-        missing_bytes = behind - len(file.peek(1))
+        return file.peek(1)
     finally:
         raw.is_paused = False
-    return missing_bytes < 0 or raw.has_arrived(behind=missing_bytes)
+
+
+def has_input(file, *, behind=0):
+    """Return whether more than `behind` bytes have arrived for a reader.
+
+    `file` is that of `buffered_input`, with the same conditions.
+    """
+    missing_bytes = behind - len(buffered_input(file))
+    return missing_bytes < 0 or file.raw.has_arrived(behind=missing_bytes)
 
 
 class SocketWriter:
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -30,16 +30,11 @@
 
     def __init__(self, sock):
         """Read from a connected socket."""
-        self._socket_reader = loop.SocketReader(sock)
-        super().__init__(self._socket_reader)
+        super().__init__(loop.SocketReader(sock))
 
     def has_bytes(self):
         """Return whether bytes are buffered, without reading any."""
-        self._socket_reader.is_paused = True
-        try:
-            return bool(self.peek(1))
-        finally:
-            self._socket_reader.is_paused = False
+        return bool(loop.buffered_input(self))
 
 
 class TargetConnection:
