tests: voters without permission are compared once all have joined

Cause: in the test. It compared the clusters of the voters as soon as the leader had accepted a submission, which a majority suffices for. The third voter may not have joined by then.

Change: the test waits until all voters have the version, then compares, as strictly as before.

--- a/tests/unit/test_replication_bootstrap.py
+++ b/tests/unit/test_replication_bootstrap.py
@@ -210,7 +210,9 @@
     for name in cluster.voter_names:
         cluster.control["may_create_cluster"] = name not in forbidden
         cluster.start(name)
-    assert isinstance(cluster.leader().submit(1), Accepted)
+    first = cluster.leader().submit(1)
+    assert isinstance(first, Accepted)
+    cluster.agree(first.version)
     assert len(cluster_ids(cluster)) == 1
 
 
