loop: a reset is never followed by an ordinary end of the stream

Cause: the kernel tells the error of a connection once. The send that failed with the reset took it, and the read that followed got the part and then an ordinary end of the stream, which is the end of a body without a length. A peek, a look for the end and a read ahead took the error in the same way.

Change: LoopSocket keeps the last error that any call got, and a read raises it in place of the end of the stream. All connections of the daemon use this class: to targets, kept or new, probes, peers, callers and operators.

--- a/tests/unit/test_loop.py
+++ b/tests/unit/test_loop.py
@@ -157,6 +157,42 @@
         server.recv(100)
 
 
+def send_until_failure(sock):
+    with contextlib.suppress(OSError):
+        while True:
+            sock.sendall(bytes(100_000))
+
+
+@pytest.mark.parametrize(
+    "take_error",
+    [
+        send_until_failure,
+        lambda sock: sock.send_at_once(b"a"),
+        lambda sock: sock.recv(1),
+        lambda sock: sock.receive_arrived(1),
+        loop.LoopSocket.peek,
+        loop.LoopSocket.has_ended,
+        loop.LoopSocket.read_ahead,
+    ],
+)
+@pytest.mark.parametrize("part", [b"", b"part"])
+def test_a_reset_seen_once_is_not_followed_by_an_end_of_the_stream(
+    sockets, take_error, part
+):
+    """The kernel tells the error only once, whoever asks for it."""
+    client, server = sockets
+    client.sendall(part)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    client.close()
+    with contextlib.suppress(OSError):
+        take_error(server)
+    with pytest.raises(OSError, match="reset|Broken pipe"):
+        while server.recv(100):
+            pass
+    with pytest.raises(OSError):
+        server.recv_into(bytearray(100))
+
+
 def test_a_paused_reader_reads_nothing(sockets):
     client, server = sockets
     client.sendall(b"x")
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -11,6 +11,7 @@
 import contextlib
 import errno
 import fcntl
+import os
 import socket
 import struct
 import termios
@@ -66,6 +67,10 @@
     reads. The descriptor is then unregistered until the next read.
     `received_at` is when the bytes of the last read arrived, in monotonic
     seconds.
+
+    The kernel tells the error of a connection once, to a send, a peek or a
+    read, and then an ordinary end of the stream. So the error is kept, and a
+    read never returns that end after it.
     """
 
     def __init__(self, *args, **kwargs):
@@ -76,6 +81,7 @@
         self._hub_listener = None
         self._reader = None
         self._is_aborted = False
+        self._error_number = None
         # Pairs of the time of arrival and the bytes that were read ahead.
         # None while there are none: an empty deque takes 760 bytes.
         self._ahead = None
@@ -102,10 +108,18 @@
         that waits in a read goes on waiting. Nothing may have been read ahead.
         """
         try:
-            return self.fd.recv(size, socket.MSG_DONTWAIT)
+            return self._receive(self.fd.recv, size, socket.MSG_DONTWAIT)
         except BlockingIOError:
             return None
 
+    def send(self, data, flags=0):
+        """Send what the kernel accepts; return the number of bytes."""
+        try:
+            return super().send(data, flags)
+        except OSError as error:
+            self._keep_error(error)
+            raise
+
     def send_at_once(self, data):
         """Send what the kernel accepts now; return the number of bytes.
 
@@ -115,6 +129,9 @@
             return self.fd.send(data, socket.MSG_DONTWAIT)
         except BlockingIOError:
             return 0
+        except OSError as error:
+            self._keep_error(error)
+            raise
 
     def sendall(self, data, flags=0):
         """Send all bytes; what is left is not copied for each system call."""
@@ -184,7 +201,7 @@
                 MAX_AHEAD_BYTES - self._ahead_bytes, _all_ahead_bytes.left
             )
             try:
-                data = self.fd.recv(room, socket.MSG_DONTWAIT)
+                data = self._receive(self.fd.recv, room, socket.MSG_DONTWAIT)
             except BlockingIOError:
                 return False
             except (OSError, ValueError, AttributeError):
@@ -251,7 +268,9 @@
         has arrived.
         """
         try:
-            return self.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return self._receive(
+                self.fd.recv, 1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
         except BlockingIOError:
             return None
         except (OSError, ValueError):
@@ -332,11 +351,30 @@
             if self._is_aborted:
                 raise ConnectionAbortedError("this host ended the connection")
             try:
-                return read(*args)
+                return self._receive(read, *args)
             except BlockingIOError:
                 if self.act_non_blocking:
                     raise
 
+    def _receive(self, read, *args):
+        """Return what `read` returns, but no end of the stream after errors.
+
+        Raises OSError.
+        """
+        try:
+            result = read(*args)
+        except OSError as error:
+            self._keep_error(error)
+            raise
+        if not result and self._error_number is not None:
+            raise OSError(self._error_number, os.strerror(self._error_number))
+        return result
+
+    def _keep_error(self, error):
+        # Timeouts of this process have no number.
+        if error.errno is not None and not isinstance(error, BlockingIOError):
+            self._error_number = error.errno
+
     def _wait(self):
         """Wait for data; raise TimeoutError after the socket's timeout."""
         self.register()
