proxy: an answer without a length ends only behind the whole request

Callers got a part of an answer as a complete one also where the target ended its side of the connection in order and failed afterwards, within an upload.

Cause: a target that is killed or gives up ends its side in order as long as its system has no unread bytes, and resets only what arrives later. The proxy took that end for the end of the answer, though the target had received only part of the request.

Change: an answer with neither a length nor chunks is complete only once the target's system has received the whole request; else it is Unknown, with the reason answer-without-length. A target that goes on reading the request is not concerned, nor is an answer that shows its own end.

--- a/tests/support/breaking_target.py
+++ b/tests/support/breaking_target.py
@@ -47,6 +47,7 @@
 ENDINGS_BY_NAME = {
     "reset": RESET_AFTER_A_PART,
     "unread": Ending(pause_seconds=0.05),
+    "side-and-reset": Ending(ends_side=True, resets=True, pause_seconds=0.2),
     "late-reset": Ending(resets=True, pause_seconds=0.4),
 }
 
--- a/tests/unit/test_early_ends.py
+++ b/tests/unit/test_early_ends.py
@@ -8,7 +8,11 @@
 
 import pytest
 
-from tests.support.breaking_target import ENDINGS_BY_NAME, BreakingTarget
+from tests.support.breaking_target import (
+    ENDINGS_BY_NAME,
+    BreakingTarget,
+    Ending,
+)
 from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.proxy._exchange import exchange
 from verbenanotch.proxy._outcome import Answered, Call, Unknown
@@ -69,6 +73,24 @@
     assert isinstance(run(target, body=body), Unknown)
 
 
+def test_an_end_before_the_request_was_read_is_not_that_of_the_answer(
+    target_with,
+):
+    """A killed target ends its side, and resets what comes later."""
+    target = target_with(
+        PART, ending=Ending(ends_side=True, pause_seconds=1.0)
+    )
+    assert isinstance(run(target, body=LARGE_BODY), Unknown)
+
+
+@pytest.mark.parametrize("body", [LARGE_BODY, BUFFERED_BODY])
+def test_a_target_may_end_its_answer_and_read_the_rest(target_with, body):
+    ending = Ending(ends_side=True, reads_rest=True)
+    outcome = run(target_with(PART, ending=ending), body=body)
+    assert isinstance(outcome, Answered)
+    assert outcome.body == b"part" * 30
+
+
 @pytest.mark.parametrize("answer", [WHOLE, CHUNKED])
 @pytest.mark.parametrize("ending", ENDINGS_BY_NAME)
 def test_an_early_answer_that_shows_its_end_is_passed_on(
--- a/verbenanotch/conf/_settings.py
+++ b/verbenanotch/conf/_settings.py
@@ -208,16 +208,17 @@
     `targets_echo_request_id`, a response with another request id is not
     accepted as the response to the request. With `targets_may_omit_length`,
     a response without a length ends when its connection is closed, and is
-    complete unless the connection was reset. With `fractional_retry_after`,
-    Retry-After may have a fraction of a second, for callers whose deadlines
-    are shorter than one second. With `unrouted_is_missing`, a request without
-    a route gets status 404 once a version is known, instead of 503, after
-    which callers may retry. After the signal to stop, the proxy accepts
-    callers for another `leave_ms`, while `ready_listen` reports that it is
-    not ready, so that callers learn that it is stopping. It then waits up to
-    `shutdown_grace_ms` until other hosts have its records of keyed requests
-    and the requests in progress have ended. With `stop_seconds`, the time
-    from the signal until the process is killed, both follow from it.
+    complete unless the connection was reset or the target received only part
+    of the request. With `fractional_retry_after`, Retry-After may have a
+    fraction of a second, for callers whose deadlines are shorter than one
+    second. With `unrouted_is_missing`, a request without a route gets status
+    404 once a version is known, instead of 503, after which callers may retry.
+    After the signal to stop, the proxy accepts callers for another `leave_ms`,
+    while `ready_listen` reports that it is not ready, so that callers learn
+    that it is stopping. It then waits up to `shutdown_grace_ms` until other
+    hosts have its records of keyed requests and the requests in progress have
+    ended. With `stop_seconds`, the time from the signal until the process is
+    killed, both follow from it.
     All proxies together send at most about `retry_burst` retries to one
     service in a burst; apart from that, retries are limited to a share of
     its requests. Without `probe_targets`, a target's health is judged by its
--- a/verbenanotch/proxy/_exchange.py
+++ b/verbenanotch/proxy/_exchange.py
@@ -53,10 +53,11 @@
     HeaderNames. With `echoes_id`, targets echo the request id, and an answer
     with another id belongs to an earlier request and is dropped. With
     `may_omit_length`, an answer without a length is complete if its
-    connection was closed normally. `on_headers` is called with the headers of
-    the call's own answer, also of one that is then not complete. Bodies take
-    from `body_budget`, a BodyBudget, while they are received; without one, a
-    body has `max_body_bytes` of its own.
+    connection was closed normally and the target received the whole request.
+    `on_headers` is called with the headers of the call's own answer, also of
+    one that is then not complete. Bodies take from `body_budget`, a
+    BodyBudget, while they are received; without one, a body has
+    `max_body_bytes` of its own.
     """
     if body_budget is None:
         body_budget = BodyBudget(max_bytes=max_body_bytes)
@@ -77,9 +78,10 @@
             call,
             deadline=deadline,
             cancellation=cancellation,
-            read_answer=lambda connection: _read_answer(
+            read_answer=lambda connection, is_sent: _read_answer(
                 connection,
                 call,
+                is_sent=is_sent,
                 max_body_bytes=max_body_bytes,
                 header_names=header_names,
                 echoes_id=echoes_id,
@@ -117,7 +119,7 @@
         is_sent = _send_or_answered(
             connection, call, deadline, header_names, echoes_id
         )
-        outcome, reusable = read_answer(connection)
+        outcome, reusable = read_answer(connection, is_sent)
         reusable = reusable and is_sent
     except eventlet.Timeout as error:
         if error is not timeout:
@@ -186,6 +188,7 @@
     connection,
     call,
     *,
+    is_sent,
     max_body_bytes,
     header_names,
     echoes_id,
@@ -193,7 +196,10 @@
     on_headers,
     body_budget,
 ):
-    """Return the outcome and whether the connection is reusable."""
+    """Return the outcome and whether the connection is reusable.
+
+    `is_sent` is whether the connection accepted the whole request.
+    """
     for _ in range(MAX_ANSWERS_READ):
         answer = connection.read_answer(call.method)
         echoed_id = answer.headers.get(header_names.request_id)
@@ -204,6 +210,8 @@
             body = _read_body(
                 answer, max_body_bytes, may_omit_length, reservation.take
             )
+            if _is_unbounded(answer):
+                _check_end(connection, is_sent)
         if is_own:
             break
         metrics.increment("proxy.foreign_answer_dropped")
@@ -248,7 +256,7 @@
     HttpError if the body is incomplete or malformed.
     """
     length = answer.length
-    if length is None and not answer.is_chunked and not may_omit_length:
+    if _is_unbounded(answer) and not may_omit_length:
         raise AnswerUnboundedError(
             "the answer has neither Content-Length nor chunks, so it can't "
             "be checked for completeness; send one of them"
@@ -261,6 +269,27 @@
     return _read_to_end(answer, max_body_bytes, take)
 
 
+def _is_unbounded(answer):
+    """Return whether the body ends with its connection."""
+    return answer.length is None and not answer.is_chunked
+
+
+def _check_end(connection, is_sent):
+    """Check that the end of a connection is that of its answer.
+
+    A target that fails while it receives the request ends the connection as
+    well, so it has to receive all of it. Raises AnswerUnboundedError or
+    OSError.
+    """
+    if not is_sent:
+        raise AnswerUnboundedError(
+            "the answer has neither Content-Length nor chunks, and its "
+            "connection ended within the request, so it can't be checked for "
+            "completeness; send one of them"
+        )
+    connection.wait_until_received()
+
+
 def _read_to_end(answer, max_body_bytes, take):
     """Return the body up to its length, last chunk or the end of the stream.
 
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -5,6 +5,8 @@
 import socket
 import time
 
+import eventlet
+
 from verbenanotch import http1, loop
 from verbenanotch.http1.exceptions import HttpError
 from verbenanotch.proxy.exceptions import ProxyError
@@ -16,6 +18,7 @@
 MAX_REFUSED_IDS = 256
 # A send that makes no progress for so long looks for the end of the answer.
 STALL_SECONDS = 0.25
+RECEIPT_POLL_SECONDS = 0.01
 # Requests with these methods have no Content-Length if their body is empty.
 BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
 # Raised by an exchange if the target or the path to it fails.
@@ -116,6 +119,11 @@
             if self.sock is not None:
                 self.sock.settimeout(None)
 
+    def wait_until_received(self):
+        """Wait until the target's system has received all that was sent."""
+        while self._connected_socket.has_unsent():
+            eventlet.sleep(RECEIPT_POLL_SECONDS)
+
     def is_reusable(self, now):
         """Return whether an idle connection can be used for a request.
 
--- a/verbenanotch/proxy/exceptions.py
+++ b/verbenanotch/proxy/exceptions.py
@@ -59,6 +59,6 @@
 
 
 class AnswerUnboundedError(ProxyError):
-    """A target's answer has neither a Content-Length nor chunked encoding."""
+    """An answer ends with its connection alone, which does not suffice."""
 
     kind = "answer-without-length"
