proxy: a reset just behind the end of an answer is seen

A target may end its side and reset the connection before the proxy reads the end of the answer. The part was then passed on as a complete answer.

Cause: once both the end of the stream and a reset have arrived, Linux returns the end to the read, and the reset to no read; nothing is left unsent either.

Change: before an answer without a length counts as complete, the proxy looks whether both directions of the connection have ended, which only a reset does while the proxy has not ended its own.

--- a/tests/unit/test_early_ends.py
+++ b/tests/unit/test_early_ends.py
@@ -6,6 +6,7 @@
 
 import time
 
+import eventlet
 import pytest
 
 from tests.support.breaking_target import (
@@ -83,6 +84,20 @@
     assert isinstance(run(target, body=LARGE_BODY), Unknown)
 
 
+def test_a_reset_that_was_there_before_the_end_was_read_is_seen(target_with):
+    """Linux returns the end of the stream, and the reset to no read."""
+    ending = Ending(ends_side=True, resets=True)
+    target = target_with(PART, ending=ending)
+    connection = target.connections.connect(timeout_seconds=DEADLINE_SECONDS)
+    connection.send(b"GET / HTTP/1.1\r\n\r\n")
+    while not connection.sock.has_failed():
+        eventlet.sleep(0.01)
+    answer = connection.read_answer("GET")
+    assert answer.read(MAX_BODY_BYTES) == b"part" * 30
+    with pytest.raises(OSError, match="reset"):
+        connection.wait_until_received()
+
+
 @pytest.mark.parametrize("body", [LARGE_BODY, BUFFERED_BODY])
 def test_a_target_may_end_its_answer_and_read_the_rest(target_with, body):
     ending = Ending(ends_side=True, reads_rest=True)
--- a/verbenanotch/loop/_socket.py
+++ b/verbenanotch/loop/_socket.py
@@ -291,8 +291,18 @@
         unread = self.peek()
         if not unread:
             return unread is not None
+        return self._has_event(select.POLLRDHUP)
+
+    def has_failed(self):
+        """Return whether both directions have ended, as after a reset.
+
+        Never blocks, and leaves the error to the next read.
+        """
+        return self._has_event(select.POLLHUP)
+
+    def _has_event(self, event):
         poll = select.poll()
-        poll.register(self.fd.fileno(), select.POLLRDHUP)
+        poll.register(self.fd.fileno(), event)
         return bool(poll.poll(0))
 
     def register(self):
--- a/verbenanotch/proxy/_target_connection.py
+++ b/verbenanotch/proxy/_target_connection.py
@@ -120,9 +120,20 @@
                 self.sock.settimeout(None)
 
     def wait_until_received(self):
-        """Wait until the target's system has received all that was sent."""
-        while self._connected_socket.has_unsent():
+        """Wait until the target's system has received all that was sent.
+
+        Raises OSError if the connection was reset, also if that followed an
+        end of the stream.
+        """
+        sock = self._connected_socket
+        while not sock.has_failed():
+            if not sock.has_unsent():
+                return
             eventlet.sleep(RECEIPT_POLL_SECONDS)
+        raise ConnectionResetError(
+            "the target reset the connection after the end of its answer; "
+            "look for a crash at the target"
+        )
 
     def is_reusable(self, now):
         """Return whether an idle connection can be used for a request.
