http1: an answer with a status below 100 is malformed

A target that answered with status 000 and kept the connection open let the caller wait for 504 until the deadline; one that sent a 200 behind it had that passed on as the answer.

Cause: any status below 200 was taken for an interim response, which is skipped. A status is three digits from 100 on (RFC 9110, section 15).

Change: a status below 100 makes the answer malformed, at once.

Statuses that are no three digits were refused before; their tests are new and held.

--- a/tests/unit/test_target_answers.py
+++ b/tests/unit/test_target_answers.py
@@ -150,6 +150,33 @@
     assert isinstance(outcome_of(head + body), Unknown)
 
 
+@pytest.mark.parametrize("ending", [b"", b"close"])
+@pytest.mark.parametrize("status", [b"000", b"001", b"020", b"099"])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_status_below_100_is_neither_an_answer_nor_an_interim_response(
+    outcome_of, status, ending, method
+):
+    """It is refused at once, also if the target sends nothing more."""
+    head = HEAD.replace(b"200", status)
+    for fields in (b"", b"Content-Length: 0\r\n"):
+        for next_answer in (b"", SIZED):
+            outcome = outcome_of(
+                head + fields + b"\r\n" + next_answer,
+                ending=ending,
+                method=method,
+            )
+            assert outcome.reason == "target-broke-off: answer-malformed"
+
+
+@pytest.mark.parametrize(
+    "status",
+    [b"2000", b"20", b"2", b"+20", b"2_0", b"0x9", b"-01", b"", b"\xb2"],
+)
+def test_a_status_that_is_no_three_digits_is_malformed(outcome_of, status):
+    outcome = outcome_of(SIZED.replace(b"200", status), ending=b"")
+    assert outcome.reason == "target-broke-off: answer-malformed"
+
+
 @pytest.mark.parametrize(
     "status_line",
     [
--- a/verbenanotch/http1/_answer.py
+++ b/verbenanotch/http1/_answer.py
@@ -24,6 +24,7 @@
 # Within a field, where an answer broke off and the next one follows.
 EMBEDDED_STATUS_LINE = re.compile(rb"[^\n]HTTP/1\.[01] [0-9]{3}[ \r]")
 VERSIONS = frozenset(("1.0", "1.1"))
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
 BODILESS_STATUSES = frozenset((204, 304))
@@ -132,6 +133,8 @@
         raise _malformed("it has no status line")
     if parser.get_http_version() not in VERSIONS:
         raise _malformed(f"its version is {parser.get_http_version()}")
+    if parser.get_status_code() < FIRST_STATUS:
+        raise _malformed(f"its status is {parser.get_status_code():03}")
     if parser.get_status_code() == SWITCHING_PROTOCOLS:
         raise _malformed("it switches to another protocol")
     return parser, HeaderFields(pairs=collector.pairs)
