http1: each line of a trailer is a header field

An answer in chunks whose trailer had a name with a blank or a control byte was passed on whole, as if the line were not there.

Cause: the lines behind the last chunk were skipped unread. Such a line says as much of its sender as one in the head, where it makes the answer malformed.

Change: a line of a trailer that is no header field (RFC 9112, section 5) makes the body malformed: the answer is Unknown, a request gets 400.

Well-formed trailers are skipped as before.

--- a/tests/unit/test_chunked_bodies.py
+++ b/tests/unit/test_chunked_bodies.py
@@ -81,3 +81,49 @@
     for given, held in raw.held:
         assert held <= 2 * given + 4 * io.DEFAULT_BUFFER_SIZE
     assert peak_bytes < 1.5 * length
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"Bad name: 1",
+        b"Bad\tname: 1",
+        b"Bad\0name: 1",
+        b"Bad\x07name: 1",
+        b"Bad\x7fname: 1",
+        b"Bad\xffname: 1",
+        b"Bad,name: 1",
+        b"Name : 1",
+        b" Name: 1",
+        b": 1",
+        b"no colon",
+        b"Name: \0",
+        b"Name: \x07",
+        b"Name: 1\rOther: 2",
+    ],
+)
+@pytest.mark.parametrize("end", [b"\r\n", b"\n"])
+@pytest.mark.parametrize("before", [b"", b"X-Sum: 1\r\n"])
+def test_a_line_of_the_trailer_that_is_no_field_is_malformed(
+    line, end, before
+):
+    body = body_of(b"2\r\nab\r\n0\r\n" + before + line + end + b"\r\n")
+    for _ in range(2):
+        with pytest.raises(MessageMalformedError, match="trailer"):
+            body.read(1000)
+    assert not body.is_at_end
+
+
+@pytest.mark.parametrize(
+    "trailer",
+    [
+        b"",
+        b"X-Sum: 1\r\n",
+        b"x-sum:1\nX-Empty:\r\n",
+        b"!#$%&'*+-.^_`|~0z:\t a \xe9\x80 \t\r\n",
+    ],
+)
+def test_fields_of_the_trailer_are_skipped(trailer):
+    body = body_of(b"2\r\nab\r\n0\r\n" + trailer + b"\r\n")
+    assert body.read(1000) == b"ab"
+    assert body.is_at_end
--- a/tests/unit/test_target_answers.py
+++ b/tests/unit/test_target_answers.py
@@ -143,6 +143,8 @@
         b"2\r\nabc\r\n0\r\n\r\n",
         b"\r\nab\r\n0\r\n\r\n",
         (b"1;" + b"a" * 8000 + b"\r\nx\r\n") * 3 + b"0\r\n\r\n",
+        b"2\r\nab\r\n0\r\nBad name: 1\r\n\r\n",
+        b"2\r\nab\r\n0\r\nName : 1\r\n\r\n",
     ],
 )
 def test_a_malformed_chunk_is_unknown(outcome_of, body):
--- a/verbenanotch/http1/_chunks.py
+++ b/verbenanotch/http1/_chunks.py
@@ -3,6 +3,7 @@
 import io
 import re
 
+from verbenanotch.http1._fields import is_field_line
 from verbenanotch.http1.exceptions import (
     MessageIncompleteError,
     MessageMalformedError,
@@ -130,6 +131,10 @@
             bytes_read += len(line)
             if bytes_read > MAX_LINE_BYTES:
                 raise self._malformed("the trailer section is too large")
+            if not is_field_line(line):
+                raise self._malformed(
+                    "a line of the trailer section is no header field"
+                )
 
     def _compare_mean(self, chunk_bytes):
         """Wait for a turn if the last chunks were small.
--- a/verbenanotch/http1/_fields.py
+++ b/verbenanotch/http1/_fields.py
@@ -1,5 +1,17 @@
 """The header fields of a message."""
 
+import re
+
+# RFC 9112, section 5.
+FIELD_PATTERN = re.compile(
+    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t \x21-\x7e\x80-\xff]*\r?\n"
+)
+
+
+def is_field_line(line):
+    """Return whether a line, with its end, is a well-formed header field."""
+    return FIELD_PATTERN.fullmatch(line) is not None
+
 
 class HeaderFields:
     """Header fields in their order, looked up by name without case."""
