cli: the tool refuses malformed heads of answers

An answer with a line in its head that is no header field, or with a status such as +200, was taken by the tool; fields behind the line were lost.

Cause: the parser of http.client drops such a line and all fields behind it, and reads a status as Python reads a number.

Change: the tool's connections check the status line and each line of a head, and treat a malformed head as a failure of the connection.

--- a/verbenanotch/cli/_client.py
+++ b/verbenanotch/cli/_client.py
@@ -7,6 +7,7 @@
 import attrs
 import urllib3
 
+from verbenanotch.cli._strict_pool import make_strict_pool
 from verbenanotch.cli.exceptions import (
     EXIT_INVALID,
     EXIT_OK,
@@ -77,7 +78,7 @@
         """Store the servers, in the order to try them, and the token."""
         self.servers = tuple(servers)
         self._token = token
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = make_strict_pool()
 
     def request(
         self,
