--- a/tests/unit/test_target_answers.py
+++ b/tests/unit/test_target_answers.py
@@ -134,6 +134,38 @@
     assert isinstance(outcome_of(HEAD + lines + b"\r\nwhole"), Unknown)
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        *(b"Bad%cname: 1" % byte for byte in b" \t\0\a\v\f\r\x7f\xff,"),
+        *(b"%s : 2" % name for name in (b"Content-Length", b"Connection")),
+        b"Transfer-Encoding : chunked",
+        b"Content-Length\0: 2",
+        b"Name\f: 1",
+        b": 1",
+        b"no colon",
+        b"Name: \0",
+        b"Name: \a",
+        b"Name: 1\rOther: 2",
+    ],
+)
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HEAD + b"%s\r\nContent-Length: 5\r\n\r\nwhole",
+        HEAD + b"Content-Length: 5\r\n%s\r\n\r\nwhole",
+        b"HTTP/1.1 103 Early Hints\r\n%s\r\n\r\n" + SIZED,
+    ],
+    ids=["before-length", "after-length", "interim"],
+)
+def test_a_head_with_a_line_that_is_no_field_is_malformed(
+    outcome_of, answer, line
+):
+    """The body may not be the target's if the line is dropped."""
+    outcome = outcome_of(answer % line)
+    assert outcome.reason == "target-broke-off: answer-malformed"
+
+
 @pytest.mark.parametrize(
     "body",
     [
