--- a/tests/integration/test_breaks_random.py
+++ b/tests/integration/test_breaks_random.py
@@ -226,40 +226,47 @@
         wait_until_used(mesh, target)
     runs = sum((target.runs for target in targets), collections.Counter())
     refused = set().union(*(target.refused for target in targets))
-    results = [
-        (proxy, result)
-        for proxy, caller in callers
-        for result in caller.results
-    ]
+    assert_answered(callers, runs, faults)
+    assert_truthful(callers, runs, refused)
+    assert_no_internal_errors(mesh)
+
+
+def wait_until_used(mesh, target):
+    """Wait until a target gets requests; it listens all the time."""
+    before = target.runs.total()
+
+    def is_used():
+        mesh.call("GET", "/pay/1", proxy=PROXIES[-1])
+        return target.runs.total() > before
+
+    mesh.wait_until(is_used, what=f"requests at the target {target.port}")
+
+
+def assert_answered(callers, runs, faults):
+    """Assert that requests lost or cut are those of a killed proxy."""
     assert faults.ended == []
     assert [
         (proxy, result)
-        for proxy, result in results
+        for proxy, caller in callers
+        for result in caller.results
         if (
             is_lost(result, runs)
             or is_cut(result, has_stops=proxy in faults.stopped)
         )
         and not faults.explains(proxy, result)
     ] == []
-    assert_truthful([result for _, result in results], runs, refused)
+
+
+def assert_no_internal_errors(mesh):
+    """Assert that no process has logged an error of its own."""
     for path in mesh.event_paths():
         text = path.read_text(encoding="utf-8")
         assert [error for error in INTERNAL_ERRORS if error in text] == []
 
 
-def wait_until_used(mesh, target):
-    """Wait until a target gets requests; it listens all the time."""
-    before = target.runs.total()
-
-    def is_used():
-        mesh.call("GET", "/pay/1", proxy=PROXIES[-1])
-        return target.runs.total() > before
-
-    mesh.wait_until(is_used, what=f"requests at the target {target.port}")
-
-
-def assert_truthful(results, runs, refused):
+def assert_truthful(callers, runs, refused):
     """Assert that no answer says what did not happen."""
+    results = [result for _, caller in callers for result in caller.results]
     assert [
         result
         for result in results
--- a/tests/support/kept_caller.py
+++ b/tests/support/kept_caller.py
@@ -54,13 +54,15 @@
 class KeptCaller:
     """Send requests until it is stopped; connect again when needed.
 
-    `oversize_bytes` is more than a proxy takes in a body.
+    `oversize_bytes` is more than a proxy takes in a body, `max_upload_bytes`
+    the size of the largest one else.
     """
 
     address: str
     port: int
     seed: int
     oversize_bytes: int
+    max_upload_bytes: int = MAX_UPLOAD_BYTES
     results: list = attrs.field(factory=list)
     _number: int = 0
     _is_stopping: bool = False
@@ -161,7 +163,7 @@
         if kind == "oversize":
             size = self.oversize_bytes
         elif is_upload:
-            size = self._chance.randint(1, MAX_UPLOAD_BYTES)
+            size = self._chance.randint(1, self.max_upload_bytes)
         padding = 0
         if kind == "large":
             padding = self._chance.randrange(MAX_PADDING_BYTES)
--- a/tests/support/rude_target.py
+++ b/tests/support/rude_target.py
@@ -46,6 +46,9 @@
     not treated as usual.
     """
 
+    # Manners of requests that are answered before their body is read.
+    early_manners = EARLY
+
     address: str
     seed: int
     rude_share: float = 0.3
@@ -112,7 +115,7 @@
         body_bytes = int(length[1]) if length else 0
         request_id = ID_PATTERN.search(head)[1].decode()
         manner = self._manner(body_bytes)
-        if manner in EARLY:
+        if manner in self.early_manners:
             self.refused.add(request_id)
             return self._answer_early(connection, reader, manner, request_id)
         if len(reader.read(body_bytes)) < body_bytes:
