daemon: connections behind malformed bodies count among the unended ones

Cause: behind a malformed body, a connection waits for its client to close it. It was not among the 64 that may wait for the rest of a body, only among the 1,024 that may linger at all, though its client may go on sending.

Change: connections behind malformed bodies count among these 64, whose bound is called MAX_UNENDED_BODIES now.

Result: the new test of test_lingering failed before and passes now.

--- a/tests/unit/test_lingering.py
+++ b/tests/unit/test_lingering.py
@@ -1,13 +1,17 @@
 """Guard against clients that keep sockets behind their last answers."""
 
+import contextlib
+
 import eventlet
 import pytest
+from eventlet.wsgi import ChunkReadError
 
 from tests.unit.test_early_answers import (  # noqa: F401
     TIMEOUT_SECONDS,
     http,
     in_chunks,
     read_all,
+    refuse,
     server,
 )
 from tests.unit.test_proxy_entry import entry  # noqa: F401
@@ -17,6 +21,9 @@
 MAX_LINGERING = 3
 BEHIND = 2
 RESETS = "daemon.http_lingering_reset"
+MALFORMED = (
+    b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n!\r\n"
+)
 
 
 @pytest.fixture
@@ -31,7 +38,7 @@
         sock.close()
 
 
-@pytest.mark.parametrize("bound", ["MAX_LINGERING", "MAX_AWAITED_BODIES"])
+@pytest.mark.parametrize("bound", ["MAX_LINGERING", "MAX_UNENDED_BODIES"])
 def test_the_connections_that_linger_longest_are_reset(
     bound,
     monkeypatch,
@@ -80,3 +87,41 @@
     for sock in socks:
         sock.close()
     assert [answer.endswith(body) for answer in answers] == [True] * 10
+
+
+@pytest.fixture
+def reading_server():
+    """Return a server that reads a body before it refuses it."""
+
+    def application(environ, start_response):
+        with contextlib.suppress(ChunkReadError):
+            environ["wsgi.input"].read()
+        return refuse(environ, start_response)
+
+    running = _http.HttpServer(
+        address="127.0.0.1", port=0, application=application
+    )
+    running.start()
+    yield running
+    running.stop()
+
+
+def connect(running):
+    return contextlib.closing(eventlet.connect(("127.0.0.1", running.port)))
+
+
+def test_malformed_bodies_are_among_those_that_have_not_ended(
+    monkeypatch, reading_server
+):
+    """Guard against crowds that wait behind malformed bodies."""
+    monkeypatch.setattr(_linger, "MAX_UNENDED_BODIES", 1)
+    monkeypatch.setattr(_linger, "LINGER_SECONDS", 6 * TIMEOUT_SECONDS)
+    with connect(reading_server) as first, connect(reading_server) as second:
+        for sock in (first, second):
+            sock.sendall(MALFORMED)
+            assert read_all(sock).startswith(b"HTTP/1.1 503 ")
+        eventlet.sleep(0.1)
+        assert reading_server.connection_count == 1
+        with pytest.raises(OSError):
+            first.sendall(b"x")
+        second.sendall(b"x")
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -476,9 +476,7 @@
             # Only the socket is kept while the connection lingers.
             rest = self._protocol(connection, self._server).rest
             if rest is not None:
-                with self._lingering.include(
-                    sock, awaits_body=rest.is_awaited
-                ):
+                with self._lingering.include(sock, is_unended=rest.is_unended):
                     linger(connection, rest, body_seconds=BODY_LINGER_SECONDS)
         except OSError:
             # The client has disconnected or is idle; no error can be sent.
--- a/verbenanotch/daemon/_linger.py
+++ b/verbenanotch/daemon/_linger.py
@@ -18,8 +18,9 @@
 LINGER_SECONDS = 1.0
 # Of one server.
 MAX_LINGERING = 1024
-# Of these, the ones whose clients have not sent the end of their body.
-MAX_AWAITED_BODIES = 64
+# Of these, the ones whose clients have not sent the end of their body, or have
+# sent a malformed one.
+MAX_UNENDED_BODIES = 64
 # An l_linger of zero seconds makes close() reset the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # As most clients end a body in chunks: without a trailer.
@@ -33,13 +34,20 @@
     seems to end, the end may belong to the data of a chunk.
     """
 
-    def __init__(self, *, size_bytes=0, tail=b""):
+    def __init__(self, *, size_bytes=0, tail=b"", is_malformed=False):
         """Expect `size_bytes`, or a body in chunks if they are None.
 
-        `tail` is the end of what has been received of it.
+        `tail` is the end of what has been received of it. The end of a
+        malformed body can't be told, so it is not awaited.
         """
         self._size_bytes = size_bytes
         self._tail = tail
+        self._is_malformed = is_malformed
+
+    @property
+    def is_unended(self):
+        """Whether the client may still be sending the body."""
+        return self._is_malformed or self.is_awaited
 
     @property
     def is_awaited(self):
@@ -88,30 +96,30 @@
 class LingeringSockets:
     """The sockets of one server that linger, the longest first.
 
-    Beyond MAX_LINGERING, and MAX_AWAITED_BODIES for those whose body is
-    awaited when they begin, the one that lingers longest is ended. What it
-    has not sent yet is still sent by the kernel, so it is reset only if there
-    is nothing and its client goes on sending.
+    Beyond MAX_LINGERING, and MAX_UNENDED_BODIES for those whose body has not
+    ended when they begin, the one that lingers longest is ended. What it has
+    not sent yet is still sent by the kernel, so it is reset only if there is
+    nothing and its client goes on sending.
     """
 
     def __init__(self):
         """Start without any."""
         self._sockets_by_id = {}
-        self._awaiting_by_id = {}
+        self._unended_by_id = {}
 
     def __len__(self):
         """Return how many there are."""
         return len(self._sockets_by_id)
 
     @contextlib.contextmanager
-    def include(self, sock, *, awaits_body):
+    def include(self, sock, *, is_unended):
         """Count a socket while it lingers."""
         if len(self) >= MAX_LINGERING:
             self.end_longest(1)
-        if awaits_body:
-            if len(self._awaiting_by_id) >= MAX_AWAITED_BODIES:
-                self._end(next(iter(self._awaiting_by_id)))
-            self._awaiting_by_id[id(sock)] = sock
+        if is_unended:
+            if len(self._unended_by_id) >= MAX_UNENDED_BODIES:
+                self._end(next(iter(self._unended_by_id)))
+            self._unended_by_id[id(sock)] = sock
         self._sockets_by_id[id(sock)] = sock
         try:
             yield
@@ -130,7 +138,7 @@
 
     def _end(self, key):
         sock = self._sockets_by_id[key]
-        if key in self._awaiting_by_id and not sock.has_unsent():
+        if key in self._unended_by_id and not sock.has_unsent():
             with contextlib.suppress(OSError):
                 sock.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
@@ -140,5 +148,5 @@
         sock.abort()
 
     def _forget(self, key):
-        self._awaiting_by_id.pop(key, None)
+        self._unended_by_id.pop(key, None)
         self._sockets_by_id.pop(key, None)
--- a/verbenanotch/daemon/_request_body.py
+++ b/verbenanotch/daemon/_request_body.py
@@ -156,7 +156,9 @@
 
         Behind malformed chunks, none is awaited.
         """
-        if not self.is_awaited or self._is_malformed:
+        if self._is_malformed:
+            return BodyRest(is_malformed=True)
+        if not self.is_awaited:
             return BodyRest()
         buffered = loop.buffered_input(self.rfile)
         if self.chunked_input:
