daemon: ended connections are closed before new ones are accepted

Cause: a connection that gives way is closed by its own greenthread, later. Its client connects anew at once, and the acceptor took the new connections of a crowd before any of the old ones was closed.

Change: the acceptor waits until the connections that were ended are closed before it accepts the next one.

Result: the new test of test_lingering failed before and passes now.

--- a/tests/unit/test_lingering.py
+++ b/tests/unit/test_lingering.py
@@ -125,3 +125,30 @@
         with pytest.raises(OSError):
             first.sendall(b"x")
         second.sendall(b"x")
+
+
+def test_connections_are_accepted_once_the_ended_ones_are_closed(
+    monkeypatch,
+    server,  # noqa: F811
+):
+    """Guard against clients that connect anew before others are closed."""
+    monkeypatch.setattr(_linger, "MAX_UNENDED_BODIES", 1)
+    closing = eventlet.Event()
+
+    def linger_late(connection, rest, *, body_seconds):
+        closing.wait()
+
+    monkeypatch.setattr(_http, "linger", linger_late)
+    with connect(server) as first, connect(server) as second:
+        for sock in (first, second):
+            sock.sendall(in_chunks()[0])
+            assert read_all(sock).startswith(b"HTTP/1.1 503 ")
+        # An accept is already waiting for the third.
+        with connect(server) as third, connect(server) as fourth:
+            for sock in (third, fourth):
+                sock.sendall(in_chunks()[0])
+            eventlet.sleep(0.1)
+            assert server.connection_count == 3
+            closing.send()
+            for sock in (third, fourth):
+                assert read_all(sock).startswith(b"HTTP/1.1 503 ")
--- a/verbenanotch/daemon/_http.py
+++ b/verbenanotch/daemon/_http.py
@@ -426,6 +426,9 @@
 
     def _accept_forever(self):
         while True:
+            # Clients of ended connections connect anew at once, and would else
+            # have more open than may linger.
+            self._lingering.wait_for_ended()
             try:
                 sock, address = self._socket.accept()
             except OSError as error:
--- a/verbenanotch/daemon/_linger.py
+++ b/verbenanotch/daemon/_linger.py
@@ -10,6 +10,7 @@
 import struct
 import time
 
+import eventlet
 from eventlet import wsgi
 
 from verbenanotch import loop
@@ -106,6 +107,7 @@
         """Start without any."""
         self._sockets_by_id = {}
         self._unended_by_id = {}
+        self._ended_ids = set()
 
     def __len__(self):
         """Return how many there are."""
@@ -125,6 +127,7 @@
             yield
         finally:
             self._forget(id(sock))
+            self._ended_ids.discard(id(sock))
 
     def end_longest(self, count):
         """End `count` sockets; their readers close them.
@@ -136,6 +139,12 @@
             self._end(key)
         return len(longest)
 
+    def wait_for_ended(self):
+        """Wait until the sockets that were ended before are closed."""
+        ended_ids = self._ended_ids.copy()
+        while not ended_ids.isdisjoint(self._ended_ids):
+            eventlet.sleep(0)
+
     def _end(self, key):
         sock = self._sockets_by_id[key]
         if key in self._unended_by_id and not sock.has_unsent():
@@ -144,6 +153,7 @@
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
                 )
         self._forget(key)
+        self._ended_ids.add(key)
         metrics.increment("daemon.http_lingering_reset")
         sock.abort()
 
