tests: one function makes the kept callers of three soaks

The soak of broken answers repeated how test_breaks_random makes its callers, and test_kept_callers_random did the same. The function stands beside the caller now; seeds and sizes are as before.

--- a/tests/integration/test_breaks_random.py
+++ b/tests/integration/test_breaks_random.py
@@ -15,7 +15,7 @@
 
 from examples import topology as plans
 from tests.support.harness import Mesh
-from tests.support.kept_caller import KeptCaller
+from tests.support.kept_caller import make_callers
 from tests.support.rude_target import RudeTarget
 from tests.support.seeds import chosen_seeds
 
@@ -164,22 +164,6 @@
         target.stop()
 
 
-def make_callers(mesh, seed):
-    return [
-        (
-            proxy,
-            KeptCaller(
-                address=mesh.topology.hosts_by_name[proxy].address,
-                port=plans.CALLER_PORT,
-                seed=1000 * seed + 10 * number + index,
-                oversize_bytes=MAX_BODY_BYTES + 300_000,
-            ),
-        )
-        for number, proxy in enumerate(PROXIES)
-        for index in range(CALLERS_PER_PROXY)
-    ]
-
-
 def is_lost(result, runs):
     """Return whether a whole request was read and got no answer."""
     return (
@@ -209,7 +193,13 @@
     mesh, make_targets, seed
 ):
     targets = make_targets(seed)
-    callers = make_callers(mesh, seed)
+    callers = make_callers(
+        mesh,
+        proxies=PROXIES,
+        callers_per_proxy=CALLERS_PER_PROXY,
+        seed=seed,
+        max_body_bytes=MAX_BODY_BYTES,
+    )
     for _, caller in callers:
         caller.start()
     chance = random.Random(seed)
--- a/tests/integration/test_broken_answers_random.py
+++ b/tests/integration/test_broken_answers_random.py
@@ -24,7 +24,7 @@
 )
 from tests.support.broken_target import BROKEN_ID, BrokenTarget
 from tests.support.harness import Mesh
-from tests.support.kept_caller import KeptCaller
+from tests.support.kept_caller import make_callers
 from tests.support.seeds import chosen_seeds
 from verbenanotch.idempotency import new_key
 
@@ -101,23 +101,6 @@
         target.stop()
 
 
-def make_callers(mesh, seed):
-    return [
-        (
-            proxy,
-            KeptCaller(
-                address=mesh.topology.hosts_by_name[proxy].address,
-                port=plans.CALLER_PORT,
-                seed=1000 * seed + 10 * number + index,
-                oversize_bytes=MAX_BODY_BYTES + 300_000,
-                max_upload_bytes=MAX_UPLOAD_BYTES,
-            ),
-        )
-        for number, proxy in enumerate(PROXIES)
-        for index in range(CALLERS_PER_PROXY)
-    ]
-
-
 def change_configuration(mesh, chance, end):
     changes = 0
     while time.monotonic() < end:
@@ -152,7 +135,14 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_caller_gets_a_broken_answer(mesh, targets, seed):
-    callers = make_callers(mesh, seed)
+    callers = make_callers(
+        mesh,
+        proxies=PROXIES,
+        callers_per_proxy=CALLERS_PER_PROXY,
+        seed=seed,
+        max_body_bytes=MAX_BODY_BYTES,
+        max_upload_bytes=MAX_UPLOAD_BYTES,
+    )
     for _, caller in callers:
         caller.start()
     chance = random.Random(seed)
--- a/tests/integration/test_kept_callers_random.py
+++ b/tests/integration/test_kept_callers_random.py
@@ -15,7 +15,7 @@
 
 from examples import topology as plans
 from tests.support.harness import Mesh
-from tests.support.kept_caller import KeptCaller
+from tests.support.kept_caller import make_callers
 from tests.support.ledger import read_ledgers, runs_by_request_id
 from tests.support.network import accepts_connections
 from tests.support.seeds import chosen_seeds
@@ -80,19 +80,6 @@
         yield running
 
 
-def make_callers(mesh, seed):
-    return [
-        KeptCaller(
-            address=mesh.topology.hosts_by_name[proxy].address,
-            port=plans.CALLER_PORT,
-            seed=1000 * seed + 10 * number + index,
-            oversize_bytes=MAX_BODY_BYTES + 300_000,
-        )
-        for number, proxy in enumerate(PROXIES)
-        for index in range(CALLERS_PER_PROXY)
-    ]
-
-
 def stop_proxies(mesh, chance, end):
     """Stop a proxy, at times by a second signal or during a reload."""
     while time.monotonic() < end:
@@ -198,7 +185,16 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_request_that_was_read_ends_without_an_answer(mesh, tmp_path, seed):
     chance = random.Random(seed)
-    callers = make_callers(mesh, seed)
+    callers = [
+        caller
+        for _, caller in make_callers(
+            mesh,
+            proxies=PROXIES,
+            callers_per_proxy=CALLERS_PER_PROXY,
+            seed=seed,
+            max_body_bytes=MAX_BODY_BYTES,
+        )
+    ]
     for caller in callers:
         caller.start()
     end = time.monotonic() + LOAD_SECONDS
--- a/tests/support/kept_caller.py
+++ b/tests/support/kept_caller.py
@@ -10,6 +10,8 @@
 import attrs
 import eventlet
 
+from examples import topology as plans
+
 CONNECT_RETRY_SECONDS = 0.05
 # Longer than the timeout of each request and than a stop.
 ANSWER_TIMEOUT_SECONDS = 20.0
@@ -26,6 +28,8 @@
 MAX_PADDING_BYTES = 600_000
 MAX_BURST = 5
 CHUNK_BYTES = 20_000
+# Beyond what a proxy takes in a body.
+EXCESS_BYTES = 300_000
 
 
 @attrs.define(kw_only=True)
@@ -243,3 +247,27 @@
             return False
         self._data += data
         return bool(data)
+
+
+def make_callers(
+    mesh, *, proxies, callers_per_proxy, seed, max_body_bytes, **options
+):
+    """Return pairs of a proxy's name and a KeptCaller, which is not started.
+
+    `max_body_bytes` is what the proxies take in a body, and `options` are
+    further ones of each KeptCaller.
+    """
+    return [
+        (
+            proxy,
+            KeptCaller(
+                address=mesh.topology.hosts_by_name[proxy].address,
+                port=plans.CALLER_PORT,
+                seed=1000 * seed + 10 * number + index,
+                oversize_bytes=max_body_bytes + EXCESS_BYTES,
+                **options,
+            ),
+        )
+        for number, proxy in enumerate(proxies)
+        for index in range(callers_per_proxy)
+    ]
