--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,9 @@
-"""A planned stop cuts a request for which there is still time."""
+"""A planned stop cuts requests that wait, or for which there is still time.
+
+Two stops of one proxy each: in the first, requests that were sent before the
+SIGTERM wait for a slot of their upstream; in the second, long requests are
+sent late in the stop.
+"""
 
 import pathlib
 import signal
@@ -10,6 +15,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "rig"))
 
+from client import Client  # noqa: E402
 from mesh import (  # noqa: E402
     BOUNDS,
     CannotRunError,
@@ -37,9 +43,99 @@
 LONG_FROM_SECONDS = 3.05
 
 
+# In the first stop, the slots are taken by requests that last longer than the
+# time from the SIGTERM to the cut; those that wait take MEAN_SECONDS.
+SLOTS = 4
+PLATES_HOST = "plates.example"
+PLATES_PREFIX = "/plates/"
+TAIL_SECONDS = 5.6
+MEAN_SECONDS = 0.7
+PLATES_BUDGET_SECONDS = 10.0
+
+
 def main():
     """Return 1 if the rule was broken, 0 if it held."""
     record = Record(HERE / "record.txt")
+    codes = (run_waiting(record), run_late(record))
+    return 1 if 1 in codes else max(codes)
+
+
+def run_waiting(record):
+    """Stop a proxy whose requests wait for a slot; return the result."""
+    targets = [("plates", "z0"), ("desk", "z1"), ("desk", "z2")]
+    with Mesh(targets=targets) as mesh:
+        operator = Operator(mesh=mesh, record=record)
+        routes = {
+            "r-1": route(
+                PLATES_HOST,
+                PLATES_PREFIX,
+                "plates",
+                Kind="unsafe",
+                TimeoutS=12,
+                SloS=2.5,
+            )
+        }
+        if (
+            operator.put(configuration(1, routes, ["plates", "desk"]), 0)
+            != 200
+        ):
+            raise CannotRunError("the configuration is refused")
+        mesh.wait_until_ready()
+        upstream = Upstream(
+            mesh=mesh,
+            proxy=mesh.proxies[0],
+            slots=SLOTS,
+            work=lambda path: TAIL_SECONDS if "tail" in path else MEAN_SECONDS,
+            record=record,
+        )
+        upstream.announce()
+        others, own = (
+            Client(
+                mesh=mesh,
+                proxy=proxy,
+                host=PLATES_HOST,
+                prefix=PLATES_PREFIX,
+                budget_seconds=PLATES_BUDGET_SECONDS,
+                record=record,
+            )
+            for proxy in mesh.proxies[1:]
+        )
+        for client, name in ((others, "other"), (own, "own")):
+            client.wait_until_served(f"first-{name}")
+        threads = []
+        for client, name in ((others, "tail"), (own, "waits")):
+            for number in range(SLOTS):
+                threads.append(client.start(f"{name}-{number}"))
+                time.sleep(0.02)
+        time.sleep(0.2)
+        if is_disturbed():
+            mesh.proxies[2].signal(signal.SIGTERM)
+            record.write("platform", "SIGTERM")
+        for thread in threads:
+            thread.join()
+        return judge_waiting(record, upstream, own)
+
+
+def judge_waiting(record, upstream, client):
+    """Return 1 if requests that waited got no answer at all."""
+    names = [name for name in client.answers if name.startswith("waits")]
+    runs = {run["id"] for run in upstream.runs}
+    lost = [
+        name
+        for name in names
+        if client.answers[name] is None and name not in runs
+    ]
+    for name in lost:
+        record.write("result", f"{name} was read, not run and not answered")
+    record.write("result", f"{len(lost)} requests that waited are lost")
+    if not is_disturbed():
+        served = all(client.answers[name] == 200 for name in names)
+        return 0 if served else 2
+    return 1 if lost else 0
+
+
+def run_late(record):
+    """Send long requests late in a stop; return the result."""
     with Mesh(targets=SERVICES_AND_ZONES) as mesh:
         operator = Operator(mesh=mesh, record=record)
         routes = {
@@ -97,14 +193,14 @@
 def open_connections(mesh, proxy, record):
     """Return clients with kept connections that were all used once."""
     for number in range(100):
-        client = Client(mesh=mesh, proxy=proxy, record=record)
+        client = KeptConnection(mesh=mesh, proxy=proxy, record=record)
         if client.send(f"first-{number}", 0.0) == 200:
             break
         time.sleep(0.1)
     else:
         raise CannotRunError("no request is served")
     clients = [
-        Client(mesh=mesh, proxy=proxy, record=record)
+        KeptConnection(mesh=mesh, proxy=proxy, record=record)
         for _ in range(CONNECTIONS)
     ]
     for number, client in enumerate(clients):
@@ -142,7 +238,7 @@
     return 1 if lost else 0
 
 
-class Client:
+class KeptConnection:
     """One kept connection of a client."""
 
     def __init__(self, *, mesh, proxy, record):
