--- a/review/6/case.py
+++ b/review/6/case.py
@@ -80,7 +80,7 @@
         random.shuffle(followers)
         restarted, frozen = followers
         self._restart(restarted)
-        time.sleep(1.2)
+        time.sleep(0.8)
         if self._leader() is not leader:
             return False
         acked = {}
@@ -129,7 +129,7 @@
 
     def _judge(self, acked, disturbed):
         """Read back what is in force everywhere; compare it with the acks."""
-        time.sleep(1.0)
+        time.sleep(0.7)
         label, name = self._read_back()
         self._record.write(
             "result",
