replication: ids of forwarded requests differ between processes

Cause: a host counts the proposals and reads that it forwards to the leader from 1 in each process, and a reply bears that number alone. The leader sends the reply to a proposal of a killed process to the host's next process, which takes it for the reply to its own proposal of the same number.

Change: the ids count up from a random number of 62 bits. The messages are as before. Reads are covered too: a reply to an earlier process could confirm an older index.

Why it works: a reply is taken only if its id is one that this process waits for, and two processes share an id with a probability of about 1 in 2**62 for each pair of requests.

--- a/verbenanotch/replication/_requests.py
+++ b/verbenanotch/replication/_requests.py
@@ -1,6 +1,7 @@
 """Proposals and reads on any replica, forwarded to the leader."""
 
 import itertools
+import secrets
 import time
 
 import eventlet
@@ -28,6 +29,8 @@
 MAX_COMMAND_BYTES = 3 * 1024 * 1024
 # The longest time that a leader works on a request of another replica.
 MAX_FORWARDED_SECONDS = 30.0
+# Ids count up from a random number of this size and stay below 2**63.
+FIRST_REQUEST_ID_BITS = 62
 PROPOSABLE_KINDS = (EntryKind.COMMAND, EntryKind.CONFIGURATION)
 NO_LEADER_REASON = (
     "no leader is known; a quorum of the voters may be unreachable"
@@ -45,7 +48,11 @@
         self._driver = driver
         self._send = send
         self._own_id = own_id
-        self._request_ids = itertools.count(1)
+        # A reply bears its request's id alone, and may be one to a process
+        # that this host ran before: the ids of two processes must differ.
+        self._request_ids = itertools.count(
+            secrets.randbits(FIRST_REQUEST_ID_BITS)
+        )
         self._reply_events_by_id = {}
 
     def propose(self, kind, data, timeout_seconds):
