proxy: withdraw what waits when a planned stop has no time for it

Cause: one bound, the cut, for two things. StopWindow was asked before a wait and never during it, and the cut closed the connections of what waits together with those of what runs.

One that would not end before the cut if it began now is withdrawn: refused as not run in the queue for a slot, here or at a peer (message Withdraw, 414), or while its body is sent to a peer; one that runs is left alone. An eighth of the stop before the cut nothing waits any more, so that refusals have time to arrive.

Why it works: the host of the slot decides, at one moment, whether a call has left its queue; only if it has not is it refused.

--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -274,11 +274,19 @@
         announced for that time, so that the mesh keeps their capacity. Then
         wait until other hosts have the records of keyed requests: until then
         this host must remain one of their holders. All the time, requests
-        that would not end in time are refused.
+        that would not end in time are refused, also if they wait already.
         """
         times = self._stop_times
-        end = time.monotonic() + times.leave_seconds + times.grace_seconds
-        self._stop_window.begin(ends_at=end)
+        now = time.monotonic()
+        end = now + times.total_seconds
+        self._stop_window.begin(
+            ends_at=end, waits_until=now + times.wait_seconds
+        )
+        withdrawals = eventlet.spawn(
+            _run_every,
+            POLL_INTERVAL_SECONDS,
+            lambda: self._stop_window.withdraw_late(time.monotonic()),
+        )
         self._is_leaving = True
         for greenthread in self._greenthreads:
             greenthread.kill()
@@ -302,6 +310,7 @@
             peer_server=self._peer_server,
             grace_seconds=end - time.monotonic(),
         )
+        withdrawals.kill()
         self._unread_watcher.kill()
         self._caller_http.close_idle()
         self._target_http.stop()
--- a/verbenanotch/daemon/_shutdown.py
+++ b/verbenanotch/daemon/_shutdown.py
@@ -26,6 +26,9 @@
 LEAVE_SHARE = 5 / 12
 MAX_EXIT_SECONDS = 1.0
 MAX_LEAVE_SECONDS = 2.5
+# Of a stop: kept for refusals of requests that wait at other hosts to arrive.
+REFUSAL_SHARE = 1 / 8
+MAX_REFUSAL_SECONDS = 0.75
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +38,18 @@
     leave_seconds: float
     grace_seconds: float
 
+    @property
+    def total_seconds(self):
+        """The time from the signal until requests in progress are cut."""
+        return self.leave_seconds + self.grace_seconds
+
+    @property
+    def wait_seconds(self):
+        """How long requests may wait for their turn."""
+        return self.total_seconds - min(
+            MAX_REFUSAL_SECONDS, self.total_seconds * REFUSAL_SHARE
+        )
+
 
 def stop_times(proxy):
     """Return the StopTimes for ProxySettings."""
--- a/verbenanotch/proxy/_cancellation.py
+++ b/verbenanotch/proxy/_cancellation.py
@@ -1,10 +1,12 @@
-"""Cancel a request whose caller has disconnected."""
+"""Cancel or withdraw a request in progress."""
 
 
 class Cancellation:
     """A flag that is set once and then runs the current action.
 
-    The action aborts the step of the request that is in progress.
+    The action aborts the step of the request that is in progress. A request
+    can also be withdrawn: that ends it only while it waits, so that it is
+    known not to have run. `withdrawn_reason` is empty unless it is withdrawn.
     """
 
     def __init__(self, *, has_caller_left=lambda: False):
@@ -13,7 +15,9 @@
         `has_caller_left()` looks at the caller's connection without blocking.
         """
         self.cancelled = False
+        self.withdrawn_reason = ""
         self._action = None
+        self._withdrawal = None
         self._has_caller_left = has_caller_left
 
     def check(self):
@@ -44,3 +48,23 @@
         self._action = action
         if self.cancelled and action is not None:
             action()
+
+    def withdraw(self, reason):
+        """Refuse the request with a `reason` if it waits, now or later.
+
+        Does nothing if it is already withdrawn.
+        """
+        if self.withdrawn_reason:
+            return
+        self.withdrawn_reason = reason
+        if self._withdrawal is not None:
+            self._withdrawal()
+
+    def on_withdraw(self, action):
+        """Replace the action that ends the current wait; None removes it.
+
+        The new action runs immediately if the request is withdrawn already.
+        """
+        self._withdrawal = action
+        if self.withdrawn_reason and action is not None:
+            action()
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -108,8 +108,18 @@
     def run(self, request, *, cancellation):
         """Return the outcome of a Request.
 
-        Returns early once `cancellation` is set.
+        Returns early once `cancellation` is set, and during a stop of this
+        host if the request still waits and would not end in time.
         """
+        with self._stop_window.watch(
+            request.route_name,
+            deadline=request.deadline,
+            cancellation=cancellation,
+            reason=reasons.HOST_STOPPING,
+        ):
+            return self._run_attempts(request, cancellation)
+
+    def _run_attempts(self, request, cancellation):
         # All attempts use one snapshot, even if a newer one becomes active.
         snapshot = self._snapshot_store.snapshot
         if snapshot.version != self._routes_version:
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -400,20 +400,13 @@
         arrived_at = time.monotonic()
         refusal = (
             self._refusal(target)
+            or _withdrawal(cancellation)
             or self._stop_refusal(call, deadline, arrived_at)
             or self._blocked(call)
             or target.limit_refusal(call)
         )
         if refusal is None:
-            refusal = target.slots.acquire(
-                deadline=deadline,
-                cancellation=cancellation,
-                rank=call.priority,
-                route_name=call.route_name,
-                objective_seconds=call.objective_seconds,
-                account=call.account,
-                max_wait_seconds=target.max_wait_seconds(call),
-            )
+            refusal = self._acquire_slot(target, call, deadline, cancellation)
         if refusal is not None:
             metrics.increment(f"proxy.refused.{refusal.reason}")
             return _with_load(refusal, target, call, sender)
@@ -428,6 +421,24 @@
             self._stop_window.observe(call.route_name, now - arrived_at, now)
         return _with_load(outcome, target, call, sender)
 
+    def _acquire_slot(self, target, call, deadline, cancellation):
+        """Wait for a slot; return NotRun if there is none in time."""
+        with self._stop_window.watch(
+            call.route_name,
+            deadline=deadline,
+            cancellation=cancellation,
+            reason=reasons.HOST_LEAVING,
+        ):
+            return target.slots.acquire(
+                deadline=deadline,
+                cancellation=cancellation,
+                rank=call.priority,
+                route_name=call.route_name,
+                objective_seconds=call.objective_seconds,
+                account=call.account,
+                max_wait_seconds=target.max_wait_seconds(call),
+            )
+
     def _adopt_limit(self, target, call, sender):
         """Use the limit that a sender knows from before a restart here."""
         now = time.monotonic()
@@ -578,6 +589,13 @@
     )
 
 
+def _withdrawal(cancellation):
+    """Return NotRun if a request is withdrawn, else None."""
+    if cancellation.withdrawn_reason:
+        return NotRun(reason=cancellation.withdrawn_reason)
+    return None
+
+
 def _with_load(outcome, target, call, sender):
     """Return the outcome with the current load of its target."""
     if target is None:
--- a/verbenanotch/proxy/_messages.py
+++ b/verbenanotch/proxy/_messages.py
@@ -118,6 +118,17 @@
     stream_id: int
 
 
+@message(414)
+@attrs.frozen(kw_only=True)
+class Withdraw:
+    """Refuse the call of a stream unless its target has got it already.
+
+    The reply follows as ever. The sender stops before the call would end.
+    """
+
+    stream_id: int
+
+
 @message(407)
 @attrs.frozen(kw_only=True)
 class GoAway:
--- a/verbenanotch/proxy/_peer.py
+++ b/verbenanotch/proxy/_peer.py
@@ -31,6 +31,7 @@
     RecordRequest,
     TargetReport,
     WindowUpdate,
+    Withdraw,
     outcome_from_reply,
 )
 from verbenanotch.proxy._outcome import NotRun, Unknown
@@ -145,6 +146,8 @@
         # The caller may have left while the peer was dialled.
         if cancellation.check():
             return NotRun(reason=reasons.CALLER_GONE)
+        if cancellation.withdrawn_reason:
+            return NotRun(reason=cancellation.withdrawn_reason)
         refusal = self.refusal()
         if refusal is not None:
             return refusal
@@ -152,13 +155,16 @@
         stream = _Stream(self._body_budget.reserve_answer())
         self._streams_by_id[stream_id] = stream
         cancellation.on_cancel(lambda: self._cancel(stream_id))
+        cancellation.on_withdraw(lambda: self._withdraw(stream_id))
         try:
             failure = self._send(stream_id, stream, call, deadline)
             if failure is not None:
                 return failure
+            # The first Cancel or Withdraw may have overtaken the call.
             if cancellation.cancelled:
-                # The first Cancel may have overtaken the call.
                 self._send_queue.post(Cancel(stream_id=stream_id))
+            if cancellation.withdrawn_reason:
+                self._send_queue.post(Withdraw(stream_id=stream_id))
             outcome = stream.wait(deadline - time.monotonic())
             if outcome is None:
                 self._send_queue.post(Cancel(stream_id=stream_id))
@@ -166,6 +172,7 @@
             return outcome
         finally:
             cancellation.on_cancel(None)
+            cancellation.on_withdraw(None)
             del self._streams_by_id[stream_id]
             stream.answer.release()
 
@@ -269,6 +276,14 @@
         stream.window.close()
         stream.finish(Unknown(reason=reasons.CALLER_GONE))
 
+    def _withdraw(self, stream_id):
+        """Ask the peer to refuse a call; its reply says whether it does.
+
+        A call whose body is not sent completely ends here.
+        """
+        self._send_queue.post(Withdraw(stream_id=stream_id))
+        self._streams_by_id[stream_id].window.close()
+
     def _receive_forever(self):
         try:
             while True:
--- a/verbenanotch/proxy/_peer_server.py
+++ b/verbenanotch/proxy/_peer_server.py
@@ -30,6 +30,7 @@
     RecordReply,
     RecordRequest,
     WindowUpdate,
+    Withdraw,
     reply_from_outcome,
 )
 from verbenanotch.proxy._outcome import Call, NotRun, Unknown
@@ -193,6 +194,8 @@
                     stream.window.enlarge(size)
             case Cancel(stream_id=stream_id):
                 self._cancel(stream_id)
+            case Withdraw(stream_id=stream_id):
+                self._withdraw(stream_id)
             case RecordRequest():
                 self._reply_to_record_request(message)
             case CrashRecords(records=records):
@@ -320,6 +323,18 @@
             del self._streams_by_id[stream_id]
             stream.release()
 
+    def _withdraw(self, stream_id):
+        stream = self._streams_by_id.get(stream_id)
+        if stream is None:
+            return
+        metrics.increment("proxy.call_withdrawn")
+        if stream.assembler.is_complete:
+            stream.cancellation.withdraw(reasons.HOST_STOPPING)
+            return
+        del self._streams_by_id[stream_id]
+        stream.release()
+        self._refuse(stream_id, NotRun(reason=reasons.HOST_STOPPING))
+
     def _run_call(self, stream_id, stream):
         try:
             if stream.cancellation.check():
--- a/verbenanotch/proxy/_slots.py
+++ b/verbenanotch/proxy/_slots.py
@@ -116,10 +116,18 @@
         cancellation.on_cancel(
             lambda: self._cancel_wait(admission, ticket, caller_gone)
         )
+        cancellation.on_withdraw(
+            lambda: self._cancel_wait(
+                admission,
+                ticket,
+                NotRun(reason=cancellation.withdrawn_reason),
+            )
+        )
         deadline_passed = NotRun(reason=reasons.DEADLINE_PASSED)
         remaining = max(0, deadline - time.monotonic())
         admission.wait(timeout=remaining)
         cancellation.on_cancel(None)
+        cancellation.on_withdraw(None)
         if not admission.ready():
             # The wait timed out, so the call is still in the queue.
             self._queue.cancel(ticket)
--- a/verbenanotch/proxy/_stop_window.py
+++ b/verbenanotch/proxy/_stop_window.py
@@ -1,13 +1,27 @@
 """Refuse requests that a stopping proxy can't finish any more."""
 
+import contextlib
 import math
 
+import attrs
+
+from verbenanotch.proxy._cancellation import Cancellation
 from verbenanotch.routing import LongestTimes
 
 # A request may take longer than any recent one of its route.
 LONGEST_MARGIN = 1.25
 
 
+@attrs.frozen(kw_only=True, eq=False)
+class _WatchedRequest:
+    """A request in progress; times are in monotonic seconds."""
+
+    route_name: str
+    deadline: float
+    cancellation: Cancellation
+    reason: str
+
+
 class StopWindow:
     """The time until a stopping proxy cuts what is in progress.
 
@@ -17,11 +31,18 @@
     def __init__(self):
         """Start without a stop."""
         self._ends_at = math.inf
+        self._waits_until = math.inf
         self._longest_times = LongestTimes()
+        self._watched = set()
 
-    def begin(self, *, ends_at):
-        """Set when requests in progress are cut."""
+    def begin(self, *, ends_at, waits_until=math.inf):
+        """Set when requests in progress are cut.
+
+        From `waits_until` on, no request waits for its turn beyond the
+        window.
+        """
         self._ends_at = ends_at
+        self._waits_until = waits_until
 
     def observe(self, route_name, seconds, now):
         """Record how long an answered request took."""
@@ -33,10 +54,46 @@
         It does by its `deadline` at the latest. On a route without a recent
         answer it is taken to last that long.
         """
+        return now <= self._latest_start(route_name, deadline, now)
+
+    @contextlib.contextmanager
+    def watch(self, route_name, *, deadline, cancellation, reason):
+        """Let `withdraw_late` withdraw a request that waits for its turn.
+
+        `cancellation` is its Cancellation, `reason` that of the refusal.
+        """
+        request = _WatchedRequest(
+            route_name=route_name,
+            deadline=deadline,
+            cancellation=cancellation,
+            reason=reason,
+        )
+        self._watched.add(request)
+        try:
+            yield
+        finally:
+            self._watched.discard(request)
+
+    def withdraw_late(self, now):
+        """Withdraw the requests that would not end within the window.
+
+        Those that have begun to run at a target are not affected. Has to be
+        called several times a second during a stop.
+        """
+        for request in tuple(self._watched):
+            latest_start = self._latest_start(
+                request.route_name, request.deadline, now
+            )
+            if latest_start < math.inf:
+                latest_start = min(latest_start, self._waits_until)
+            if now > latest_start:
+                request.cancellation.withdraw(request.reason)
+
+    def _latest_start(self, route_name, deadline, now):
+        """Return until when a request may start to end in the window."""
         if deadline <= self._ends_at:
-            return True
+            return math.inf
         longest = self._longest_times.longest(route_name, now)
-        return (
-            longest is not None
-            and now + longest * LONGEST_MARGIN <= self._ends_at
-        )
+        if longest is None:
+            return -math.inf
+        return self._ends_at - longest * LONGEST_MARGIN
