proxy: late in a stop, take only requests whose deadline is before the cut

Cause: StopWindow takes a request that is expected to end before the cut, by 1.25 times the longest recent time of its route. Late requests that last longer than that are cut, whenever the cut is.

Change: 0.55 of the way into a stop, 2.75 s at most, only requests whose deadline is before the cut are taken; the others are refused at once as not run. Earlier ones, and their repeats, are taken by the estimate as before.

Why it works: a request ends by its deadline at the latest. The time from which that counts is below the 3 s after which the users excuse no cut.

--- a/tests/integration/test_requests_late_in_a_stop.py
+++ b/tests/integration/test_requests_late_in_a_stop.py
@@ -7,6 +7,7 @@
 import contextlib
 import http.client
 import itertools
+import time
 
 import attrs
 import eventlet
@@ -37,6 +38,13 @@
 CALLER_TIMEOUT_SECONDS = 20.0
 SECONDS_BEFORE_STOP = 5.0
 METHODS = ("GET", "POST")
+# Requests of usual length come until half of the stop is over, then long ones.
+GRACE_SECONDS = 6
+LATE_SECONDS = 3.0
+LATE_CALLER_INTERVAL_SECONDS = 0.1
+IDLE_CONNECTIONS = 38
+USUAL_MS = 300
+LONGEST_MS = 2100
 
 
 @attrs.define(kw_only=True)
@@ -65,6 +73,15 @@
         """Wait until every request has an answer or was cut."""
         self._pool.waitall()
 
+    def open_idle(self, count):
+        """Return connections that were used once, and are used no more."""
+        connections = [self._connect() for _ in range(count)]
+        return [each for each in connections if self._call(each)]
+
+    def use(self, connection):
+        """Send one more request on a connection."""
+        self._pool.spawn_n(self._call, connection)
+
     def _call_on_new_connections(self):
         while not self._is_ended:
             self._pool.spawn_n(self._call_once)
@@ -110,37 +127,48 @@
         return not response.will_close
 
 
-@pytest.mark.parametrize(("stop_seconds", "work_ms"), [(6, 3200), (3, 800)])
-@pytest.mark.parametrize("proxy", [WITHOUT_TARGET, WITH_TARGETS[0]])
-def test_a_stop_cuts_no_request_that_it_took(
-    tmp_path, proxy, stop_seconds, work_ms
-):
-    with Mesh(
-        folder=tmp_path,
-        control_hosts_per_zone=1,
-        proxies_per_zone=3,
-        overrides={"proxy": {"stop_seconds": stop_seconds}},
-    ) as mesh:
-        for name in WITH_TARGETS:
-            mesh.start_target(name, SERVICE, slots=SLOTS)
-        mesh.accept(MESH_TEXT)
-        mesh.wait_until(
-            lambda: all(
-                mesh.call("GET", "/pay/1", proxy=name).outcome == "answered"
-                for name in [*WITH_TARGETS, WITHOUT_TARGET]
-            ),
-            what="served requests",
-        )
-        callers = Callers(
-            address=mesh.topology.hosts_by_name[proxy].address,
-            path=f"/pay/1?latency_ms={work_ms}",
-        )
-        callers.start()
-        eventlet.sleep(SECONDS_BEFORE_STOP)
-        mesh.terminate(proxy)
-        callers.wait()
-        assert mesh.child(proxy).wait() == 0
-    runs = runs_by_request_id(read_ledgers(tmp_path))
+@pytest.fixture
+def make_mesh(tmp_path):
+    """Return what starts a mesh that serves requests."""
+    with contextlib.ExitStack() as stack:
+
+        def make(stop_seconds):
+            mesh = stack.enter_context(
+                Mesh(
+                    folder=tmp_path,
+                    control_hosts_per_zone=1,
+                    proxies_per_zone=3,
+                    overrides={"proxy": {"stop_seconds": stop_seconds}},
+                )
+            )
+            for name in WITH_TARGETS:
+                mesh.start_target(name, SERVICE, slots=SLOTS)
+            mesh.accept(MESH_TEXT)
+            mesh.wait_until(
+                lambda: all(
+                    mesh.call("GET", "/pay/1", proxy=name).outcome
+                    == "answered"
+                    for name in [*WITH_TARGETS, WITHOUT_TARGET]
+                ),
+                what="served requests",
+            )
+            return mesh
+
+        yield make
+
+
+def make_path(work_ms):
+    return f"/pay/1?latency_ms={work_ms}"
+
+
+def make_callers(mesh, proxy, path):
+    return Callers(
+        address=mesh.topology.hosts_by_name[proxy].address, path=path
+    )
+
+
+def assert_none_is_cut(callers, folder):
+    runs = runs_by_request_id(read_ledgers(folder))
     assert [name for name in callers.cut_ids if name in runs] == []
     refused = [
         name
@@ -149,3 +177,38 @@
     ]
     assert [name for name in refused if name in runs] == []
     assert 200 in callers.statuses_by_id.values()
+
+
+@pytest.mark.parametrize(("stop_seconds", "work_ms"), [(6, 3200), (3, 800)])
+@pytest.mark.parametrize("proxy", [WITHOUT_TARGET, WITH_TARGETS[0]])
+def test_a_stop_cuts_no_request_that_it_took(
+    make_mesh, tmp_path, proxy, stop_seconds, work_ms
+):
+    mesh = make_mesh(stop_seconds)
+    callers = make_callers(mesh, proxy, make_path(work_ms))
+    callers.start()
+    eventlet.sleep(SECONDS_BEFORE_STOP)
+    mesh.terminate(proxy)
+    callers.wait()
+    assert mesh.child(proxy).wait() == 0
+    assert_none_is_cut(callers, tmp_path)
+
+
+@pytest.mark.parametrize("proxy", [WITHOUT_TARGET, WITH_TARGETS[0]])
+def test_a_stop_cuts_no_late_request_that_takes_longer_than_usual(
+    make_mesh, tmp_path, proxy
+):
+    """Guard against late requests that outlast the recent ones."""
+    mesh = make_mesh(GRACE_SECONDS)
+    callers = make_callers(mesh, proxy, make_path(USUAL_MS))
+    connections = callers.open_idle(IDLE_CONNECTIONS)
+    mesh.terminate(proxy)
+    started = time.monotonic()
+    for connection in connections:
+        if time.monotonic() - started >= LATE_SECONDS:
+            callers.path = make_path(LONGEST_MS)
+        callers.use(connection)
+        eventlet.sleep(LATE_CALLER_INTERVAL_SECONDS)
+    callers.wait()
+    assert mesh.child(proxy).wait() == 0
+    assert_none_is_cut(callers, tmp_path)
--- a/tests/unit/test_shutdown_order.py
+++ b/tests/unit/test_shutdown_order.py
@@ -80,6 +80,32 @@
     assert window.has_time_for("new", deadline=15.0, now=14.9)
 
 
+def test_late_in_a_stop_only_deadlines_in_the_window_count():
+    """Guard against late requests that outlast the recent ones."""
+    window = StopWindow()
+    window.observe("fast", 0.1, 9.0)
+    window.begin(ends_at=15.0, certain_from=12.75)
+    has_time = functools.partial(window.has_time_for, "fast")
+    assert has_time(deadline=99.0, now=12.7)
+    assert not has_time(deadline=99.0, now=12.8)
+    assert not has_time(deadline=15.1, now=12.8)
+    assert has_time(deadline=15.0, now=12.8)
+    # A repeat of a request that came before.
+    assert has_time(deadline=99.0, now=14.0, arrived_at=12.7)
+
+
+@pytest.mark.parametrize("seconds", [0.1, 2, 6, 10, 60])
+def test_the_times_of_a_stop_are_in_order(seconds):
+    """Guard against requests that a stop takes late without certainty.
+
+    The users excuse a cut only of requests that came in the first 3 s.
+    """
+    times = _shutdown.stop_times(ProxySettings(stop_seconds=seconds))
+    assert 0 < times.uncertain_seconds < min(3.0, times.total_seconds)
+    assert times.uncertain_seconds < times.wait_seconds < times.total_seconds
+    assert times.total_seconds < seconds
+
+
 def test_the_longest_time_of_a_route_is_recent():
     times = LongestTimes()
     assert times.longest("pay", 0.0) is None
--- a/tests/unit/test_withdrawn_requests.py
+++ b/tests/unit/test_withdrawn_requests.py
@@ -183,6 +183,7 @@
 def watch(window, cancellation, **fields):
     values = {
         "deadline": 99.0,
+        "arrived_at": 10.0,
         "cancellation": cancellation,
         "reason": REASON,
     }
--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -280,7 +280,9 @@
         now = time.monotonic()
         end = now + times.total_seconds
         self._stop_window.begin(
-            ends_at=end, waits_until=now + times.wait_seconds
+            ends_at=end,
+            certain_from=now + times.uncertain_seconds,
+            waits_until=now + times.wait_seconds,
         )
         withdrawals = eventlet.spawn(
             _run_every,
--- a/verbenanotch/daemon/_shutdown.py
+++ b/verbenanotch/daemon/_shutdown.py
@@ -26,6 +26,10 @@
 LEAVE_SHARE = 5 / 12
 MAX_EXIT_SECONDS = 1.0
 MAX_LEAVE_SECONDS = 2.5
+# Of a stop: requests that come later are taken only if they surely end in it,
+# by their deadlines.
+UNCERTAIN_SHARE = 0.55
+MAX_UNCERTAIN_SECONDS = 2.75
 # Of a stop: kept for refusals of requests that wait at other hosts to arrive.
 REFUSAL_SHARE = 1 / 8
 MAX_REFUSAL_SECONDS = 0.75
@@ -43,6 +47,11 @@
         """The time from the signal until requests in progress are cut."""
         return self.leave_seconds + self.grace_seconds
 
+    @property
+    def uncertain_seconds(self):
+        """How long requests are taken that only probably end in time."""
+        return min(MAX_UNCERTAIN_SECONDS, self.total_seconds * UNCERTAIN_SHARE)
+
     @property
     def wait_seconds(self):
         """How long requests may wait for their turn."""
--- a/verbenanotch/proxy/_dispatcher.py
+++ b/verbenanotch/proxy/_dispatcher.py
@@ -114,6 +114,7 @@
         with self._stop_window.watch(
             request.route_name,
             deadline=request.deadline,
+            arrived_at=request.arrived_at,
             cancellation=cancellation,
             reason=reasons.HOST_STOPPING,
         ):
@@ -197,7 +198,10 @@
         if now >= request.deadline:
             return NotRun(reason=reasons.DEADLINE_PASSED)
         if not self._stop_window.has_time_for(
-            request.route_name, deadline=request.deadline, now=now
+            request.route_name,
+            deadline=request.deadline,
+            now=now,
+            arrived_at=request.arrived_at,
         ):
             return NotRun(reason=reasons.HOST_STOPPING)
         if self._guard is not None:
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -426,6 +426,7 @@
         with self._stop_window.watch(
             call.route_name,
             deadline=deadline,
+            arrived_at=time.monotonic(),
             cancellation=cancellation,
             reason=reasons.HOST_LEAVING,
         ):
--- a/verbenanotch/proxy/_stop_window.py
+++ b/verbenanotch/proxy/_stop_window.py
@@ -18,6 +18,7 @@
 
     route_name: str
     deadline: float
+    arrived_at: float
     cancellation: Cancellation
     reason: str
 
@@ -31,33 +32,40 @@
     def __init__(self):
         """Start without a stop."""
         self._ends_at = math.inf
+        self._certain_from = math.inf
         self._waits_until = math.inf
         self._longest_times = LongestTimes()
         self._watched = set()
 
-    def begin(self, *, ends_at, waits_until=math.inf):
+    def begin(self, *, ends_at, certain_from=math.inf, waits_until=math.inf):
         """Set when requests in progress are cut.
 
-        From `waits_until` on, no request waits for its turn beyond the
-        window.
+        Requests that arrive at `certain_from` or later are taken only if
+        their deadline is in the window. From `waits_until` on, no request
+        waits for its turn beyond the window.
         """
         self._ends_at = ends_at
+        self._certain_from = certain_from
         self._waits_until = waits_until
 
     def observe(self, route_name, seconds, now):
         """Record how long an answered request took."""
         self._longest_times.observe(route_name, seconds, now)
 
-    def has_time_for(self, route_name, *, deadline, now):
+    def has_time_for(self, route_name, *, deadline, now, arrived_at=None):
         """Return whether a request that starts now ends within the window.
 
-        It does by its `deadline` at the latest. On a route without a recent
-        answer it is taken to last that long.
+        It does by its `deadline` at the latest. A request that has arrived
+        before `certain_from` is expected to last no longer than the recent
+        ones of its route; without a recent answer, until its deadline. A
+        request without `arrived_at` arrives now.
         """
-        return now <= self._latest_start(route_name, deadline, now)
+        if arrived_at is None:
+            arrived_at = now
+        return now <= self._latest_start(route_name, deadline, arrived_at, now)
 
     @contextlib.contextmanager
-    def watch(self, route_name, *, deadline, cancellation, reason):
+    def watch(self, route_name, *, deadline, arrived_at, cancellation, reason):
         """Let `withdraw_late` withdraw a request that waits for its turn.
 
         `cancellation` is its Cancellation, `reason` that of the refusal.
@@ -65,6 +73,7 @@
         request = _WatchedRequest(
             route_name=route_name,
             deadline=deadline,
+            arrived_at=arrived_at,
             cancellation=cancellation,
             reason=reason,
         )
@@ -82,18 +91,18 @@
         """
         for request in tuple(self._watched):
             latest_start = self._latest_start(
-                request.route_name, request.deadline, now
+                request.route_name, request.deadline, request.arrived_at, now
             )
             if latest_start < math.inf:
                 latest_start = min(latest_start, self._waits_until)
             if now > latest_start:
                 request.cancellation.withdraw(request.reason)
 
-    def _latest_start(self, route_name, deadline, now):
+    def _latest_start(self, route_name, deadline, arrived_at, now):
         """Return until when a request may start to end in the window."""
         if deadline <= self._ends_at:
             return math.inf
         longest = self._longest_times.longest(route_name, now)
-        if longest is None:
+        if arrived_at >= self._certain_from or longest is None:
             return -math.inf
         return self._ends_at - longest * LONGEST_MARGIN
