proxy: a new process asks a target before it believes its first report

Cause: that a target has left is in the memory of its proxy and of the control hosts. When all of them are killed, a report from before the DELETE that arrives late is the first that anybody hears of the target.

Change: in the first 10 s of a process, as long as a report can be late, a target that it does not know is used once its health answer has status 200 and its id. Where targets name no id, nothing changes. TargetDiscovery and this share the health request.

Why it works: a target that has left answers 503 until it exits, whoever else has forgotten it. It costs a health request for each start of a target's proxy.

--- a/verbenanotch/daemon/_proxy.py
+++ b/verbenanotch/daemon/_proxy.py
@@ -95,6 +95,7 @@
             is_rejected=self._is_version_rejected,
             stop_window=self._stop_window,
             body_budget=self._body_budget,
+            snapshot_store=self._snapshot_store,
         )
         self._leader_channel = LeaderChannel()
         self._freshness = VersionFreshness(
--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -17,6 +17,10 @@
 from verbenanotch.proxy._body_budget import BodyBudget
 from verbenanotch.proxy._crash_detection import CrashDetector
 from verbenanotch.proxy._exchange import exchange
+from verbenanotch.proxy._first_announcements import (
+    FirstAnnouncement,
+    FirstAnnouncements,
+)
 from verbenanotch.proxy._outcome import MRPS_PER_RPS, Answered, NotRun
 from verbenanotch.proxy._slots import Slots
 from verbenanotch.proxy._stop_window import StopWindow
@@ -124,6 +128,7 @@
         is_rejected=lambda record: False,
         stop_window=None,
         body_budget=None,
+        snapshot_store=None,
     ):
         """Call `on_change` whenever the announcement changes.
 
@@ -132,7 +137,8 @@
         `known_services` returns the names of the services of the mesh.
         `is_rejected(record)` returns whether a target's software version
         gets no requests. `stop_window` is the StopWindow of this host,
-        `body_budget` its BodyBudget.
+        `body_budget` its BodyBudget. With `snapshot_store`, which has the
+        health paths, first announcements are confirmed by their targets.
         """
         self._stop_window = stop_window or StopWindow()
         self._is_rejected = is_rejected
@@ -151,6 +157,13 @@
             max_bytes=settings.proxy.max_receiving_bytes
         )
         self.targets_by_id = {}
+        self._first_announcements = None
+        if snapshot_store is not None:
+            self._first_announcements = FirstAnnouncements(
+                settings=settings,
+                snapshot_store=snapshot_store,
+                on_confirmed=self._apply_confirmed,
+            )
 
     def announcement(self):
         """Return the HostRecord to announce to other hosts."""
@@ -214,16 +227,20 @@
         self._leaving = True
         self._announcement_changed()
 
-    def announce(self, record, *, sequence=0):
+    def announce(self, record, *, sequence=0, is_confirmed=False):
         """Add a target or renew its announcement.
 
         Returns False and ignores the announcement if it is invalid, if its
         service is unknown or if it is older than the current state of its
-        target or address.
+        target or address. An announcement that is not yet confirmed by its
+        target, which `is_confirmed` tells, may have its effect later.
         """
-        return self.announce_or_explain(record, sequence=sequence) is None
+        refusal = self.announce_or_explain(
+            record, sequence=sequence, is_confirmed=is_confirmed
+        )
+        return refusal is None
 
-    def announce_or_explain(self, record, *, sequence=0):
+    def announce_or_explain(self, record, *, sequence=0, is_confirmed=False):
         """Do what `announce` does; return why it is ignored, or None.
 
         The reason is InvalidTarget, UnknownService or Outdated.
@@ -239,6 +256,44 @@
             self._settings.proxy.announcement_lease_ms
             / MILLISECONDS_PER_SECOND
         )
+        if not is_confirmed and self._must_confirm(record):
+            return self._await_confirmation(record, sequence, expires_at)
+        self._apply(record, sequence, expires_at)
+        return None
+
+    def _must_confirm(self, record):
+        """Return whether a target has to say that it serves, before use."""
+        if self._first_announcements is None or record.draining:
+            return False
+        if not self._first_announcements.are_kept:
+            self._first_announcements.take(record.target_id)
+            return False
+        current = self.targets_by_id.get(record.target_id)
+        return current is None or (
+            current.record.incarnation != record.incarnation
+            and not _is_first_announcement(current.record, record)
+        )
+
+    def _await_confirmation(self, record, sequence, expires_at):
+        """Keep an announcement; return Outdated if a later one is kept."""
+        announcement = FirstAnnouncement(
+            record=record, sequence=sequence, expires_at=expires_at
+        )
+        if self._first_announcements.add(announcement):
+            return None
+        metrics.increment("proxy.announcements_outdated")
+        return Outdated(
+            target_id=record.target_id, incarnation=record.incarnation
+        )
+
+    def _apply_confirmed(self, announcement):
+        """Apply a FirstAnnouncement unless a later state is known by now."""
+        record, sequence = announcement.record, announcement.sequence
+        if self._announcement_refusal(record, sequence) is None:
+            self._apply(record, sequence, announcement.expires_at)
+
+    def _apply(self, record, sequence, expires_at):
+        """Add the target of a current announcement, or renew it."""
         self._service = record.service
         current = self.targets_by_id.get(record.target_id)
         if current is not None and _is_first_announcement(
@@ -253,7 +308,6 @@
         current.sequence = sequence
         if record.draining or self._history.was_drained(record):
             self.drain(record.target_id)
-        return None
 
     def _announcement_refusal(self, record, sequence):
         """Return why an announcement is ignored; None if it is current."""
@@ -331,6 +385,7 @@
 
     def drain(self, target_id):
         """Stop sending new requests to a target; return False if unknown."""
+        self._apply_unconfirmed(target_id)
         target = self.targets_by_id.get(target_id)
         if target is None:
             return False
@@ -340,8 +395,22 @@
             self._announcement_changed()
         return True
 
+    def _apply_unconfirmed(self, target_id):
+        """Add a target, as draining, that has not been confirmed yet."""
+        if self._first_announcements is None:
+            return
+        announcement = self._first_announcements.take(target_id)
+        if announcement is not None:
+            self._apply_confirmed(
+                attrs.evolve(
+                    announcement,
+                    record=attrs.evolve(announcement.record, draining=True),
+                )
+            )
+
     def remove(self, target_id):
         """Remove a target that exits; return False if it is unknown."""
+        self._apply_unconfirmed(target_id)
         target = self.targets_by_id.get(target_id)
         if target is None:
             self._history.add_exit(target_id, None)
--- a/verbenanotch/proxy/_target_discovery.py
+++ b/verbenanotch/proxy/_target_discovery.py
@@ -14,10 +14,8 @@
 from verbenanotch.membership import TargetRecord
 from verbenanotch.proxy import events
 from verbenanotch.proxy._announcement_checks import MAX_SLOTS
-from verbenanotch.proxy._target_connection import (
-    TARGET_FAILURES,
-    TargetConnections,
-)
+from verbenanotch.proxy._health_request import request_health
+from verbenanotch.proxy._target_connection import TARGET_FAILURES
 from verbenanotch.telemetry import emit
 
 # Limited because each request briefly occupies a slot of the target, which
@@ -81,22 +79,14 @@
 
     def _request_identity(self, path):
         """Return the TargetIdentity, or None if the target is unhealthy."""
-        connections = TargetConnections(
-            address=self._address, port=self._port, max_idle=0
-        )
         started = time.monotonic()
-        connection = None
         try:
-            with eventlet.Timeout(REQUEST_TIMEOUT_SECONDS):
-                connection = connections.connect(
-                    timeout_seconds=REQUEST_TIMEOUT_SECONDS
-                )
-                host = f"{self._address}:{self._port}"
-                connection.send_request("GET", path, (("Host", host),), b"")
-                answer = connection.read_answer("GET")
-                return parse_identity(
-                    answer.status, answer.headers, self._header_names
-                )
+            answer = request_health(
+                address=self._address,
+                port=self._port,
+                path=path,
+                timeout_seconds=REQUEST_TIMEOUT_SECONDS,
+            )
         except (eventlet.Timeout, *TARGET_FAILURES) as error:
             emit(
                 events.TARGET_NOT_FOUND,
@@ -106,9 +96,9 @@
                 milliseconds=round((time.monotonic() - started) * 1000, 3),
             )
             return None
-        finally:
-            if connection is not None:
-                connection.close()
+        return parse_identity(
+            answer.status, answer.headers, self._header_names
+        )
 
     def _announce(self, identity):
         # The target may have announced itself during the request.
@@ -122,7 +112,8 @@
                 port=self._port,
                 slots=identity.slots,
                 incarnation=UNKNOWN_INCARNATION,
-            )
+            ),
+            is_confirmed=True,
         )
 
 
--- a/verbenanotch/proxy/events.py
+++ b/verbenanotch/proxy/events.py
@@ -190,6 +190,14 @@
     "forgot that a target has left, as many others have left since; a late "
     "announcement of it would be accepted",
 )
+TARGET_UNCONFIRMED = event(
+    5035,
+    "target-unconfirmed",
+    Level.INFO,
+    "a target that this new process does not know has announced itself, and "
+    "does not say in a health answer that it serves; it gets no requests yet",
+    "None if the target is leaving or starting; else check its health path.",
+)
 BODIES_UNFINISHED = event(
     5034,
     "bodies-unfinished",
