tests: the verdicts on callers' results are shared by the soaks

Cause: two soaks had the same checks of requests that were refused and ran, or ran twice, and a third one is to come. Change: tests/support/verdicts.py has them, and the check of lost requests of test_kept_callers_random.py, as they were.

--- a/tests/integration/test_breaks_random.py
+++ b/tests/integration/test_breaks_random.py
@@ -18,6 +18,11 @@
 from tests.support.kept_caller import make_callers
 from tests.support.rude_target import RudeTarget
 from tests.support.seeds import chosen_seeds
+from tests.support.verdicts import (
+    LOSS_SLACK_SECONDS,
+    refused_but_run,
+    run_twice,
+)
 
 SEEDS = chosen_seeds(1)
 SERVICE = "pay"
@@ -31,12 +36,8 @@
 STOP_SECONDS = 6
 # Beyond the time that a stop may take.
 EXIT_SLACK_SECONDS = 2.0
-# The users' bound for a request that crosses the close of its connection.
-LOSS_SLACK_SECONDS = 0.2
 # A caller that reads slowly sees the end of its connection later.
 KILL_SLACK_SECONDS = 1.5
-# These promise that the request has not run.
-PROMISES = {408, 421, 429, 503}
 INTERNAL_ERRORS = (
     '"answer-failed"',
     '"background-failed"',
@@ -257,16 +258,8 @@
 def assert_truthful(callers, runs, refused):
     """Assert that no answer says what did not happen."""
     results = [result for _, caller in callers for result in caller.results]
-    assert [
-        result
-        for result in results
-        if result.status in PROMISES and result.request_id in runs
-    ] == []
-    assert [
-        result
-        for result in results
-        if result.method == "POST" and runs[result.request_id] > 1
-    ] == []
+    assert refused_but_run(results, runs) == []
+    assert run_twice(results, runs) == []
     assert [
         result
         for result in results
--- a/tests/integration/test_kept_callers_random.py
+++ b/tests/integration/test_kept_callers_random.py
@@ -19,6 +19,7 @@
 from tests.support.ledger import read_ledgers, runs_by_request_id
 from tests.support.network import accepts_connections
 from tests.support.seeds import chosen_seeds
+from tests.support.verdicts import lost, refused_but_run, run_twice
 
 SEEDS = chosen_seeds(1)
 SERVICE = "pay"
@@ -30,10 +31,6 @@
 LOAD_SECONDS = 10.0
 MAX_PAUSE_SECONDS = 0.5
 MAX_BODY_BYTES = 1_000_000
-# The users' bound for a request that crosses the close of its connection.
-LOSS_SLACK_SECONDS = 0.2
-# These promise that the request has not run.
-PROMISES = {408, 421, 429, 503}
 SETTINGS = {
     "stop_seconds": 6,
     "max_body_bytes": MAX_BODY_BYTES,
@@ -150,23 +147,6 @@
 ]
 
 
-def lost(results, runs):
-    """Return the whole requests that were read and got no answer."""
-    return [
-        result
-        for result in results
-        if result.is_whole
-        and not result.status
-        and (
-            result.request_id in runs
-            or (
-                not result.is_announced
-                and result.waited_seconds > LOSS_SLACK_SECONDS
-            )
-        )
-    ]
-
-
 def cut(results, *, has_stops):
     """Return the requests that were reset while their body was sent.
 
@@ -211,16 +191,8 @@
     results = [result for caller in callers for result in caller.results]
     runs = runs_by_request_id(read_ledgers(tmp_path))
     assert lost(results, runs) == []
-    assert [
-        result
-        for result in results
-        if result.status in PROMISES and result.request_id in runs
-    ] == []
-    assert [
-        result
-        for result in results
-        if result.method == "POST" and runs[result.request_id] > 1
-    ] == []
+    assert refused_but_run(results, runs) == []
+    assert run_twice(results, runs) == []
     assert cut(results, has_stops=stop_proxies in kinds) == []
     assert all(result.shows_own_id for result in results)
     assert [
