--- a/examples/announcer.py
+++ b/examples/announcer.py
@@ -43,10 +43,14 @@
             retries=False, timeout=ANNOUNCE_TIMEOUT_SECONDS
         )
 
-    def run_forever(self):
-        """Announce the target, and again every second, even after errors."""
+    def run_forever(self, is_enabled=lambda: True):
+        """Announce the target, and again every second, even after errors.
+
+        Pauses while `is_enabled()` is false.
+        """
         while True:
-            self._request("POST", self._url, self._body)
+            if is_enabled():
+                self._request("POST", self._url, self._body)
             eventlet.sleep(RENEWAL_SECONDS)
 
     def drain(self):
--- a/examples/behaviour.py
+++ b/examples/behaviour.py
@@ -26,7 +26,7 @@
     `says_leaving`, all answers say that the target is about to exit. With
     `told_pace`, all answers tell the target's load with that pace.
     `software_version` is in the announcement unless it is empty; it is read
-    only at the start.
+    only at the start. Without `announces`, announcements are not renewed.
     """
 
     latency_ms: int = 0
@@ -45,6 +45,7 @@
     says_leaving: bool = False
     software_version: str = ""
     told_pace: str = ""
+    announces: bool = True
 
     def with_changes(self, values):
         """Return a copy with the given values by field name.
--- a/examples/stand_in_target.py
+++ b/examples/stand_in_target.py
@@ -40,6 +40,7 @@
 LIMIT_HEADER = "X-Verbenanotch-Target-Limit"
 LEAVING_HEADER = "X-Verbenanotch-Target-Leaving"
 LOAD_HEADER = "X-Verbenanotch-Target-Load"
+ID_HEADER = "X-Verbenanotch-Target-Id"
 MESH_HEADER_PREFIX = "HTTP_X_VERBENANOTCH_"
 DEFAULT_CALL_TIMEOUT_MS = 2000
 
@@ -100,7 +101,12 @@
         match environ["PATH_INFO"]:
             case "/health":
                 status = self.behaviour.reported_health or 200
-                return _respond(start_response, status, {"status": status})
+                return _respond(
+                    start_response,
+                    status,
+                    {"status": status},
+                    [(ID_HEADER, self.name)],
+                )
             case "/load":
                 return _respond(start_response, 200, self._load())
             case "/_control":
@@ -222,13 +228,14 @@
     return bool(poll.poll(0))
 
 
-def _respond(start_response, status, value):
+def _respond(start_response, status, value, headers=()):
     body = json.dumps(value).encode()
     start_response(
         f"{status} Status",
         [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
+            *headers,
         ],
     )
     return [body]
@@ -292,7 +299,9 @@
         incarnation=time.time_ns() // 1_000_000,
         software_version=target.behaviour.software_version,
     )
-    renewal = eventlet.spawn(announcer.run_forever)
+    renewal = eventlet.spawn(
+        announcer.run_forever, lambda: target.behaviour.announces
+    )
     sock = eventlet.listen((address, port), reuse_port=False)
     server = eventlet.spawn(
         wsgi.server, sock, target.application, log_output=False
