--- a/verbenanotch/proxy/_local_targets.py
+++ b/verbenanotch/proxy/_local_targets.py
@@ -232,8 +232,8 @@
 
         Returns False and ignores the announcement if it is invalid, if its
         service is unknown or if it is older than the current state of its
-        target or address. An announcement that is not yet confirmed by its
-        target, which `is_confirmed` tells, may have its effect later.
+        target or address. A first announcement that is not `is_confirmed` by
+        a health answer may have its effect later, see FirstAnnouncements.
         """
         refusal = self.announce_or_explain(
             record, sequence=sequence, is_confirmed=is_confirmed
