tests: one check of a lost request serves three soaks

Cause: tests/support/verdicts.py had the check of test_breaks_random.py once more, to the letter; a stand-in of test_withdrawn_requests.py kept cancellations that nothing read. Change: verdicts.is_lost is the one check, and lost uses it; the unused list is gone. No assertion is changed.

--- a/tests/integration/test_breaks_random.py
+++ b/tests/integration/test_breaks_random.py
@@ -20,6 +20,7 @@
 from tests.support.seeds import chosen_seeds
 from tests.support.verdicts import (
     LOSS_SLACK_SECONDS,
+    is_lost,
     refused_but_run,
     run_twice,
 )
@@ -165,21 +166,6 @@
         target.stop()
 
 
-def is_lost(result, runs):
-    """Return whether a whole request was read and got no answer."""
-    return (
-        result.is_whole
-        and not result.status
-        and (
-            result.request_id in runs
-            or (
-                not result.is_announced
-                and result.waited_seconds > LOSS_SLACK_SECONDS
-            )
-        )
-    )
-
-
 def is_cut(result, *, has_stops):
     """Return whether a request was reset while its body was sent."""
     return (
--- a/tests/support/verdicts.py
+++ b/tests/support/verdicts.py
@@ -9,12 +9,10 @@
 PROMISES = {408, 421, 429, 503}
 
 
-def lost(results, runs):
-    """Return the whole requests that were read and got no answer."""
-    return [
-        result
-        for result in results
-        if result.is_whole
+def is_lost(result, runs):
+    """Return whether a whole request was read and got no answer."""
+    return (
+        result.is_whole
         and not result.status
         and (
             result.request_id in runs
@@ -23,7 +21,12 @@
                 and result.waited_seconds > LOSS_SLACK_SECONDS
             )
         )
-    ]
+    )
+
+
+def lost(results, runs):
+    """Return the requests that are lost."""
+    return [result for result in results if is_lost(result, runs)]
 
 
 def refused_but_run(results, runs):
--- a/tests/unit/test_withdrawn_requests.py
+++ b/tests/unit/test_withdrawn_requests.py
@@ -74,14 +74,12 @@
     def __init__(self, link, *, runs):
         """Take the place of the targets of a link."""
         self.calls = []
-        self.cancellations = []
         self._runs = runs
         link.server.local_targets = self
 
     def run(self, call, *, sender, deadline, cancellation):
         """Run a call at once, or keep it waiting."""
         self.calls.append(call)
-        self.cancellations.append(cancellation)
         if self._runs:
             eventlet.sleep(0.2)
             return Answered(status=200, headers=(), body=b"done")
